--- /dev/null
+++ b/bench/src/main/java/org/wagtailcart/bench/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.wagtailcart.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cli/src/main/java/org/wagtailcart/cli/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.wagtailcart.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/common/src/main/java/org/wagtailcart/common/Address.java
@@ -0,0 +1,51 @@
+package org.wagtailcart.common;
+
+import java.net.InetSocketAddress;
+
+/**
+ * IP number and port of a listener.
+ *
+ * @param ip IP number; host names are not resolved
+ * @param port port, 1 to 65535
+ */
+public record Address(String ip, int port) {
+    /** Checks the port. */
+    public Address {
+        if (port < 1 || port > 65535) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT, "port " + port + " is outside the range 1 to 65535");
+        }
+    }
+
+    /**
+     * Parses {@code ip:port}.
+     *
+     * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT} when the text has another form
+     */
+    public static Address parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0 || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:]+]")) {
+            throw malformed(text);
+        }
+        try {
+            return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw malformed(text);
+        }
+    }
+
+    /** Returns the socket address. */
+    public InetSocketAddress toSocketAddress() {
+        return new InetSocketAddress(ip, port);
+    }
+
+    @Override
+    public String toString() {
+        return ip + ":" + port;
+    }
+
+    private static WagtailcartException malformed(String text) {
+        return new WagtailcartException(
+                ResultCode.INVALID_ARGUMENT, "address \"" + text + "\" is not of the form IP:PORT");
+    }
+}
--- /dev/null
+++ b/common/src/main/java/org/wagtailcart/common/SettingNames.java
@@ -0,0 +1,33 @@
+package org.wagtailcart.common;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** Conversion between enum constants and their names in settings, headers and commands. */
+public final class SettingNames {
+    private SettingNames() {}
+
+    /**
+     * Finds the constant with the given setting name.
+     *
+     * @param what name of the field, for the error message
+     * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT} when no constant has that name
+     */
+    public static <E extends Enum<E>> E parse(E[] values, String name, String what) {
+        return Arrays.stream(values)
+                .filter(value -> of(value).equals(name))
+                .findFirst()
+                .orElseThrow(() -> new WagtailcartException(
+                        ResultCode.INVALID_ARGUMENT, what + " \"" + name + "\" is not one of " + listOf(values)));
+    }
+
+    /** Returns the lower-case, hyphenated name of a constant. */
+    public static String of(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    private static String listOf(Enum<?>[] values) {
+        return Arrays.stream(values).map(SettingNames::of).collect(Collectors.joining(", "));
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/client/CommandRequest.java
@@ -0,0 +1,9 @@
+package org.wagtailcart.control.client;
+
+/**
+ * A command or query for the leader.
+ *
+ * @param typeNumber message type of the command
+ * @param command encoded command
+ */
+public record CommandRequest(int typeNumber, byte[] command) {}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/client/ControlMessages.java
@@ -0,0 +1,15 @@
+package org.wagtailcart.control.client;
+
+import java.util.List;
+import org.wagtailcart.wire.MessageType;
+
+/** Type numbers of the messages between processes and control members, 500 to 599. */
+public final class ControlMessages {
+    public static final List<MessageType> TYPES = List.of(
+            new MessageType(500, SyncRequest.class),
+            new MessageType(501, SyncReply.class),
+            new MessageType(502, CommandRequest.class),
+            new MessageType(503, CommandReply.class));
+
+    private ControlMessages() {}
+}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/client/SyncReply.java
@@ -0,0 +1,29 @@
+package org.wagtailcart.control.client;
+
+import java.util.List;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.settings.SettingsEdit;
+
+/**
+ * Answer to {@link SyncRequest}.
+ *
+ * @param revision settings revision of this answer
+ * @param complete whether {@code edits} hold the whole tree rather than the changes since the requester's revision
+ * @param edits settings edits, in order
+ * @param fleetVersion fleet version of this answer
+ * @param upstreams views changed since the requester's fleet version
+ * @param removedUpstreamIds upstreams removed since then
+ * @param confirmationAgeMillis time since a leader with a quorum confirmed the answering member
+ * @param grants power grants for the requester's upstreams
+ * @param leaderAddress peer address of the leader, empty when unknown
+ */
+public record SyncReply(
+        long revision,
+        boolean complete,
+        List<SettingsEdit> edits,
+        long fleetVersion,
+        List<UpstreamView> upstreams,
+        List<String> removedUpstreamIds,
+        long confirmationAgeMillis,
+        List<PowerGrant> grants,
+        String leaderAddress) {}
--- /dev/null
+++ b/coordination/src/main/java/org/wagtailcart/coordination/LocalLog.java
@@ -0,0 +1,73 @@
+package org.wagtailcart.coordination;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Supplier;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+/** Log of a single member without a disk, for embedding in tests. Nothing survives the process. */
+public final class LocalLog implements ReplicatedLog {
+    private final Member self;
+    private final StateMachine stateMachine;
+    private final ExecutorService controlThread = Executors.newSingleThreadExecutor(task -> {
+        Thread thread = new Thread(task, "control");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private volatile long index;
+    private long timeMillis;
+
+    /** Creates an empty log. */
+    public LocalLog(Member self, StateMachine stateMachine) {
+        this.self = self;
+        this.stateMachine = stateMachine;
+    }
+
+    @Override
+    public CompletableFuture<Object> propose(byte[] command) {
+        return read(() -> {
+            timeMillis = Math.max(timeMillis, MillisClock.wall().nowMillis());
+            long next = index + 1;
+            index = next;
+            return stateMachine.apply(next, timeMillis, command);
+        });
+    }
+
+    @Override
+    public CompletableFuture<Long> confirmLeadership() {
+        return read(() -> index);
+    }
+
+    @Override
+    public CompletableFuture<Members> changeMembers(MemberChange change) {
+        return CompletableFuture.failedFuture(
+                new WagtailcartException(ResultCode.MEMBERSHIP_CHANGE_INVALID, "a local log has exactly one member"));
+    }
+
+    @Override
+    public CompletableFuture<Void> transferLeadership() {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public LogStatus status() {
+        long nowMillis = MillisClock.monotonic().nowMillis();
+        Members members = new Members(0, List.of(self));
+        return new LogStatus(self, LogStatus.Role.LEADER, 1, Optional.of(self), index, index, 0, nowMillis, members);
+    }
+
+    @Override
+    public <T> CompletableFuture<T> read(Supplier<T> task) {
+        return CompletableFuture.supplyAsync(task, controlThread);
+    }
+
+    @Override
+    public void close() {
+        controlThread.shutdown();
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/wagtailcart/coordination/Members.java
@@ -0,0 +1,11 @@
+package org.wagtailcart.coordination;
+
+import java.util.List;
+
+/**
+ * Membership of the control group.
+ *
+ * @param index log index of the change that made it
+ * @param members all voters and learners
+ */
+public record Members(long index, List<Member> members) {}
--- /dev/null
+++ b/daemon/src/main/java/org/wagtailcart/daemon/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.wagtailcart.daemon;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.wagtailcart.entry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/fleet/src/main/java/org/wagtailcart/fleet/FleetResult.java
@@ -0,0 +1,10 @@
+package org.wagtailcart.fleet;
+
+/**
+ * Result of lifecycle and order commands.
+ *
+ * @param codeNumber number of the result code, 0 when accepted
+ * @param orderNumber latest order number of the upstream
+ * @param text message for people
+ */
+public record FleetResult(int codeNumber, long orderNumber, String text) {}
--- /dev/null
+++ b/fleet/src/main/java/org/wagtailcart/fleet/RegisterSidecarResult.java
@@ -0,0 +1,10 @@
+package org.wagtailcart.fleet;
+
+/**
+ * Result of {@link RegisterSidecar}.
+ *
+ * @param codeNumber number of the result code, 0 when accepted
+ * @param epoch epoch of the sidecar, a log index
+ * @param text message for people
+ */
+public record RegisterSidecarResult(int codeNumber, long epoch, String text) {}
--- /dev/null
+++ b/fleet/src/main/java/org/wagtailcart/fleet/package-info.java
@@ -0,0 +1,5 @@
+/** Upstreams: sidecar epochs, lifecycle and orders to engines with fencing tokens. */
+@NullMarked
+package org.wagtailcart.fleet;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/once/src/main/java/org/wagtailcart/once/KeyId.java
@@ -0,0 +1,9 @@
+package org.wagtailcart.once;
+
+/**
+ * Identifies a non-idempotent request.
+ *
+ * @param workspace workspace of the caller
+ * @param key the caller's Idempotency-Key
+ */
+public record KeyId(String workspace, String key) {}
--- /dev/null
+++ b/once/src/main/java/org/wagtailcart/once/package-info.java
@@ -0,0 +1,5 @@
+/** Idempotency keys: requests that run at most once. */
+@NullMarked
+package org.wagtailcart.once;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/package-info.java
@@ -0,0 +1,5 @@
+/** The process beside an upstream. */
+@NullMarked
+package org.wagtailcart.sidecar;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/wagtailcart/standin/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.wagtailcart.standin;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/storage/src/main/java/org/wagtailcart/storage/package-info.java
@@ -0,0 +1,5 @@
+/** Placeholder. */
+@NullMarked
+package org.wagtailcart.storage;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wire/src/main/java/org/wagtailcart/wire/ClientExchange.java
@@ -0,0 +1,90 @@
+package org.wagtailcart.wire;
+
+import java.util.concurrent.Executor;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.WagtailcartException;
+
+/** An exchange that this process opened. Its request is held back until the connection is established. */
+final class ClientExchange {
+    private final MessageCodec codec;
+    private final Executor executor;
+    private final StreamListener listener;
+    private @Nullable Frame deferred;
+    private boolean sent;
+    private boolean ended;
+
+    ClientExchange(MessageCodec codec, Executor executor, StreamListener listener) {
+        this.codec = codec;
+        this.executor = executor;
+        this.listener = listener;
+    }
+
+    /** Sends the request now or, when the connection is not established, at {@link #sendDeferred}. */
+    synchronized void send(PeerConnection connection, Frame frame) {
+        if (connection.isConnected()) {
+            sent = true;
+            connection.send(frame);
+        } else {
+            deferred = frame;
+        }
+    }
+
+    /** Sends a request that was held back. */
+    synchronized void sendDeferred(PeerConnection connection) {
+        Frame frame = deferred;
+        if (frame != null) {
+            deferred = null;
+            sent = true;
+            connection.send(frame);
+        }
+    }
+
+    /** Handles an EVENT, END or ERROR frame. */
+    void receive(Frame frame) {
+        Object message;
+        try {
+            message = frame.kind() == FrameKind.ERROR && frame.typeNumber() == ErrorMessage.TYPE_NUMBER
+                    ? codec.decodeError(frame.payload())
+                    : codec.decode(frame.typeNumber(), frame.payload());
+        } catch (WagtailcartException e) {
+            fail(new WagtailcartException(e.code(), RunState.MAY_HAVE_RUN, String.valueOf(e.getMessage())));
+            return;
+        }
+        deliver(frame.kind(), message);
+    }
+
+    private void deliver(FrameKind kind, Object message) {
+        switch (kind) {
+            case EVENT -> executor.execute(() -> listener.onEvent(message));
+            case END -> end(() -> listener.onEnd(message));
+            default -> fail(((ErrorMessage) message).toException());
+        }
+    }
+
+    /** Fails the exchange because its connection ended; it did not run when the request was never sent. */
+    void connectionClosed(WagtailcartException reason) {
+        boolean wasSent;
+        synchronized (this) {
+            wasSent = sent;
+        }
+        ResultCode code = wasSent ? reason.code() : ResultCode.CONNECT_FAILED;
+        RunState runState = wasSent ? RunState.MAY_HAVE_RUN : RunState.NOT_RUN;
+        fail(new WagtailcartException(code, runState, String.valueOf(reason.getMessage())));
+    }
+
+    void fail(WagtailcartException error) {
+        end(() -> listener.onFailure(error));
+    }
+
+    private void end(Runnable last) {
+        synchronized (this) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+        }
+        executor.execute(last);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/wagtailcart/wire/IoLoop.java
@@ -0,0 +1,192 @@
+package org.wagtailcart.wire;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+/** One thread that reads and writes all connections of a process and watches their deadlines. */
+public final class IoLoop implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(IoLoop.class.getName());
+    private static final long TICK_MILLIS = 100;
+
+    private final Selector selector;
+    private final MillisClock clock;
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final ExecutorService executor;
+    private volatile boolean closed;
+    private long nextTickMillis;
+
+    /** Starts the loop's thread. */
+    public IoLoop(String name) {
+        this(name, MillisClock.monotonic());
+    }
+
+    IoLoop(String name, MillisClock clock) {
+        this.clock = clock;
+        try {
+            selector = Selector.open();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        executor = Executors.newSingleThreadExecutor(task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        });
+        executor.execute(this::run);
+    }
+
+    MillisClock clock() {
+        return clock;
+    }
+
+    /** Runs a task on the loop's thread. */
+    void submit(Runnable task) {
+        tasks.add(task);
+        selector.wakeup();
+    }
+
+    /**
+     * Listens on an address and passes each accepted channel on.
+     *
+     * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT} when the address cannot be bound
+     */
+    ServerSocketChannel listen(Address address, Consumer<SocketChannel> accepted) {
+        try {
+            ServerSocketChannel server = ServerSocketChannel.open();
+            try {
+                server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+                server.bind(address.toSocketAddress());
+                server.configureBlocking(false);
+            } catch (IOException e) {
+                server.close();
+                throw e;
+            }
+            submit(() -> register(server, SelectionKey.OP_ACCEPT, key -> accept(server, accepted)));
+            return server;
+        } catch (IOException e) {
+            throw new WagtailcartException(ResultCode.INVALID_ARGUMENT, "cannot listen on " + address, e);
+        }
+    }
+
+    /** Registers a channel; must run on the loop's thread. */
+    SelectionKey register(java.nio.channels.SelectableChannel channel, int operations, Consumer<SelectionKey> ready) {
+        try {
+            return channel.register(selector, operations, ready);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        selector.wakeup();
+        executor.shutdown();
+        try {
+            executor.awaitTermination(5, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void accept(ServerSocketChannel server, Consumer<SocketChannel> accepted) {
+        try {
+            SocketChannel channel = server.accept();
+            if (channel != null) {
+                channel.configureBlocking(false);
+                channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                accepted.accept(channel);
+            }
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, LogEvent.of("accept-failed", "reason", e.getMessage()));
+        }
+    }
+
+    private void run() {
+        while (!closed) {
+            try {
+                selector.select(TICK_MILLIS);
+                runTasks();
+                selector.selectedKeys().forEach(IoLoop::runReady);
+                selector.selectedKeys().clear();
+                tick();
+            } catch (IOException | RuntimeException e) {
+                LOG.log(Level.ERROR, LogEvent.of("io-loop-error", "reason", e), e);
+            }
+        }
+        selector.keys().forEach(IoLoop::closeKey);
+        try {
+            selector.close();
+        } catch (IOException e) {
+            LOG.log(Level.DEBUG, LogEvent.of("selector-close-failed", "reason", e.getMessage()));
+        }
+    }
+
+    private void runTasks() {
+        Runnable task = tasks.poll();
+        while (task != null) {
+            runGuarded(task);
+            task = tasks.poll();
+        }
+    }
+
+    private static void runGuarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, LogEvent.of("io-task-error", "reason", e), e);
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private static void runReady(SelectionKey key) {
+        runGuarded(() -> {
+            if (key.isValid()) {
+                ((Consumer<SelectionKey>) key.attachment()).accept(key);
+            }
+        });
+    }
+
+    private void tick() {
+        long nowMillis = clock.nowMillis();
+        if (nowMillis < nextTickMillis) {
+            return;
+        }
+        nextTickMillis = nowMillis + TICK_MILLIS;
+        List.copyOf(selector.keys()).stream()
+                .map(SelectionKey::attachment)
+                .filter(PeerConnection.class::isInstance)
+                .map(PeerConnection.class::cast)
+                .forEach(connection -> runGuarded(() -> connection.tick(nowMillis)));
+    }
+
+    private static void closeKey(SelectionKey key) {
+        try {
+            if (key.attachment() instanceof PeerConnection connection) {
+                connection.close(new WagtailcartException(ResultCode.CONNECTION_LOST, "process is stopping"));
+            }
+            key.channel().close();
+        } catch (IOException e) {
+            LOG.log(Level.DEBUG, LogEvent.of("channel-close-failed", "reason", e.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/wagtailcart/wire/PeerConnection.java
@@ -0,0 +1,282 @@
+package org.wagtailcart.wire;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+/**
+ * One TCP connection that carries many exchanges. Reading, writing to the channel and deadlines happen on the loop's
+ * thread; any thread may queue frames.
+ */
+final class PeerConnection implements Consumer<SelectionKey> {
+    private static final Logger LOG = System.getLogger(PeerConnection.class.getName());
+    private static final int INITIAL_READ_BYTES = 4 << 10;
+    private static final int MAX_WRITE_BATCH = 64;
+
+    /** Receives what a connection reads, on the loop's thread. */
+    interface Owner {
+        void onConnected(PeerConnection connection);
+
+        void onFrame(PeerConnection connection, Frame frame);
+
+        void onClosed(PeerConnection connection, WagtailcartException reason);
+    }
+
+    private final IoLoop loop;
+    private final SocketChannel channel;
+    private final String remote;
+    private final WireOptions options;
+    private final FrameCodec codec;
+    private final WireMetrics metrics;
+    private final Owner owner;
+    private final Queue<ByteBuffer> outbound = new ConcurrentLinkedQueue<>();
+    private final AtomicLong queuedBytes = new AtomicLong();
+    private final Map<Long, Object> exchanges = new ConcurrentHashMap<>();
+
+    private ByteBuffer inbound = ByteBuffer.allocate(INITIAL_READ_BYTES);
+    private @Nullable SelectionKey key;
+    private volatile @Nullable WagtailcartException closeReason;
+    private volatile boolean connected;
+    private long connectDeadlineMillis = Long.MAX_VALUE;
+    private long nextPingMillis = Long.MAX_VALUE;
+    private long pongDeadlineMillis = Long.MAX_VALUE;
+
+    PeerConnection(
+            IoLoop loop, SocketChannel channel, String remote, WireOptions options, WireMetrics metrics, Owner owner) {
+        this.loop = loop;
+        this.channel = channel;
+        this.remote = remote;
+        this.options = options;
+        this.codec = new FrameCodec(options.maxFrameBytes());
+        this.metrics = metrics;
+        this.owner = owner;
+    }
+
+    String remote() {
+        return remote;
+    }
+
+    boolean isClosed() {
+        return closeReason != null;
+    }
+
+    /** Returns why the connection was closed, or null while it is open. */
+    @Nullable
+    WagtailcartException closeReason() {
+        return closeReason;
+    }
+
+    /** Returns whether the connection is established. */
+    boolean isConnected() {
+        return connected;
+    }
+
+    /** Open exchanges by id; the owner decides what stands for an exchange. */
+    Map<Long, Object> exchanges() {
+        return exchanges;
+    }
+
+    /** Registers an accepted channel; runs on the loop's thread. */
+    void startAccepted() {
+        key = loop.register(channel, SelectionKey.OP_READ, this);
+        nextPingMillis = loop.clock().nowMillis() + options.pingIntervalMillis();
+        connected = true;
+        owner.onConnected(this);
+    }
+
+    /** Registers a channel that is being connected; runs on the loop's thread. */
+    void startConnecting() {
+        connectDeadlineMillis = loop.clock().nowMillis() + options.connectLimitMillis();
+        key = loop.register(channel, SelectionKey.OP_CONNECT, this);
+    }
+
+    /**
+     * Queues a frame.
+     *
+     * @throws WagtailcartException with {@link ResultCode#FRAME_TOO_LARGE} when the frame exceeds the limit
+     */
+    void send(Frame frame) {
+        ByteBuffer bytes = codec.encode(frame);
+        if (isClosed()) {
+            return;
+        }
+        boolean wasEmpty = queuedBytes.getAndAdd(bytes.remaining()) == 0;
+        outbound.add(bytes);
+        metrics.framesOut().mark();
+        if (wasEmpty) {
+            loop.submit(this::flush);
+        }
+        if (queuedBytes.get() > options.maxQueuedBytes()) {
+            closeLater(new WagtailcartException(
+                    ResultCode.CONNECTION_SILENT, "peer " + remote + " does not read; output queue is full"));
+        }
+    }
+
+    /** Makes the next tick send a PING, so that a connection that went silent while idle is noticed early. */
+    void pingSoon() {
+        loop.submit(() -> {
+            if (nextPingMillis != Long.MAX_VALUE) {
+                nextPingMillis = Math.min(nextPingMillis, loop.clock().nowMillis() + options.pingIntervalMillis());
+            }
+        });
+    }
+
+    void closeLater(WagtailcartException reason) {
+        loop.submit(() -> close(reason));
+    }
+
+    /** Closes the connection; runs on the loop's thread. */
+    void close(WagtailcartException reason) {
+        if (closeReason != null) {
+            return;
+        }
+        closeReason = reason;
+        try {
+            channel.close();
+        } catch (IOException e) {
+            LOG.log(Level.DEBUG, LogEvent.of("channel-close-failed", "peer", remote, "reason", e.getMessage()));
+        }
+        outbound.clear();
+        owner.onClosed(this, reason);
+    }
+
+    /** Checks deadlines; runs on the loop's thread. */
+    void tick(long nowMillis) {
+        if (nowMillis >= connectDeadlineMillis) {
+            close(new WagtailcartException(ResultCode.CONNECT_FAILED, "connect to " + remote + " timed out"));
+            return;
+        }
+        if (nowMillis >= pongDeadlineMillis) {
+            metrics.silentConnections().mark();
+            LOG.log(Level.WARNING, LogEvent.of("connection-silent", "peer", remote, "code", 2005));
+            close(new WagtailcartException(ResultCode.CONNECTION_SILENT, "peer " + remote + " does not answer PING"));
+            return;
+        }
+        if (nowMillis >= nextPingMillis) {
+            ping(nowMillis);
+        }
+    }
+
+    private void ping(long nowMillis) {
+        send(Frame.bare(FrameKind.PING, 0));
+        pongDeadlineMillis = Math.min(pongDeadlineMillis, nowMillis + options.pongLimitMillis());
+        nextPingMillis =
+                nowMillis + (exchanges.isEmpty() ? options.idlePingIntervalMillis() : options.pingIntervalMillis());
+    }
+
+    @Override
+    public void accept(SelectionKey ready) {
+        try {
+            if (ready.isConnectable()) {
+                finishConnect();
+            }
+            if (ready.isValid() && ready.isReadable()) {
+                read();
+            }
+            if (ready.isValid() && ready.isWritable()) {
+                flush();
+            }
+        } catch (IOException e) {
+            close(new WagtailcartException(ResultCode.CONNECTION_LOST, "connection to " + remote + " broke", e));
+        } catch (WagtailcartException e) {
+            LOG.log(
+                    Level.WARNING,
+                    LogEvent.of(
+                            "frame-rejected", "peer", remote, "code", e.code().number(), "text", e.getMessage()));
+            metrics.rejectedFrames().mark();
+            close(e);
+        }
+    }
+
+    private void finishConnect() {
+        try {
+            channel.finishConnect();
+        } catch (IOException e) {
+            close(new WagtailcartException(ResultCode.CONNECT_FAILED, "cannot connect to " + remote, e));
+            return;
+        }
+        connectDeadlineMillis = Long.MAX_VALUE;
+        nextPingMillis = loop.clock().nowMillis() + options.pingIntervalMillis();
+        setInterest(SelectionKey.OP_READ);
+        connected = true;
+        owner.onConnected(this);
+    }
+
+    private void read() throws IOException {
+        int count = channel.read(inbound);
+        if (count < 0) {
+            close(new WagtailcartException(ResultCode.CONNECTION_LOST, "peer " + remote + " closed the connection"));
+            return;
+        }
+        inbound.flip();
+        Frame frame = codec.decode(inbound);
+        while (frame != null && !isClosed()) {
+            metrics.framesIn().mark();
+            dispatch(frame);
+            frame = codec.decode(inbound);
+        }
+        makeRoom();
+    }
+
+    private void makeRoom() {
+        int needed = inbound.remaining() >= FrameCodec.LENGTH_BYTES
+                ? FrameCodec.LENGTH_BYTES + inbound.getInt(inbound.position())
+                : INITIAL_READ_BYTES;
+        if (needed > inbound.capacity()) {
+            inbound = ByteBuffer.allocate(needed).put(inbound);
+        } else if (!inbound.hasRemaining() && inbound.capacity() > 16 * INITIAL_READ_BYTES) {
+            inbound = ByteBuffer.allocate(INITIAL_READ_BYTES);
+        } else {
+            inbound.compact();
+        }
+    }
+
+    private void dispatch(Frame frame) {
+        switch (frame.kind()) {
+            case PING -> send(Frame.bare(FrameKind.PONG, 0));
+            case PONG -> pongDeadlineMillis = Long.MAX_VALUE;
+            default -> owner.onFrame(this, frame);
+        }
+    }
+
+    private void flush() {
+        if (isClosed() || key == null || !channel.isConnected()) {
+            return;
+        }
+        try {
+            while (!outbound.isEmpty()) {
+                ByteBuffer[] batch = outbound.stream().limit(MAX_WRITE_BATCH).toArray(ByteBuffer[]::new);
+                long written = channel.write(batch);
+                queuedBytes.addAndGet(-written);
+                List.of(batch).stream().filter(buffer -> !buffer.hasRemaining()).forEach(done -> outbound.poll());
+                if (batch[batch.length - 1].hasRemaining()) {
+                    setInterest(SelectionKey.OP_READ | SelectionKey.OP_WRITE);
+                    return;
+                }
+            }
+            setInterest(SelectionKey.OP_READ);
+        } catch (IOException e) {
+            close(new WagtailcartException(ResultCode.CONNECTION_LOST, "connection to " + remote + " broke", e));
+        }
+    }
+
+    private void setInterest(int operations) {
+        if (key != null && key.isValid()) {
+            key.interestOps(operations);
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/wagtailcart/wire/WireMetrics.java
@@ -0,0 +1,15 @@
+package org.wagtailcart.wire;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+
+/** Counters of the connections of a process. */
+record WireMetrics(Meter framesIn, Meter framesOut, Meter rejectedFrames, Meter silentConnections) {
+    static WireMetrics in(MetricRegistry registry) {
+        return new WireMetrics(
+                registry.meter("wire.frames-in"),
+                registry.meter("wire.frames-out"),
+                registry.meter("wire.frames-rejected"),
+                registry.meter("wire.connections-silent"));
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/wagtailcart/wire/WireOptions.java
@@ -0,0 +1,24 @@
+package org.wagtailcart.wire;
+
+/**
+ * Limits of connections between processes.
+ *
+ * @param maxFrameBytes largest frame accepted or sent
+ * @param pingIntervalMillis time between PINGs while an exchange is open
+ * @param idlePingIntervalMillis time between PINGs while none is open
+ * @param pongLimitMillis time within which a PING must be answered, else the connection counts as silent
+ * @param connectLimitMillis time within which a connection must be established
+ * @param maxQueuedBytes bytes that may wait to be written before the connection counts as silent
+ */
+public record WireOptions(
+        int maxFrameBytes,
+        long pingIntervalMillis,
+        long idlePingIntervalMillis,
+        long pongLimitMillis,
+        long connectLimitMillis,
+        long maxQueuedBytes) {
+    /** Returns the options of production. */
+    public static WireOptions standard() {
+        return new WireOptions(4 << 20, 1_000, 10_000, 4_000, 2_000, 32 << 20);
+    }
+}
