--- /dev/null
+++ b/daemon/src/main/java/org/wagtailcart/daemon/LogSetup.java
@@ -0,0 +1,29 @@
+package org.wagtailcart.daemon;
+
+import java.util.Arrays;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
+
+/** Installs level and format of the settings in the JDK's logging, which stands behind {@code System.Logger}. */
+final class LogSetup {
+    private LogSetup() {}
+
+    /** Replaces all handlers by one that writes to standard error. Libraries log warnings and errors only. */
+    static void install(Level level, LogFormat format) {
+        LogManager.getLogManager().reset();
+        Handler handler = new ConsoleHandler();
+        handler.setLevel(Level.ALL);
+        handler.setFormatter(format.formatter());
+        Logger root = Logger.getLogger("");
+        Arrays.stream(root.getHandlers()).forEach(root::removeHandler);
+        root.addHandler(handler);
+        root.setLevel(Level.WARNING);
+        PRODUCT.setLevel(level);
+    }
+
+    /** Held strongly, because the log manager drops loggers that nobody references and with them their level. */
+    private static final Logger PRODUCT = Logger.getLogger("org.wagtailcart");
+}
--- a/daemon/src/main/java/org/wagtailcart/daemon/package-info.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder. */
+/** The program wagtailcartd: wiring, logs, signals and the operator listener of a process. */
 @NullMarked
 package org.wagtailcart.daemon;
 
--- /dev/null
+++ b/daemon/src/test/java/org/wagtailcart/daemon/ChildProcess.java
@@ -0,0 +1,105 @@
+package org.wagtailcart.daemon;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/** A process of a test: started with the test's class path, killed, paused and resumed by signals. */
+final class ChildProcess {
+    private static final List<String> JVM_OPTIONS =
+            List.of("-XX:+UseSerialGC", "-Xmx96m", "-Xss256k", "-XX:TieredStopAtLevel=1", "-Xshare:auto");
+
+    private final String name;
+    private final Path logFile;
+    private final Process process;
+
+    private ChildProcess(String name, Path logFile, Process process) {
+        this.name = name;
+        this.logFile = logFile;
+        this.process = process;
+    }
+
+    static ChildProcess start(String name, Path folder, String mainClass, List<String> arguments) {
+        Path logFile = folder.resolve(name + ".log");
+        List<String> command = Stream.of(
+                        Stream.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()),
+                        JVM_OPTIONS.stream(),
+                        Stream.of("-cp", System.getProperty("java.class.path"), mainClass),
+                        arguments.stream())
+                .flatMap(part -> part)
+                .toList();
+        try {
+            Process process = new ProcessBuilder(command)
+                    .directory(folder.toFile())
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile.toFile()))
+                    .start();
+            return new ChildProcess(name, logFile, process);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    String name() {
+        return name;
+    }
+
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    /** SIGKILL. */
+    void kill() {
+        process.destroyForcibly();
+        await();
+    }
+
+    /** SIGTERM; returns without waiting. */
+    void terminate() {
+        process.destroy();
+    }
+
+    /** SIGSTOP. */
+    void pause() {
+        signal("STOP");
+    }
+
+    /** SIGCONT. */
+    void resume() {
+        signal("CONT");
+    }
+
+    /** Waits for the end and returns the exit code. */
+    int await() {
+        try {
+            if (!process.waitFor(60, TimeUnit.SECONDS)) {
+                throw new AssertionError(name + " did not end:\n" + log());
+            }
+            return process.exitValue();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    String log() {
+        try {
+            return Files.readString(logFile);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void signal(String signal) {
+        try {
+            new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
