Add the registry of idempotency keys

The control group needs a replicated part that grants each idempotency key to one attempt. KeyRegistry applies ReserveKey, CompleteKey, ReleaseKey and MarkKeyUnknown by state machine time and keeps the first result of each command for ten minutes, so that a resent command does not act twice.

A key left open for 24 hours becomes UNKNOWN rather than free: no request lives longer than one hour, and only UNKNOWN keeps a second run impossible. Freeing it by time was ruled out for that reason.

--- /dev/null
+++ b/once/src/main/java/org/wagtailcart/once/KeyRegistry.java
@@ -0,0 +1,330 @@
+package org.wagtailcart.once;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.once.StoredResult.CommandId;
+import org.wagtailcart.wire.MessageCodec;
+import org.wagtailcart.wire.MessageType;
+
+/**
+ * Replicated registry of idempotency keys. All times are state machine time, so that every member expires the same keys
+ * at the same command. Not thread safe; belongs to the control thread.
+ */
+public final class KeyRegistry {
+    /** Time for which a completed key and its answer are kept. */
+    public static final long COMPLETED_RETENTION_MILLIS = TimeUnit.HOURS.toMillis(24);
+
+    /** Time for which a key of unknown outcome is kept. */
+    public static final long UNKNOWN_RETENTION_MILLIS = TimeUnit.DAYS.toMillis(7);
+
+    /**
+     * Time after which an open key becomes UNKNOWN; it is never freed by time alone. No request lives longer than one
+     * hour, so after a day nobody is left who could complete it.
+     */
+    public static final long OPEN_LIMIT_MILLIS = TimeUnit.HOURS.toMillis(24);
+
+    /** Time for which the first result of a command is kept for a resent one; no client resends for longer. */
+    public static final long RESULT_RETENTION_MILLIS = TimeUnit.MINUTES.toMillis(10);
+
+    /** Largest body kept with an answer. */
+    public static final int MAX_BODY_BYTES = 64 << 10;
+
+    static final int MAX_RESULTS = 100_000;
+
+    /** Keys of each state expired by one command at most. One command adds one key, so a backlog always shrinks. */
+    static final int MAX_EXPIRED_PER_COMMAND = 16;
+
+    private static final int SNAPSHOT_TYPE = 1;
+
+    private final MessageCodec codec =
+            new MessageCodec(List.of(List.of(new MessageType(SNAPSHOT_TYPE, KeySnapshot.class))));
+
+    // Each state has one constant retention and time never goes back, so insertion order is order of deadlines.
+    private final Map<KeyId, StoredKey> open = new LinkedHashMap<>();
+    private final Map<KeyId, StoredKey> completed = new LinkedHashMap<>();
+    private final Map<KeyId, StoredKey> unknown = new LinkedHashMap<>();
+    private final Map<CommandId, StoredResult> results = new LinkedHashMap<>();
+    private long timeMillis;
+    private long answerBytes;
+    private long reservedCount;
+    private long releasedCount;
+    private long expiredCount;
+    private long timedOutCount;
+
+    /** Returns whether a command or query belongs to this registry. */
+    public static boolean handles(Object command) {
+        return command instanceof ReserveKey
+                || command instanceof CompleteKey
+                || command instanceof ReleaseKey
+                || command instanceof MarkKeyUnknown;
+    }
+
+    /**
+     * Applies one committed command.
+     *
+     * @param index log index of the command
+     * @param commandTimeMillis state machine time; an earlier time than the latest seen counts as the latest
+     * @throws IllegalArgumentException when the command is not one of this registry
+     */
+    public KeyResult apply(long index, long commandTimeMillis, Object command) {
+        timeMillis = Math.max(timeMillis, commandTimeMillis);
+        expireSome();
+        if (command instanceof ReserveKey reserve) {
+            return once(reserve.attemptId(), reserve.keyId(), reserve, () -> reserve(index, reserve));
+        }
+        if (command instanceof CompleteKey complete) {
+            return once(complete.attemptId(), complete.keyId(), complete, () -> complete(complete));
+        }
+        if (command instanceof ReleaseKey release) {
+            return once(release.attemptId(), release.keyId(), release, () -> release(release));
+        }
+        if (command instanceof MarkKeyUnknown mark) {
+            return once(mark.attemptId(), mark.keyId(), mark, () -> markUnknown(mark));
+        }
+        throw new IllegalArgumentException("command " + command.getClass() + " is not a key command");
+    }
+
+    /** Returns the state of a key at the latest state machine time, without any change. */
+    public KeyResult lookup(LookupKey query) {
+        return find(query.keyId())
+                .map(key -> key.fingerprint().equals(query.fingerprint())
+                        ? key.result()
+                        : key.resultAs(KeyState.FINGERPRINT_MISMATCH, null))
+                .orElseGet(KeyRegistry::free);
+    }
+
+    /** Returns the state machine time at which the next key changes by time alone. */
+    public OptionalLong nextExpiry() {
+        return Stream.of(open, completed, unknown)
+                .flatMap(keys -> keys.values().stream().limit(1))
+                .mapToLong(StoredKey::deadlineMillis)
+                .min();
+    }
+
+    /** Returns size and activity for the state dump. */
+    public KeyCounters counters() {
+        return new KeyCounters(
+                open.size(),
+                completed.size(),
+                unknown.size(),
+                results.size(),
+                answerBytes,
+                reservedCount,
+                releasedCount,
+                expiredCount,
+                timedOutCount);
+    }
+
+    /** Returns the whole state in encoded form. */
+    public byte[] snapshot() {
+        return codec.encode(new KeySnapshot(
+                timeMillis,
+                List.copyOf(open.values()),
+                List.copyOf(completed.values()),
+                List.copyOf(unknown.values()),
+                List.copyOf(results.values())));
+    }
+
+    /**
+     * Replaces the whole state.
+     *
+     * @throws WagtailcartException with {@link ResultCode#SNAPSHOT_DAMAGED} when the bytes are no snapshot of a registry
+     */
+    public void restore(byte[] snapshot) {
+        KeySnapshot state = decode(snapshot);
+        timeMillis = state.timeMillis();
+        replace(open, state.open());
+        replace(completed, state.completed());
+        replace(unknown, state.unknown());
+        results.clear();
+        state.results().forEach(result -> results.put(result.commandId(), result));
+        answerBytes =
+                completed.values().stream().mapToLong(StoredKey::answerBytes).sum();
+    }
+
+    private KeyResult once(String attemptId, KeyId keyId, Object command, Supplier<KeyResult> action) {
+        CommandId id = new CommandId(attemptId, command.getClass().getSimpleName());
+        StoredResult earlier = results.get(id);
+        if (earlier != null && earlier.keyId().equals(keyId) && earlier.deadlineMillis() > timeMillis) {
+            return withAnswer(keyId, earlier.result());
+        }
+        KeyResult result = action.get();
+        results.remove(id);
+        results.put(id, new StoredResult(id, keyId, withAnswer(result, null), timeMillis + RESULT_RETENTION_MILLIS));
+        if (results.size() > MAX_RESULTS) {
+            results.remove(results.keySet().iterator().next());
+        }
+        return result;
+    }
+
+    private KeyResult reserve(long index, ReserveKey command) {
+        Optional<StoredKey> existing = find(command.keyId());
+        if (existing.isPresent()) {
+            return repeated(existing.get(), command);
+        }
+        StoredKey key = StoredKey.reserved(command, index, timeMillis + OPEN_LIMIT_MILLIS);
+        put(key);
+        reservedCount++;
+        return key.resultAs(KeyState.RESERVED, null);
+    }
+
+    private static KeyResult repeated(StoredKey key, ReserveKey command) {
+        if (!key.fingerprint().equals(command.fingerprint())) {
+            return key.resultAs(KeyState.FINGERPRINT_MISMATCH, null);
+        }
+        return key.attemptId().equals(command.attemptId()) ? key.resultAs(KeyState.RESERVED, null) : key.result();
+    }
+
+    private KeyResult complete(CompleteKey command) {
+        holder(command.keyId(), command.attemptId())
+                .ifPresent(key -> put(key.become(
+                        KeyState.COMPLETED, timeMillis + COMPLETED_RETENTION_MILLIS, bounded(command.answer()))));
+        return current(command.keyId());
+    }
+
+    private KeyResult release(ReleaseKey command) {
+        holder(command.keyId(), command.attemptId()).ifPresent(key -> {
+            remove(key.keyId());
+            releasedCount++;
+        });
+        return current(command.keyId());
+    }
+
+    private KeyResult markUnknown(MarkKeyUnknown command) {
+        holder(command.keyId(), command.attemptId())
+                .ifPresent(key -> put(key.become(KeyState.UNKNOWN, timeMillis + UNKNOWN_RETENTION_MILLIS, null)));
+        return current(command.keyId());
+    }
+
+    private Optional<StoredKey> holder(KeyId keyId, String attemptId) {
+        return find(keyId).filter(key -> key.state() == KeyState.IN_FLIGHT).filter(key -> key.attemptId()
+                .equals(attemptId));
+    }
+
+    private KeyResult current(KeyId keyId) {
+        return find(keyId).map(StoredKey::result).orElseGet(KeyRegistry::free);
+    }
+
+    /** Finds a key as it stands at the latest time, whether or not the bounded expiry has reached it. */
+    private Optional<StoredKey> find(KeyId keyId) {
+        return Stream.of(open, completed, unknown)
+                .map(keys -> keys.get(keyId))
+                .filter(Objects::nonNull)
+                .findFirst()
+                .flatMap(this::atLatestTime);
+    }
+
+    private Optional<StoredKey> atLatestTime(StoredKey key) {
+        if (key.deadlineMillis() > timeMillis) {
+            return Optional.of(key);
+        }
+        return key.state() == KeyState.IN_FLIGHT ? Optional.of(timedOut(key)) : Optional.empty();
+    }
+
+    private StoredKey timedOut(StoredKey key) {
+        return key.become(KeyState.UNKNOWN, timeMillis + UNKNOWN_RETENTION_MILLIS, null);
+    }
+
+    private void expireSome() {
+        Stream.of(open, completed, unknown)
+                .flatMap(keys -> firstOverdue(keys).stream())
+                .forEach(this::expire);
+        results.values().stream()
+                .limit(MAX_EXPIRED_PER_COMMAND)
+                .takeWhile(result -> result.deadlineMillis() <= timeMillis)
+                .map(StoredResult::commandId)
+                .toList()
+                .forEach(results::remove);
+    }
+
+    private List<StoredKey> firstOverdue(Map<KeyId, StoredKey> keys) {
+        return keys.values().stream()
+                .limit(MAX_EXPIRED_PER_COMMAND)
+                .takeWhile(key -> key.deadlineMillis() <= timeMillis)
+                .toList();
+    }
+
+    private void expire(StoredKey key) {
+        Optional<StoredKey> present = atLatestTime(key);
+        remove(key.keyId());
+        present.ifPresentOrElse(
+                next -> {
+                    timedOutCount++;
+                    put(next);
+                },
+                () -> expiredCount++);
+    }
+
+    /** Stores a key as the latest of its state. */
+    private void put(StoredKey key) {
+        remove(key.keyId());
+        keysIn(key.state()).put(key.keyId(), key);
+        answerBytes += key.answerBytes();
+    }
+
+    private void remove(KeyId keyId) {
+        Stream.of(open, completed, unknown)
+                .map(keys -> keys.remove(keyId))
+                .filter(Objects::nonNull)
+                .forEach(key -> answerBytes -= key.answerBytes());
+    }
+
+    private Map<KeyId, StoredKey> keysIn(KeyState state) {
+        return switch (state) {
+            case IN_FLIGHT -> open;
+            case COMPLETED -> completed;
+            case UNKNOWN -> unknown;
+            default -> throw new IllegalArgumentException("state " + state + " is not stored");
+        };
+    }
+
+    private KeyResult withAnswer(KeyId keyId, KeyResult result) {
+        Optional<RecordedAnswer> answer = find(keyId)
+                .filter(key -> key.attemptId().equals(result.attemptId()))
+                .map(StoredKey::answer);
+        return result.state() == KeyState.COMPLETED ? withAnswer(result, answer.orElse(null)) : result;
+    }
+
+    private static KeyResult withAnswer(KeyResult result, @Nullable RecordedAnswer answer) {
+        return new KeyResult(
+                result.state(),
+                result.attemptId(),
+                result.attemptNumber(),
+                result.upstreamId(),
+                result.epoch(),
+                answer);
+    }
+
+    private static RecordedAnswer bounded(RecordedAnswer answer) {
+        return answer.body().length <= MAX_BODY_BYTES
+                ? answer
+                : new RecordedAnswer(answer.status(), answer.headers(), new byte[0], false);
+    }
+
+    private static KeyResult free() {
+        return new KeyResult(KeyState.FREE, "", 0, "", 0, null);
+    }
+
+    private static void replace(Map<KeyId, StoredKey> keys, List<StoredKey> stored) {
+        keys.clear();
+        stored.forEach(key -> keys.put(key.keyId(), key));
+    }
+
+    private KeySnapshot decode(byte[] snapshot) {
+        try {
+            return (KeySnapshot) codec.decode(SNAPSHOT_TYPE, snapshot);
+        } catch (WagtailcartException e) {
+            throw new WagtailcartException(ResultCode.SNAPSHOT_DAMAGED, "snapshot of keys cannot be decoded", e);
+        }
+    }
+}
--- /dev/null
+++ b/once/src/main/java/org/wagtailcart/once/KeySnapshot.java
@@ -0,0 +1,19 @@
+package org.wagtailcart.once;
+
+import java.util.List;
+
+/**
+ * Encoded form of the registry. Every list is ordered by deadline.
+ *
+ * @param timeMillis latest state machine time
+ * @param open keys IN_FLIGHT
+ * @param completed keys COMPLETED
+ * @param unknown keys UNKNOWN
+ * @param results first results of recent commands
+ */
+record KeySnapshot(
+        long timeMillis,
+        List<StoredKey> open,
+        List<StoredKey> completed,
+        List<StoredKey> unknown,
+        List<StoredResult> results) {}
--- /dev/null
+++ b/once/src/main/java/org/wagtailcart/once/StoredKey.java
@@ -0,0 +1,58 @@
+package org.wagtailcart.once;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * State of one key in the registry.
+ *
+ * @param keyId the key
+ * @param fingerprint hash of the request
+ * @param attemptId attempt that holds or held the key
+ * @param attemptNumber log index of its reservation
+ * @param upstreamId upstream of the attempt
+ * @param epoch sidecar epoch of the attempt
+ * @param state IN_FLIGHT, COMPLETED or UNKNOWN
+ * @param deadlineMillis state machine time at which an open key becomes UNKNOWN and any other is forgotten
+ * @param answer recorded answer when COMPLETED
+ */
+record StoredKey(
+        KeyId keyId,
+        String fingerprint,
+        String attemptId,
+        long attemptNumber,
+        String upstreamId,
+        long epoch,
+        KeyState state,
+        long deadlineMillis,
+        @Nullable RecordedAnswer answer) {
+    static StoredKey reserved(ReserveKey command, long index, long deadlineMillis) {
+        return new StoredKey(
+                command.keyId(),
+                command.fingerprint(),
+                command.attemptId(),
+                index,
+                command.upstreamId(),
+                command.epoch(),
+                KeyState.IN_FLIGHT,
+                deadlineMillis,
+                null);
+    }
+
+    StoredKey become(KeyState next, long nextDeadlineMillis, @Nullable RecordedAnswer nextAnswer) {
+        return new StoredKey(
+                keyId, fingerprint, attemptId, attemptNumber, upstreamId, epoch, next, nextDeadlineMillis, nextAnswer);
+    }
+
+    KeyResult result() {
+        return resultAs(state, answer);
+    }
+
+    KeyResult resultAs(KeyState shown, @Nullable RecordedAnswer shownAnswer) {
+        return new KeyResult(shown, attemptId, attemptNumber, upstreamId, epoch, shownAnswer);
+    }
+
+    int answerBytes() {
+        RecordedAnswer recorded = answer;
+        return recorded == null ? 0 : recorded.body().length;
+    }
+}
--- /dev/null
+++ b/once/src/test/java/org/wagtailcart/once/KeyRegistryTest.java
@@ -0,0 +1,198 @@
+package org.wagtailcart.once;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+class KeyRegistryTest {
+    private static final KeyId KEY = new KeyId("w", "k");
+    private static final RecordedAnswer ANSWER = new RecordedAnswer(201, List.of("a", "b"), new byte[] {1, 2}, true);
+
+    private KeyRegistry registry = new KeyRegistry();
+    private long index;
+
+    private KeyResult apply(long timeMillis, Object command) {
+        return registry.apply(++index, timeMillis, command);
+    }
+
+    private static ReserveKey reserve(KeyId key, String attemptId) {
+        return new ReserveKey(key, "f", attemptId, "u1", 7);
+    }
+
+    /** Guards against a second attempt that gets a key while the outcome of the first is open, however late. */
+    @Test
+    void anOpenKeyIsNeverFreedByTimeAlone() {
+        apply(0, reserve(KEY, "a1"));
+        long late = KeyRegistry.OPEN_LIMIT_MILLIS;
+        assertThat(apply(late - 1, reserve(KEY, "a2")).state()).isEqualTo(KeyState.IN_FLIGHT);
+        assertThat(apply(late, reserve(KEY, "a3")).state()).isEqualTo(KeyState.UNKNOWN);
+        assertThat(apply(late + KeyRegistry.UNKNOWN_RETENTION_MILLIS - 1, reserve(KEY, "a4"))
+                        .state())
+                .isEqualTo(KeyState.UNKNOWN);
+        assertThat(apply(late + KeyRegistry.UNKNOWN_RETENTION_MILLIS, reserve(KEY, "a5"))
+                        .state())
+                .isEqualTo(KeyState.RESERVED);
+    }
+
+    /** Guards against a key in a long backlog that is answered from its expired record, and against unbounded work. */
+    @Test
+    void expiryIsExactAndBoundedPerCommand() {
+        int keys = 10 * KeyRegistry.MAX_EXPIRED_PER_COMMAND;
+        IntStream.range(0, keys).forEach(i -> {
+            KeyId key = new KeyId("w", "k" + i);
+            apply(0, reserve(key, "a" + i));
+            apply(0, new CompleteKey(key, "a" + i, ANSWER));
+        });
+        assertThat(registry.nextExpiry()).isEqualTo(OptionalLong.of(KeyRegistry.COMPLETED_RETENTION_MILLIS));
+        KeyId last = new KeyId("w", "k" + (keys - 1));
+        assertThat(apply(KeyRegistry.COMPLETED_RETENTION_MILLIS, reserve(last, "again"))
+                        .state())
+                .isEqualTo(KeyState.RESERVED);
+        assertThat(registry.counters().completed()).isEqualTo(keys - KeyRegistry.MAX_EXPIRED_PER_COMMAND - 1);
+    }
+
+    /** Guards against a large body that fills the registry of every member. */
+    @Test
+    void aLargeBodyIsNotKept() {
+        apply(0, reserve(KEY, "a1"));
+        byte[] large = new byte[KeyRegistry.MAX_BODY_BYTES + 1];
+        KeyResult result = apply(0, new CompleteKey(KEY, "a1", new RecordedAnswer(200, List.of(), large, true)));
+        assertThat(result.answer().bodyKept()).isFalse();
+        assertThat(registry.counters().answerBytes()).isEqualTo(0);
+    }
+
+    /** Guards against a registry that starts empty from a damaged snapshot. */
+    @Test
+    void aDamagedSnapshotIsRefused() {
+        WagtailcartException error =
+                assertThrows(WagtailcartException.class, () -> registry.restore(new byte[] {1, 2, 3}));
+        assertThat(error.code()).isEqualTo(ResultCode.SNAPSHOT_DAMAGED);
+    }
+
+    /**
+     * Guards against any sequence of commands, resends, time and snapshots after which a key has two holders, loses its
+     * answer, or a resent command gets another result than the first.
+     */
+    @Property(tries = 300, seed = "4711")
+    void behavesLikeAMapOfHistories(@ForAll long seed) {
+        Random random = new Random(seed);
+        Map<KeyId, History> histories = new HashMap<>();
+        Map<Object, Sent> sent = new HashMap<>();
+        registry = new KeyRegistry();
+        index = 0;
+        long now = 0;
+        for (int step = 0; step < 120; step++) {
+            now += List.of(0L, 1L, 200_000L, 400_000L, 50_000_000L, 400_000_000L)
+                    .get(random.nextInt(6));
+            KeyId keyId = new KeyId("w" + random.nextInt(2), "k" + random.nextInt(2));
+            Object command = command(random, keyId);
+            long time = now;
+            histories.values().forEach(history -> history.advance(time));
+            Sent earlier = sent.get(command);
+            History history = histories.computeIfAbsent(keyId, id -> new History());
+            KeyState expected =
+                    earlier != null && earlier.untilMillis > now ? earlier.state : history.expect(command, now);
+            KeyResult result = apply(now, command);
+            assertThat(result.state()).isEqualTo(expected);
+            sent.putIfAbsent(command, new Sent(expected, now + KeyRegistry.RESULT_RETENTION_MILLIS));
+            sent.computeIfPresent(
+                    command,
+                    (same, was) -> was.untilMillis > time
+                            ? was
+                            : new Sent(expected, time + KeyRegistry.RESULT_RETENTION_MILLIS));
+            KeyResult seen = registry.lookup(new LookupKey(keyId, "f"));
+            assertThat(seen.state()).isEqualTo(history.state);
+            assertThat(seen.attemptId()).isEqualTo(history.attemptId);
+            assertThat(seen.answer() != null).isEqualTo(history.state == KeyState.COMPLETED);
+            assertThat(registry.lookup(new LookupKey(keyId, "other")).state())
+                    .isEqualTo(history.state == KeyState.FREE ? KeyState.FREE : KeyState.FINGERPRINT_MISMATCH);
+            if (random.nextInt(10) == 0) {
+                restoreFromSnapshot();
+            }
+        }
+    }
+
+    private void restoreFromSnapshot() {
+        byte[] snapshot = registry.snapshot();
+        KeyRegistry copy = new KeyRegistry();
+        copy.restore(snapshot);
+        assertThat(copy.snapshot()).isEqualTo(snapshot);
+        assertThat(copy.nextExpiry()).isEqualTo(registry.nextExpiry());
+        registry = copy;
+    }
+
+    private static Object command(Random random, KeyId keyId) {
+        String attemptId = keyId.workspace() + keyId.key() + "-a" + random.nextInt(6);
+        return switch (random.nextInt(6)) {
+            case 0 -> new CompleteKey(keyId, attemptId, ANSWER);
+            case 1 -> new ReleaseKey(keyId, attemptId);
+            case 2 -> new MarkKeyUnknown(keyId, attemptId);
+            default -> reserve(keyId, attemptId);
+        };
+    }
+
+    private record Sent(KeyState state, long untilMillis) {}
+
+    /** What one key went through, without the registry's containers, bounds and codec. */
+    private static final class History {
+        private KeyState state = KeyState.FREE;
+        private String attemptId = "";
+        private long sinceMillis;
+
+        void advance(long now) {
+            if (state == KeyState.IN_FLIGHT && now >= sinceMillis + KeyRegistry.OPEN_LIMIT_MILLIS) {
+                become(KeyState.UNKNOWN, now);
+            } else if (state == KeyState.COMPLETED && now >= sinceMillis + KeyRegistry.COMPLETED_RETENTION_MILLIS
+                    || state == KeyState.UNKNOWN && now >= sinceMillis + KeyRegistry.UNKNOWN_RETENTION_MILLIS) {
+                become(KeyState.FREE, now);
+            }
+        }
+
+        KeyState expect(Object command, long now) {
+            if (command instanceof ReserveKey reserve) {
+                return expectReserve(reserve, now);
+            }
+            boolean held = state == KeyState.IN_FLIGHT;
+            if (command instanceof CompleteKey complete
+                    && held
+                    && complete.attemptId().equals(attemptId)) {
+                become(KeyState.COMPLETED, now);
+            } else if (command instanceof ReleaseKey release
+                    && held
+                    && release.attemptId().equals(attemptId)) {
+                become(KeyState.FREE, now);
+            } else if (command instanceof MarkKeyUnknown mark
+                    && held
+                    && mark.attemptId().equals(attemptId)) {
+                become(KeyState.UNKNOWN, now);
+            }
+            return state;
+        }
+
+        private KeyState expectReserve(ReserveKey reserve, long now) {
+            if (state == KeyState.FREE) {
+                attemptId = reserve.attemptId();
+                become(KeyState.IN_FLIGHT, now);
+                return KeyState.RESERVED;
+            }
+            return reserve.attemptId().equals(attemptId) ? KeyState.RESERVED : state;
+        }
+
+        private void become(KeyState next, long now) {
+            state = next;
+            sinceMillis = now;
+            attemptId = next == KeyState.FREE ? "" : attemptId;
+        }
+    }
+}
