--- a/control/src/main/java/org/wagtailcart/control/client/ControlView.java
+++ b/control/src/main/java/org/wagtailcart/control/client/ControlView.java
@@ -27,4 +27,9 @@
 
     /** Registers an action that runs after each installed change of settings or fleet; it must not block. */
     void onChange(Runnable action);
+
+    /** Returns the number of entries that sync with the control group, at least 1; limits over all entries are shared by it. */
+    default int entryCount() {
+        return 1;
+    }
 }
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
@@ -0,0 +1,239 @@
+package org.wagtailcart.entry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import java.util.stream.StreamSupport;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.entry.admission.WorkspaceLimits;
+import org.wagtailcart.entry.answer.CallerResponse;
+import org.wagtailcart.entry.answer.Refusal;
+import org.wagtailcart.entry.call.CallContext;
+import org.wagtailcart.entry.call.RepeatableCall;
+import org.wagtailcart.entry.call.Stage;
+import org.wagtailcart.entry.request.CallerRequest;
+import org.wagtailcart.entry.request.HttpHead;
+import org.wagtailcart.entry.request.PoolDirectory;
+import org.wagtailcart.entry.request.RequestClassifier;
+
+/** Receives the HTTP requests of callers and starts a call for each. */
+final class CallerHandler implements HttpHandler {
+    /** Leaves room for the rest of an attempt in a frame of 4 MiB. */
+    static final int MAX_BODY_BYTES = 3 << 20;
+
+    private static final Logger LOG = System.getLogger(CallerHandler.class.getName());
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final CallContext context;
+    private final WorkspaceLimits limits;
+    private final State state;
+    private final AtomicInteger open = new AtomicInteger();
+
+    /** What the handler asks of its entry. */
+    interface State {
+        /** Returns whether a load balancer may send new work. */
+        boolean ready();
+
+        /** Returns whether new work is refused because the process stops. */
+        boolean refusesNewWork();
+
+        /** Returns the pools in force. */
+        PoolDirectory pools();
+
+        /** Is told when a request has ended. */
+        void requestEnded();
+    }
+
+    /**
+     * Answer to the list of models.
+     *
+     * @param object always {@code list}
+     * @param data the models
+     */
+    private record ModelList(String object, List<Model> data) {}
+
+    /**
+     * One model.
+     *
+     * @param id name
+     * @param object always {@code model}
+     * @param owned_by always {@code wagtailcart}
+     */
+    private record Model(String id, String object, String owned_by) {}
+
+    CallerHandler(CallContext context, WorkspaceLimits limits, State state) {
+        this.context = context;
+        this.limits = limits;
+        this.state = state;
+    }
+
+    int openRequests() {
+        return open.get();
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        switch (exchange.getRequestPath()) {
+            case "/livez" -> text(exchange, 200, "live");
+            case "/readyz" -> text(exchange, state.ready() ? 200 : 503, state.ready() ? "ready" : "not ready");
+            case "/v1/models" -> models(exchange);
+            default -> read(exchange);
+        }
+    }
+
+    private static void text(HttpServerExchange exchange, int status, String text) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain");
+        exchange.getResponseSender().send(text + "\n");
+    }
+
+    private void models(HttpServerExchange exchange) {
+        List<Model> models = state.pools().models().stream()
+                .map(name -> new Model(name, "model", "wagtailcart"))
+                .toList();
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        try {
+            exchange.getResponseSender()
+                    .send(new String(MAPPER.writeValueAsBytes(new ModelList("list", models)), StandardCharsets.UTF_8));
+        } catch (JsonProcessingException e) {
+            text(exchange, 500, "cannot write the list of models");
+        }
+    }
+
+    private void read(HttpServerExchange exchange) {
+        open.incrementAndGet();
+        exchange.addExchangeCompleteListener((done, next) -> {
+            open.decrementAndGet();
+            state.requestEnded();
+            next.proceed();
+        });
+        if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
+            refuseUnread(exchange);
+            return;
+        }
+        exchange.setMaxEntitySize(MAX_BODY_BYTES);
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (received, body) ->
+                                received.dispatch(SameThreadExecutor.INSTANCE, () -> accept(received, body)),
+                        (failed, error) -> refuseUnread(failed));
+    }
+
+    private void refuseUnread(HttpServerExchange exchange) {
+        exchange.setPersistent(false);
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () -> refuse(
+                        new CallerResponse(exchange),
+                        Stage.ACCEPT,
+                        Refusal.of(new WagtailcartException(
+                                ResultCode.PAYLOAD_TOO_LARGE,
+                                "body is larger than " + MAX_BODY_BYTES + " bytes or was not sent whole"))));
+    }
+
+    private void accept(HttpServerExchange exchange, byte[] body) {
+        CallerResponse response = new CallerResponse(exchange);
+        try {
+            if (state.refusesNewWork()) {
+                exchange.setPersistent(false);
+                throw new WagtailcartException(ResultCode.SHUTTING_DOWN, "entry is stopping");
+            }
+            if (!RequestClassifier.handles(exchange.getRequestPath())) {
+                throw new WagtailcartException(
+                        ResultCode.NOT_FOUND, "path " + exchange.getRequestPath() + " does not exist");
+            }
+            context.counters().count(Stage.ACCEPT, ResultCode.OK);
+        } catch (WagtailcartException e) {
+            refuse(response, Stage.ACCEPT, keyed(exchange, Refusal.of(e)));
+            return;
+        }
+        classify(exchange, body, response);
+    }
+
+    private void classify(HttpServerExchange exchange, byte[] body, CallerResponse response) {
+        CallerRequest request;
+        try {
+            request = RequestClassifier.classify(
+                    head(exchange), body, state.pools(), context.clock().nowMillis());
+            context.counters().count(Stage.CLASSIFY, ResultCode.OK);
+        } catch (WagtailcartException e) {
+            refuse(response, Stage.CLASSIFY, Refusal.of(e));
+            return;
+        }
+        try {
+            admit(request);
+        } catch (WagtailcartException e) {
+            refuse(response, Stage.ADMIT, keyed(exchange, Refusal.of(e)));
+            return;
+        }
+        start(exchange, request, response);
+    }
+
+    private void admit(CallerRequest request) {
+        if (!context.lease().allows(request.kind())) {
+            throw new WagtailcartException(ResultCode.SETTINGS_LEASE_EXPIRED, "settings are not confirmed");
+        }
+        PoolDirectory pools = state.pools();
+        long limit = pools.workspaceSetting(request.workspace(), "requests-per-second")
+                .filter(text -> text.matches("[0-9]{1,7}"))
+                .map(Long::parseLong)
+                .orElse(0L);
+        String account = pools.hasWorkspace(request.workspace()) ? request.workspace() : "";
+        if (!limits.tryAcquire(
+                account, limit, context.view().entryCount(), context.clock().nowMillis())) {
+            throw new WagtailcartException(
+                    ResultCode.WORKSPACE_LIMIT,
+                    "workspace \"" + request.workspace() + "\" is over its limit of " + limit + " requests per second");
+        }
+    }
+
+    private void start(HttpServerExchange exchange, CallerRequest request, CallerResponse response) {
+        try {
+            RepeatableCall.start(context, request, response, exchange.getIoThread());
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, LogEvent.of("call-failed", "path", exchange.getRequestPath(), "reason", e), e);
+            response.refuse(Refusal.of(new WagtailcartException(ResultCode.INTERNAL_ERROR, "entry failed: " + e)));
+        }
+    }
+
+    /**
+     * A refusal before the registry of keys was read proves nothing about an earlier request with the same key, so it must
+     * not say that the work did not run.
+     */
+    private static Refusal keyed(HttpServerExchange exchange, Refusal refusal) {
+        return exchange.getRequestHeaders().contains("Idempotency-Key")
+                ? refusal.withRunState(RunState.MAY_HAVE_RUN)
+                : refusal;
+    }
+
+    private void refuse(CallerResponse response, Stage stage, Refusal refusal) {
+        context.counters().count(stage, refusal.code());
+        context.counters().count(Stage.FINISH, refusal.code());
+        response.refuse(refusal);
+    }
+
+    private static HttpHead head(HttpServerExchange exchange) {
+        List<String> headers = StreamSupport.stream(exchange.getRequestHeaders().spliterator(), false)
+                .flatMap(CallerHandler::lines)
+                .toList();
+        return new HttpHead(
+                exchange.getRequestMethod().toString(), exchange.getRequestPath(), exchange.getQueryString(), headers);
+    }
+
+    private static Stream<String> lines(HeaderValues values) {
+        return values.stream().flatMap(value -> Stream.of(values.getHeaderName().toString(), value));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/EntryOptions.java
@@ -0,0 +1,23 @@
+package org.wagtailcart.entry;
+
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+/**
+ * Process settings of an entry.
+ *
+ * @param callerAddress listener for callers
+ * @param onControlLoss policy while the settings are not confirmed
+ * @param shutdownGraceMillis time for which the listener keeps taking new work after readiness fails
+ */
+public record EntryOptions(Address callerAddress, OnControlLoss onControlLoss, long shutdownGraceMillis) {
+    /** Checks the grace period. */
+    public EntryOptions {
+        if (shutdownGraceMillis < 0 || shutdownGraceMillis > 600_000) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT,
+                    "shutdown-grace-millis " + shutdownGraceMillis + " is outside the range 0 to 600000");
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
@@ -0,0 +1,164 @@
+package org.wagtailcart.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.RoleService;
+import org.wagtailcart.control.client.ControlClient;
+import org.wagtailcart.control.client.ControlView;
+import org.wagtailcart.entry.admission.Admission;
+import org.wagtailcart.entry.admission.Dispatch;
+import org.wagtailcart.entry.admission.RetryBudget;
+import org.wagtailcart.entry.admission.WorkspaceLimits;
+import org.wagtailcart.entry.call.CallContext;
+import org.wagtailcart.entry.call.StageCounters;
+import org.wagtailcart.entry.request.PoolDirectory;
+import org.wagtailcart.entry.request.RequestKind;
+import org.wagtailcart.policy.routing.Router;
+import org.wagtailcart.wire.PeerClient;
+
+/** The entry: takes the requests of callers and passes them to sidecars. */
+public final class EntryRole implements RoleService {
+    private final EntryOptions options;
+    private final ControlView view;
+    private final ScheduledExecutorService timer;
+    private final MillisClock clock;
+    private final Dispatch dispatch;
+    private final WorkspaceLimits limits = new WorkspaceLimits();
+    private final CallerHandler handler;
+    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    private volatile PoolDirectory pools;
+    private volatile boolean draining;
+    private volatile boolean refusing;
+    private @Nullable Undertow server;
+
+    /**
+     * Creates an entry that does not listen yet.
+     *
+     * @param timer runs short delayed tasks
+     * @param clock monotonic clock, the one of the view's lease
+     */
+    public EntryRole(
+            EntryOptions options,
+            ControlClient control,
+            ControlView view,
+            PeerClient peers,
+            Router router,
+            Admission admission,
+            RetryBudget budget,
+            ScheduledExecutorService timer,
+            MillisClock clock,
+            MetricRegistry registry) {
+        this.options = options;
+        this.view = view;
+        this.timer = timer;
+        this.clock = clock;
+        this.pools = new PoolDirectory(view.settings(), view.upstreams());
+        this.dispatch = new Dispatch(router, admission, clock, pools);
+        CallContext context = new CallContext(
+                view, control, peers, dispatch, budget, new StageCounters(registry), timer, clock, this::allows);
+        this.handler = new CallerHandler(context, limits, new HandlerState());
+    }
+
+    private final class HandlerState implements CallerHandler.State {
+        @Override
+        public boolean ready() {
+            return EntryRole.this.ready();
+        }
+
+        @Override
+        public boolean refusesNewWork() {
+            return refusing;
+        }
+
+        @Override
+        public PoolDirectory pools() {
+            return pools;
+        }
+
+        @Override
+        public void requestEnded() {
+            completeIfDrained();
+        }
+    }
+
+    @Override
+    public synchronized void start() {
+        view.onChange(this::install);
+        install();
+        Undertow started = Undertow.builder()
+                .addHttpListener(
+                        options.callerAddress().port(), options.callerAddress().ip())
+                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .setServerOption(UndertowOptions.DECODE_URL, false)
+                .setWorkerThreads(1)
+                .setHandler(handler)
+                .build();
+        started.start();
+        server = started;
+    }
+
+    @Override
+    public boolean ready() {
+        return !draining && allows(RequestKind.COMPLETION);
+    }
+
+    /** Fails readiness at once, serves for the grace period, then refuses new work; completes when no request is open. */
+    @Override
+    public CompletableFuture<Void> drain() {
+        draining = true;
+        var unused = timer.schedule(this::refuseNewWork, options.shutdownGraceMillis(), TimeUnit.MILLISECONDS);
+        return drained;
+    }
+
+    @Override
+    public EntryDump dump() {
+        return new EntryDump(
+                ready(),
+                draining,
+                view.settings().revision(),
+                view.leaseDeadlineMillis() - clock.nowMillis(),
+                handler.openRequests(),
+                dispatch.waiting(),
+                dispatch.routed(),
+                limits.tracked());
+    }
+
+    @Override
+    public synchronized void close() {
+        refusing = true;
+        Undertow running = server;
+        if (running != null) {
+            running.stop();
+            server = null;
+        }
+        drained.complete(null);
+    }
+
+    private void refuseNewWork() {
+        refusing = true;
+        completeIfDrained();
+    }
+
+    private void completeIfDrained() {
+        if (refusing && handler.openRequests() == 0) {
+            drained.complete(null);
+        }
+    }
+
+    private boolean allows(RequestKind kind) {
+        return clock.nowMillis() < view.leaseDeadlineMillis()
+                || options.onControlLoss().serves(kind);
+    }
+
+    private synchronized void install() {
+        PoolDirectory latest = new PoolDirectory(view.settings(), view.upstreams());
+        pools = latest;
+        dispatch.update(latest, view.upstreams());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/OnControlLoss.java
@@ -0,0 +1,30 @@
+package org.wagtailcart.entry;
+
+import org.wagtailcart.common.SettingNames;
+import org.wagtailcart.entry.request.RequestKind;
+
+/** What an entry does with new work while its settings are not confirmed by the control group. */
+public enum OnControlLoss {
+    /** Refuses all new work. */
+    REFUSE {
+        @Override
+        public boolean serves(RequestKind kind) {
+            return false;
+        }
+    },
+    /** Serves work that may be repeated and refuses the rest. */
+    SERVE_IDEMPOTENT {
+        @Override
+        public boolean serves(RequestKind kind) {
+            return kind.repeatable();
+        }
+    };
+
+    /** Returns whether new work of a kind is served without confirmed settings. */
+    public abstract boolean serves(RequestKind kind);
+
+    /** Parses the name used in settings. */
+    public static OnControlLoss parse(String name) {
+        return SettingNames.parse(values(), name, "on-control-loss");
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/admission/package-info.java
@@ -0,0 +1,5 @@
+/** Waiting, limits and routing of requests. */
+@NullMarked
+package org.wagtailcart.entry.admission;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/answer/CallerResponse.java
@@ -0,0 +1,190 @@
+package org.wagtailcart.entry.answer;
+
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Locale;
+import java.util.Queue;
+import java.util.stream.IntStream;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.SettingNames;
+
+/** Writes one response without blocking. Every method belongs to the I/O thread of the caller's connection. */
+public final class CallerResponse {
+    /** Bytes that may wait for a slow caller before its connection is closed. */
+    private static final long MAX_QUEUED_BYTES = 8 << 20;
+
+    private final HttpServerExchange exchange;
+    private final Queue<byte[]> queued = new ArrayDeque<>();
+    private final IoCallback callback = new IoCallback() {
+        @Override
+        public void onComplete(HttpServerExchange done, Sender sender) {
+            sending = false;
+            pump();
+        }
+
+        @Override
+        public void onException(HttpServerExchange done, Sender sender, IOException error) {
+            abort();
+        }
+    };
+    private Runnable goneAction = () -> {};
+    private long queuedBytes;
+    private boolean started;
+    private boolean sending;
+    private boolean ended;
+    private boolean gone;
+
+    /** Creates the response of an exchange that was dispatched. */
+    public CallerResponse(HttpServerExchange exchange) {
+        this.exchange = exchange;
+        CallerWatch.watch(exchange, this::abort);
+    }
+
+    /** Runs an action once when the caller disconnects before the end of the response. */
+    public void onGone(Runnable action) {
+        goneAction = action;
+        if (gone) {
+            action.run();
+        }
+    }
+
+    /** Returns whether status and headers were sent. */
+    public boolean started() {
+        return started;
+    }
+
+    /** Returns whether the response was ended or can no longer be delivered. */
+    public boolean over() {
+        return ended || gone;
+    }
+
+    /** Sends status and headers; the body follows in parts. */
+    public void start(int status, List<String> headers) {
+        if (over() || started) {
+            return;
+        }
+        started = true;
+        exchange.setStatusCode(status);
+        addHeaders(headers);
+        if (!exchange.getResponseHeaders().contains(resultHeader("Result-Code"))) {
+            addResult(ResultCode.OK.number(), SettingNames.of(ResultCode.OK.runState()), true);
+        }
+    }
+
+    /** Sends a part of the body. */
+    public void write(byte[] bytes) {
+        if (over() || bytes.length == 0) {
+            return;
+        }
+        queued.add(bytes);
+        queuedBytes += bytes.length;
+        if (queuedBytes > MAX_QUEUED_BYTES) {
+            abort();
+            return;
+        }
+        pump();
+    }
+
+    /** Marks the response as complete. */
+    public void end() {
+        if (!over()) {
+            ended = true;
+            pump();
+        }
+    }
+
+    /** Sends a whole response. */
+    public void reply(int status, List<String> headers, byte[] body) {
+        start(status, headers);
+        exchange.setResponseContentLength(body.length);
+        write(body);
+        end();
+    }
+
+    /** Sends a refusal: as a whole response, as the last event of a stream, or by breaking a response that cannot say so. */
+    public void refuse(Refusal refusal) {
+        if (!started) {
+            addResult(refusal.code().number(), SettingNames.of(refusal.runState()), refusal.repeatSafe());
+            reply(refusal.code().httpStatus(), List.of("Content-Type", "application/json"), ErrorBody.bytes(refusal));
+        } else if (isEventStream()) {
+            String data = new String(ErrorBody.bytes(refusal), StandardCharsets.UTF_8);
+            write(("event: error\ndata: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+            end();
+        } else {
+            abort();
+        }
+    }
+
+    /** Breaks the connection, so that the caller sees that the response is not complete. */
+    public void abort() {
+        if (gone || exchange.isComplete()) {
+            return;
+        }
+        boolean finished = ended && queued.isEmpty() && !sending;
+        gone = true;
+        queued.clear();
+        closeConnection();
+        if (!finished) {
+            goneAction.run();
+        }
+    }
+
+    private void pump() {
+        if (sending || gone) {
+            return;
+        }
+        if (!queued.isEmpty()) {
+            sending = true;
+            exchange.getResponseSender().send(nextBuffer(), callback);
+        } else if (ended && !exchange.isComplete()) {
+            exchange.endExchange();
+        }
+    }
+
+    private ByteBuffer nextBuffer() {
+        ByteBuffer buffer = ByteBuffer.allocate((int) queuedBytes);
+        queued.forEach(buffer::put);
+        queued.clear();
+        queuedBytes = 0;
+        return buffer.flip();
+    }
+
+    private boolean isEventStream() {
+        String type = exchange.getResponseHeaders().getFirst(Headers.CONTENT_TYPE);
+        return type != null && type.toLowerCase(Locale.ROOT).startsWith("text/event-stream");
+    }
+
+    private void addHeaders(List<String> headers) {
+        HeaderMap target = exchange.getResponseHeaders();
+        IntStream.range(0, headers.size() / 2)
+                .forEach(i -> target.add(new HttpString(headers.get(2 * i)), headers.get(2 * i + 1)));
+    }
+
+    private void addResult(int code, String runState, boolean repeatSafe) {
+        HeaderMap target = exchange.getResponseHeaders();
+        target.put(resultHeader("Result-Code"), code);
+        target.put(resultHeader("Run-State"), runState);
+        target.put(resultHeader("Repeat-Safe"), String.valueOf(repeatSafe));
+    }
+
+    private static HttpString resultHeader(String name) {
+        return new HttpString("Wagtailcart-" + name);
+    }
+
+    private void closeConnection() {
+        try {
+            exchange.getConnection().close();
+        } catch (IOException e) {
+            exchange.setPersistent(false);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/answer/Refusal.java
@@ -0,0 +1,33 @@
+package org.wagtailcart.entry.answer;
+
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.WagtailcartException;
+
+/**
+ * Answer to a request that gets no result.
+ *
+ * @param code result code
+ * @param runState whether the work ran
+ * @param repeatSafe whether the same request may be repeated
+ * @param message text for people
+ */
+public record Refusal(ResultCode code, RunState runState, boolean repeatSafe, String message) {
+    /** Returns the refusal that an error stands for. */
+    public static Refusal of(WagtailcartException error) {
+        boolean repeatSafe = error.runState() == RunState.NOT_RUN
+                ? error.code().runState() != RunState.NOT_RUN || error.code().repeatSafe()
+                : error.code().repeatSafe() && error.code().runState() != RunState.NOT_RUN;
+        return new Refusal(error.code(), error.runState(), repeatSafe, String.valueOf(error.getMessage()));
+    }
+
+    /** Returns this refusal for work whose second run does no harm. */
+    public Refusal ofRepeatableWork() {
+        return new Refusal(code, runState, true, message);
+    }
+
+    /** Returns this refusal with another run state. */
+    public Refusal withRunState(RunState known) {
+        return new Refusal(code, known, repeatSafe, message);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/attempt/AttemptExchange.java
@@ -0,0 +1,146 @@
+package org.wagtailcart.entry.attempt;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.sidecar.message.AttemptChunk;
+import org.wagtailcart.sidecar.message.AttemptEnd;
+import org.wagtailcart.sidecar.message.AttemptRequest;
+import org.wagtailcart.sidecar.message.AttemptStarted;
+import org.wagtailcart.wire.Call;
+import org.wagtailcart.wire.PeerClient;
+import org.wagtailcart.wire.StreamListener;
+
+/** One attempt at a sidecar. Its state belongs to the executor of the caller's request. */
+public final class AttemptExchange {
+    private static final Logger LOG = System.getLogger(AttemptExchange.class.getName());
+
+    private final AnswerCheck check;
+    private final String attemptId;
+    private final AttemptSink sink;
+    private final Consumer<AttemptEnd> loadReport;
+    private @Nullable Call call;
+    private boolean over;
+
+    private AttemptExchange(String attemptId, AttemptSink sink, Consumer<AttemptEnd> loadReport) {
+        this.attemptId = attemptId;
+        this.check = new AnswerCheck(attemptId);
+        this.sink = sink;
+        this.loadReport = loadReport;
+    }
+
+    /**
+     * Sends an attempt.
+     *
+     * @param executor runs the sink, one task after another; the caller is on it now
+     * @param loadReport receives the end marker with the upstream's load
+     */
+    public static AttemptExchange open(
+            PeerClient peers,
+            Address sidecar,
+            AttemptRequest request,
+            AttemptSink sink,
+            Executor executor,
+            Consumer<AttemptEnd> loadReport) {
+        AttemptExchange exchange = new AttemptExchange(request.attemptId(), sink, loadReport);
+        exchange.call = peers.open(sidecar, request, exchange.listener(executor));
+        return exchange;
+    }
+
+    /** Stops the attempt down to the upstream; the sink gets nothing more. */
+    public void cancel() {
+        Call open = call;
+        if (!over && open != null) {
+            over = true;
+            open.cancel();
+        }
+    }
+
+    private StreamListener listener(Executor executor) {
+        return new StreamListener() {
+            @Override
+            public void onEvent(Object event) {
+                run(executor, () -> guarded(() -> receive(event)));
+            }
+
+            @Override
+            public void onEnd(Object answer) {
+                run(executor, () -> guarded(() -> receiveEnd(answer)));
+            }
+
+            @Override
+            public void onFailure(WagtailcartException error) {
+                run(executor, () -> fail(error));
+            }
+        };
+    }
+
+    private static void run(Executor executor, Runnable task) {
+        try {
+            executor.execute(task);
+        } catch (RejectedExecutionException e) {
+            LOG.log(Level.DEBUG, LogEvent.of("attempt-event-dropped", "reason", "process is stopping"));
+        }
+    }
+
+    private void guarded(Runnable task) {
+        if (over) {
+            return;
+        }
+        try {
+            task.run();
+        } catch (WagtailcartException e) {
+            cancel();
+            over = true;
+            sink.onFailed(e);
+        }
+    }
+
+    private void fail(WagtailcartException error) {
+        if (!over) {
+            over = true;
+            sink.onFailed(error);
+        }
+    }
+
+    private void receive(Object event) {
+        if (event instanceof AttemptStarted started) {
+            deliver(check.check(started), () -> sink.onStarted(started.status(), started.headers()));
+        } else if (event instanceof AttemptChunk chunk) {
+            deliver(check.check(chunk), () -> sink.onBytes(chunk.bytes()));
+        } else {
+            throw unexpected(event);
+        }
+    }
+
+    private void deliver(AnswerCheck.Verdict verdict, Runnable delivery) {
+        if (verdict == AnswerCheck.Verdict.ACCEPT) {
+            delivery.run();
+        } else {
+            LOG.log(Level.WARNING, LogEvent.of("attempt-event-dropped", "attempt", attemptId));
+        }
+    }
+
+    private void receiveEnd(Object answer) {
+        if (!(answer instanceof AttemptEnd end)) {
+            throw unexpected(answer);
+        }
+        check.check(end);
+        loadReport.accept(end);
+        over = true;
+        sink.onComplete();
+    }
+
+    private static WagtailcartException unexpected(Object message) {
+        return new WagtailcartException(
+                ResultCode.ANSWER_MISMATCH,
+                "unexpected answer " + message.getClass().getSimpleName());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/attempt/EventStream.java
@@ -0,0 +1,159 @@
+package org.wagtailcart.entry.attempt;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+/**
+ * Checks the server-sent events of an engine over all attempts of one request: token indices follow each other without
+ * repeats or gaps, and the stream is whole only with its last event and {@code [DONE]}. Those two are held back until the
+ * attempt's end marker has been checked. Pure.
+ */
+public final class EventStream {
+    /** Last line of a whole stream. */
+    public static final String DONE = "data: [DONE]\n\n";
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final StringBuilder partial = new StringBuilder();
+    private final List<String> held = new ArrayList<>();
+    private String firstAttemptId = "";
+    private String attemptId = "";
+    private long tokens;
+    private boolean finished;
+    private boolean done;
+    private byte[] undecoded = new byte[0];
+
+    /** Starts the events of an attempt that continues after the tokens delivered so far. */
+    public void startAttempt(String id) {
+        firstAttemptId = firstAttemptId.isEmpty() ? id : firstAttemptId;
+        attemptId = id;
+        partial.setLength(0);
+        undecoded = new byte[0];
+        held.clear();
+        finished = false;
+        done = false;
+    }
+
+    /** Returns the number of tokens delivered. */
+    public long tokens() {
+        return tokens;
+    }
+
+    /**
+     * Takes bytes of the body and returns the events to deliver.
+     *
+     * @throws WagtailcartException with {@link ResultCode#STREAM_INCOMPLETE} when a token is missing or repeated, with
+     *     {@link ResultCode#ANSWER_MISMATCH} when an event belongs to another request
+     */
+    public byte[] accept(byte[] bytes) {
+        partial.append(decode(bytes));
+        StringBuilder deliver = new StringBuilder();
+        int end = partial.indexOf("\n\n");
+        while (end >= 0) {
+            String event = partial.substring(0, end + 2);
+            partial.delete(0, end + 2);
+            deliver.append(check(event));
+            end = partial.indexOf("\n\n");
+        }
+        return deliver.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Takes the end of the attempt and returns the last events.
+     *
+     * @throws WagtailcartException with {@link ResultCode#STREAM_INCOMPLETE} when the stream is not whole
+     */
+    public byte[] end() {
+        if (!finished || !done || partial.length() > 0 || undecoded.length > 0) {
+            throw incomplete("stream ended after " + tokens + " tokens without its last event");
+        }
+        return (String.join("", held) + DONE).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private String check(String event) {
+        if (done) {
+            throw incomplete("event after the end of the stream");
+        }
+        if (field(event, "data").map("[DONE]"::equals).orElse(false)) {
+            done = true;
+            return "";
+        }
+        if (field(event, "event").map("error"::equals).orElse(false)) {
+            throw new WagtailcartException(ResultCode.UPSTREAM_FAILED, "engine reported an error in the stream");
+        }
+        checkIndex(event);
+        String shown = attemptId.equals(firstAttemptId) ? event : event.replace(attemptId, firstAttemptId);
+        if (finished || isLast(event)) {
+            finished = true;
+            held.add(shown);
+            return "";
+        }
+        return shown;
+    }
+
+    private void checkIndex(String event) {
+        Optional<String> index = field(event, "id");
+        if (index.isEmpty() || finished || isLast(event)) {
+            return;
+        }
+        if (!index.get().equals(Long.toString(tokens))) {
+            throw incomplete("token " + index.get() + " arrived where token " + tokens + " was expected");
+        }
+        tokens++;
+    }
+
+    private boolean isLast(String event) {
+        String data = field(event, "data").orElse("");
+        if (!data.contains("finish_reason")) {
+            return false;
+        }
+        JsonNode node = parse(data);
+        if (node.path("id").isTextual() && !node.path("id").textValue().contains(attemptId)) {
+            throw new WagtailcartException(
+                    ResultCode.ANSWER_MISMATCH,
+                    "event of request " + node.path("id").textValue() + " arrived for attempt " + attemptId);
+        }
+        JsonNode reason = node.path("choices").path(0).path("finish_reason");
+        return reason.isTextual() || node.path("finish_reason").isTextual();
+    }
+
+    private JsonNode parse(String data) {
+        try {
+            return MAPPER.readTree(data);
+        } catch (JsonProcessingException e) {
+            throw incomplete("event is not JSON");
+        }
+    }
+
+    private static Optional<String> field(String event, String name) {
+        return event.lines()
+                .filter(line -> line.startsWith(name + ":"))
+                .map(line -> line.substring(name.length() + 1).strip())
+                .findFirst();
+    }
+
+    /** Decodes UTF-8 up to the last whole line, so that a character split over two parts is not damaged. */
+    private String decode(byte[] bytes) {
+        byte[] all = new byte[undecoded.length + bytes.length];
+        System.arraycopy(undecoded, 0, all, 0, undecoded.length);
+        System.arraycopy(bytes, 0, all, undecoded.length, bytes.length);
+        int end = all.length;
+        while (end > 0 && all[end - 1] != '\n') {
+            end--;
+        }
+        undecoded = Arrays.copyOfRange(all, end, all.length);
+        return new String(all, 0, end, StandardCharsets.UTF_8).replace("\r\n", "\n");
+    }
+
+    private WagtailcartException incomplete(String text) {
+        return new WagtailcartException(ResultCode.STREAM_INCOMPLETE, "attempt " + attemptId + ": " + text);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/call/AnswerWriter.java
@@ -0,0 +1,119 @@
+package org.wagtailcart.entry.call;
+
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.entry.answer.CallerResponse;
+import org.wagtailcart.entry.attempt.EventStream;
+import org.wagtailcart.entry.request.HttpHead;
+
+/** Passes the answers of successive attempts on to the caller as one response. */
+final class AnswerWriter {
+    /** A whole answer up to this size is held until its counts are checked, so that a failure can still be repaired. */
+    private static final int MAX_HELD_BYTES = 1 << 20;
+
+    private static final List<String> STREAM_HEADERS =
+            List.of("Content-Type", "text/event-stream", "Cache-Control", "no-cache");
+
+    private final CallerResponse response;
+    private final boolean streamWanted;
+    private final boolean engine;
+    private final EventStream events = new EventStream();
+    private ByteArrayOutputStream held = new ByteArrayOutputStream();
+    private List<String> headers = List.of();
+    private int status;
+
+    AnswerWriter(CallerResponse response, boolean streamWanted, boolean engine) {
+        this.response = response;
+        this.streamWanted = streamWanted;
+        this.engine = engine;
+    }
+
+    /** Forgets what an earlier attempt left undelivered. */
+    void startAttempt(String attemptId) {
+        events.startAttempt(attemptId);
+        held = new ByteArrayOutputStream();
+    }
+
+    /** Returns the number of tokens delivered. */
+    long tokens() {
+        return events.tokens();
+    }
+
+    /** Returns whether the response can be continued by another attempt. */
+    boolean resumable() {
+        return !response.started() || streamWanted;
+    }
+
+    /**
+     * Takes the status of an attempt.
+     *
+     * @throws WagtailcartException when another engine may do better
+     */
+    void onStarted(int upstreamStatus, List<String> upstreamHeaders) {
+        if (engine && (upstreamStatus >= 500 || upstreamStatus == 429)) {
+            throw new WagtailcartException(
+                    upstreamStatus == 429 || upstreamStatus == 503
+                            ? ResultCode.UPSTREAM_REFUSED
+                            : ResultCode.UPSTREAM_FAILED,
+                    RunState.MAY_HAVE_RUN,
+                    "engine answered with status " + upstreamStatus);
+        }
+        if (response.started() && upstreamStatus != 200) {
+            throw new WagtailcartException(
+                    ResultCode.UPSTREAM_FAILED,
+                    "engine answered with status " + upstreamStatus + " to a resumed stream");
+        }
+        status = upstreamStatus;
+        headers = HttpHead.endToEnd(upstreamHeaders);
+    }
+
+    /** Takes a part of the body. */
+    void onBytes(byte[] bytes) {
+        if (streaming()) {
+            deliverEvents(events.accept(bytes));
+        } else if (response.started()) {
+            response.write(bytes);
+        } else {
+            hold(bytes);
+        }
+    }
+
+    /**
+     * Takes the end of an attempt whose counts match and ends the response.
+     *
+     * @throws WagtailcartException with {@link ResultCode#STREAM_INCOMPLETE} when the stream is not whole
+     */
+    void onComplete() {
+        if (streaming()) {
+            deliverEvents(events.end());
+            response.end();
+        } else if (response.started()) {
+            response.end();
+        } else {
+            response.reply(status, headers, held.toByteArray());
+        }
+    }
+
+    private boolean streaming() {
+        return streamWanted && status == 200;
+    }
+
+    private void deliverEvents(byte[] bytes) {
+        if (bytes.length > 0) {
+            response.start(200, STREAM_HEADERS);
+            response.write(bytes);
+        }
+    }
+
+    private void hold(byte[] bytes) {
+        held.writeBytes(bytes);
+        if (held.size() > MAX_HELD_BYTES) {
+            response.start(status, headers);
+            response.write(held.toByteArray());
+            held = new ByteArrayOutputStream();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/call/CallContext.java
@@ -0,0 +1,73 @@
+package org.wagtailcart.entry.call;
+
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.control.client.ControlClient;
+import org.wagtailcart.control.client.ControlView;
+import org.wagtailcart.entry.admission.Dispatch;
+import org.wagtailcart.entry.admission.RetryBudget;
+import org.wagtailcart.entry.request.RequestKind;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.wire.PeerClient;
+
+/**
+ * What calls use of their entry.
+ *
+ * @param view settings and fleet
+ * @param control commands to the control group
+ * @param peers connections to sidecars
+ * @param dispatch routing and queues
+ * @param budget retry budget
+ * @param counters counters of the stages
+ * @param timer runs delayed tasks; each hops to its request's executor
+ * @param clock monotonic clock
+ * @param lease tells whether new work of a kind is served now
+ */
+public record CallContext(
+        ControlView view,
+        ControlClient control,
+        PeerClient peers,
+        Dispatch dispatch,
+        RetryBudget budget,
+        StageCounters counters,
+        ScheduledExecutorService timer,
+        MillisClock clock,
+        Lease lease) {
+    /** Tells whether new work is served. */
+    @FunctionalInterface
+    public interface Lease {
+        /** Returns whether new work of a kind may be started now. */
+        boolean allows(RequestKind kind);
+    }
+
+    /** Returns a random attempt id. */
+    static String newAttemptId() {
+        return UUID.randomUUID().toString();
+    }
+
+    /** Returns an upstream that can be reached through a sidecar. */
+    Optional<UpstreamView> upstream(String upstreamId) {
+        return view.upstream(upstreamId);
+    }
+
+    /** Runs a task on an executor after a delay. */
+    Future<?> after(long delayMillis, Executor executor, Runnable task) {
+        return timer.schedule(() -> tryExecute(executor, task), Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs a task on an executor that may have ended with the process. */
+    static void tryExecute(Executor executor, Runnable task) {
+        try {
+            executor.execute(task);
+        } catch (RejectedExecutionException e) {
+            // The connection's thread has ended; nobody waits for the result.
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
@@ -0,0 +1,390 @@
+package org.wagtailcart.entry.call;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.UpstreamKind;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.entry.admission.Waiting;
+import org.wagtailcart.entry.answer.CallerResponse;
+import org.wagtailcart.entry.answer.Refusal;
+import org.wagtailcart.entry.attempt.AttemptExchange;
+import org.wagtailcart.entry.attempt.AttemptSink;
+import org.wagtailcart.entry.request.CallerRequest;
+import org.wagtailcart.entry.request.Completion;
+import org.wagtailcart.entry.request.RequestKind;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.policy.routing.Outcome;
+import org.wagtailcart.policy.routing.Route;
+import org.wagtailcart.policy.routing.RoutingRequest;
+import org.wagtailcart.sidecar.message.AttemptRequest;
+
+/**
+ * Serves one request whose second run does no harm: retries before the first token, resumes a stream elsewhere after it.
+ * All state belongs to the executor of the caller's connection.
+ */
+public final class RepeatableCall {
+    /** Attempts of one request that has not delivered anything. */
+    private static final int MAX_ATTEMPTS = 3;
+
+    /** Times that one stream is continued on another engine. */
+    private static final int MAX_RESUMES = 8;
+
+    /** Times that one request waits for newer settings. */
+    private static final int MAX_SYNCS = 20;
+
+    private static final long SYNC_WAIT_MILLIS = 100;
+    private static final long RETRY_PAUSE_MILLIS = 50;
+
+    private final CallContext context;
+    private final CallerRequest request;
+    private final CallerResponse response;
+    private final Executor executor;
+    private final AnswerWriter writer;
+    private final Set<String> excluded = new HashSet<>();
+    private Future<?> deadlineTimer;
+    private String attemptId = "";
+    private String upstreamId = "";
+    private @Nullable AttemptExchange exchange;
+    private @Nullable Prefilled prefilled;
+    private boolean waiting;
+    private boolean routed;
+    private boolean mayHaveRun;
+    private boolean over;
+    private int attempts;
+    private int resumes;
+    private int syncs;
+
+    /**
+     * Engine that holds the KV cache of the prompt.
+     *
+     * @param engine address of the engine
+     * @param requestId request id under which it holds the cache
+     */
+    private record Prefilled(Address engine, String requestId) {}
+
+    private RepeatableCall(CallContext context, CallerRequest request, CallerResponse response, Executor executor) {
+        this.context = context;
+        this.request = request;
+        this.response = response;
+        this.executor = executor;
+        this.writer = new AnswerWriter(response, request.streamed(), request.kind() == RequestKind.COMPLETION);
+        this.deadlineTimer =
+                context.after(request.deadlineMillis() - context.clock().nowMillis(), executor, this::onDeadline);
+    }
+
+    /**
+     * Starts to serve a request.
+     *
+     * @param executor executor of the caller's connection; the calling thread is on it now
+     */
+    public static void start(CallContext context, CallerRequest request, CallerResponse response, Executor executor) {
+        RepeatableCall call = new RepeatableCall(context, request, response, executor);
+        response.onGone(call::onCallerGone);
+        context.budget().onRequest();
+        call.route(true);
+    }
+
+    private void route(boolean early) {
+        if (over) {
+            return;
+        }
+        attemptId = CallContext.newAttemptId();
+        waiting = true;
+        Completion completion = request.completion().orElse(null);
+        RoutingRequest routing = new RoutingRequest(
+                request.pool(),
+                request.priority(),
+                completion == null ? 0 : completion.promptTokens(),
+                completion == null ? 0 : completion.outputTokens(),
+                completion == null ? List.of() : completion.prefixHashes(),
+                request.deadlineMillis(),
+                Set.copyOf(excluded));
+        context.dispatch().submit(new Waiting(attemptId, kind(), routing, early, executor, receiver()));
+    }
+
+    private UpstreamKind kind() {
+        return request.kind() == RequestKind.COMPLETION ? UpstreamKind.ENGINE : UpstreamKind.SERVICE;
+    }
+
+    private Waiting.Receiver receiver() {
+        String id = attemptId;
+        return new Waiting.Receiver() {
+            @Override
+            public void onRoute(Route route) {
+                if (over || !id.equals(attemptId)) {
+                    context.dispatch().finished(id, Outcome.CANCELLED);
+                    return;
+                }
+                waiting = false;
+                routed = true;
+                context.counters().count(Stage.ADMIT, ResultCode.OK);
+                RepeatableCall.this.onRoute(route);
+            }
+
+            @Override
+            public void onRefused(ResultCode code) {
+                if (!over) {
+                    waiting = false;
+                    context.counters().count(Stage.ADMIT, code);
+                    refuse(new WagtailcartException(code, "no room for a request to \"" + request.pool() + "\""));
+                }
+            }
+        };
+    }
+
+    private void onRoute(Route route) {
+        if (!response.started() && !context.lease().allows(request.kind())) {
+            release(Outcome.CANCELLED);
+            refuse(new WagtailcartException(ResultCode.SETTINGS_LEASE_EXPIRED, "settings are not confirmed"));
+            return;
+        }
+        upstreamId = route.upstreamId();
+        Optional<UpstreamView> upstream = context.upstream(upstreamId);
+        if (upstream.isEmpty()) {
+            context.counters().count(Stage.ROUTE, ResultCode.UPSTREAM_UNKNOWN);
+            onFailed(new WagtailcartException(ResultCode.UPSTREAM_UNKNOWN, "upstream " + upstreamId + " is gone"));
+            return;
+        }
+        context.counters().count(Stage.ROUTE, ResultCode.OK);
+        Optional<UpstreamView> prefill = route.prefillUpstreamId().flatMap(context::upstream);
+        prefilled = null;
+        if (prefill.isPresent() && request.completion().isPresent() && writer.tokens() == 0) {
+            sendPrefill(prefill.get(), request.completion().get());
+        } else {
+            sendMain(upstream.get());
+        }
+    }
+
+    private void sendPrefill(UpstreamView engine, Completion completion) {
+        String prefillId = attemptId + "-p";
+        AttemptSink sink = new AttemptSink() {
+            @Override
+            public void onStarted(int status, List<String> headers) {
+                if (status != 200) {
+                    throw new WagtailcartException(
+                            ResultCode.UPSTREAM_FAILED, "prefill engine answered with status " + status);
+                }
+            }
+
+            @Override
+            public void onBytes(byte[] bytes) {
+                // The answer to a prompt without output holds nothing for the caller.
+            }
+
+            @Override
+            public void onComplete() {
+                prefilled = new Prefilled(engine.address(), prefillId);
+                sendDecode();
+            }
+
+            @Override
+            public void onFailed(WagtailcartException error) {
+                excluded.add(engine.upstreamId());
+                RepeatableCall.this.onFailed(error);
+            }
+        };
+        send(engine, prefillId, completion.forPrefill(request.priority()), sink);
+    }
+
+    private void sendDecode() {
+        context.upstream(upstreamId)
+                .ifPresentOrElse(
+                        this::sendMain,
+                        () -> onFailed(new WagtailcartException(
+                                ResultCode.UPSTREAM_UNKNOWN, "upstream " + upstreamId + " is gone")));
+    }
+
+    private void sendMain(UpstreamView upstream) {
+        writer.startAttempt(attemptId);
+        send(upstream, attemptId, body(), new AttemptSink() {
+            @Override
+            public void onStarted(int status, List<String> headers) {
+                writer.onStarted(status, headers);
+            }
+
+            @Override
+            public void onBytes(byte[] bytes) {
+                long before = writer.tokens();
+                writer.onBytes(bytes);
+                noteTokens(before);
+            }
+
+            @Override
+            public void onComplete() {
+                complete();
+            }
+
+            @Override
+            public void onFailed(WagtailcartException error) {
+                excluded.add(upstreamId);
+                RepeatableCall.this.onFailed(error);
+            }
+        });
+    }
+
+    private byte[] body() {
+        Completion completion = request.completion().orElse(null);
+        if (completion == null) {
+            return request.body();
+        }
+        Prefilled source = prefilled;
+        return source == null
+                ? completion.forEngine(request.priority(), writer.tokens())
+                : completion.forDecode(request.priority(), writer.tokens(), source.engine(), source.requestId());
+    }
+
+    private void send(UpstreamView upstream, String id, byte[] body, AttemptSink sink) {
+        long remainingMillis = request.deadlineMillis() - context.clock().nowMillis();
+        if (remainingMillis <= 0) {
+            onDeadline();
+            return;
+        }
+        AttemptRequest message = new AttemptRequest(
+                id,
+                0,
+                0,
+                upstream.upstreamId(),
+                context.view().settings().revision(),
+                remainingMillis,
+                request.priority(),
+                request.method(),
+                request.path(),
+                request.headers(),
+                body);
+        exchange = AttemptExchange.open(
+                context.peers(), upstream.sidecarAddress(), message, sink, executor, end -> context.dispatch()
+                        .loadReport(upstream.upstreamId(), end.running(), end.queued()));
+    }
+
+    private void noteTokens(long before) {
+        long tokens = writer.tokens();
+        if (before == 0 && tokens > 0) {
+            context.dispatch().firstToken(attemptId);
+        }
+        if (tokens > before) {
+            context.dispatch().tokens(attemptId, (int) (tokens - before));
+        }
+    }
+
+    private void complete() {
+        try {
+            writer.onComplete();
+        } catch (WagtailcartException e) {
+            excluded.add(upstreamId);
+            onFailed(e);
+            return;
+        }
+        context.counters().count(Stage.ATTEMPT, ResultCode.OK);
+        context.counters().count(Stage.STREAM, ResultCode.OK);
+        release(Outcome.SUCCESS);
+        finish(ResultCode.OK);
+    }
+
+    private void onFailed(WagtailcartException error) {
+        if (over) {
+            return;
+        }
+        context.counters().count(Stage.ATTEMPT, error.code());
+        mayHaveRun |= error.runState() != RunState.NOT_RUN;
+        release(error.runState() == RunState.NOT_RUN ? Outcome.REFUSED : Outcome.FAILURE);
+        if (error.code() == ResultCode.SETTINGS_REVISION_STALE && syncs++ < MAX_SYNCS) {
+            excluded.remove(upstreamId);
+            context.view().syncSoon();
+            pause(SYNC_WAIT_MILLIS);
+        } else if (!writer.resumable()) {
+            refuse(error);
+        } else if (response.started()) {
+            resume(error);
+        } else {
+            retry(error);
+        }
+    }
+
+    private void resume(WagtailcartException error) {
+        if (resumes++ < MAX_RESUMES) {
+            context.counters().count("resumes");
+            pause(resumes == 1 ? 0 : RETRY_PAUSE_MILLIS);
+        } else {
+            refuse(error);
+        }
+    }
+
+    private void retry(WagtailcartException error) {
+        if (++attempts >= MAX_ATTEMPTS) {
+            refuse(error);
+        } else if (!context.budget().tryRetry()) {
+            context.counters().count("retries-denied");
+            refuse(error);
+        } else {
+            context.counters().count("retries");
+            pause(attempts == 1 ? 0 : RETRY_PAUSE_MILLIS);
+        }
+    }
+
+    private void pause(long millis) {
+        if (millis == 0) {
+            route(false);
+        } else {
+            var unused = context.after(millis, executor, () -> route(false));
+        }
+    }
+
+    private void onDeadline() {
+        if (over) {
+            return;
+        }
+        cancelAttempt();
+        ResultCode code = routed ? ResultCode.UPSTREAM_TIMEOUT : ResultCode.DEADLINE_UNREACHABLE;
+        mayHaveRun |= routed;
+        release(Outcome.FAILURE);
+        refuse(new WagtailcartException(code, "deadline passed"));
+    }
+
+    private void onCallerGone() {
+        if (!over) {
+            cancelAttempt();
+            release(Outcome.CANCELLED);
+            finish(ResultCode.CALLER_GONE);
+        }
+    }
+
+    private void cancelAttempt() {
+        if (waiting) {
+            context.dispatch().cancel(attemptId);
+        }
+        AttemptExchange open = exchange;
+        if (open != null) {
+            open.cancel();
+        }
+    }
+
+    private void release(Outcome outcome) {
+        if (routed) {
+            routed = false;
+            context.dispatch().finished(attemptId, outcome);
+        }
+    }
+
+    private void refuse(WagtailcartException error) {
+        if (response.started()) {
+            context.counters().count(Stage.STREAM, error.code());
+        }
+        finish(error.code());
+        RunState runState = mayHaveRun ? RunState.MAY_HAVE_RUN : error.runState();
+        response.refuse(Refusal.of(error).withRunState(runState).ofRepeatableWork());
+    }
+
+    private void finish(ResultCode code) {
+        over = true;
+        deadlineTimer.cancel(false);
+        context.counters().count(Stage.FINISH, code);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/request/CallerRequest.java
@@ -0,0 +1,38 @@
+package org.wagtailcart.entry.request;
+
+import java.util.List;
+import java.util.Optional;
+import org.wagtailcart.common.Priority;
+
+/**
+ * A classified request.
+ *
+ * @param kind kind
+ * @param workspace workspace of the caller
+ * @param priority scheduling class
+ * @param deadlineMillis monotonic time by which the answer must be complete
+ * @param pool model or service name
+ * @param method HTTP method
+ * @param path path and query for the upstream
+ * @param headers header lines for the upstream, name and value alternating
+ * @param body request body
+ * @param completion parsed body of a completion
+ * @param idempotencyKey key of a keyed call
+ */
+public record CallerRequest(
+        RequestKind kind,
+        String workspace,
+        Priority priority,
+        long deadlineMillis,
+        String pool,
+        String method,
+        String path,
+        List<String> headers,
+        byte[] body,
+        Optional<Completion> completion,
+        Optional<String> idempotencyKey) {
+    /** Returns whether the caller asked for a stream of events. */
+    public boolean streamed() {
+        return completion.map(Completion::streamed).orElse(false);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/request/PoolDirectory.java
@@ -0,0 +1,156 @@
+package org.wagtailcart.entry.request;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.wagtailcart.common.EngineTarget;
+import org.wagtailcart.common.UpstreamKind;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.settings.SettingsTree;
+
+/** Immutable index of pools and their settings, rebuilt when settings or fleet change. */
+public final class PoolDirectory {
+    private static final String UPSTREAMS = "/upstreams/";
+    private static final String WORKSPACES = "/workspaces/";
+
+    private final SettingsTree settings;
+    private final Map<String, Pool> engines;
+    private final Map<String, Pool> services;
+
+    /**
+     * A model or service.
+     *
+     * @param name model or service name
+     * @param branch settings branch of one of its upstreams
+     * @param keyedCalls calls that run at most once
+     */
+    private record Pool(String name, String branch, List<KeyedPrefix> keyedCalls) {}
+
+    /**
+     * Calls that run at most once.
+     *
+     * @param method HTTP method
+     * @param path prefix of the path
+     */
+    private record KeyedPrefix(String method, String path) {
+        boolean matches(String requestMethod, String requestPath) {
+            return method.equals(requestMethod) && requestPath.startsWith(path);
+        }
+    }
+
+    /** Builds the index. */
+    public PoolDirectory(SettingsTree settings, Collection<UpstreamView> upstreams) {
+        this.settings = settings;
+        Map<String, String> branchById = settings.branches().stream()
+                .filter(path -> path.startsWith(UPSTREAMS))
+                .collect(Collectors.toMap(PoolDirectory::lastPart, Function.identity(), (a, b) -> b));
+        engines = pools(upstreams, UpstreamKind.ENGINE, branchById);
+        services = pools(upstreams, UpstreamKind.SERVICE, branchById);
+    }
+
+    /** Returns the name of the model or service of an upstream. */
+    public static Optional<String> poolOf(UpstreamView upstream) {
+        return upstream.kind() == UpstreamKind.ENGINE
+                ? Optional.ofNullable(upstream.target()).map(EngineTarget::model)
+                : Optional.of(upstream.service());
+    }
+
+    /** Returns the models in order. */
+    public List<String> models() {
+        return List.copyOf(engines.keySet());
+    }
+
+    /** Returns whether a pool has an upstream that is not gone for good. */
+    public boolean exists(UpstreamKind kind, String pool) {
+        return of(kind).containsKey(pool);
+    }
+
+    /** Returns whether a call to a service must run at most once. */
+    public boolean runsAtMostOnce(String service, String method, String path) {
+        return Optional.ofNullable(services.get(service)).stream()
+                .flatMap(pool -> pool.keyedCalls().stream())
+                .anyMatch(prefix -> prefix.matches(method, path));
+    }
+
+    /** Returns a setting of a request: of its workspace, else of its pool, else of the root. */
+    public Optional<String> setting(String workspace, UpstreamKind kind, String pool, String key) {
+        return workspaceSetting(workspace, key).or(() -> poolSetting(kind, pool, key));
+    }
+
+    /** Returns a setting of a pool, else of the root. */
+    public Optional<String> poolSetting(UpstreamKind kind, String pool, String key) {
+        String branch =
+                Optional.ofNullable(of(kind).get(pool)).map(Pool::branch).orElse("/");
+        return settings.effective(branch, key);
+    }
+
+    /** Returns whether a workspace has a branch of its own. */
+    public boolean hasWorkspace(String workspace) {
+        return !settings.own(WORKSPACES + workspace).isEmpty();
+    }
+
+    /** Returns a setting of a workspace or of all workspaces, not of the root. */
+    public Optional<String> workspaceSetting(String workspace, String key) {
+        return Stream.of(WORKSPACES + workspace, "/workspaces")
+                .flatMap(branch -> Optional.ofNullable(settings.own(branch).get(key)).stream())
+                .findFirst();
+    }
+
+    /** Returns the settings revision of this index. */
+    public long revision() {
+        return settings.revision();
+    }
+
+    private Map<String, Pool> of(UpstreamKind kind) {
+        return kind == UpstreamKind.ENGINE ? engines : services;
+    }
+
+    private Map<String, Pool> pools(
+            Collection<UpstreamView> upstreams, UpstreamKind kind, Map<String, String> branchById) {
+        Map<String, Pool> pools = new TreeMap<>();
+        upstreams.stream()
+                .filter(upstream -> upstream.kind() == kind)
+                .filter(upstream -> !upstream.lifecycle().isFinal())
+                .forEach(upstream -> poolOf(upstream)
+                        .ifPresent(name -> pools.merge(
+                                name,
+                                pool(name, branchById.getOrDefault(upstream.upstreamId(), "/")),
+                                PoolDirectory::joined)));
+        return pools;
+    }
+
+    private Pool pool(String name, String branch) {
+        String list = settings.effective(branch, "non-idempotent").orElse("");
+        List<KeyedPrefix> prefixes = Stream.of(list.split(",", -1))
+                .map(String::strip)
+                .filter(item -> item.indexOf(' ') > 0)
+                .map(PoolDirectory::prefix)
+                .toList();
+        return new Pool(name, branch, prefixes);
+    }
+
+    /** A call that any replica lists runs at most once at all of them. */
+    private static Pool joined(Pool a, Pool b) {
+        List<KeyedPrefix> calls = Stream.concat(a.keyedCalls().stream(), b.keyedCalls().stream())
+                .distinct()
+                .toList();
+        return new Pool(a.name(), a.branch(), calls);
+    }
+
+    private static KeyedPrefix prefix(String item) {
+        int space = item.indexOf(' ');
+        return new KeyedPrefix(
+                item.substring(0, space).toUpperCase(Locale.ROOT),
+                item.substring(space).strip());
+    }
+
+    private static String lastPart(String path) {
+        return path.substring(path.lastIndexOf('/') + 1);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/request/RequestClassifier.java
@@ -0,0 +1,153 @@
+package org.wagtailcart.entry.request;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.wagtailcart.common.Priority;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.UpstreamKind;
+import org.wagtailcart.common.WagtailcartException;
+
+/** Turns a caller's HTTP request into a {@link CallerRequest}. Pure. */
+public final class RequestClassifier {
+    /** Longest deadline a caller may name. */
+    public static final long MAX_DEADLINE_MILLIS = 3_600_000;
+
+    private static final long DEFAULT_DEADLINE_MILLIS = 60_000;
+    private static final int MAX_KEY_LENGTH = 255;
+    private static final String SERVICES = "/services/";
+    private static final Set<String> COMPLETION_PATHS = Set.of("/v1/chat/completions", "/v1/completions");
+    private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
+    private static final String NAME_PATTERN = "[A-Za-z0-9._-]{1,128}";
+
+    private RequestClassifier() {}
+
+    /** Returns whether a path belongs to a model or service. */
+    public static boolean handles(String path) {
+        return COMPLETION_PATHS.contains(path) || path.startsWith(SERVICES);
+    }
+
+    /**
+     * Classifies a request.
+     *
+     * @throws WagtailcartException when the request is not acceptable
+     */
+    public static CallerRequest classify(HttpHead head, byte[] body, PoolDirectory pools, long nowMillis) {
+        String workspace = workspace(head);
+        return COMPLETION_PATHS.contains(head.path())
+                ? completion(head, body, workspace, pools, nowMillis)
+                : serviceCall(head, body, workspace, pools, nowMillis);
+    }
+
+    private static CallerRequest completion(
+            HttpHead head, byte[] body, String workspace, PoolDirectory pools, long nowMillis) {
+        if (!head.method().equals("POST")) {
+            throw invalid("method " + head.method() + " is not accepted for " + head.path() + "; POST is");
+        }
+        Completion completion = Completion.parse(body);
+        String model = completion.model();
+        if (!pools.exists(UpstreamKind.ENGINE, model)) {
+            throw new WagtailcartException(ResultCode.MODEL_UNKNOWN, "model \"" + model + "\" is not served here");
+        }
+        return new CallerRequest(
+                RequestKind.COMPLETION,
+                workspace,
+                priority(head, workspace, pools, UpstreamKind.ENGINE, model),
+                deadline(head, workspace, pools, UpstreamKind.ENGINE, model, nowMillis),
+                model,
+                "POST",
+                head.path(),
+                List.of("Content-Type", "application/json"),
+                body,
+                Optional.of(completion),
+                Optional.empty());
+    }
+
+    private static CallerRequest serviceCall(
+            HttpHead head, byte[] body, String workspace, PoolDirectory pools, long nowMillis) {
+        String rest = head.path().substring(SERVICES.length());
+        int slash = rest.indexOf('/');
+        String service = slash < 0 ? rest : rest.substring(0, slash);
+        String path = slash < 0 ? "/" : rest.substring(slash);
+        if (!pools.exists(UpstreamKind.SERVICE, service)) {
+            throw new WagtailcartException(ResultCode.NOT_FOUND, "service \"" + service + "\" does not exist");
+        }
+        Optional<String> key = head.header("Idempotency-Key");
+        RequestKind kind = serviceKind(head, path, service, pools, key);
+        return new CallerRequest(
+                kind,
+                workspace,
+                priority(head, workspace, pools, UpstreamKind.SERVICE, service),
+                deadline(head, workspace, pools, UpstreamKind.SERVICE, service, nowMillis),
+                service,
+                head.method(),
+                head.query().isEmpty() ? path : path + "?" + head.query(),
+                HttpHead.endToEnd(head.headers()),
+                body,
+                Optional.empty(),
+                kind.repeatable() ? Optional.empty() : key);
+    }
+
+    private static RequestKind serviceKind(
+            HttpHead head, String path, String service, PoolDirectory pools, Optional<String> key) {
+        boolean listed = pools.runsAtMostOnce(service, head.method(), path);
+        if (listed && key.isEmpty()) {
+            throw new WagtailcartException(
+                    ResultCode.IDEMPOTENCY_KEY_MISSING,
+                    head.method() + " " + path + " runs at most once and needs the header Idempotency-Key");
+        }
+        key.filter(value -> value.isBlank() || value.length() > MAX_KEY_LENGTH).ifPresent(value -> {
+            throw invalid("header Idempotency-Key has " + value.length() + " characters; 1 to " + MAX_KEY_LENGTH
+                    + " are accepted");
+        });
+        boolean wanted = key.isPresent() && !SAFE_METHODS.contains(head.method());
+        return listed || wanted ? RequestKind.KEYED_CALL : RequestKind.SERVICE_CALL;
+    }
+
+    private static String workspace(HttpHead head) {
+        String name = head.header("Wagtailcart-Workspace").orElse("default");
+        if (!name.matches(NAME_PATTERN)) {
+            throw invalid("header Wagtailcart-Workspace is \"" + name + "\"; 1 to 128 letters, digits, '.', '_' and '-'"
+                    + " are accepted");
+        }
+        return name;
+    }
+
+    private static Priority priority(
+            HttpHead head, String workspace, PoolDirectory pools, UpstreamKind kind, String pool) {
+        return head.header("Wagtailcart-Priority")
+                .or(() -> pools.setting(workspace, kind, pool, "priority"))
+                .map(Priority::parse)
+                .orElse(Priority.NORMAL);
+    }
+
+    private static long deadline(
+            HttpHead head, String workspace, PoolDirectory pools, UpstreamKind kind, String pool, long nowMillis) {
+        long millis = head.header("Wagtailcart-Deadline-Millis")
+                .or(() -> pools.setting(workspace, kind, pool, "deadline-millis"))
+                .map(RequestClassifier::deadlineMillis)
+                .orElse(DEFAULT_DEADLINE_MILLIS);
+        return nowMillis + millis;
+    }
+
+    private static long deadlineMillis(String text) {
+        try {
+            long millis = Long.parseLong(text.strip());
+            if (millis >= 1 && millis <= MAX_DEADLINE_MILLIS) {
+                return millis;
+            }
+        } catch (NumberFormatException e) {
+            throw deadlineInvalid(text);
+        }
+        throw deadlineInvalid(text);
+    }
+
+    private static WagtailcartException deadlineInvalid(String text) {
+        return invalid(
+                "header Wagtailcart-Deadline-Millis is \"" + text + "\"; 1 to " + MAX_DEADLINE_MILLIS + " is accepted");
+    }
+
+    private static WagtailcartException invalid(String text) {
+        return new WagtailcartException(ResultCode.INVALID_ARGUMENT, text);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/request/package-info.java
@@ -0,0 +1,5 @@
+/** Classification of callers' requests. */
+@NullMarked
+package org.wagtailcart.entry.request;
+
+import org.jspecify.annotations.NullMarked;
