Add the retry budget

Retries of a failing upstream multiply its load. The budget earns 0.1 retry per first attempt (design section 8), starts empty and saves at most 20, so that amplification stays below 1.1 from the first request on. A time window of counted retries was ruled out: it needs a clock and forgets at its edges.

RetryBudgetTest was seen red with half a retry charged (allRequestsFailing) and without the cap (savedRetriesAreCapped).

--- /dev/null
+++ b/policy/src/main/java/org/wagtailcart/policy/retry/RetryBudget.java
@@ -0,0 +1,60 @@
+package org.wagtailcart.policy.retry;
+
+/**
+ * Limits retries to a share of first attempts. Every first attempt earns a share of one retry; a retry spends a whole
+ * one. Not thread safe.
+ */
+public final class RetryBudget {
+    /** Share of traffic that may be retries (design section 8). */
+    public static final double DEFAULT_RATIO = 0.1;
+
+    /** Retries that may follow each other at once; without a cap, a quiet hour would save up a retry storm. */
+    public static final int DEFAULT_BURST = 20;
+
+    private final double ratio;
+    private final double burst;
+    private double balance;
+
+    /** Creates a budget of 10% that starts empty, so that amplification holds from the first request on. */
+    public RetryBudget() {
+        this(DEFAULT_RATIO, DEFAULT_BURST);
+    }
+
+    /**
+     * Creates an empty budget.
+     *
+     * @param ratio retries earned by one first attempt, 0 to 1
+     * @param burst greatest number of retries saved up, at least 1
+     * @throws IllegalArgumentException when an argument is out of range
+     */
+    public RetryBudget(double ratio, int burst) {
+        if (!(ratio >= 0 && ratio <= 1)) {
+            throw new IllegalArgumentException("ratio " + ratio + " is not between 0 and 1");
+        }
+        if (burst < 1) {
+            throw new IllegalArgumentException("burst " + burst + " is below 1");
+        }
+        this.ratio = ratio;
+        this.burst = burst;
+    }
+
+    /** Notes a first attempt. */
+    public void onFirstAttempt() {
+        balance = Math.min(burst, balance + ratio);
+    }
+
+    /** Takes one retry from the budget and returns whether it was there. */
+    public boolean tryRetry() {
+        // Ten additions of 0.1 sum up to slightly less than 1.
+        if (balance < 1 - 1e-9) {
+            return false;
+        }
+        balance = Math.max(0, balance - 1);
+        return true;
+    }
+
+    /** Returns the retries left. */
+    public double balance() {
+        return balance;
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/org/wagtailcart/policy/retry/RetryBudgetTest.java
@@ -0,0 +1,33 @@
+package org.wagtailcart.policy.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RetryBudgetTest {
+    /** Guards against a budget that lets retries of a failing service exceed 10% of traffic. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 9, 10, 100, 12_345})
+    void allRequestsFailing(int requests) {
+        RetryBudget budget = new RetryBudget();
+        long retries = IntStream.range(0, requests)
+                .peek(i -> budget.onFirstAttempt())
+                .mapToLong(i -> IntStream.range(0, 5)
+                        .filter(attempt -> budget.tryRetry())
+                        .count())
+                .sum();
+        assertThat(retries).isEqualTo(requests / 10);
+    }
+
+    /** Guards against a quiet period that saves up a retry storm. */
+    @Test
+    void savedRetriesAreCapped() {
+        RetryBudget budget = new RetryBudget(0.1, 20);
+        IntStream.range(0, 10_000).forEach(i -> budget.onFirstAttempt());
+        assertThat(IntStream.range(0, 1_000).filter(i -> budget.tryRetry()).count())
+                .isEqualTo(20);
+    }
+}
