--- /dev/null
+++ b/policy/src/test/java/org/wagtailcart/policy/admission/AdmissionQueueTest.java
@@ -0,0 +1,72 @@
+package org.wagtailcart.policy.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.wagtailcart.common.Priority;
+
+class AdmissionQueueTest {
+    private static final long FAR = 1_000_000;
+
+    /** Guards against lost, duplicated or unbounded requests under any mix of offers, starts and departures. */
+    @Property(seed = "4711", tries = 300)
+    void requestsLeaveOnceAndLanesStayBounded(
+            @ForAll @Size(min = 1, max = 200) List<@IntRange(max = 99) Integer> steps) {
+        AdmissionQueue<Integer> queue = new AdmissionQueue<>(7);
+        Set<Integer> waiting = new HashSet<>();
+        for (int i = 0; i < steps.size(); i++) {
+            int step = steps.get(i);
+            if (step < 60) {
+                Priority priority = Priority.values()[step % 3];
+                if (queue.offer(i, priority, FAR, i) == AdmissionResult.QUEUED) {
+                    waiting.add(i);
+                }
+            } else if (step < 90) {
+                queue.poll(i).ifPresent(request -> assertThat(waiting.remove(request.item()))
+                        .isTrue());
+            } else {
+                assertThat(queue.remove(i - 3)).isEqualTo(waiting.remove(i - 3));
+            }
+            assertThat(queue.size()).isEqualTo(waiting.size());
+            Stream.of(Priority.values())
+                    .forEach(priority -> assertThat(queue.size(priority)).isAtMost(7));
+        }
+        assertThat(queue.drain().stream().map(QueuedRequest::item).toList()).containsExactlyElementsIn(waiting);
+    }
+
+    /** Guards against batches that never run under a constant stream of interactive work, and against batches first. */
+    @Test
+    void batchGetsASmallShare() {
+        AdmissionQueue<String> queue = new AdmissionQueue<>(1_000);
+        IntStream.range(0, 100).forEach(i -> queue.offer("batch-" + i, Priority.BATCH, FAR, 0));
+        long batches = IntStream.range(0, 160)
+                .filter(i -> {
+                    queue.offer("interactive-" + i, Priority.INTERACTIVE, FAR, i);
+                    return queue.poll(i).orElseThrow().priority() == Priority.BATCH;
+                })
+                .count();
+        assertThat(batches).isEqualTo(10);
+    }
+
+    /** Guards against work that waits although it cannot meet its deadline, and against refusing work that can. */
+    @Test
+    void refusesEarlyByPriority() {
+        AdmissionQueue<String> queue = new AdmissionQueue<>(10_000);
+        IntStream.range(0, 1_000).forEach(i -> queue.offer("normal-" + i, Priority.NORMAL, FAR, 0));
+        IntStream.rangeClosed(1, 500).forEach(i -> queue.poll(i * 10L));
+        assertThat(queue.expectedWaitMillis(Priority.NORMAL)).isEqualTo(5_000);
+        assertThat(queue.offer("late", Priority.BATCH, 9_900, 5_000)).isEqualTo(AdmissionResult.DEADLINE_UNREACHABLE);
+        assertThat(queue.offer("in-time", Priority.NORMAL, 10_100, 5_000)).isEqualTo(AdmissionResult.QUEUED);
+        assertThat(queue.offer("urgent", Priority.INTERACTIVE, 5_000, 5_000)).isEqualTo(AdmissionResult.QUEUED);
+        assertThat(queue.expire(10_101).stream().map(QueuedRequest::item)).containsExactly("in-time", "urgent");
+    }
+}
