Add the load-aware router

Routing needs a choice whose cost does not grow with the fleet and that does not send several entries to the same idle engine.

LoadAwareRouterTest was seen red with one request too many per upstream, without the check for tried upstreams, with a prompt released twice, with the account of a leaving upstream put back, and with reports that never fade.

--- /dev/null
+++ b/policy/src/main/java/org/wagtailcart/policy/routing/AttemptLoad.java
@@ -0,0 +1,56 @@
+package org.wagtailcart.policy.routing;
+
+import org.jspecify.annotations.Nullable;
+
+/** What one attempt adds to the account of its upstreams. */
+final class AttemptLoad {
+    final UpstreamLoad promptUpstream;
+    final UpstreamLoad outputUpstream;
+    double promptWork;
+    double outputWork;
+
+    AttemptLoad(@Nullable UpstreamLoad prefill, UpstreamLoad output, double promptWork, double outputWork) {
+        this.promptUpstream = prefill == null ? output : prefill;
+        this.outputUpstream = output;
+        this.promptWork = promptWork;
+        this.outputWork = outputWork;
+        promptUpstream.promptWork += promptWork;
+        promptUpstream.inFlight++;
+        output.outputWork += outputWork;
+        if (split()) {
+            output.inFlight++;
+        }
+        output.noteRequest(promptWork + outputWork);
+    }
+
+    boolean split() {
+        return promptUpstream != outputUpstream;
+    }
+
+    private boolean promptReleased;
+
+    /** Takes the prompt off the account; a separate prefill engine gets its place back. Returns false when done before. */
+    boolean finishPrompt() {
+        if (promptReleased) {
+            return false;
+        }
+        promptReleased = true;
+        promptUpstream.promptWork = Math.max(0, promptUpstream.promptWork - promptWork);
+        if (split()) {
+            promptUpstream.inFlight--;
+        }
+        return true;
+    }
+
+    void generate(int tokens) {
+        double done = Math.min(tokens, outputWork);
+        outputWork -= done;
+        outputUpstream.outputWork = Math.max(0, outputUpstream.outputWork - done);
+    }
+
+    void finish() {
+        finishPrompt();
+        outputUpstream.outputWork = Math.max(0, outputUpstream.outputWork - outputWork);
+        outputUpstream.inFlight--;
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/org/wagtailcart/policy/routing/LoadAwareRouterTest.java
@@ -0,0 +1,109 @@
+package org.wagtailcart.policy.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.common.Priority;
+
+class LoadAwareRouterTest {
+    private static final int ROOM = 4;
+
+    private final LoadAwareRouter router = new LoadAwareRouter(1);
+
+    /** Guards against overfilled upstreams, and against refusing while any upstream has room. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 13, 260})
+    void fillsEveryUpstreamExactly(int size) {
+        router.updateUpstreams(engines(EngineRole.MIXED, size), 0);
+        Map<String, Integer> counts = new HashMap<>();
+        IntStream.range(0, size * ROOM)
+                .forEach(i -> counts.merge(choose(i, Set.of()).orElseThrow().upstreamId(), 1, Integer::sum));
+        assertThat(counts).hasSize(size);
+        assertThat(Set.copyOf(counts.values())).containsExactly(ROOM);
+        assertThat(choose(size * ROOM, Set.of())).isEmpty();
+        router.onFinished("0", Outcome.SUCCESS, 1);
+        assertThat(choose(size * ROOM, Set.of())).isPresent();
+    }
+
+    /** Guards against a retry that goes back to an upstream already tried, and against one that finds none left. */
+    @Test
+    void excludedUpstreamsAreNeverChosen() {
+        router.updateUpstreams(engines(EngineRole.MIXED, 5), 0);
+        Set<String> tried = Set.of("MIXED-0", "MIXED-1", "MIXED-2", "MIXED-3");
+        IntStream.range(0, ROOM)
+                .forEach(i ->
+                        assertThat(choose(i, tried).orElseThrow().upstreamId()).isEqualTo("MIXED-4"));
+        assertThat(choose(ROOM, tried)).isEmpty();
+    }
+
+    /** Guards against a decode engine without a prompt stage, and against prefill slots held during output. */
+    @Test
+    void splitRouteHoldsPrefillUntilFirstToken() {
+        List<RoutableUpstream> fleet = new ArrayList<>(engines(EngineRole.DECODE, 3));
+        router.updateUpstreams(fleet, 0);
+        assertThat(choose(0, Set.of())).isEmpty();
+        fleet.addAll(engines(EngineRole.PREFILL, 1));
+        router.updateUpstreams(fleet, 0);
+        IntStream.range(0, ROOM)
+                .forEach(i -> assertThat(choose(i, Set.of()).orElseThrow().prefillUpstreamId())
+                        .hasValue("PREFILL-0"));
+        assertThat(choose(ROOM, Set.of())).isEmpty();
+        router.onFirstToken("0", 1);
+        router.onFirstToken("0", 2);
+        assertThat(choose(ROOM, Set.of())).isPresent();
+        assertThat(choose(ROOM + 1, Set.of())).isEmpty();
+    }
+
+    /** Guards against routing to an upstream that left the fleet and against losing the account of one that stays. */
+    @Test
+    void leavingUpstreamGetsNothing() {
+        router.updateUpstreams(engines(EngineRole.MIXED, 2), 0);
+        IntStream.range(0, 4).forEach(i -> choose(i, Set.of()));
+        router.updateUpstreams(engines(EngineRole.MIXED, 1), 1);
+        IntStream.range(0, 4).forEach(i -> router.onFinished("" + i, Outcome.SUCCESS, 2));
+        IntStream.range(4, 4 + ROOM)
+                .forEach(i -> assertThat(choose(i, Set.of()).orElseThrow().upstreamId())
+                        .isEqualTo("MIXED-0"));
+        assertThat(choose(99, Set.of())).isEmpty();
+    }
+
+    /** Guards against ignoring work that only a load report shows, and against trusting that report for ever. */
+    @Test
+    void reportShowsWorkOfOtherEntries() {
+        router.updateUpstreams(engines(EngineRole.MIXED, 2), 0);
+        choose(0, Set.of());
+        choose(1, Set.of());
+        router.onLoadReport("MIXED-0", 9, 0, 100);
+        assertThat(choose(2, 100).orElseThrow().upstreamId()).isEqualTo("MIXED-1");
+        assertThat(choose(3, 100).orElseThrow().upstreamId()).isEqualTo("MIXED-1");
+        assertThat(choose(4, 60_000).orElseThrow().upstreamId()).isEqualTo("MIXED-0");
+    }
+
+    private Optional<Route> choose(int id, Set<String> excluded) {
+        return router.choose("" + id, request(excluded), 0);
+    }
+
+    private Optional<Route> choose(int id, long nowMillis) {
+        return router.choose("" + id, request(Set.of()), nowMillis);
+    }
+
+    private static RoutingRequest request(Set<String> excluded) {
+        return new RoutingRequest("model", Priority.NORMAL, 500, 100, List.of(), 10_000, excluded);
+    }
+
+    private static List<RoutableUpstream> engines(EngineRole role, int count) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> new RoutableUpstream(role + "-" + i, "model", "fes", role, ROOM))
+                .toList();
+    }
+}
