--- /dev/null
+++ b/standin/src/main/java/org/wagtailcart/standin/CompletionAnswer.java
@@ -0,0 +1,22 @@
+package org.wagtailcart.standin;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** A whole answer or one event of a stream. */
+record CompletionAnswer(String id, String object, String model, List<Choice> choices, @Nullable Usage usage) {
+    record Choice(
+            int index,
+            @Nullable String text,
+            @Nullable Content message,
+            @Nullable Content delta,
+            @Nullable String finishReason) {}
+
+    record Content(@Nullable String role, String content) {}
+
+    record Usage(int promptTokens, int completionTokens, int totalTokens) {}
+
+    static Usage usage(int promptTokens, int completionTokens) {
+        return new Usage(promptTokens, completionTokens, promptTokens + completionTokens);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wagtailcart/standin/CompletionHandler.java
@@ -0,0 +1,193 @@
+package org.wagtailcart.standin;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.Exchanger;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.standin.CompletionAnswer.Choice;
+import org.wagtailcart.standin.CompletionAnswer.Content;
+
+/** Answers completion requests of an engine, with the faults that are switched on. */
+final class CompletionHandler {
+    private static final long CROSS_LIMIT_MILLIS = 2_000;
+    private static final long STALL_LIMIT_MILLIS = 600_000;
+    private static final long EVENT_POLL_MILLIS = 1_000;
+
+    /** Request that an answer belongs to. */
+    private record Job(String requestId, boolean chat, CompletionBody body, String prompt, String model) {}
+
+    private final StandinEngine engine;
+    private final Faults faults;
+    private final Exchanger<Job> crossing = new Exchanger<>();
+
+    CompletionHandler(StandinEngine engine, Faults faults) {
+        this.engine = engine;
+        this.faults = faults;
+    }
+
+    void handle(HttpServerExchange exchange, boolean chat) throws IOException, InterruptedException {
+        CompletionBody body = Json.read(HttpListener.body(exchange), CompletionBody.class);
+        String header = exchange.getRequestHeaders().getFirst(HttpListener.REQUEST_ID);
+        String requestId = header == null ? UUID.randomUUID().toString() : header;
+        Job job = new Job(requestId, chat, body, body.promptText(), engine.modelFor(body));
+        beforeRun(exchange);
+        if (!exchange.getConnection().isOpen()) {
+            return;
+        }
+        Job answered = faults.take(FaultKind.CROSS).isPresent() ? cross(job) : job;
+        Sequence sequence = engine.begin(requestId, body);
+        exchange.getResponseHeaders().put(HttpListener.REQUEST_ID, answered.requestId());
+        try {
+            if (body.stream()) {
+                stream(exchange, answered, sequence);
+            } else {
+                whole(exchange, answered, sequence);
+            }
+        } finally {
+            engine.end(sequence);
+        }
+    }
+
+    private void beforeRun(HttpServerExchange exchange) throws InterruptedException {
+        Optional<Fault> delay = faults.take(FaultKind.DELAY);
+        if (delay.isPresent()) {
+            engine.await(delay.get().delayMillis());
+        }
+        if (faults.take(FaultKind.SILENT).isPresent()) {
+            engine.await(STALL_LIMIT_MILLIS);
+            HttpListener.cut(exchange);
+        }
+        if (faults.take(FaultKind.RESET_BEFORE).isPresent()) {
+            HttpListener.cut(exchange);
+        }
+    }
+
+    private Job cross(Job own) throws InterruptedException {
+        try {
+            return crossing.exchange(own, CROSS_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            return new Job("unknown-" + own.requestId(), own.chat(), own.body(), "unknown prompt", own.model());
+        }
+    }
+
+    private void stream(HttpServerExchange exchange, Job job, Sequence sequence)
+            throws IOException, InterruptedException {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+        OutputStream out = exchange.getOutputStream();
+        Optional<Fault> truncate = faults.take(FaultKind.TRUNCATE);
+        Optional<Fault> duplicate = faults.take(FaultKind.DUPLICATE);
+        Optional<Fault> crash = faults.take(FaultKind.CRASH);
+        Optional<Fault> stall = faults.take(FaultKind.STALL);
+        int written = 0;
+        for (int index = next(sequence); index != Sequence.FINISHED; index = next(sequence)) {
+            if (index == Sequence.CUT || hits(crash, written)) {
+                engine.crashIf(index != Sequence.CUT);
+                HttpListener.cut(exchange);
+                return;
+            }
+            if (hits(truncate, written)) {
+                exchange.endExchange();
+                return;
+            }
+            if (hits(stall, written)) {
+                engine.await(STALL_LIMIT_MILLIS);
+            }
+            write(out, tokenEvent(job, index));
+            if (hits(duplicate, written)) {
+                write(out, tokenEvent(job, index));
+            }
+            written++;
+        }
+        write(out, lastEvent(job));
+        write(out, "data: [DONE]\n\n");
+        exchange.endExchange();
+    }
+
+    private static boolean hits(Optional<Fault> fault, int written) {
+        return fault.isPresent() && fault.get().afterTokens() == written;
+    }
+
+    private int next(Sequence sequence) throws InterruptedException {
+        Integer index = sequence.events().poll(EVENT_POLL_MILLIS, TimeUnit.MILLISECONDS);
+        while (index == null) {
+            index = sequence.events().poll(EVENT_POLL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        return index;
+    }
+
+    private void whole(HttpServerExchange exchange, Job job, Sequence sequence)
+            throws IOException, InterruptedException {
+        int index = next(sequence);
+        while (index >= 0) {
+            index = next(sequence);
+        }
+        boolean crash = faults.take(FaultKind.CRASH).isPresent();
+        engine.crashIf(crash);
+        if (crash || index == Sequence.CUT || faults.take(FaultKind.RESET_AFTER).isPresent()) {
+            HttpListener.cut(exchange);
+            return;
+        }
+        if (faults.take(FaultKind.TRUNCATE).isPresent()) {
+            truncated(exchange, Json.write(wholeAnswer(job)));
+            return;
+        }
+        HttpListener.answer(exchange, 200, wholeAnswer(job));
+    }
+
+    private static void truncated(HttpServerExchange exchange, byte[] bytes) throws IOException {
+        exchange.setResponseContentLength(bytes.length);
+        OutputStream out = exchange.getOutputStream();
+        out.write(bytes, 0, bytes.length / 2);
+        out.flush();
+        HttpListener.cut(exchange);
+    }
+
+    private static void write(OutputStream out, String event) throws IOException {
+        out.write(event.getBytes(UTF_8));
+        out.flush();
+    }
+
+    private static String tokenEvent(Job job, int index) {
+        String token = Tokens.token(job.prompt(), index);
+        Choice choice = job.chat()
+                ? new Choice(0, null, null, new Content(null, token), null)
+                : new Choice(0, token, null, null, null);
+        return "id: " + index + "\ndata: " + text(job, choice, null) + "\n\n";
+    }
+
+    private static String lastEvent(Job job) {
+        Choice choice = job.chat()
+                ? new Choice(0, null, null, new Content(null, ""), "length")
+                : new Choice(0, "", null, null, "length");
+        return "data: " + text(job, choice, usage(job)) + "\n\n";
+    }
+
+    private static String text(Job job, Choice choice, CompletionAnswer.@Nullable Usage usage) {
+        String object = job.chat() ? "chat.completion.chunk" : "text_completion";
+        byte[] json = Json.write(new CompletionAnswer(job.requestId(), object, job.model(), List.of(choice), usage));
+        return new String(json, UTF_8);
+    }
+
+    private static CompletionAnswer wholeAnswer(Job job) {
+        String text =
+                Tokens.text(job.prompt(), job.body().resumeFrom(), job.body().outputTokens());
+        Choice choice = job.chat()
+                ? new Choice(0, null, new Content("assistant", text), null, "length")
+                : new Choice(0, text, null, null, "length");
+        String object = job.chat() ? "chat.completion" : "text_completion";
+        return new CompletionAnswer(job.requestId(), object, job.model(), List.of(choice), usage(job));
+    }
+
+    private static CompletionAnswer.Usage usage(Job job) {
+        return CompletionAnswer.usage(Tokens.count(job.prompt()), job.body().outputTokens());
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wagtailcart/standin/OrderBody.java
@@ -0,0 +1,11 @@
+package org.wagtailcart.standin;
+
+import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.common.EngineTarget;
+
+/** Body of an order to an engine. */
+record OrderBody(long fencingToken, String role, String model, String adapter, String version) {
+    EngineTarget target() {
+        return new EngineTarget(EngineRole.parse(role), model, adapter, version);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wagtailcart/standin/PrefixCache.java
@@ -0,0 +1,88 @@
+package org.wagtailcart.standin;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.wagtailcart.common.MillisClock;
+
+/** Prompt prefixes in limited memory, in blocks; the block used longest ago is evicted first. */
+final class PrefixCache {
+    static final int BLOCK_TOKENS = 64;
+    private static final int BLOCK_CHARACTERS = BLOCK_TOKENS * Tokens.CHARACTERS_PER_TOKEN;
+    private static final int EVENTS_KEPT = 10_000;
+
+    /**
+     * A published change of the cache.
+     *
+     * @param sequence number of the event; a missing number is a lost event
+     * @param kind {@code stored}, {@code evicted} or {@code cleared}
+     * @param block hash of the prompt up to the end of the block, in hexadecimal digits
+     * @param atMillis when it happened
+     */
+    record CacheEvent(long sequence, String kind, String block, long atMillis) {}
+
+    private final int capacityBlocks;
+    private final int gap;
+    private final MillisClock clock;
+    private final Map<Long, Boolean> blocks = new LinkedHashMap<>(16, 0.75f, true);
+    private final List<CacheEvent> events = new ArrayList<>();
+    private long nextSequence = 1;
+
+    PrefixCache(int capacityTokens, int gap, MillisClock clock) {
+        this.capacityBlocks = Math.max(1, capacityTokens / BLOCK_TOKENS);
+        this.gap = gap;
+        this.clock = clock;
+    }
+
+    /** Returns the number of prompt tokens that the cache holds, and keeps the whole prompt from now on. */
+    synchronized int use(String prompt) {
+        int found = 0;
+        boolean unbroken = true;
+        long hash = Tokens.hashStart();
+        for (int end = BLOCK_CHARACTERS; end <= prompt.length(); end += BLOCK_CHARACTERS) {
+            hash = Tokens.hash(hash, prompt.substring(end - BLOCK_CHARACTERS, end));
+            unbroken = unbroken && blocks.get(hash) != null;
+            found += unbroken ? BLOCK_TOKENS : 0;
+            store(hash);
+        }
+        return found;
+    }
+
+    synchronized void clear() {
+        blocks.clear();
+        publish("cleared", 0);
+    }
+
+    synchronized int tokens() {
+        return blocks.size() * BLOCK_TOKENS;
+    }
+
+    synchronized List<CacheEvent> eventsAfter(long sequence, long untilMillis) {
+        return events.stream()
+                .filter(event -> event.sequence() > sequence && event.atMillis() <= untilMillis)
+                .toList();
+    }
+
+    private void store(long hash) {
+        if (blocks.put(hash, true) == null) {
+            publish("stored", hash);
+        }
+        if (blocks.size() > capacityBlocks) {
+            Long eldest = blocks.keySet().iterator().next();
+            blocks.remove(eldest);
+            publish("evicted", eldest);
+        }
+    }
+
+    private void publish(String kind, long hash) {
+        long sequence = nextSequence++;
+        if (gap > 0 && sequence % gap == 0) {
+            return;
+        }
+        events.add(new CacheEvent(sequence, kind, Long.toHexString(hash), clock.nowMillis()));
+        if (events.size() > EVENTS_KEPT) {
+            events.remove(0);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wagtailcart/standin/StandinEngine.java
@@ -0,0 +1,306 @@
+package org.wagtailcart.standin;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.EngineTarget;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+/** Stand-in for an engine: continuous batching in real time after a stated cost model. May be started again after close. */
+public final class StandinEngine implements AutoCloseable {
+    private static final long SAMPLE_MILLIS = 100;
+
+    /** Counts of requests since the engine was built. */
+    public record Counters(long started, long finished, long cutByOrder, long cancelled, long kvImports) {}
+
+    /** A prompt whose KV cache is held for export. */
+    private record HeldKv(String requestId, String prompt, int tokens) {}
+
+    private record Models(String object, List<Model> data) {}
+
+    private record Model(String id, String object) {}
+
+    private record CacheEvents(List<PrefixCache.CacheEvent> events) {}
+
+    private final EngineOptions options;
+    private final MillisClock clock = MillisClock.monotonic();
+    private final Faults faults = new Faults();
+    private final EngineConfiguration configuration;
+    private final CompletionHandler completions = new CompletionHandler(this, faults);
+    private final Map<String, HeldKv> heldKv = new ConcurrentHashMap<>();
+    private final AtomicLong started = new AtomicLong();
+    private final AtomicLong finished = new AtomicLong();
+    private final AtomicLong cutByOrder = new AtomicLong();
+    private final AtomicLong cancelled = new AtomicLong();
+    private final AtomicLong kvImports = new AtomicLong();
+    private volatile @Nullable Running running;
+
+    /** What exists only while the engine runs. */
+    private record Running(
+            HttpListener listener,
+            EngineLoop loop,
+            PrefixCache cache,
+            LoadHistory load,
+            ScheduledExecutorService executor,
+            ScheduledFuture<?> sampling) {}
+
+    /** Creates an engine that does not run yet. */
+    public StandinEngine(EngineOptions options) {
+        this.options = options;
+        this.configuration = new EngineConfiguration(options.target(), options.checksFencing());
+    }
+
+    /** Starts to serve with the configuration of the options. */
+    public synchronized void start() {
+        configuration.restart();
+        heldKv.clear();
+        EngineLoop loop = new EngineLoop(options.cost(), options.target().role());
+        PrefixCache cache = new PrefixCache(options.cacheTokens(), options.cacheEventGap(), clock);
+        LoadHistory load = new LoadHistory();
+        ScheduledExecutorService executor = Executors.newScheduledThreadPool(2);
+        ScheduledFuture<?> sampling = executor.scheduleAtFixedRate(
+                () -> sample(loop, load, cache), SAMPLE_MILLIS, SAMPLE_MILLIS, TimeUnit.MILLISECONDS);
+        HttpListener listener = new HttpListener(options.listen(), this::handle);
+        running = new Running(listener, loop, cache, load, executor, sampling);
+    }
+
+    /** Stops at once; open connections are closed. */
+    @Override
+    public synchronized void close() {
+        Running parts = running;
+        running = null;
+        if (parts != null) {
+            parts.listener().close();
+            parts.loop().close();
+            parts.executor().shutdownNow();
+        }
+    }
+
+    /** Switches a fault on. */
+    public void fault(Fault fault) {
+        faults.set(fault);
+    }
+
+    /** Returns all orders received since the engine was built, in order of receipt. */
+    public List<OrderRecord> orders() {
+        return configuration.orders();
+    }
+
+    /** Returns the counts of requests. */
+    public Counters counters() {
+        return new Counters(started.get(), finished.get(), cutByOrder.get(), cancelled.get(), kvImports.get());
+    }
+
+    /** Returns the configuration in force. */
+    public EngineTarget target() {
+        return configuration.target();
+    }
+
+    /** Returns the number of sequences in work or waiting. */
+    public int inFlight() {
+        EngineLoop.Progress progress = parts().loop().progress();
+        return progress.running() + progress.queued();
+    }
+
+    private Running parts() {
+        Running parts = running;
+        if (parts == null) {
+            throw new WagtailcartException(ResultCode.SHUTTING_DOWN, "engine does not run");
+        }
+        return parts;
+    }
+
+    boolean await(long millis) throws InterruptedException {
+        return parts().listener().await(millis);
+    }
+
+    /** Crashes: ends the process, or closes the sockets of an embedded engine. */
+    void crashIf(boolean condition) {
+        if (!condition) {
+            return;
+        }
+        if (options.exitOnCrash()) {
+            Runtime.getRuntime().halt(137);
+        }
+        // A worker of the listener cannot wait for its own end.
+        Thread closer = new Thread(this::close, "engine-crash");
+        closer.start();
+    }
+
+    String modelFor(CompletionBody body) {
+        EngineTarget target = configuration.target();
+        String model = body.model();
+        if (model != null && !model.equals(target.model()) && !model.equals(target.adapter())) {
+            throw new WagtailcartException(ResultCode.MODEL_UNKNOWN, "model " + model + " is not loaded");
+        }
+        return target.model();
+    }
+
+    /** Puts a request into the batch. */
+    Sequence begin(String requestId, CompletionBody body) throws IOException, InterruptedException {
+        if (configuration.changing()) {
+            throw new WagtailcartException(ResultCode.ENGINE_BUSY_WITH_ORDER, "engine is changing");
+        }
+        String prompt = body.promptText();
+        int work = Tokens.count(prompt) + body.resumeFrom();
+        int cached = parts().cache().use(prompt);
+        int prefill = body.kvSource() == null ? Math.max(1, work - cached) : importKv(body.kvSource(), work);
+        if (body.holdKv()) {
+            heldKv.put(requestId, new HeldKv(requestId, prompt, work));
+        }
+        Sequence sequence = new Sequence(requestId, body.priority(), prefill, body.resumeFrom(), body.outputTokens());
+        started.incrementAndGet();
+        parts().loop().submit(sequence);
+        return sequence;
+    }
+
+    /** Forgets a request whose answer was written or given up. */
+    void end(Sequence sequence) {
+        finished.incrementAndGet();
+        Running parts = running;
+        if (parts != null) {
+            parts.loop().cancel(sequence.requestId());
+        }
+    }
+
+    /** Imports a KV cache and returns the prompt tokens left to process; a source that is gone leaves all of them. */
+    private int importKv(CompletionBody.KvSource source, int work) throws InterruptedException {
+        try {
+            byte[] exported = HttpFetch.get(Address.parse(source.address()), "/engine/kv/" + source.requestId());
+            HeldKv kv = Json.read(exported, HeldKv.class);
+            await((long) (kv.tokens() * 1000 / options.cost().importTokensPerSecond()));
+            kvImports.incrementAndGet();
+            return Math.max(1, work - kv.tokens());
+        } catch (IOException e) {
+            return work;
+        }
+    }
+
+    private void handle(HttpServerExchange exchange) throws IOException, InterruptedException {
+        String path = exchange.getRequestPath();
+        switch (path) {
+            case "/v1/chat/completions" -> completions.handle(exchange, true);
+            case "/v1/completions" -> completions.handle(exchange, false);
+            case "/v1/models" ->
+                HttpListener.answer(
+                        exchange,
+                        200,
+                        new Models(
+                                "list", List.of(new Model(configuration.target().model(), "model"))));
+            case "/engine/state" -> state(exchange);
+            case "/engine/orders" -> order(exchange);
+            case "/engine/load" ->
+                HttpListener.answer(exchange, 200, parts().load().before(clock.nowMillis() - options.loadLagMillis()));
+            case "/engine/cache-events" -> cacheEvents(exchange);
+            case "/standin/faults" -> {
+                fault(Json.read(HttpListener.body(exchange), FaultBody.class).toFault());
+                HttpListener.answer(exchange, 200, configuration.state());
+            }
+            case "/standin/orders" -> HttpListener.answer(exchange, 200, orders());
+            case "/standin/counters" -> HttpListener.answer(exchange, 200, counters());
+            default -> handleById(exchange, path);
+        }
+    }
+
+    private void handleById(HttpServerExchange exchange, String path) {
+        String id = path.substring(path.lastIndexOf('/') + 1);
+        if (path.startsWith("/v1/requests/") && exchange.getRequestMethod().equals(Methods.DELETE)) {
+            cancelled.incrementAndGet();
+            parts().loop().cancel(id);
+            HttpListener.answer(exchange, 200, configuration.state());
+            return;
+        }
+        HeldKv kv = path.startsWith("/engine/kv/") ? heldKv.remove(id) : null;
+        if (kv == null) {
+            throw new WagtailcartException(ResultCode.NOT_FOUND, "path " + path + " does not exist");
+        }
+        HttpListener.answer(exchange, 200, kv);
+    }
+
+    private void state(HttpServerExchange exchange) {
+        if (faults.take(FaultKind.RESET_STATE).isPresent()) {
+            HttpListener.cut(exchange);
+            return;
+        }
+        HttpListener.answer(exchange, 200, configuration.state());
+    }
+
+    private void cacheEvents(HttpServerExchange exchange) {
+        long after =
+                exchange.getQueryParameters().containsKey("after") ? HttpListener.queryNumber(exchange, "after") : 0;
+        long until = clock.nowMillis() - options.cacheEventLagMillis();
+        HttpListener.answer(exchange, 200, new CacheEvents(parts().cache().eventsAfter(after, until)));
+    }
+
+    private void order(HttpServerExchange exchange) throws IOException, InterruptedException {
+        OrderBody order = Json.read(HttpListener.body(exchange), OrderBody.class);
+        Optional<Fault> delay = faults.take(FaultKind.DELAY_ORDER);
+        if (delay.isPresent()) {
+            await(delay.get().delayMillis());
+        }
+        OrderRecord received = configuration.receive(order);
+        if (!received.accepted()) {
+            HttpListener.answer(exchange, 409, configuration.state());
+            return;
+        }
+        Running parts = parts();
+        cutByOrder.addAndGet(parts.loop().cutAll());
+        int startNumber = configuration.startNumber();
+        boolean crash = faults.take(FaultKind.CRASH_IN_ORDER).isPresent();
+        parts.executor().execute(() -> change(parts, startNumber, order.target(), crash));
+        if (faults.take(FaultKind.RESET_AFTER_ORDER).isPresent()) {
+            HttpListener.cut(exchange);
+            return;
+        }
+        HttpListener.answer(exchange, 202, configuration.state());
+    }
+
+    private void change(Running parts, int startNumber, EngineTarget next, boolean crash) {
+        try {
+            parts.listener().await(options.changeMillis() / 2);
+            crashIf(crash);
+            loadWeights(next);
+            if (parts.listener().await(options.changeMillis() / 2) && !crash) {
+                parts.cache().clear();
+                parts.loop().setRole(next.role());
+                configuration.complete(startNumber, next);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void loadWeights(EngineTarget next) {
+        EngineTarget now = configuration.target();
+        boolean sameWeights = now.model().equals(next.model())
+                && now.version().equals(next.version())
+                && now.adapter().equals(next.adapter());
+        if (!sameWeights && options.weights().isPresent()) {
+            try {
+                HttpFetch.get(options.weights().get(), "/weights/" + next.model() + "/" + next.version());
+            } catch (IOException e) {
+                throw new WagtailcartException(ResultCode.UPSTREAM_FAILED, "weights of " + next + " not loaded", e);
+            }
+        }
+    }
+
+    private void sample(EngineLoop loop, LoadHistory load, PrefixCache cache) {
+        EngineLoop.Progress progress = loop.progress();
+        boolean hard = progress.running() > options.cost().softBatch();
+        load.sample(clock.nowMillis(), progress, hard, cache.tokens());
+        options.powerFeed().ifPresent(feed -> loop.setSlowdown(PowerFeed.report(feed, options.listen(), hard)));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wagtailcart/standin/StandinService.java
@@ -0,0 +1,150 @@
+package org.wagtailcart.standin;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+
+/** Stand-in for a plain service that counts how often each Idempotency-Key ran. */
+public final class StandinService implements AutoCloseable {
+    private static final long STALL_LIMIT_MILLIS = 600_000;
+
+    /**
+     * Answer to any request.
+     *
+     * @param method method of the request
+     * @param path path of the request
+     * @param key its Idempotency-Key, empty for none
+     * @param bodyHash 64-bit FNV-1a hash of its body, in hexadecimal digits
+     * @param run how many requests with that key ran, this one included
+     */
+    public record ServiceAnswer(String method, String path, String key, String bodyHash, long run) {}
+
+    private final ServiceOptions options;
+    private final Faults faults = new Faults();
+    private final Map<String, AtomicLong> runs = new ConcurrentHashMap<>();
+    private volatile @Nullable HttpListener listener;
+
+    /** Creates a service that does not run yet. */
+    public StandinService(ServiceOptions options) {
+        this.options = options;
+    }
+
+    /** Starts to serve; the counts are kept. */
+    public synchronized void start() {
+        listener = new HttpListener(options.listen(), this::handle);
+    }
+
+    /** Stops at once; open connections are closed. */
+    @Override
+    public synchronized void close() {
+        HttpListener current = listener;
+        listener = null;
+        if (current != null) {
+            current.close();
+        }
+    }
+
+    /** Switches a fault on. */
+    public void fault(Fault fault) {
+        faults.set(fault);
+    }
+
+    /** Returns how often each key ran. */
+    public Map<String, Long> runs() {
+        Map<String, Long> counts = new TreeMap<>();
+        runs.forEach((key, count) -> counts.put(key, count.get()));
+        return counts;
+    }
+
+    private void handle(HttpServerExchange exchange) throws IOException, InterruptedException {
+        switch (exchange.getRequestPath()) {
+            case "/standin/runs" -> HttpListener.answer(exchange, 200, runs());
+            case "/standin/faults" -> {
+                fault(Json.read(HttpListener.body(exchange), FaultBody.class).toFault());
+                HttpListener.answer(exchange, 200, runs());
+            }
+            default -> serve(exchange);
+        }
+    }
+
+    private void serve(HttpServerExchange exchange) throws IOException, InterruptedException {
+        byte[] body = HttpListener.body(exchange);
+        pause(faults.take(FaultKind.DELAY).map(Fault::delayMillis).orElse(0L));
+        if (faults.take(FaultKind.RESET_BEFORE).isPresent()) {
+            HttpListener.cut(exchange);
+            return;
+        }
+        pause(options.workMillis());
+        ServiceAnswer answer = run(exchange, body);
+        if (faults.take(FaultKind.SILENT).isPresent()) {
+            pause(STALL_LIMIT_MILLIS);
+        }
+        boolean crash = faults.take(FaultKind.CRASH).isPresent();
+        if (crash || faults.take(FaultKind.RESET_AFTER).isPresent()) {
+            crashIf(crash);
+            HttpListener.cut(exchange);
+            return;
+        }
+        echo(exchange);
+        if (faults.take(FaultKind.TRUNCATE).isPresent()) {
+            truncated(exchange, Json.write(answer));
+            return;
+        }
+        HttpListener.answer(exchange, 200, answer);
+    }
+
+    private ServiceAnswer run(HttpServerExchange exchange, byte[] body) {
+        String header = exchange.getRequestHeaders().getFirst(HttpListener.IDEMPOTENCY_KEY);
+        String key = header == null ? "" : header;
+        long run = key.isEmpty()
+                ? 1
+                : runs.computeIfAbsent(key, unused -> new AtomicLong()).incrementAndGet();
+        return new ServiceAnswer(
+                exchange.getRequestMethod().toString(), exchange.getRequestPath(), key, hashOf(body), run);
+    }
+
+    /** Returns the hash of a body as the service states it. */
+    public static String hashOf(byte[] body) {
+        return Long.toHexString(Tokens.hash(Tokens.hashStart(), new String(body, UTF_8)));
+    }
+
+    private static void echo(HttpServerExchange exchange) {
+        Optional.ofNullable(exchange.getRequestHeaders().getFirst(HttpListener.REQUEST_ID))
+                .ifPresent(id -> exchange.getResponseHeaders().put(HttpListener.REQUEST_ID, id));
+    }
+
+    private static void truncated(HttpServerExchange exchange, byte[] bytes) throws IOException {
+        exchange.setResponseContentLength(bytes.length);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        OutputStream out = exchange.getOutputStream();
+        out.write(bytes, 0, bytes.length / 2);
+        out.flush();
+        HttpListener.cut(exchange);
+    }
+
+    private void pause(long millis) throws InterruptedException {
+        HttpListener current = listener;
+        if (millis > 0 && current != null) {
+            current.await(millis);
+        }
+    }
+
+    private void crashIf(boolean condition) {
+        if (condition && options.exitOnCrash()) {
+            Runtime.getRuntime().halt(137);
+        }
+        if (condition) {
+            // A worker of the listener cannot wait for its own end.
+            new Thread(this::close, "service-crash").start();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/wagtailcart/standin/WeightStore.java
@@ -0,0 +1,64 @@
+package org.wagtailcart.standin;
+
+import io.undertow.server.HttpServerExchange;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
+
+/** Stand-in for the weight store: it serves a limited number of loads at once, the others wait their turn. */
+public final class WeightStore implements AutoCloseable {
+    /**
+     * Options of a weight store.
+     *
+     * @param listen address of its HTTP listener
+     * @param turns loads served at once
+     * @param loadMillis time of one load
+     */
+    public record Options(Address listen, int turns, long loadMillis) {}
+
+    /** Answer to a load. */
+    private record Loaded(String path, long loads) {}
+
+    private final Options options;
+    private final Semaphore turns;
+    private final AtomicLong loads = new AtomicLong();
+    private volatile @Nullable HttpListener listener;
+
+    /** Creates a store that does not run yet. */
+    public WeightStore(Options options) {
+        this.options = options;
+        this.turns = new Semaphore(options.turns(), true);
+    }
+
+    /** Starts to serve. */
+    public void start() {
+        listener = new HttpListener(options.listen(), this::handle);
+    }
+
+    /** Stops to serve. */
+    @Override
+    public void close() {
+        HttpListener current = listener;
+        if (current != null) {
+            current.close();
+        }
+    }
+
+    /** Returns the number of loads served. */
+    public long loads() {
+        return loads.get();
+    }
+
+    private void handle(HttpServerExchange exchange) throws InterruptedException {
+        HttpListener current = listener;
+        turns.acquire();
+        try {
+            if (current != null && current.await(options.loadMillis())) {
+                HttpListener.answer(exchange, 200, new Loaded(exchange.getRequestPath(), loads.incrementAndGet()));
+            }
+        } finally {
+            turns.release();
+        }
+    }
+}
