Add the synced record log and the data folder

Change: RecordLog appends records with length and two CRC32C checksums and syncs each append; DataFolder locks a folder, holds the member's identity (id, incarnation) and replaces files by temporary file, sync, rename, directory sync. Ruled out: one checksum for header and payload, because a flipped bit in a length then looks like a record cut off at the end of the file and acknowledged records would be dropped silently.

--- /dev/null
+++ b/storage/src/main/java/org/wagtailcart/storage/DataFolder.java
@@ -0,0 +1,259 @@
+package org.wagtailcart.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+/**
+ * Folder of one member. It is locked while open and carries the identity of the member: its id and its incarnation, a
+ * random number drawn when the folder was empty.
+ */
+public final class DataFolder implements AutoCloseable {
+    private static final String LOCK_FILE = "lock";
+    private static final String IDENTITY_FILE = "identity";
+    private static final String TEMPORARY_SUFFIX = ".tmp";
+    private static final int HEADER_BYTES = 8;
+
+    private final Path folder;
+    private final FileChannel lockChannel;
+    private final long incarnation;
+
+    private DataFolder(Path folder, FileChannel lockChannel, long incarnation) {
+        this.folder = folder;
+        this.lockChannel = lockChannel;
+        this.incarnation = incarnation;
+    }
+
+    /**
+     * Opens a folder and gives it an identity when it is empty.
+     *
+     * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT} when the folder is in use or belongs to
+     *     another member, {@link ResultCode#LOG_DAMAGED} when it has files but no readable identity
+     */
+    public static DataFolder open(Path folder, String memberId) {
+        try {
+            Files.createDirectories(folder);
+            FileChannel lockChannel = lock(folder);
+            try {
+                deleteTemporaryFiles(folder);
+                return new DataFolder(folder, lockChannel, identify(folder, memberId));
+            } catch (WagtailcartException | IOException e) {
+                lockChannel.close();
+                throw e;
+            }
+        } catch (IOException e) {
+            throw failed("open", folder, e);
+        }
+    }
+
+    /** Returns the incarnation of the member; never 0. */
+    public long incarnation() {
+        return incarnation;
+    }
+
+    /** Returns the names of the files that start with a prefix, in ascending order. */
+    public List<String> names(String prefix) {
+        try {
+            return names(folder).stream()
+                    .filter(name -> name.startsWith(prefix))
+                    .toList();
+        } catch (IOException e) {
+            throw failed("list", folder, e);
+        }
+    }
+
+    /** Writes a file so that after a crash it is either absent or complete. Replaces a file of that name. */
+    public void write(String name, byte[] content) {
+        try {
+            write(folder, name, content);
+        } catch (IOException e) {
+            throw failed("write", folder.resolve(name), e);
+        }
+    }
+
+    /**
+     * Reads a file that {@link #write} wrote.
+     *
+     * @throws WagtailcartException with the given code when its checksum is wrong
+     */
+    public byte[] read(String name, ResultCode whenDamaged) {
+        try {
+            return read(folder, name, whenDamaged);
+        } catch (IOException e) {
+            throw failed("read", folder.resolve(name), e);
+        }
+    }
+
+    /** Opens a log of the folder. */
+    public RecordLog openLog(String name, Consumer<byte[]> reader) {
+        return RecordLog.open(folder.resolve(name), reader);
+    }
+
+    /** Creates a log that starts with the given records; after a crash it is either absent or complete. */
+    public RecordLog createLog(String name, List<byte[]> records) {
+        Path temporary = folder.resolve(name + TEMPORARY_SUFFIX);
+        try {
+            Files.deleteIfExists(temporary);
+            RecordLog log = RecordLog.open(temporary, record -> {});
+            records.forEach(log::write);
+            log.sync();
+            publish(folder, temporary, name);
+            return log;
+        } catch (IOException e) {
+            throw failed("create", temporary, e);
+        }
+    }
+
+    /** Deletes a file; a file that comes back after a crash must do no harm. */
+    public void delete(String name) {
+        try {
+            Files.deleteIfExists(folder.resolve(name));
+        } catch (IOException e) {
+            throw failed("delete", folder.resolve(name), e);
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            lockChannel.close();
+        } catch (IOException e) {
+            throw failed("unlock", folder, e);
+        }
+    }
+
+    private static FileChannel lock(Path folder) throws IOException {
+        FileChannel channel =
+                FileChannel.open(folder.resolve(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        if (tryLock(channel).isEmpty()) {
+            channel.close();
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT,
+                    "data folder " + folder.getFileName() + " is in use by another process");
+        }
+        return channel;
+    }
+
+    private static Optional<FileLock> tryLock(FileChannel channel) throws IOException {
+        try {
+            return Optional.ofNullable(channel.tryLock());
+        } catch (OverlappingFileLockException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static void deleteTemporaryFiles(Path folder) throws IOException {
+        for (String name : names(folder)) {
+            if (name.endsWith(TEMPORARY_SUFFIX)) {
+                Files.delete(folder.resolve(name));
+            }
+        }
+    }
+
+    private static long identify(Path folder, String memberId) throws IOException {
+        List<String> names = names(folder);
+        if (!names.contains(IDENTITY_FILE)) {
+            return createIdentity(folder, memberId, names);
+        }
+        ByteBuffer content = ByteBuffer.wrap(read(folder, IDENTITY_FILE, ResultCode.LOG_DAMAGED));
+        long incarnation = content.getLong();
+        String owner = StandardCharsets.UTF_8.decode(content).toString();
+        if (!owner.equals(memberId)) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT,
+                    "data folder belongs to member \"" + owner + "\", not to \"" + memberId + "\"");
+        }
+        return incarnation;
+    }
+
+    private static long createIdentity(Path folder, String memberId, List<String> names) throws IOException {
+        if (!names.isEmpty()) {
+            throw new WagtailcartException(
+                    ResultCode.LOG_DAMAGED, "data folder has files but no identity file: " + names);
+        }
+        byte[] id = memberId.getBytes(StandardCharsets.UTF_8);
+        long incarnation = new SecureRandom().nextLong(1, Long.MAX_VALUE);
+        write(
+                folder,
+                IDENTITY_FILE,
+                ByteBuffer.allocate(Long.BYTES + id.length)
+                        .putLong(incarnation)
+                        .put(id)
+                        .array());
+        return incarnation;
+    }
+
+    private static List<String> names(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.map(file -> String.valueOf(file.getFileName()))
+                    .filter(name -> !name.equals(LOCK_FILE))
+                    .sorted()
+                    .toList();
+        }
+    }
+
+    private static void write(Path folder, String name, byte[] content) throws IOException {
+        Path temporary = folder.resolve(name + TEMPORARY_SUFFIX);
+        try (FileChannel channel = FileChannel.open(
+                temporary, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            writeFully(
+                    channel,
+                    ByteBuffer.allocate(HEADER_BYTES)
+                            .putInt(content.length)
+                            .putInt(Checksum.of(content))
+                            .flip());
+            writeFully(channel, ByteBuffer.wrap(content));
+            channel.force(true);
+        }
+        publish(folder, temporary, name);
+    }
+
+    private static void writeFully(FileChannel channel, ByteBuffer bytes) throws IOException {
+        while (bytes.hasRemaining()) {
+            channel.write(bytes);
+        }
+    }
+
+    private static void publish(Path folder, Path temporary, String name) throws IOException {
+        Files.move(temporary, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
+        syncFolder(folder);
+    }
+
+    private static void syncFolder(Path folder) throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
+    private static byte[] read(Path folder, String name, ResultCode whenDamaged) throws IOException {
+        ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(folder.resolve(name)));
+        boolean complete = bytes.remaining() >= HEADER_BYTES;
+        int length = complete ? bytes.getInt() : 0;
+        int sum = complete ? bytes.getInt() : 0;
+        byte[] content = new byte[bytes.remaining()];
+        bytes.get(content);
+        if (!complete || length != content.length || sum != Checksum.of(content)) {
+            throw new WagtailcartException(whenDamaged, "file " + name + " is damaged");
+        }
+        return content;
+    }
+
+    private static WagtailcartException failed(String action, Path path, IOException cause) {
+        return new WagtailcartException(
+                ResultCode.STORAGE_FAILED, "cannot " + action + " " + path.getFileName() + ": " + cause, cause);
+    }
+}
--- /dev/null
+++ b/storage/src/main/java/org/wagtailcart/storage/RecordLog.java
@@ -0,0 +1,174 @@
+package org.wagtailcart.storage;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.function.Consumer;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+/**
+ * Append-only file of records. A record is a header (length, CRC32C of the payload, CRC32C of these two) and the
+ * payload. The header has its own checksum so that a damaged length is not mistaken for a record that was cut off.
+ *
+ * <p>Each append is synced before the next one starts, so a crash can leave only the last record incomplete.
+ */
+public final class RecordLog implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(RecordLog.class.getName());
+    private static final int HEADER_BYTES = 12;
+    /** Disks write whole sectors, so a part that was never written reads as zeros from one sector boundary on. */
+    private static final int SECTOR_BYTES = 512;
+
+    private final Path path;
+    private final FileChannel channel;
+    private long sizeBytes;
+
+    private RecordLog(Path path, FileChannel channel, long sizeBytes) {
+        this.path = path;
+        this.channel = channel;
+        this.sizeBytes = sizeBytes;
+    }
+
+    /**
+     * Opens a file, creates it when absent, passes every record to the reader and cuts an incomplete last record off.
+     *
+     * @throws WagtailcartException with {@link ResultCode#LOG_DAMAGED} when a record before the tail is damaged, with
+     *     {@link ResultCode#STORAGE_FAILED} when the file cannot be read
+     */
+    public static RecordLog open(Path path, Consumer<byte[]> reader) {
+        try {
+            long fileBytes = Files.exists(path) ? Files.size(path) : 0;
+            ByteBuffer content = ByteBuffer.wrap(fileBytes == 0 ? new byte[0] : Files.readAllBytes(path));
+            long validBytes = read(path, content, reader);
+            FileChannel channel = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+            RecordLog log = new RecordLog(path, channel, validBytes);
+            if (validBytes < fileBytes) {
+                log.cut(fileBytes);
+            }
+            return log;
+        } catch (IOException e) {
+            throw failed("open", path, e);
+        }
+    }
+
+    /** Appends a record and syncs it; the record is durable when the method returns. */
+    public void append(byte[] payload) {
+        write(payload);
+        sync();
+    }
+
+    /** Writes a record without a sync; only for a file that is not yet in use. */
+    void write(byte[] payload) {
+        ByteBuffer record = encode(payload);
+        try {
+            while (record.hasRemaining()) {
+                sizeBytes += channel.write(record, sizeBytes);
+            }
+        } catch (IOException e) {
+            throw failed("append to", path, e);
+        }
+    }
+
+    void sync() {
+        try {
+            channel.force(false);
+        } catch (IOException e) {
+            throw failed("sync", path, e);
+        }
+    }
+
+    /** Returns the size of the file. */
+    public long sizeBytes() {
+        return sizeBytes;
+    }
+
+    @Override
+    public void close() {
+        try {
+            channel.close();
+        } catch (IOException e) {
+            throw failed("close", path, e);
+        }
+    }
+
+    static ByteBuffer encode(byte[] payload) {
+        ByteBuffer record = ByteBuffer.allocate(HEADER_BYTES + payload.length);
+        record.putInt(payload.length).putInt(Checksum.of(payload));
+        record.putInt(Checksum.of(record.duplicate().flip()));
+        return record.put(payload).flip();
+    }
+
+    private void cut(long fileBytes) throws IOException {
+        LOG.log(
+                Level.WARNING,
+                LogEvent.of("log-tail-cut", "file", path.getFileName(), "from", fileBytes, "to", sizeBytes));
+        channel.truncate(sizeBytes);
+        channel.force(true);
+    }
+
+    private static long read(Path path, ByteBuffer content, Consumer<byte[]> reader) {
+        while (content.remaining() >= HEADER_BYTES) {
+            int start = content.position();
+            int length = content.getInt();
+            int payloadSum = content.getInt();
+            int headerSum = content.getInt();
+            if (headerSum != Checksum.of(content.duplicate().position(start).limit(start + 8)) || length < 0) {
+                if (isZero(content, start, content.limit())) {
+                    return start;
+                }
+                throw damaged(path, start, "header");
+            }
+            if (content.remaining() < length) {
+                return start;
+            }
+            byte[] payload = new byte[length];
+            content.get(payload);
+            if (payloadSum != Checksum.of(payload)) {
+                if (!content.hasRemaining() && hasUnwrittenSector(content, start)) {
+                    return start;
+                }
+                throw damaged(path, start, "payload");
+            }
+            reader.accept(payload);
+        }
+        return content.position();
+    }
+
+    /** Returns whether a sector's share of the last record is all zeros, as a power cut during the write leaves it. */
+    private static boolean hasUnwrittenSector(ByteBuffer content, int start) {
+        for (int from = start; from < content.limit(); ) {
+            int to = Math.min(content.limit(), (from / SECTOR_BYTES + 1) * SECTOR_BYTES);
+            if (from > start && isZero(content, from, to)) {
+                return true;
+            }
+            from = to;
+        }
+        return false;
+    }
+
+    private static boolean isZero(ByteBuffer content, int from, int to) {
+        for (int i = from; i < to; i++) {
+            if (content.get(i) != 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static WagtailcartException damaged(Path path, long offset, String part) {
+        return new WagtailcartException(
+                ResultCode.LOG_DAMAGED,
+                "file " + path.getFileName() + " has a damaged record " + part + " at offset " + offset);
+    }
+
+    private static WagtailcartException failed(String action, Path path, IOException cause) {
+        return new WagtailcartException(
+                ResultCode.STORAGE_FAILED, "cannot " + action + " " + path.getFileName() + ": " + cause, cause);
+    }
+}
--- a/storage/src/main/java/org/wagtailcart/storage/package-info.java
+++ b/storage/src/main/java/org/wagtailcart/storage/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder. */
+/** Files that survive a crash: synced append-only log, snapshot files, identity of the data folder. */
 @NullMarked
 package org.wagtailcart.storage;
 
