--- a/daemon/src/test/java/org/wagtailcart/daemon/ChildProcess.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/ChildProcess.java
@@ -26,7 +26,8 @@
     static ChildProcess start(String name, Path folder, String mainClass, List<String> arguments) {
         Path logFile = folder.resolve(name + ".log");
         List<String> command = Stream.of(
-                        Stream.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()),
+                        Stream.of(Path.of(System.getProperty("java.home"), "bin", "java")
+                                .toString()),
                         JVM_OPTIONS.stream(),
                         Stream.of("-cp", System.getProperty("java.class.path"), mainClass),
                         arguments.stream())
@@ -95,7 +96,9 @@
 
     private void signal(String signal) {
         try {
-            new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
+            new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid()))
+                    .start()
+                    .waitFor();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         } catch (InterruptedException e) {
