Add the settings state with persistent revisions

Cause: the control group needs the operators' tree as replicated state. Ruled out: a copy of all branches for each change (30,000 workspaces).

--- /dev/null
+++ b/settings/src/main/java/org/wagtailcart/settings/ChangeIds.java
@@ -0,0 +1,86 @@
+package org.wagtailcart.settings;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/** Results of the latest operator changes by change id, so that a resent change gets its first result. */
+public final class ChangeIds {
+    /** Two weeks at 1,200 changes a day. */
+    public static final int RETAINED = 20_000;
+
+    /**
+     * First result of a change.
+     *
+     * @param changeId id of the change
+     * @param fingerprint hash of its content
+     * @param codeNumber number of its result code
+     * @param number revision or order number of its result
+     * @param text text of its result
+     */
+    public record Entry(String changeId, String fingerprint, int codeNumber, long number, String text) {}
+
+    private final int retained;
+    private final Map<String, Entry> entries = new HashMap<>();
+    private final Deque<String> accepted = new ArrayDeque<>();
+    // Refusals have a queue of their own, so that an operator's failing script cannot evict accepted changes.
+    private final Deque<String> refused = new ArrayDeque<>();
+
+    /** Creates an empty table for {@link #RETAINED} accepted and as many refused changes. */
+    public ChangeIds() {
+        this(RETAINED);
+    }
+
+    ChangeIds(int retained) {
+        this.retained = retained;
+    }
+
+    /** Returns the hash of a change's content. */
+    public static String fingerprint(Record change) {
+        try {
+            byte[] hash = MessageDigest.getInstance("SHA-256")
+                    .digest(change.toString().getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(hash, 0, 12);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Returns the first result of a change. */
+    public Optional<Entry> find(String changeId) {
+        return Optional.ofNullable(entries.get(changeId));
+    }
+
+    /** Keeps the first result of a change and forgets the oldest one beyond the limit. */
+    public void add(Entry entry) {
+        entries.put(entry.changeId(), entry);
+        Deque<String> queue = entry.codeNumber() == 0 ? accepted : refused;
+        queue.addLast(entry.changeId());
+        if (queue.size() > retained) {
+            entries.remove(queue.removeFirst());
+        }
+    }
+
+    /** Returns all entries, the oldest accepted one first, then the refused ones. */
+    public List<Entry> toList() {
+        return Stream.concat(accepted.stream(), refused.stream())
+                .map(entries::get)
+                .toList();
+    }
+
+    /** Replaces all entries. */
+    public void restore(List<Entry> list) {
+        entries.clear();
+        accepted.clear();
+        refused.clear();
+        list.forEach(this::add);
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/wagtailcart/settings/EngineStatus.java
@@ -0,0 +1,25 @@
+package org.wagtailcart.settings;
+
+import java.util.Optional;
+
+/** What the fleet knows of engines, for the check that every model keeps an engine. */
+public interface EngineStatus {
+    /** Every engine stays and serves what the tree says. */
+    EngineStatus NONE = new EngineStatus() {
+        @Override
+        public boolean leaving(String upstreamId) {
+            return false;
+        }
+
+        @Override
+        public Optional<String> orderedModel(String upstreamId) {
+            return Optional.empty();
+        }
+    };
+
+    /** Returns whether the upstream takes no new work for good or until it is resumed. */
+    boolean leaving(String upstreamId);
+
+    /** Returns the model of the latest order, empty when none was issued. */
+    Optional<String> orderedModel(String upstreamId);
+}
--- /dev/null
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsHistory.java
@@ -0,0 +1,106 @@
+package org.wagtailcart.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Stream;
+import org.pcollections.TreePMap;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+/**
+ * Immutable view of the tree in force with the changes that led to it.
+ *
+ * @param base tree before the oldest retained change
+ * @param current tree in force
+ * @param changes retained changes by revision
+ */
+public record SettingsHistory(SettingsTree base, SettingsTree current, TreePMap<Long, SettingsChange> changes) {
+    static final SettingsHistory EMPTY = new SettingsHistory(SettingsTree.EMPTY, SettingsTree.EMPTY, TreePMap.empty());
+
+    /** Returns the edits since a revision, empty when that revision is no longer retained or in the future. */
+    public Optional<List<SettingsEdit>> since(long revision) {
+        if (revision < base.revision() || revision > current.revision()) {
+            return Optional.empty();
+        }
+        return Optional.of(changes.tailMap(revision, false).values().stream()
+                .flatMap(change -> change.edits().stream())
+                .toList());
+    }
+
+    /** Returns the latest changes, newest first. */
+    public List<SettingsChange> latest(int limit) {
+        return changes.descendingMap().values().stream().limit(limit).toList();
+    }
+
+    /**
+     * Returns a retained tree.
+     *
+     * @throws WagtailcartException with {@link ResultCode#NOT_FOUND} when the revision is not retained
+     */
+    public SettingsTree at(long revision) {
+        if (revision < base.revision() || revision > current.revision()) {
+            throw new WagtailcartException(
+                    ResultCode.NOT_FOUND,
+                    "revision " + revision + " is not retained; accepted is " + base.revision() + " to "
+                            + current.revision());
+        }
+        SettingsTree tree = base;
+        for (SettingsChange change : changes.headMap(revision, true).values()) {
+            tree = tree.replay(change.revision(), change.edits());
+        }
+        return tree;
+    }
+
+    /** Returns the differences of own values between two retained revisions, in order of branch and key. */
+    public List<ValueChange> compare(long from, long to) {
+        return compare(at(from), at(to));
+    }
+
+    /** Returns the differences of own values between two trees. A branch without keys shows as the empty key. */
+    public static List<ValueChange> compare(SettingsTree from, SettingsTree to) {
+        TreeSet<String> paths = new TreeSet<>(from.branchMap().keySet());
+        paths.addAll(to.branchMap().keySet());
+        return paths.stream()
+                .flatMap(path -> compareBranch(path, withMarker(from, path), withMarker(to, path)))
+                .toList();
+    }
+
+    SettingsHistory plus(SettingsChange change, SettingsTree tree, int retained) {
+        TreePMap<Long, SettingsChange> extended = changes.plus(change.revision(), change);
+        if (extended.size() <= retained) {
+            return new SettingsHistory(base, tree, extended);
+        }
+        SettingsChange oldest = extended.firstEntry().getValue();
+        return new SettingsHistory(
+                base.replay(oldest.revision(), oldest.edits()), tree, extended.minus(oldest.revision()));
+    }
+
+    private static Map<String, String> withMarker(SettingsTree tree, String path) {
+        Map<String, String> own = tree.branchMap().get(path);
+        if (own == null) {
+            return Map.of();
+        }
+        Map<String, String> marked = new TreeMap<>(own);
+        marked.put("", "");
+        return marked;
+    }
+
+    private static Stream<ValueChange> compareBranch(
+            String path, Map<String, String> before, Map<String, String> after) {
+        TreeSet<String> keys = new TreeSet<>(before.keySet());
+        keys.addAll(after.keySet());
+        List<ValueChange> differences = new ArrayList<>();
+        keys.stream()
+                .filter(key -> !Objects.equals(before.get(key), after.get(key)))
+                .forEach(key -> differences.add(new ValueChange(path, key, before.get(key), after.get(key))));
+        boolean valuesDiffer =
+                differences.stream().anyMatch(difference -> !difference.key().isEmpty());
+        return differences.stream()
+                .filter(difference -> !valuesDiffer || !difference.key().isEmpty());
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
@@ -0,0 +1,159 @@
+package org.wagtailcart.settings;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.common.Priority;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.SettingNames;
+import org.wagtailcart.common.UpstreamKind;
+import org.wagtailcart.common.WagtailcartException;
+
+/** Keys of the operators' tree with the values they accept. */
+public enum SettingsKey {
+    KIND(names(UpstreamKind.values())),
+    ADDRESS("IP:PORT", Form.ADDRESS),
+    SIDECAR(Accepted.IDENTIFIER_TEXT, Accepted.IDENTIFIER),
+    SIDECAR_ADDRESS("IP:PORT", Form.ADDRESS),
+    HOST("1 to 200 printable characters", "(?=[^ ])" + Accepted.TEXT),
+    FAILURE_DOMAIN("1 to 200 printable characters", "(?=[^ ])" + Accepted.TEXT),
+    SERVICE(Accepted.IDENTIFIER_TEXT, Accepted.IDENTIFIER),
+    MODEL("1 to 200 printable characters", "(?=[^ ])" + Accepted.TEXT),
+    ADAPTER("up to 200 printable characters", "(?! )" + Accepted.TEXT),
+    VERSION("1 to 200 printable characters", "(?=[^ ])" + Accepted.TEXT),
+    ROLE(names(EngineRole.values())),
+    ROLE_CHANGES("auto|fixed"),
+    FENCING("checked|ignored"),
+    MAX_IN_FLIGHT(1, 4096),
+    SOFT_MAX_IN_FLIGHT(1, 4096),
+    QUEUE_LIMIT(0, 100_000),
+    DRAIN_LIMIT_MILLIS(0, 3_600_000),
+    DEADLINE_MILLIS(1, 3_600_000),
+    PRIORITY(names(Priority.values())),
+    REQUESTS_PER_SECOND(0, 1_000_000),
+    NON_IDEMPOTENT("a comma-separated list of METHOD /path-prefix", Accepted.CALLS),
+    GOODPUT_WEIGHT(0, 1000),
+    ROLE_CHANGE_WEIGHT(0, 1000);
+
+    // A value travels in every whole tree; the longest legitimate one is a list of call prefixes.
+    private static final int MAX_VALUE_CHARS = 4096;
+    private static final Map<String, SettingsKey> BY_NAME = Arrays.stream(values())
+            .collect(Collectors.toUnmodifiableMap(SettingsKey::settingName, Function.identity()));
+
+    private final String accepts;
+    private final Form form;
+    private final String pattern;
+    private final int min;
+    private final int max;
+
+    SettingsKey(String accepts, Form form, String pattern, int min, int max) {
+        this.accepts = accepts;
+        this.form = form;
+        this.pattern = pattern;
+        this.min = min;
+        this.max = max;
+    }
+
+    SettingsKey(String alternatives) {
+        this("one of " + alternatives.replace("|", ", "), Form.PATTERN, alternatives, 0, 0);
+    }
+
+    SettingsKey(String accepts, String pattern) {
+        this(accepts, Form.PATTERN, pattern, 0, 0);
+    }
+
+    SettingsKey(String accepts, Form form) {
+        this(accepts, form, "", 0, 0);
+    }
+
+    SettingsKey(int min, int max) {
+        this("a whole number from " + min + " to " + max, Form.NUMBER, "0|[1-9][0-9]{0,8}", min, max);
+    }
+
+    /** Returns the name used in INI files and commands. */
+    public String settingName() {
+        return SettingNames.of(this);
+    }
+
+    /** Returns a description of the accepted values. */
+    public String accepts() {
+        return accepts;
+    }
+
+    /** Finds a key by its name. */
+    public static Optional<SettingsKey> find(String name) {
+        return Optional.ofNullable(BY_NAME.get(name));
+    }
+
+    /**
+     * Checks a key and its value.
+     *
+     * @throws WagtailcartException with {@link ResultCode#SETTING_UNKNOWN} or {@link ResultCode#SETTING_INVALID}
+     */
+    public static void check(String branch, String name, String value) {
+        SettingsKey key = find(name)
+                .orElseThrow(() -> new WagtailcartException(
+                        ResultCode.SETTING_UNKNOWN,
+                        "branch " + branch + ": key \"" + name + "\" is unknown; accepted keys are "
+                                + Arrays.stream(values())
+                                        .map(SettingsKey::settingName)
+                                        .collect(Collectors.joining(", "))));
+        if (value.length() > MAX_VALUE_CHARS || !key.accepted(value)) {
+            throw invalid(branch, name, value, key.accepts());
+        }
+    }
+
+    static WagtailcartException invalid(String branch, String key, String value, String accepts) {
+        String shown = value.length() > 200 ? value.substring(0, 200) + "..." : value;
+        return new WagtailcartException(
+                ResultCode.SETTING_INVALID,
+                "branch " + branch + ": key \"" + key + "\" has the value \"" + shown + "\"; accepted is " + accepts);
+    }
+
+    private boolean accepted(String value) {
+        return switch (form) {
+            case PATTERN -> value.matches(pattern);
+            case NUMBER -> value.matches(pattern) && Integer.parseInt(value) >= min && Integer.parseInt(value) <= max;
+            case ADDRESS -> isAddress(value);
+        };
+    }
+
+    private static boolean isAddress(String value) {
+        try {
+            Address address = Address.parse(value);
+            return address.toString().equals(value) && isLiteral(address.ip());
+        } catch (WagtailcartException e) {
+            return false;
+        }
+    }
+
+    private static boolean isLiteral(String ip) {
+        String octet = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])";
+        return ip.startsWith("[") || ip.matches(octet + "(\\." + octet + "){3}");
+    }
+
+    private static String names(Enum<?>... constants) {
+        return Arrays.stream(constants).map(SettingNames::of).collect(Collectors.joining("|"));
+    }
+
+    private enum Form {
+        PATTERN,
+        NUMBER,
+        ADDRESS
+    }
+
+    /** Patterns and descriptions; constants of an enum cannot refer to the enum's own static fields. */
+    private static final class Accepted {
+        static final String IDENTIFIER = "[A-Za-z0-9._-]{1,64}";
+        static final String TEXT = "\\P{Cntrl}{0,200}(?<! )";
+        static final String CALL = "(GET|HEAD|POST|PUT|PATCH|DELETE) /[!-+\\--~]*+";
+        static final String CALLS = "(" + CALL + "(, *+" + CALL + ")*+)?";
+        static final String IDENTIFIER_TEXT = "1 to 64 letters, digits, '.', '_' or '-'";
+
+        private Accepted() {}
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsState.java
@@ -0,0 +1,163 @@
+package org.wagtailcart.settings;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.wagtailcart.common.EngineTarget;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.wire.MessageCodec;
+import org.wagtailcart.wire.MessageType;
+
+/** Replicated part for the operators' tree. Used by the control thread only; {@link #history()} may be shared. */
+public final class SettingsState {
+    /**
+     * Encoded state.
+     *
+     * @param baseRevision revision of the tree before the oldest retained change
+     * @param base that tree
+     * @param changes retained changes
+     * @param changeIds first results by change id
+     */
+    record Snapshot(
+            long baseRevision,
+            List<SettingsEdit> base,
+            List<SettingsChange> changes,
+            List<ChangeIds.Entry> changeIds) {}
+
+    private static final int SNAPSHOT_TYPE = 290;
+    private static final MessageCodec CODEC =
+            new MessageCodec(List.of(List.of(new MessageType(SNAPSHOT_TYPE, Snapshot.class))));
+
+    private final int retained;
+    private final ChangeIds changeIds;
+    private SettingsHistory history = SettingsHistory.EMPTY;
+
+    /** Creates the empty tree. */
+    public SettingsState() {
+        this(ChangeIds.RETAINED);
+    }
+
+    SettingsState(int retained) {
+        this.retained = retained;
+        this.changeIds = new ChangeIds(retained);
+    }
+
+    /** Returns the tree in force. */
+    public SettingsTree tree() {
+        return history.current();
+    }
+
+    /** Returns the tree in force with the retained changes. */
+    public SettingsHistory history() {
+        return history;
+    }
+
+    /** Applies a committed change. A resent change gets its first result and has no effect. */
+    public ApplySettingsResult apply(long timeMillis, ApplySettings command, EngineStatus engines) {
+        String fingerprint = ChangeIds.fingerprint(command);
+        Optional<ChangeIds.Entry> first = changeIds.find(command.changeId());
+        if (first.isPresent()) {
+            return resent(first.get(), fingerprint);
+        }
+        ApplySettingsResult result = applyFirst(timeMillis, command, engines);
+        changeIds.add(new ChangeIds.Entry(
+                command.changeId(), fingerprint, result.codeNumber(), result.revision(), result.text()));
+        return result;
+    }
+
+    /**
+     * Returns the tree that a change would make.
+     *
+     * @throws WagtailcartException with the code of the refusal
+     */
+    public static SettingsTree check(SettingsTree tree, List<SettingsEdit> edits, EngineStatus engines) {
+        if (edits.isEmpty()) {
+            throw new WagtailcartException(ResultCode.INVALID_ARGUMENT, "edits: a change needs at least one edit");
+        }
+        SettingsTree next = tree.replay(tree.revision() + 1, edits);
+        checkModels(tree, next, engines);
+        return next;
+    }
+
+    /** Returns the whole state in encoded form. */
+    public byte[] snapshot() {
+        return CODEC.encode(new Snapshot(
+                history.base().revision(),
+                history.base().toEdits(),
+                List.copyOf(history.changes().values()),
+                changeIds.toList()));
+    }
+
+    /** Replaces the whole state. */
+    public void restore(byte[] bytes) {
+        Snapshot snapshot = (Snapshot) CODEC.decode(SNAPSHOT_TYPE, bytes);
+        SettingsTree base = SettingsTree.EMPTY.replay(snapshot.baseRevision(), snapshot.base());
+        SettingsHistory restored = new SettingsHistory(base, base, SettingsHistory.EMPTY.changes());
+        for (SettingsChange change : snapshot.changes()) {
+            SettingsTree tree = restored.current().replay(change.revision(), change.edits());
+            restored = restored.plus(change, tree, Integer.MAX_VALUE);
+        }
+        history = restored;
+        changeIds.restore(snapshot.changeIds());
+    }
+
+    private ApplySettingsResult applyFirst(long timeMillis, ApplySettings command, EngineStatus engines) {
+        SettingsTree tree = tree();
+        if (command.expectedRevision() != tree.revision()) {
+            return new ApplySettingsResult(
+                    ResultCode.REVISION_CONFLICT.number(),
+                    tree.revision(),
+                    "expected revision " + command.expectedRevision() + ", but revision " + tree.revision()
+                            + " is in force");
+        }
+        try {
+            SettingsTree next = check(tree, command.edits(), engines);
+            SettingsChange change = new SettingsChange(
+                    next.revision(), command.changeId(), command.operator(), timeMillis, command.edits());
+            history = history.plus(change, next, retained);
+            return new ApplySettingsResult(0, next.revision(), "");
+        } catch (WagtailcartException e) {
+            return new ApplySettingsResult(e.code().number(), tree.revision(), String.valueOf(e.getMessage()));
+        }
+    }
+
+    private static ApplySettingsResult resent(ChangeIds.Entry first, String fingerprint) {
+        if (!first.fingerprint().equals(fingerprint)) {
+            return new ApplySettingsResult(
+                    ResultCode.CHANGE_ID_REUSED.number(),
+                    first.number(),
+                    "change id \"" + first.changeId() + "\" belongs to another change");
+        }
+        return new ApplySettingsResult(first.codeNumber(), first.number(), first.text());
+    }
+
+    private static void checkModels(SettingsTree before, SettingsTree after, EngineStatus engines) {
+        if (before.upstreams().equals(after.upstreams())) {
+            return;
+        }
+        Set<String> lost = new TreeSet<>(servedModels(before, engines));
+        lost.removeAll(servedModels(after, engines));
+        if (!lost.isEmpty()) {
+            throw new WagtailcartException(
+                    ResultCode.MODEL_WITHOUT_ENGINE,
+                    "the change leaves " + String.join(", ", lost) + " without an engine that is not leaving");
+        }
+    }
+
+    private static Set<String> servedModels(SettingsTree tree, EngineStatus engines) {
+        return tree.upstreams().values().stream()
+                .filter(upstream -> !engines.leaving(upstream.upstreamId()))
+                .flatMap(upstream -> modelOf(upstream, engines).stream())
+                .collect(Collectors.toSet());
+    }
+
+    private static Optional<String> modelOf(UpstreamSettings upstream, EngineStatus engines) {
+        EngineTarget target = upstream.target();
+        return target == null
+                ? Optional.empty()
+                : Optional.of(engines.orderedModel(upstream.upstreamId()).orElse(target.model()));
+    }
+}
--- a/settings/src/main/java/org/wagtailcart/settings/SettingsTree.java
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsTree.java
@@ -5,20 +5,29 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.SortedMap;
-import java.util.TreeMap;
 import java.util.stream.Stream;
+import org.pcollections.PSortedMap;
+import org.pcollections.TreePMap;
 
-/** An immutable revision of the operators' tree of settings. Each branch inherits from its parent. */
+/**
+ * An immutable revision of the operators' tree of settings. Each branch inherits from its parent. Revisions share the
+ * branches that did not change, so a change costs the branches it touches and not the size of the tree.
+ */
 public final class SettingsTree {
     /** The empty tree with revision 0. */
-    public static final SettingsTree EMPTY = new SettingsTree(0, new TreeMap<>());
+    public static final SettingsTree EMPTY = new SettingsTree(0, TreePMap.empty(), TreePMap.empty());
 
     private final long revision;
-    private final SortedMap<String, Map<String, String>> branches;
+    private final TreePMap<String, Map<String, String>> branches;
+    private final PSortedMap<String, UpstreamSettings> upstreams;
 
-    private SettingsTree(long revision, SortedMap<String, Map<String, String>> branches) {
+    SettingsTree(
+            long revision,
+            TreePMap<String, Map<String, String>> branches,
+            PSortedMap<String, UpstreamSettings> upstreams) {
         this.revision = revision;
         this.branches = branches;
+        this.upstreams = upstreams;
     }
 
     /** Returns the revision. */
@@ -31,6 +40,22 @@
         return List.copyOf(branches.keySet());
     }
 
+    /** Returns whether the branch or one below it exists. */
+    public boolean exists(String branch) {
+        return branches.containsKey(branch) || !subtree(branch).isEmpty();
+    }
+
+    /** Returns the branches at and below a path, in order, each with the keys it sets itself. */
+    public SortedMap<String, Map<String, String>> subtree(String branch) {
+        if (branch.equals("/")) {
+            return branches;
+        }
+        // '0' is the character after '/', so the range holds exactly the paths that start with branch + "/".
+        PSortedMap<String, Map<String, String>> below = branches.subMap(branch + "/", branch + "0");
+        Map<String, String> own = branches.get(branch);
+        return own == null ? below : below.plus(branch, own);
+    }
+
     /** Returns the keys that a branch sets itself. */
     public Map<String, String> own(String branch) {
         return branches.getOrDefault(branch, Map.of());
@@ -44,6 +69,32 @@
                 .findFirst();
     }
 
+    /** Returns the branch that sets the value in force for a key of a branch. */
+    public Optional<String> origin(String branch, String key) {
+        return lineage(branch).filter(path -> own(path).containsKey(key)).findFirst();
+    }
+
+    /** Returns the upstreams by id, in order. */
+    public PSortedMap<String, UpstreamSettings> upstreams() {
+        return upstreams;
+    }
+
+    /**
+     * Returns the tree after edits that were accepted before, for copies of the tree in other processes.
+     *
+     * @throws org.wagtailcart.common.WagtailcartException when an edit does not fit this tree
+     */
+    public SettingsTree replay(long newRevision, List<SettingsEdit> edits) {
+        return new SettingsEditor(this).applyAll(edits).finish(newRevision);
+    }
+
+    /** Returns the edits that make this tree from an empty one. */
+    public List<SettingsEdit> toEdits() {
+        return branches.entrySet().stream()
+                .flatMap(entry -> editsOf(entry.getKey(), entry.getValue()))
+                .toList();
+    }
+
     /** Returns a branch and its parents, nearest first. */
     public static Stream<String> lineage(String branch) {
         return Stream.iterate(branch, path -> !path.isEmpty(), SettingsTree::parent);
@@ -57,4 +108,20 @@
         int slash = branch.lastIndexOf('/');
         return slash <= 0 ? "/" : branch.substring(0, slash);
     }
+
+    TreePMap<String, Map<String, String>> branchMap() {
+        return branches;
+    }
+
+    /** Returns whether both trees hold the same branches and values, whatever their revisions. */
+    public boolean sameContent(SettingsTree other) {
+        return branches.equals(other.branches);
+    }
+
+    private static Stream<SettingsEdit> editsOf(String branch, Map<String, String> own) {
+        if (own.isEmpty()) {
+            return Stream.of(SettingsEdit.create(branch));
+        }
+        return own.entrySet().stream().map(entry -> SettingsEdit.set(branch, entry.getKey(), entry.getValue()));
+    }
 }
