--- /dev/null
+++ b/fleet/src/main/java/org/wagtailcart/fleet/FleetEntry.java
@@ -0,0 +1,94 @@
+package org.wagtailcart.fleet;
+
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.EngineTarget;
+import org.wagtailcart.common.Lifecycle;
+
+/**
+ * Replicated state of one upstream beyond its settings.
+ *
+ * @param upstreamId upstream
+ * @param lifecycle lifecycle state
+ * @param replacementId upstream that took its place, else empty
+ * @param orderNumber latest order, 0 for none
+ * @param orderState state of that order
+ * @param target configuration of that order or, after a failure, the one the engine reported; null for none
+ * @param startedOrderNumber order that is started and not finished, 0 for none
+ * @param startedEpoch epoch that started it, 0 for none
+ * @param finishedOrderNumber order that was finished last, 0 for none
+ */
+record FleetEntry(
+        String upstreamId,
+        Lifecycle lifecycle,
+        String replacementId,
+        long orderNumber,
+        OrderState orderState,
+        @Nullable EngineTarget target,
+        long startedOrderNumber,
+        long startedEpoch,
+        long finishedOrderNumber) {
+    static FleetEntry initial(String upstreamId) {
+        return new FleetEntry(upstreamId, Lifecycle.ACTIVE, "", 0, OrderState.NONE, null, 0, 0, 0);
+    }
+
+    FleetEntry withLifecycle(Lifecycle next, String replacement) {
+        return new FleetEntry(
+                upstreamId,
+                next,
+                replacement,
+                orderNumber,
+                orderState,
+                target,
+                startedOrderNumber,
+                startedEpoch,
+                finishedOrderNumber);
+    }
+
+    FleetEntry issued(long number, EngineTarget newTarget) {
+        return new FleetEntry(
+                upstreamId,
+                lifecycle,
+                replacementId,
+                number,
+                OrderState.ISSUED,
+                newTarget,
+                startedOrderNumber,
+                startedEpoch,
+                finishedOrderNumber);
+    }
+
+    FleetEntry started(long epoch) {
+        return new FleetEntry(
+                upstreamId,
+                lifecycle,
+                replacementId,
+                orderNumber,
+                OrderState.STARTED,
+                target,
+                orderNumber,
+                epoch,
+                finishedOrderNumber);
+    }
+
+    /** Ends the started order; when a newer one was issued meanwhile, that one stays issued. */
+    FleetEntry finished(boolean succeeded, @Nullable EngineTarget observed) {
+        boolean latest = startedOrderNumber == orderNumber;
+        OrderState ended = succeeded ? OrderState.DONE : OrderState.FAILED;
+        EngineTarget inForce = latest && !succeeded && observed != null ? observed : target;
+        return new FleetEntry(
+                upstreamId,
+                lifecycle,
+                replacementId,
+                orderNumber,
+                latest ? ended : orderState,
+                inForce,
+                0,
+                0,
+                startedOrderNumber);
+    }
+
+    /** Returns whether the entry must be kept after its upstream left the settings tree. */
+    boolean outlivesSettings() {
+        return lifecycle.isFinal() || startedOrderNumber != 0;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/wagtailcart/fleet/SidecarEntry.java
@@ -0,0 +1,27 @@
+package org.wagtailcart.fleet;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.wagtailcart.common.Address;
+
+/**
+ * Latest registration of a sidecar.
+ *
+ * @param sidecarId sidecar
+ * @param incarnation random number of the registered process
+ * @param address its peer address
+ * @param epoch its epoch
+ * @param earlierIncarnations processes it replaced, newest first
+ */
+record SidecarEntry(String sidecarId, long incarnation, Address address, long epoch, List<Long> earlierIncarnations) {
+    // A late duplicate of a registration arrives within the limit of its call; no sidecar restarts 16 times within
+    // that.
+    private static final int RETAINED_INCARNATIONS = 16;
+
+    SidecarEntry replacedBy(long newIncarnation, Address newAddress, long newEpoch) {
+        List<Long> earlier = Stream.concat(Stream.of(incarnation), earlierIncarnations.stream())
+                .limit(RETAINED_INCARNATIONS)
+                .toList();
+        return new SidecarEntry(sidecarId, newIncarnation, newAddress, newEpoch, earlier);
+    }
+}
