Add control state, control role, control client and sync loop

Cause: the daemon needs the replicated parts composed and served. Change: ControlState applies commands of all parts, ControlRole answers syncs and commands and forwards load digests to the leader, ControlClientImpl follows leader hints, SyncLoop installs settings and views and keeps the lease. New messages 504 to 511; a whole tree travels deflated, because 30,000 workspaces do not fit into one plain frame. Not proved yet: no test covers these classes in this commit.

--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/Commands.java
@@ -0,0 +1,146 @@
+package org.wagtailcart.control;
+
+import java.lang.reflect.RecordComponent;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.control.client.CommandRefused;
+import org.wagtailcart.control.client.CommandReply;
+import org.wagtailcart.control.client.CommandRequest;
+import org.wagtailcart.control.client.LeaderHint;
+import org.wagtailcart.coordination.LogStatus;
+import org.wagtailcart.coordination.ReplicatedLog;
+import org.wagtailcart.once.LookupKey;
+import org.wagtailcart.wire.MessageCodec;
+
+/** Proposes commands and answers queries on the leader, and names the leader elsewhere. */
+final class Commands {
+    // Room for the envelope within the 4 MiB frame that carries a log entry to the other members.
+    static final int MAX_COMMAND_BYTES = 3 << 20;
+
+    private final ReplicatedLog log;
+    private final ControlState state;
+    private final MessageCodec codec;
+
+    Commands(ReplicatedLog log, ControlState state, MessageCodec codec) {
+        this.log = log;
+        this.state = state;
+        this.codec = codec;
+    }
+
+    /** Runs a command that came over the wire. The future fails only with an error for the peer. */
+    CompletableFuture<CommandReply> run(CommandRequest request) {
+        Object command = decode(request);
+        if (!isLeader()) {
+            return CompletableFuture.completedFuture(reply(hint()));
+        }
+        return execute(command, request).handle((result, error) -> {
+            if (error == null) {
+                return reply(result);
+            }
+            WagtailcartException known = toKnown(error);
+            return reply(known.code() == ResultCode.NOT_LEADER ? hint() : CommandRefused.of(known));
+        });
+    }
+
+    /** Runs a command of this process on the leader; a refusal without own type fails the future. */
+    CompletableFuture<Object> propose(Record command) {
+        CommandRequest request = new CommandRequest(codec.typeNumber(command), codec.encode(command));
+        return execute(decode(request), request).thenApply(result -> {
+            if (result instanceof CommandRefused refused) {
+                throw refused.toException();
+            }
+            return result;
+        });
+    }
+
+    boolean isLeader() {
+        return log.status().role() == LogStatus.Role.LEADER;
+    }
+
+    private CompletableFuture<Object> execute(Object command, CommandRequest request) {
+        if (command instanceof LookupKey) {
+            return log.confirmLeadership().thenCompose(index -> log.read(() -> state.lookup(command)));
+        }
+        return log.propose(codec.encode(request));
+    }
+
+    private Object decode(CommandRequest request) {
+        if (request.command().length > MAX_COMMAND_BYTES) {
+            throw new WagtailcartException(
+                    ResultCode.PAYLOAD_TOO_LARGE,
+                    "the command has " + request.command().length + " bytes; accepted are up to " + MAX_COMMAND_BYTES);
+        }
+        if (!isCommand(request.typeNumber())) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT, "message type " + request.typeNumber() + " is not a command");
+        }
+        try {
+            Object command = codec.decode(request.typeNumber(), request.command());
+            checkComplete("command", command);
+            return command;
+        } catch (WagtailcartException e) {
+            throw new WagtailcartException(ResultCode.INVALID_ARGUMENT, String.valueOf(e.getMessage()), e);
+        }
+    }
+
+    private static boolean isCommand(int typeNumber) {
+        return typeNumber == 200
+                || (typeNumber >= 300 && typeNumber <= 304)
+                || typeNumber == 400
+                || (typeNumber >= 402 && typeNumber <= 405);
+    }
+
+    /** Checks that no field is missing, since a committed command must not fail on any member. */
+    private static void checkComplete(String path, @Nullable Object value) {
+        if (value == null) {
+            throw new WagtailcartException(ResultCode.INVALID_ARGUMENT, "field " + path + " is missing");
+        }
+        if (value instanceof List<?> list) {
+            list.forEach(element -> checkComplete(path + "[]", element));
+        }
+        if (value instanceof Record) {
+            for (RecordComponent component : value.getClass().getRecordComponents()) {
+                Object part = read(component, value);
+                boolean optional = component.getAnnotatedType().isAnnotationPresent(Nullable.class);
+                if (part != null || !optional) {
+                    checkComplete(path + "." + component.getName(), part);
+                }
+            }
+        }
+    }
+
+    private static @Nullable Object read(RecordComponent component, Object value) {
+        try {
+            return component.getAccessor().invoke(value);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private LeaderHint hint() {
+        return new LeaderHint(leaderAddress());
+    }
+
+    String leaderAddress() {
+        return log.status().leader().map(member -> member.address().toString()).orElse("");
+    }
+
+    private CommandReply reply(Object result) {
+        return new CommandReply(codec.typeNumber(result), codec.encode(result));
+    }
+
+    static WagtailcartException toKnown(Throwable error) {
+        Throwable cause = error instanceof CompletionException
+                ? Optional.ofNullable(error.getCause()).orElse(error)
+                : error;
+        return cause instanceof WagtailcartException known
+                ? known
+                : new WagtailcartException(ResultCode.INTERNAL_ERROR, RunState.MAY_HAVE_RUN, String.valueOf(cause));
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/ControlRole.java
@@ -0,0 +1,229 @@
+package org.wagtailcart.control;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.RoleService;
+import org.wagtailcart.control.client.CommandRequest;
+import org.wagtailcart.control.client.LoadDigest;
+import org.wagtailcart.control.client.LoadDigestReply;
+import org.wagtailcart.control.client.PowerGrant;
+import org.wagtailcart.control.client.ProcessesReply;
+import org.wagtailcart.control.client.ProcessesRequest;
+import org.wagtailcart.control.client.SyncRequest;
+import org.wagtailcart.coordination.LogStatus;
+import org.wagtailcart.coordination.ReplicatedLog;
+import org.wagtailcart.wire.Exchange;
+import org.wagtailcart.wire.MessageCodec;
+import org.wagtailcart.wire.PeerClient;
+import org.wagtailcart.wire.PeerDispatcher;
+
+/** A control member: answers syncs and commands, forwards load to the leader and leads when elected. */
+public final class ControlRole implements RoleService {
+    private static final Logger LOG = System.getLogger(ControlRole.class.getName());
+
+    private final ControlOptions options;
+    private final ReplicatedLog log;
+    private final ControlState state;
+    private final PeerDispatcher dispatcher;
+    private final PeerClient peers;
+    private final ScheduledExecutorService scheduler;
+    private final MillisClock clock = MillisClock.monotonic();
+    private final LoadBook book = new LoadBook();
+    private final Commands commands;
+    private final SyncAnswers answers;
+    private final LeaderDuties duties;
+    private final Meter syncs;
+    private final Meter commandsReceived;
+    private final Map<String, Long> grantDeadlinesMillis = new HashMap<>();
+    // Earlier than any monotonic time, so that an unconfirmed member grants no lease.
+    private volatile long confirmedAtMillis = Long.MIN_VALUE / 4;
+    private volatile boolean started;
+
+    /**
+     * Creates a member that does not serve yet.
+     *
+     * @param codec codec with the messages of settings, fleet, keys and control
+     * @param dispatcher receives the handlers of this role when it starts
+     * @param peers connections to the leader
+     * @param scheduler runs digests and planning
+     */
+    public ControlRole(
+            ControlOptions options,
+            ReplicatedLog log,
+            ControlState state,
+            MessageCodec codec,
+            PeerDispatcher dispatcher,
+            PeerClient peers,
+            FleetPlanner planner,
+            MetricRegistry registry,
+            ScheduledExecutorService scheduler) {
+        this.options = options;
+        this.log = log;
+        this.state = state;
+        this.dispatcher = dispatcher;
+        this.peers = peers;
+        this.scheduler = scheduler;
+        this.commands = new Commands(log, state, codec);
+        this.answers = new SyncAnswers(codec);
+        this.duties = new LeaderDuties(commands, state, book, planner, clock);
+        this.syncs = registry.meter("control.syncs");
+        this.commandsReceived = registry.meter("control.commands");
+    }
+
+    @Override
+    public void start() {
+        dispatcher.register(SyncRequest.class, this::sync);
+        dispatcher.register(CommandRequest.class, this::command);
+        dispatcher.register(LoadDigest.class, this::digest);
+        dispatcher.register(ProcessesRequest.class, this::processes);
+        repeat(this::forwardDigest, options.digestMillis());
+        repeat(duties::run, options.planMillis());
+        started = true;
+    }
+
+    @Override
+    public boolean ready() {
+        return started && confirmationAgeMillis() < options.leaseMillis();
+    }
+
+    @Override
+    public CompletableFuture<Void> drain() {
+        started = false;
+        return log.transferLeadership();
+    }
+
+    @Override
+    public Record dump() {
+        return ControlDump.of(log.status(), state.published(), confirmationAgeMillis());
+    }
+
+    @Override
+    public void close() {
+        started = false;
+    }
+
+    private void repeat(Runnable task, long periodMillis) {
+        ScheduledFuture<?> unused = scheduler.scheduleWithFixedDelay(
+                () -> runSafely(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void runSafely(Runnable task) {
+        try {
+            if (started) {
+                task.run();
+            }
+        } catch (RuntimeException e) {
+            LOG.log(Level.WARNING, LogEvent.of("control-task-failed", "reason", e), e);
+        }
+    }
+
+    private void sync(Exchange exchange, Object message) {
+        syncs.mark();
+        SyncRequest request = (SyncRequest) message;
+        // The age is read before the state, so that a confirmation never covers more than the state that is answered.
+        long ageMillis = confirmationAgeMillis();
+        PublishedState published = state.published();
+        exchange.finish(answers.answer(request, published, ageMillis, grantsFor(request), commands.leaderAddress()));
+        book.heard(request);
+    }
+
+    private void command(Exchange exchange, Object message) {
+        commandsReceived.mark();
+        CompletableFuture<?> unused = commands.run((CommandRequest) message).whenComplete((reply, error) -> {
+            if (error == null) {
+                exchange.finish(reply);
+            } else {
+                exchange.fail(Commands.toKnown(error));
+            }
+        });
+    }
+
+    private void digest(Exchange exchange, Object message) {
+        LoadDigest digest = (LoadDigest) message;
+        boolean leading = commands.isLeader();
+        if (leading) {
+            book.digest(digest.requests(), clock.nowMillis());
+        }
+        exchange.finish(
+                new LoadDigestReply(leading, leading ? duties.grantsFor(digest.requests()) : List.<PowerGrant>of()));
+    }
+
+    private void processes(Exchange exchange, Object message) {
+        exchange.finish(ownProcesses());
+    }
+
+    private ProcessesReply ownProcesses() {
+        boolean leading = commands.isLeader();
+        return new ProcessesReply(
+                leading, duties.observedMillis(), leading ? book.processes(clock.nowMillis()) : List.of());
+    }
+
+    private void forwardDigest() {
+        LogStatus status = log.status();
+        if (status.leader().isEmpty()) {
+            return;
+        }
+        List<SyncRequest> requests = book.takePending();
+        long sentAtMillis = clock.nowMillis();
+        if (status.role() == LogStatus.Role.LEADER) {
+            book.digest(requests, sentAtMillis);
+            keepGrants(duties.grantsFor(requests), sentAtMillis);
+            return;
+        }
+        Address leader = status.leader().get().address();
+        LoadDigest digest = new LoadDigest(status.self().memberId(), requests);
+        CompletableFuture<?> unused = peers.call(leader, digest, LoadDigestReply.class, options.digestMillis() * 4)
+                .whenComplete((reply, error) -> receiveGrants(reply, sentAtMillis));
+    }
+
+    private void receiveGrants(@Nullable LoadDigestReply reply, long sentAtMillis) {
+        if (reply != null) {
+            keepGrants(reply.grants(), sentAtMillis);
+        }
+    }
+
+    private void keepGrants(List<PowerGrant> grants, long fromMillis) {
+        synchronized (grantDeadlinesMillis) {
+            grantDeadlinesMillis.values().removeIf(deadline -> deadline <= fromMillis);
+            grants.forEach(grant ->
+                    grantDeadlinesMillis.merge(grant.upstreamId(), fromMillis + grant.validMillis(), Math::max));
+        }
+    }
+
+    private List<PowerGrant> grantsFor(SyncRequest request) {
+        long nowMillis = clock.nowMillis();
+        synchronized (grantDeadlinesMillis) {
+            return request.reports().stream()
+                    .filter(report -> grantDeadlinesMillis.getOrDefault(report.upstreamId(), nowMillis) > nowMillis)
+                    .map(report -> new PowerGrant(
+                            report.upstreamId(),
+                            grantDeadlinesMillis.getOrDefault(report.upstreamId(), nowMillis) - nowMillis))
+                    .toList();
+        }
+    }
+
+    /**
+     * Returns the time since the published state was confirmed. A confirmation that arrives before its commands are
+     * applied does not count yet.
+     */
+    private long confirmationAgeMillis() {
+        LogStatus status = log.status();
+        if (status.appliedIndex() >= status.commitIndex()) {
+            confirmedAtMillis = status.confirmedAtMillis();
+        }
+        return Math.max(0, clock.nowMillis() - confirmedAtMillis);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/ControlState.java
@@ -0,0 +1,120 @@
+package org.wagtailcart.control;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.control.client.CommandRefused;
+import org.wagtailcart.control.client.CommandRequest;
+import org.wagtailcart.coordination.StateMachine;
+import org.wagtailcart.fleet.BeginOrder;
+import org.wagtailcart.fleet.FinishOrder;
+import org.wagtailcart.fleet.FleetState;
+import org.wagtailcart.fleet.IssueOrder;
+import org.wagtailcart.fleet.RegisterSidecar;
+import org.wagtailcart.fleet.SetLifecycle;
+import org.wagtailcart.settings.ApplySettings;
+import org.wagtailcart.settings.ApplySettingsResult;
+import org.wagtailcart.settings.SettingsState;
+import org.wagtailcart.wire.MessageCodec;
+import org.wagtailcart.wire.MessageType;
+
+/** The replicated parts of the control group as one state machine. Commands are encoded {@link CommandRequest}s. */
+public final class ControlState implements StateMachine {
+    /** Encoded parts. */
+    record Snapshot(long appliedIndex, byte[] settings, byte[] fleet, byte[] keys) {}
+
+    private static final Logger LOG = System.getLogger(ControlState.class.getName());
+    private static final int ENVELOPE_TYPE = 502;
+    private static final int SNAPSHOT_TYPE = 590;
+    private static final MessageCodec SNAPSHOT_CODEC =
+            new MessageCodec(List.of(List.of(new MessageType(SNAPSHOT_TYPE, Snapshot.class))));
+
+    private final MessageCodec codec;
+    private final KeyPart keys;
+    private final SettingsState settings = new SettingsState();
+    private final FleetState fleet = new FleetState();
+    private volatile PublishedState published = new PublishedState(0, settings.history(), fleet.view());
+
+    /**
+     * Creates the empty state.
+     *
+     * @param codec codec with the messages of settings, fleet, keys and control
+     */
+    public ControlState(MessageCodec codec, KeyPart keys) {
+        this.codec = codec;
+        this.keys = keys;
+    }
+
+    /** Returns the state after the latest applied command. May be called by any thread. */
+    public PublishedState published() {
+        return published;
+    }
+
+    /** Answers a query about keys. Called on the control thread only. */
+    public Object lookup(Object query) {
+        return keys.lookup(query);
+    }
+
+    @Override
+    public Object apply(long index, long timeMillis, byte[] command) {
+        try {
+            CommandRequest envelope = (CommandRequest) codec.decode(ENVELOPE_TYPE, command);
+            Object result = dispatch(index, timeMillis, codec.decode(envelope.typeNumber(), envelope.command()));
+            published = new PublishedState(index, settings.history(), fleet.view());
+            return result;
+        } catch (WagtailcartException e) {
+            return CommandRefused.of(e);
+        } catch (RuntimeException e) {
+            // A committed command reaches every member; stopping on it would stop the whole group.
+            LOG.log(Level.ERROR, LogEvent.of("command-failed", "index", index, "reason", e), e);
+            return CommandRefused.of(new WagtailcartException(
+                    ResultCode.INTERNAL_ERROR, "the command at index " + index + " failed: " + e));
+        }
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return SNAPSHOT_CODEC.encode(
+                new Snapshot(published.appliedIndex(), settings.snapshot(), fleet.snapshot(), keys.snapshot()));
+    }
+
+    @Override
+    public void restore(byte[] bytes) {
+        Snapshot snapshot = (Snapshot) SNAPSHOT_CODEC.decode(SNAPSHOT_TYPE, bytes);
+        settings.restore(snapshot.settings());
+        fleet.restore(snapshot.fleet(), settings.tree());
+        keys.restore(snapshot.keys());
+        published = new PublishedState(snapshot.appliedIndex(), settings.history(), fleet.view());
+    }
+
+    private Object dispatch(long index, long timeMillis, Object command) {
+        if (command instanceof ApplySettings apply) {
+            return applySettings(index, timeMillis, apply);
+        }
+        if (command instanceof RegisterSidecar register) {
+            return fleet.apply(index, register);
+        }
+        if (command instanceof SetLifecycle lifecycle) {
+            return fleet.apply(index, lifecycle);
+        }
+        if (command instanceof IssueOrder issue) {
+            return fleet.apply(index, issue);
+        }
+        if (command instanceof BeginOrder begin) {
+            return fleet.apply(index, begin);
+        }
+        if (command instanceof FinishOrder finish) {
+            return fleet.apply(index, finish);
+        }
+        return keys.apply(index, timeMillis, command);
+    }
+
+    private ApplySettingsResult applySettings(long index, long timeMillis, ApplySettings command) {
+        ApplySettingsResult result = settings.apply(timeMillis, command, fleet);
+        fleet.settingsChanged(index, settings.tree());
+        return result;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/SyncAnswers.java
@@ -0,0 +1,107 @@
+package org.wagtailcart.control;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.control.client.DeflatedSyncReply;
+import org.wagtailcart.control.client.PowerGrant;
+import org.wagtailcart.control.client.SyncReplies;
+import org.wagtailcart.control.client.SyncReply;
+import org.wagtailcart.control.client.SyncRequest;
+import org.wagtailcart.settings.SettingsEdit;
+import org.wagtailcart.settings.SettingsHistory;
+import org.wagtailcart.wire.MessageCodec;
+
+/** Answers syncs from the published state. Safe for use by several threads. */
+final class SyncAnswers {
+    // Below this count a reply is smaller than one network packet burst and compression does not pay.
+    private static final int PLAIN_ITEMS = 100;
+    // Beyond this many edits the whole tree is cheaper to apply and is packed only once for all processes.
+    private static final int MAX_DELTA_EDITS = 5_000;
+
+    private record Packed(long revision, long fleetVersion, DeflatedSyncReply reply) {}
+
+    private final MessageCodec codec;
+    private final AtomicReference<@Nullable Packed> whole = new AtomicReference<>();
+
+    SyncAnswers(MessageCodec codec) {
+        this.codec = codec;
+    }
+
+    /** Returns the reply to a request in the form for the wire. */
+    Record answer(
+            SyncRequest request,
+            PublishedState state,
+            long confirmationAgeMillis,
+            List<PowerGrant> grants,
+            String leaderAddress) {
+        SettingsHistory settings = state.settings();
+        boolean behind = request.revision() > settings.current().revision()
+                || request.fleetVersion() > state.fleet().version();
+        Optional<List<SettingsEdit>> edits = behind
+                ? Optional.of(List.of())
+                : settings.since(request.revision()).filter(list -> list.size() <= MAX_DELTA_EDITS);
+        boolean delta = behind || (edits.isPresent() && coversFleet(request, state));
+        if (!delta) {
+            return header(wholeReply(state), confirmationAgeMillis, grants, leaderAddress);
+        }
+        SyncReply reply = new SyncReply(
+                settings.current().revision(),
+                false,
+                edits.orElse(List.of()),
+                state.fleet().version(),
+                behind ? List.of() : state.fleet().changedSince(request.fleetVersion()),
+                behind ? List.of() : state.fleet().removedSince(request.fleetVersion()),
+                confirmationAgeMillis,
+                grants,
+                leaderAddress);
+        int items = reply.edits().size() + reply.upstreams().size();
+        return items <= PLAIN_ITEMS ? reply : SyncReplies.pack(codec, reply);
+    }
+
+    private static boolean coversFleet(SyncRequest request, PublishedState state) {
+        return state.fleet().version() == request.fleetVersion()
+                || state.fleet().coversSince(request.fleetVersion());
+    }
+
+    private DeflatedSyncReply wholeReply(PublishedState state) {
+        long revision = state.settings().current().revision();
+        long fleetVersion = state.fleet().version();
+        Packed packed = whole.get();
+        if (packed != null && packed.revision() == revision && packed.fleetVersion() == fleetVersion) {
+            return packed.reply();
+        }
+        SyncReply reply = new SyncReply(
+                revision,
+                true,
+                state.settings().current().toEdits(),
+                fleetVersion,
+                List.copyOf(state.fleet().upstreams().values()),
+                List.of(),
+                0,
+                List.of(),
+                "");
+        DeflatedSyncReply deflated = SyncReplies.pack(codec, reply);
+        whole.set(new Packed(revision, fleetVersion, deflated));
+        return deflated;
+    }
+
+    private static DeflatedSyncReply header(
+            DeflatedSyncReply whole, long confirmationAgeMillis, List<PowerGrant> grants, String leaderAddress) {
+        SyncReply header = whole.header();
+        return new DeflatedSyncReply(
+                new SyncReply(
+                        header.revision(),
+                        header.complete(),
+                        header.edits(),
+                        header.fleetVersion(),
+                        header.upstreams(),
+                        header.removedUpstreamIds(),
+                        confirmationAgeMillis,
+                        grants,
+                        leaderAddress),
+                whole.sizeBytes(),
+                whole.deflatedBody());
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/client/ControlClientImpl.java
@@ -0,0 +1,196 @@
+package org.wagtailcart.control.client;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.wire.MessageCodec;
+import org.wagtailcart.wire.PeerClient;
+
+/** Sends commands over peer connections, following leader hints and trying all members in turn. */
+public final class ControlClientImpl implements ControlClient {
+    /** Sends one request to one member. */
+    @FunctionalInterface
+    public interface Transport {
+        CompletableFuture<CommandReply> call(Address member, CommandRequest request, long limitMillis);
+    }
+
+    // An election takes 1 to 3 s; a shorter try leaves time for another member within the usual limits of 5 s and more.
+    private static final long TRY_LIMIT_MILLIS = 2_000;
+    // Without a leader all members answer at once; the pause keeps the client from turning that into a busy loop.
+    private static final long RETRY_PAUSE_MILLIS = 50;
+
+    private final Transport transport;
+    private final MessageCodec codec;
+    private final List<Address> members;
+    private final ScheduledExecutorService scheduler;
+    private final MillisClock clock;
+    private volatile Address leader;
+
+    /** Creates a client over peer connections. */
+    public ControlClientImpl(
+            PeerClient peers, MessageCodec codec, List<Address> members, ScheduledExecutorService scheduler) {
+        this(
+                (member, request, limitMillis) -> peers.call(member, request, CommandReply.class, limitMillis),
+                codec,
+                members,
+                scheduler,
+                MillisClock.monotonic());
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param clock monotonic clock
+     * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT} when there is no member
+     */
+    public ControlClientImpl(
+            Transport transport,
+            MessageCodec codec,
+            List<Address> members,
+            ScheduledExecutorService scheduler,
+            MillisClock clock) {
+        if (members.isEmpty()) {
+            throw new WagtailcartException(ResultCode.INVALID_ARGUMENT, "members: at least one is needed");
+        }
+        this.transport = transport;
+        this.codec = codec;
+        this.members = List.copyOf(members);
+        this.scheduler = scheduler;
+        this.clock = clock;
+        this.leader = members.get(0);
+    }
+
+    @Override
+    public <T> CompletableFuture<T> submit(Object command, Class<T> resultType, long limitMillis) {
+        CommandRequest request = new CommandRequest(codec.typeNumber(command), codec.encode(command));
+        Submission<T> submission = new Submission<>(request, resultType, clock.nowMillis() + limitMillis);
+        submission.tryNext();
+        return submission.future;
+    }
+
+    /** Changes the assumed leader unless another call has already done so. */
+    private synchronized void moveTo(Address from, Address to) {
+        if (leader.equals(from)) {
+            leader = to;
+        }
+    }
+
+    private Address after(Address member) {
+        return members.get((members.indexOf(member) + 1) % members.size());
+    }
+
+    /** One command on its way; its tries follow one another. */
+    private final class Submission<T> {
+        private final CommandRequest request;
+        private final Class<T> resultType;
+        private final long deadlineMillis;
+        private final CompletableFuture<T> future = new CompletableFuture<>();
+        private Address lastTried = leader;
+        private boolean mayHaveRun;
+        private String lastReason = "no member was tried";
+
+        Submission(CommandRequest request, Class<T> resultType, long deadlineMillis) {
+            this.request = request;
+            this.resultType = resultType;
+            this.deadlineMillis = deadlineMillis;
+        }
+
+        private void tryNext() {
+            long leftMillis = deadlineMillis - clock.nowMillis();
+            if (future.isDone()) {
+                return;
+            }
+            if (leftMillis <= 0) {
+                fail(ResultCode.NO_QUORUM, RunState.NOT_RUN, "no leader answered in time; " + lastReason);
+                return;
+            }
+            Address member = leader;
+            lastTried = member;
+            CompletableFuture<CommandReply> unused = transport
+                    .call(member, request, Math.min(leftMillis, TRY_LIMIT_MILLIS))
+                    .whenComplete(this::answered);
+        }
+
+        private void answered(@Nullable CommandReply reply, @Nullable Throwable error) {
+            try {
+                if (reply != null) {
+                    finish(codec.decode(reply.typeNumber(), reply.result()));
+                } else {
+                    retryAfter(error == null ? new IllegalStateException("no reply") : error);
+                }
+            } catch (WagtailcartException e) {
+                fail(e.code(), RunState.MAY_HAVE_RUN, String.valueOf(e.getMessage()));
+            }
+        }
+
+        private void finish(Object result) {
+            if (result instanceof LeaderHint hint) {
+                follow(hint);
+            } else if (result instanceof CommandRefused refused) {
+                fail(refused.toException().code(), refused.runState(), refused.text());
+            } else if (resultType.isInstance(result)) {
+                future.complete(resultType.cast(result));
+            } else {
+                fail(
+                        ResultCode.UNKNOWN_MESSAGE,
+                        RunState.MAY_HAVE_RUN,
+                        "unexpected result " + result.getClass().getSimpleName());
+            }
+        }
+
+        private void follow(LeaderHint hint) {
+            lastReason = lastTried + " is not the leader";
+            Address next = hint.leaderAddress().isEmpty() ? after(lastTried) : Address.parse(hint.leaderAddress());
+            if (next.equals(lastTried)) {
+                next = after(lastTried);
+            }
+            moveTo(lastTried, next);
+            later();
+        }
+
+        private void retryAfter(Throwable error) {
+            Throwable cause =
+                    error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
+            RunState runState = cause instanceof WagtailcartException known ? known.runState() : RunState.MAY_HAVE_RUN;
+            mayHaveRun |= runState != RunState.NOT_RUN;
+            lastReason = lastTried + ": " + cause.getMessage();
+            if (cause instanceof WagtailcartException known && isFinal(known.code())) {
+                fail(known.code(), runState, lastReason);
+                return;
+            }
+            moveTo(lastTried, after(lastTried));
+            later();
+        }
+
+        private void later() {
+            try {
+                ScheduledFuture<?> unused =
+                        scheduler.schedule(this::tryNext, RETRY_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            } catch (RejectedExecutionException e) {
+                fail(ResultCode.SHUTTING_DOWN, RunState.NOT_RUN, "this process is stopping; " + lastReason);
+            }
+        }
+
+        /** Fails the call; an earlier try that may have been taken outweighs a later refusal. */
+        private void fail(ResultCode code, RunState runState, String text) {
+            RunState known = mayHaveRun && runState == RunState.NOT_RUN ? RunState.MAY_HAVE_RUN : runState;
+            future.completeExceptionally(new WagtailcartException(code, known, text));
+        }
+
+        private static boolean isFinal(ResultCode code) {
+            return (code.number() / 1000 == 1 && code != ResultCode.INTERNAL_ERROR)
+                    || code == ResultCode.FRAME_TOO_LARGE
+                    || code == ResultCode.UNKNOWN_MESSAGE;
+        }
+    }
+}
--- a/control/src/main/java/org/wagtailcart/control/client/ControlMessages.java
+++ b/control/src/main/java/org/wagtailcart/control/client/ControlMessages.java
@@ -9,7 +9,15 @@
             new MessageType(500, SyncRequest.class),
             new MessageType(501, SyncReply.class),
             new MessageType(502, CommandRequest.class),
-            new MessageType(503, CommandReply.class));
+            new MessageType(503, CommandReply.class),
+            new MessageType(504, DeflatedSyncReply.class),
+            new MessageType(505, LeaderHint.class),
+            new MessageType(506, CommandRefused.class),
+            new MessageType(507, LoadDigest.class),
+            new MessageType(508, LoadDigestReply.class),
+            new MessageType(509, ProcessesRequest.class),
+            new MessageType(510, ProcessesReply.class),
+            new MessageType(511, SyncBody.class));
 
     private ControlMessages() {}
 }
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/client/LeaderHint.java
@@ -0,0 +1,8 @@
+package org.wagtailcart.control.client;
+
+/**
+ * Result of a command sent to a member that is not the leader; the command did not run there.
+ *
+ * @param leaderAddress peer address of the leader, empty when unknown
+ */
+public record LeaderHint(String leaderAddress) {}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/client/LoadDigestReply.java
@@ -0,0 +1,11 @@
+package org.wagtailcart.control.client;
+
+import java.util.List;
+
+/**
+ * Answer to {@link LoadDigest}.
+ *
+ * @param leading whether the receiver is the leader and took the digest
+ * @param grants power grants for the upstreams in the digest
+ */
+public record LoadDigestReply(boolean leading, List<PowerGrant> grants) {}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/client/SyncLoop.java
@@ -0,0 +1,262 @@
+package org.wagtailcart.control.client;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.settings.SettingsTree;
+import org.wagtailcart.wire.MessageCodec;
+import org.wagtailcart.wire.PeerClient;
+
+/** Syncs a process with one control member every second and keeps what it learned. */
+public final class SyncLoop implements ControlView, AutoCloseable {
+    /** Sends one sync to one member. */
+    @FunctionalInterface
+    public interface Transport {
+        CompletableFuture<Record> call(Address member, SyncRequest request, long limitMillis);
+    }
+
+    private static final Logger LOG = System.getLogger(SyncLoop.class.getName());
+    private static final long INTERVAL_MILLIS = 1_000;
+    // Spreads processes that were started by one command or lost the same member at once.
+    private static final int JITTER_MILLIS = 200;
+    private static final long RETRY_MILLIS = 100;
+    private static final long CALL_LIMIT_MILLIS = 2_000;
+
+    private final ProcessIdentity identity;
+    private final List<Address> members;
+    private final Transport transport;
+    private final MessageCodec codec;
+    private final ScheduledExecutorService scheduler;
+    private final Supplier<List<LoadReport>> reports;
+    private final MillisClock clock;
+    private final Random jitter;
+    private final List<Runnable> actions = new CopyOnWriteArrayList<>();
+    private volatile SyncedState state = SyncedState.INITIAL;
+
+    // Guarded by this.
+    private int memberIndex;
+    private boolean started;
+    private boolean closed;
+    private boolean inFlight;
+    private boolean again;
+    private long nextTimer;
+
+    /**
+     * Creates a loop over peer connections that has not started.
+     *
+     * @param members peer addresses of the control members
+     * @param reports load to report with each sync
+     */
+    public SyncLoop(
+            ProcessIdentity identity,
+            List<Address> members,
+            PeerClient peers,
+            MessageCodec codec,
+            ScheduledExecutorService scheduler,
+            Supplier<List<LoadReport>> reports) {
+        this(
+                identity,
+                members,
+                (member, request, limitMillis) -> peers.call(member, request, Record.class, limitMillis),
+                codec,
+                scheduler,
+                reports,
+                MillisClock.monotonic());
+    }
+
+    /** Creates a loop that has not started. */
+    public SyncLoop(
+            ProcessIdentity identity,
+            List<Address> members,
+            Transport transport,
+            MessageCodec codec,
+            ScheduledExecutorService scheduler,
+            Supplier<List<LoadReport>> reports,
+            MillisClock clock) {
+        if (members.isEmpty()) {
+            throw new WagtailcartException(ResultCode.INVALID_ARGUMENT, "members: at least one is needed");
+        }
+        this.identity = identity;
+        this.members = List.copyOf(members);
+        this.transport = transport;
+        this.codec = codec;
+        this.scheduler = scheduler;
+        this.reports = reports;
+        this.clock = clock;
+        this.memberIndex = Math.floorMod(identity.processId().hashCode(), members.size());
+        this.jitter = new Random(identity.incarnation());
+    }
+
+    /** Sends the first sync at once and one each second from then on. */
+    public synchronized void start() {
+        started = true;
+        syncSoon();
+    }
+
+    @Override
+    public SettingsTree settings() {
+        return state.settings();
+    }
+
+    @Override
+    public Optional<UpstreamView> upstream(String upstreamId) {
+        return Optional.ofNullable(state.upstreams().get(upstreamId));
+    }
+
+    @Override
+    public Collection<UpstreamView> upstreams() {
+        return state.upstreams().values();
+    }
+
+    @Override
+    public long leaseDeadlineMillis() {
+        return state.leaseDeadlineMillis();
+    }
+
+    @Override
+    public long powerGrantDeadlineMillis(String upstreamId) {
+        return state.grantDeadlinesMillis().getOrDefault(upstreamId, 0L);
+    }
+
+    @Override
+    public synchronized void syncSoon() {
+        if (!started || closed) {
+            return;
+        }
+        if (inFlight) {
+            again = true;
+            return;
+        }
+        inFlight = true;
+        again = false;
+        nextTimer++;
+        schedule(this::sync, 0);
+    }
+
+    @Override
+    public void onChange(Runnable action) {
+        actions.add(action);
+    }
+
+    /** Sends no further sync; what was learned stays readable. */
+    @Override
+    public synchronized void close() {
+        closed = true;
+    }
+
+    private void sync() {
+        SyncedState before = state;
+        Address member = currentMember();
+        long sentAtMillis = clock.nowMillis();
+        try {
+            SyncRequest request = new SyncRequest(
+                    identity.processId(),
+                    identity.incarnation(),
+                    identity.role(),
+                    identity.host(),
+                    identity.failureDomain(),
+                    before.settings().revision(),
+                    before.fleetVersion(),
+                    reports.get());
+            CompletableFuture<Record> unused = transport
+                    .call(member, request, CALL_LIMIT_MILLIS)
+                    .whenComplete((reply, error) -> ended(member, before, sentAtMillis, reply, error));
+        } catch (RuntimeException e) {
+            ended(member, before, sentAtMillis, null, e);
+        }
+    }
+
+    private void ended(
+            Address member, SyncedState before, long sentAtMillis, @Nullable Record reply, @Nullable Throwable error) {
+        boolean installed = false;
+        try {
+            if (reply == null) {
+                logFailure(member, error);
+            } else {
+                installed = install(before, sentAtMillis, reply);
+            }
+        } catch (RuntimeException e) {
+            logFailure(member, e);
+        }
+        scheduleNext(installed);
+    }
+
+    private boolean install(SyncedState before, long sentAtMillis, Record reply) {
+        SyncedState after = before.after(SyncReplies.unpack(codec, reply), sentAtMillis);
+        if (after.equals(before)) {
+            return false;
+        }
+        state = after;
+        if (after.differsFrom(before)) {
+            actions.forEach(SyncLoop::runAction);
+        }
+        return true;
+    }
+
+    private static void runAction(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, LogEvent.of("sync-action-failed", "reason", e), e);
+        }
+    }
+
+    private synchronized Address currentMember() {
+        return members.get(memberIndex);
+    }
+
+    private synchronized void scheduleNext(boolean installed) {
+        inFlight = false;
+        if (closed) {
+            return;
+        }
+        if (!installed) {
+            memberIndex = (memberIndex + 1) % members.size();
+        }
+        if (installed && again) {
+            syncSoon();
+            return;
+        }
+        long delayMillis = installed ? INTERVAL_MILLIS - JITTER_MILLIS / 2 : RETRY_MILLIS;
+        long timer = ++nextTimer;
+        schedule(() -> fire(timer), delayMillis + jitter.nextInt(JITTER_MILLIS));
+    }
+
+    private synchronized void fire(long timer) {
+        if (timer == nextTimer) {
+            syncSoon();
+        }
+    }
+
+    private void schedule(Runnable task, long delayMillis) {
+        try {
+            ScheduledFuture<?> unused = scheduler.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            LOG.log(Level.DEBUG, LogEvent.of("sync-stopped", "process", identity.processId()));
+        }
+    }
+
+    private void logFailure(Address member, @Nullable Throwable error) {
+        LOG.log(
+                Level.DEBUG,
+                LogEvent.of(
+                        "sync-failed", "member", member, "reason", error == null ? "no reply" : error.getMessage()));
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/client/SyncReplies.java
@@ -0,0 +1,53 @@
+package org.wagtailcart.control.client;
+
+import java.util.List;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.settings.SettingsEdit;
+import org.wagtailcart.wire.MessageCodec;
+
+/** Packs large sync replies for the wire and unpacks them. */
+public final class SyncReplies {
+    private static final int BODY_TYPE = 511;
+
+    private SyncReplies() {}
+
+    /** Returns the encoded and deflated large parts of a reply. */
+    public static DeflatedSyncReply pack(MessageCodec codec, SyncReply reply) {
+        byte[] body = codec.encode(new SyncBody(reply.edits(), reply.upstreams()));
+        return new DeflatedSyncReply(with(reply, List.of(), List.of()), body.length, Deflation.deflate(body));
+    }
+
+    /**
+     * Returns the reply of either form.
+     *
+     * @throws WagtailcartException with {@link ResultCode#UNKNOWN_MESSAGE} for another message
+     */
+    public static SyncReply unpack(MessageCodec codec, Record message) {
+        if (message instanceof SyncReply reply) {
+            return reply;
+        }
+        if (message instanceof DeflatedSyncReply deflated) {
+            byte[] bytes = Deflation.inflate(deflated.deflatedBody(), deflated.sizeBytes());
+            SyncBody body = (SyncBody) codec.decode(BODY_TYPE, bytes);
+            return with(deflated.header(), body.edits(), body.upstreams());
+        }
+        throw new WagtailcartException(
+                ResultCode.UNKNOWN_MESSAGE,
+                "unexpected answer " + message.getClass().getSimpleName());
+    }
+
+    private static SyncReply with(SyncReply reply, List<SettingsEdit> edits, List<UpstreamView> upstreams) {
+        return new SyncReply(
+                reply.revision(),
+                reply.complete(),
+                edits,
+                reply.fleetVersion(),
+                upstreams,
+                reply.removedUpstreamIds(),
+                reply.confirmationAgeMillis(),
+                reply.grants(),
+                reply.leaderAddress());
+    }
+}
--- a/control/src/main/java/org/wagtailcart/control/client/SyncReply.java
+++ b/control/src/main/java/org/wagtailcart/control/client/SyncReply.java
@@ -8,7 +8,8 @@
  * Answer to {@link SyncRequest}.
  *
  * @param revision settings revision of this answer
- * @param complete whether {@code edits} hold the whole tree rather than the changes since the requester's revision
+ * @param complete whether {@code edits} hold the whole tree and {@code upstreams} the whole fleet, rather than the
+ *     changes since the requester's revision and fleet version
  * @param edits settings edits, in order
  * @param fleetVersion fleet version of this answer
  * @param upstreams views changed since the requester's fleet version
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/client/SyncedState.java
@@ -0,0 +1,81 @@
+package org.wagtailcart.control.client;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.pcollections.TreePMap;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.settings.SettingsTree;
+
+/**
+ * What a process knows after a sync.
+ *
+ * @param settings settings tree in force
+ * @param fleetVersion fleet version in force
+ * @param upstreams upstreams by id
+ * @param leaseDeadlineMillis monotonic time until which the settings count as confirmed
+ * @param grantDeadlinesMillis monotonic times until which engines may run hard
+ */
+record SyncedState(
+        SettingsTree settings,
+        long fleetVersion,
+        TreePMap<String, UpstreamView> upstreams,
+        long leaseDeadlineMillis,
+        Map<String, Long> grantDeadlinesMillis) {
+    /** Time without confirmation after which a process refuses new work. */
+    static final long LEASE_MILLIS = 12_000;
+
+    // Earlier than any monotonic time, yet far from the overflow of a difference.
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 4;
+
+    static final SyncedState INITIAL = new SyncedState(SettingsTree.EMPTY, 0, TreePMap.empty(), NEVER_MILLIS, Map.of());
+
+    /**
+     * Returns the state after a reply, or this state when the reply is older than what is in force.
+     *
+     * @param sentAtMillis monotonic time at which the request was sent
+     */
+    SyncedState after(SyncReply reply, long sentAtMillis) {
+        if (reply.revision() < settings.revision() || reply.fleetVersion() < fleetVersion) {
+            return this;
+        }
+        long confirmedUntilMillis = sentAtMillis + LEASE_MILLIS - Math.max(0, reply.confirmationAgeMillis());
+        return new SyncedState(
+                settingsAfter(reply),
+                reply.fleetVersion(),
+                upstreamsAfter(reply),
+                Math.max(leaseDeadlineMillis, confirmedUntilMillis),
+                grantsAfter(reply.grants(), sentAtMillis));
+    }
+
+    boolean differsFrom(SyncedState other) {
+        return settings.revision() != other.settings().revision() || fleetVersion != other.fleetVersion();
+    }
+
+    private SettingsTree settingsAfter(SyncReply reply) {
+        if (reply.revision() == settings.revision()) {
+            return settings;
+        }
+        SettingsTree from = reply.complete() ? SettingsTree.EMPTY : settings;
+        return from.replay(reply.revision(), reply.edits());
+    }
+
+    private TreePMap<String, UpstreamView> upstreamsAfter(SyncReply reply) {
+        TreePMap<String, UpstreamView> views = reply.complete() ? TreePMap.empty() : upstreams;
+        views = views.minusAll(reply.removedUpstreamIds());
+        for (UpstreamView view : reply.upstreams()) {
+            views = views.plus(view.upstreamId(), view);
+        }
+        return views;
+    }
+
+    private Map<String, Long> grantsAfter(List<PowerGrant> grants, long sentAtMillis) {
+        if (grants.isEmpty() && grantDeadlinesMillis.isEmpty()) {
+            return Map.of();
+        }
+        Map<String, Long> deadlines = new HashMap<>(grantDeadlinesMillis);
+        grants.forEach(grant -> deadlines.merge(grant.upstreamId(), sentAtMillis + grant.validMillis(), Math::max));
+        deadlines.values().removeIf(deadline -> deadline <= sentAtMillis);
+        return Map.copyOf(deadlines);
+    }
+}
