--- /dev/null
+++ b/coordination/src/main/java/org/wagtailcart/coordination/NodeLog.java
@@ -0,0 +1,233 @@
+package org.wagtailcart.coordination;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** Entries of a member in memory: those after the base, and how far they are durable. */
+final class NodeLog {
+    private static final class PendingStore {
+        private final long number;
+        private long lastIndex;
+
+        PendingStore(long number, long lastIndex) {
+            this.number = number;
+            this.lastIndex = lastIndex;
+        }
+    }
+
+    private final List<LogEntry> entries = new ArrayList<>();
+    private final NavigableMap<Long, Members> memberships = new TreeMap<>();
+    private final Deque<PendingStore> pendingStores = new ArrayDeque<>();
+    private @Nullable Snapshot snapshot;
+    private long baseIndex;
+    private long baseTerm;
+    private long storedIndex;
+    private long firstUnsaved;
+    private long entryBytes;
+
+    /** Creates an empty log. */
+    NodeLog() {
+        this(null, 0, 0, List.of());
+    }
+
+    /**
+     * Creates a log from durable state.
+     *
+     * @param snapshot latest snapshot, null for none
+     * @param baseIndex index before the first entry, at most the index of the snapshot
+     * @param baseTerm term at that index
+     * @param stored entries after the base
+     */
+    NodeLog(@Nullable Snapshot snapshot, long baseIndex, long baseTerm, List<LogEntry> stored) {
+        this.snapshot = snapshot;
+        this.baseIndex = baseIndex;
+        this.baseTerm = baseTerm;
+        if (snapshot != null) {
+            memberships.put(0L, snapshot.members());
+        }
+        firstUnsaved = baseIndex + 1;
+        stored.forEach(this::append);
+        firstUnsaved = lastIndex() + 1;
+        storedIndex = lastIndex();
+    }
+
+    long lastIndex() {
+        return baseIndex + entries.size();
+    }
+
+    long lastTerm() {
+        return entries.isEmpty() ? baseTerm : entries.get(entries.size() - 1).term();
+    }
+
+    long baseIndex() {
+        return baseIndex;
+    }
+
+    long baseTerm() {
+        return baseTerm;
+    }
+
+    long storedIndex() {
+        return storedIndex;
+    }
+
+    @Nullable
+    Snapshot snapshot() {
+        return snapshot;
+    }
+
+    long snapshotIndex() {
+        return snapshot == null ? 0 : snapshot.index();
+    }
+
+    /** Returns the term of an entry, empty when the index is before the base or after the end. */
+    OptionalLong termAt(long index) {
+        if (index == baseIndex) {
+            return OptionalLong.of(baseTerm);
+        }
+        return index < baseIndex || index > lastIndex()
+                ? OptionalLong.empty()
+                : OptionalLong.of(entry(index).term());
+    }
+
+    boolean matches(long index, long term) {
+        OptionalLong own = termAt(index);
+        return own.isPresent() && own.getAsLong() == term;
+    }
+
+    /** Returns whether a log that ends so is at least as complete as this one. */
+    boolean isUpToDate(long otherLastIndex, long otherLastTerm) {
+        return otherLastTerm != lastTerm() ? otherLastTerm > lastTerm() : otherLastIndex >= lastIndex();
+    }
+
+    /** Returns the latest membership, committed or not. */
+    Members members() {
+        return memberships.isEmpty()
+                ? MembersCodec.NONE
+                : memberships.lastEntry().getValue();
+    }
+
+    Members membersAt(long index) {
+        var found = memberships.floorEntry(index);
+        return found == null ? MembersCodec.NONE : found.getValue();
+    }
+
+    /** Returns the entries from an index to another, both included. */
+    List<LogEntry> between(long from, long to) {
+        return List.copyOf(entries.subList(position(from), position(to) + 1));
+    }
+
+    /** Returns entries from an index on up to a number of bytes, at least one if there is one. */
+    List<LogEntry> from(long index, int maxBytes) {
+        long bytes = 0;
+        long to = index - 1;
+        while (to < lastIndex() && (to < index || bytes + entry(to + 1).sizeBytes() <= maxBytes)) {
+            to++;
+            bytes += entry(to).sizeBytes();
+        }
+        return between(index, to);
+    }
+
+    void append(LogEntry entry) {
+        if (entry.index() != lastIndex() + 1) {
+            throw new IllegalStateException("entry " + entry.index() + " does not follow " + lastIndex());
+        }
+        entries.add(entry);
+        entryBytes += entry.sizeBytes();
+        if (entry.kind() == LogEntry.Kind.MEMBERS) {
+            memberships.put(entry.index(), MembersCodec.decode(entry.payload()));
+        }
+    }
+
+    /** Removes all entries from an index on. */
+    void truncateFrom(long index) {
+        List<LogEntry> removed = entries.subList(position(index), entries.size());
+        entryBytes -= removed.stream().mapToLong(LogEntry::sizeBytes).sum();
+        removed.clear();
+        memberships.tailMap(index, true).clear();
+        firstUnsaved = Math.min(firstUnsaved, index);
+        storedIndex = Math.min(storedIndex, index - 1);
+        pendingStores.forEach(pending -> pending.lastIndex = Math.min(pending.lastIndex, index - 1));
+    }
+
+    /** Replaces the whole log by a snapshot from a leader. */
+    void install(Snapshot received) {
+        truncateFrom(baseIndex + 1);
+        memberships.clear();
+        memberships.put(0L, received.members());
+        snapshot = received;
+        baseIndex = received.index();
+        baseTerm = received.term();
+        firstUnsaved = baseIndex + 1;
+        storedIndex = 0;
+    }
+
+    /** Drops entries up to a new base, which a durable snapshot covers. */
+    void compact(Snapshot taken, long newBase) {
+        if (taken.index() <= snapshotIndex()) {
+            return;
+        }
+        long newBaseTerm = termAt(newBase).orElseThrow();
+        Members atBase = membersAt(newBase);
+        List<LogEntry> removed = entries.subList(0, (int) (newBase - baseIndex));
+        entryBytes -= removed.stream().mapToLong(LogEntry::sizeBytes).sum();
+        removed.clear();
+        memberships.headMap(newBase, true).clear();
+        memberships.put(0L, atBase);
+        baseIndex = newBase;
+        baseTerm = newBaseTerm;
+        snapshot = taken;
+    }
+
+    /** Returns the base that keeps at most the given entries and bytes up to an index. */
+    long retainedBase(long index, int maxEntries, long maxBytes) {
+        long base = index;
+        long bytes = 0;
+        while (base > baseIndex
+                && index - base < maxEntries
+                && bytes + entry(base).sizeBytes() <= maxBytes) {
+            bytes += entry(base).sizeBytes();
+            base--;
+        }
+        return Math.max(base, baseIndex);
+    }
+
+    /** Returns the entries not yet handed to the disk and counts them as handed over. */
+    List<LogEntry> takeUnsaved() {
+        List<LogEntry> unsaved = firstUnsaved > lastIndex() ? List.of() : between(firstUnsaved, lastIndex());
+        firstUnsaved = lastIndex() + 1;
+        return unsaved;
+    }
+
+    /** Notes that the log up to its end is being stored under a number. */
+    void storing(long number) {
+        pendingStores.add(new PendingStore(number, lastIndex()));
+    }
+
+    /** Notes that all stores up to a number are durable. */
+    void stored(long number) {
+        while (!pendingStores.isEmpty() && Objects.requireNonNull(pendingStores.peek()).number <= number) {
+            storedIndex = Math.max(storedIndex, pendingStores.remove().lastIndex);
+        }
+    }
+
+    /** Returns the bytes of the entries in memory. */
+    long entryBytes() {
+        return entryBytes;
+    }
+
+    private LogEntry entry(long index) {
+        return entries.get(position(index));
+    }
+
+    private int position(long index) {
+        return (int) (index - baseIndex - 1);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftOptions.java
@@ -0,0 +1,30 @@
+package org.wagtailcart.coordination;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+/**
+ * Options of a member of the replicated log.
+ *
+ * @param memberId name of this member
+ * @param address address at which the other members reach it
+ * @param dataFolder folder that only this member uses
+ * @param initialMembers members that found the group; the same list on each of them. It has no effect once the group
+ *     exists
+ * @param timing times and limits
+ */
+public record RaftOptions(
+        String memberId, Address address, Path dataFolder, List<InitialMember> initialMembers, RaftTiming timing) {
+    /** Checks that the initial members have distinct ids. */
+    public RaftOptions {
+        long ids =
+                initialMembers.stream().map(InitialMember::memberId).distinct().count();
+        if (ids != initialMembers.size()) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT, "initial members " + initialMembers + " repeat a member id");
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftStorage.java
@@ -0,0 +1,290 @@
+package org.wagtailcart.coordination;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.storage.DataFolder;
+import org.wagtailcart.storage.RecordLog;
+
+/**
+ * Files of a member: its latest snapshot and one log that starts at or before the snapshot. A new snapshot is followed
+ * by a new log file, so that old entries go away. Used by one thread at a time.
+ */
+final class RaftStorage implements AutoCloseable {
+    private static final String LOG_PREFIX = "log-";
+    private static final String SNAPSHOT_PREFIX = "snapshot-";
+    private static final int HARD_STATE = 1;
+    private static final int ENTRY = 2;
+    private static final int BASE = 3;
+
+    private final DataFolder folder;
+    private final List<LogEntry> entries = new ArrayList<>();
+    private HardState hardState = new HardState(0, null);
+    private @Nullable Snapshot snapshot;
+    private long baseIndex = -1;
+    private long baseTerm;
+    private long generation;
+    private RecordLog log;
+
+    /**
+     * Opens a data folder and reads it.
+     *
+     * @throws WagtailcartException with {@link ResultCode#LOG_DAMAGED} or {@link ResultCode#SNAPSHOT_DAMAGED} when what
+     *     was acknowledged cannot be read
+     */
+    RaftStorage(Path path, String memberId) {
+        boolean fresh = DataFolder.isEmpty(path);
+        folder = DataFolder.open(path, memberId);
+        try {
+            log = fresh ? createLog(0, 0, List.of()) : load();
+        } catch (RuntimeException e) {
+            folder.close();
+            throw e;
+        }
+    }
+
+    long incarnation() {
+        return folder.incarnation();
+    }
+
+    HardState hardState() {
+        return hardState;
+    }
+
+    /** Returns the log as it was read; to be called once. */
+    NodeLog takeLog() {
+        NodeLog loaded = new NodeLog(snapshot, baseIndex, baseTerm, entries);
+        entries.clear();
+        snapshot = null;
+        return loaded;
+    }
+
+    /** Makes some stores durable with one sync, in their order. */
+    void store(List<NodeOutput.Store> stores) {
+        ByteArrayOutputStream record = new ByteArrayOutputStream();
+        for (NodeOutput.Store store : stores) {
+            HardState changed = store.hardState();
+            if (changed != null) {
+                hardState = changed;
+                record.writeBytes(encode(changed));
+            }
+            Snapshot received = store.snapshot();
+            if (received != null) {
+                // Entries collected so far are covered by the snapshot or conflict with it.
+                record.reset();
+                saveSnapshot(received, received.index(), received.term(), List.of());
+            }
+            store.entries().forEach(entry -> record.writeBytes(encode(entry)));
+        }
+        if (record.size() > 0) {
+            log.append(record.toByteArray());
+        }
+    }
+
+    /** Stores a snapshot, then starts a log file that holds the given entries after the base. */
+    void saveSnapshot(Snapshot taken, long newBaseIndex, long newBaseTerm, List<LogEntry> kept) {
+        String name = String.format("%s%019d", SNAPSHOT_PREFIX, taken.index());
+        folder.write(name, encode(taken));
+        RecordLog old = log;
+        log = createLog(newBaseIndex, newBaseTerm, kept);
+        old.close();
+        deleteAllBut(SNAPSHOT_PREFIX, name);
+        deleteAllBut(LOG_PREFIX, logName());
+    }
+
+    @Override
+    public void close() {
+        log.close();
+        folder.close();
+    }
+
+    private RecordLog load() {
+        List<String> snapshots = folder.names(SNAPSHOT_PREFIX);
+        Snapshot latest = null;
+        if (!snapshots.isEmpty()) {
+            latest = decodeSnapshot(folder.read(snapshots.get(snapshots.size() - 1), ResultCode.SNAPSHOT_DAMAGED));
+        }
+        snapshot = latest;
+        List<String> logs = folder.names(LOG_PREFIX);
+        if (logs.isEmpty()) {
+            throw damaged("the data folder has an identity but no log");
+        }
+        generation = Long.parseLong(logs.get(logs.size() - 1).substring(LOG_PREFIX.length()));
+        RecordLog opened = folder.openLog(logName(), this::readRecord);
+        if (baseIndex < 0 || baseIndex > (latest == null ? 0 : latest.index())) {
+            throw damaged("log " + logName() + " starts after index " + baseIndex + " without a snapshot for it");
+        }
+        if (latest != null && !covers(latest)) {
+            opened.close();
+            entries.clear();
+            baseIndex = latest.index();
+            baseTerm = latest.term();
+            opened = createLog(baseIndex, baseTerm, List.of());
+        }
+        deleteAllBut(LOG_PREFIX, logName());
+        return opened;
+    }
+
+    /** Returns whether the log reaches the snapshot; otherwise the process ended before it started a new log. */
+    private boolean covers(Snapshot latest) {
+        if (latest.index() == baseIndex) {
+            return baseTerm == latest.term();
+        }
+        int position = (int) (latest.index() - baseIndex - 1);
+        return position < entries.size() && entries.get(position).term() == latest.term();
+    }
+
+    private RecordLog createLog(long newBaseIndex, long newBaseTerm, List<LogEntry> kept) {
+        generation++;
+        baseIndex = newBaseIndex;
+        baseTerm = newBaseTerm;
+        List<byte[]> records = new ArrayList<>();
+        records.add(encodeBase(newBaseIndex, newBaseTerm));
+        records.add(encode(hardState));
+        kept.forEach(entry -> records.add(encode(entry)));
+        return folder.createLog(logName(), records);
+    }
+
+    private String logName() {
+        return String.format("%s%019d", LOG_PREFIX, generation);
+    }
+
+    private void deleteAllBut(String prefix, String keep) {
+        folder.names(prefix).stream().filter(name -> !name.equals(keep)).forEach(folder::delete);
+    }
+
+    private void readRecord(byte[] record) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(record))) {
+            while (in.available() > 0) {
+                readItem(in);
+            }
+        } catch (IOException e) {
+            throw new WagtailcartException(ResultCode.LOG_DAMAGED, "a log record cannot be decoded", e);
+        }
+    }
+
+    private void readItem(DataInputStream in) throws IOException {
+        int kind = in.readByte();
+        switch (kind) {
+            case HARD_STATE -> hardState = readHardState(in);
+            case ENTRY -> readEntry(in);
+            case BASE -> readBase(in);
+            default -> throw damaged("item kind " + kind + " in the log is unknown");
+        }
+    }
+
+    private void readBase(DataInputStream in) throws IOException {
+        baseIndex = in.readLong();
+        baseTerm = in.readLong();
+        long incarnation = in.readLong();
+        if (incarnation != folder.incarnation()) {
+            throw damaged(
+                    "the log belongs to incarnation " + incarnation + ", the data folder to " + folder.incarnation());
+        }
+    }
+
+    private static HardState readHardState(DataInputStream in) throws IOException {
+        long term = in.readLong();
+        MemberKey vote = in.readBoolean() ? new MemberKey(in.readUTF(), in.readLong()) : null;
+        return new HardState(term, vote);
+    }
+
+    private void readEntry(DataInputStream in) throws IOException {
+        long index = in.readLong();
+        long term = in.readLong();
+        long timeMillis = in.readLong();
+        LogEntry.Kind kind = LogEntry.Kind.ofNumber(in.readByte());
+        byte[] payload = in.readNBytes(in.readInt());
+        long position = index - baseIndex - 1;
+        if (position < 0 || position > entries.size()) {
+            throw damaged("entry " + index + " does not follow " + (baseIndex + entries.size()));
+        }
+        entries.subList((int) position, entries.size()).clear();
+        entries.add(new LogEntry(index, term, timeMillis, kind, payload));
+    }
+
+    private byte[] encodeBase(long index, long term) {
+        return bytes(out -> {
+            out.writeByte(BASE);
+            out.writeLong(index);
+            out.writeLong(term);
+            out.writeLong(folder.incarnation());
+        });
+    }
+
+    private static byte[] encode(HardState state) {
+        return bytes(out -> {
+            out.writeByte(HARD_STATE);
+            out.writeLong(state.term());
+            MemberKey vote = state.vote();
+            out.writeBoolean(vote != null);
+            if (vote != null) {
+                out.writeUTF(vote.memberId());
+                out.writeLong(vote.incarnation());
+            }
+        });
+    }
+
+    private static byte[] encode(LogEntry entry) {
+        return bytes(out -> {
+            out.writeByte(ENTRY);
+            out.writeLong(entry.index());
+            out.writeLong(entry.term());
+            out.writeLong(entry.timeMillis());
+            out.writeByte(entry.kind().number());
+            out.writeInt(entry.payload().length);
+            out.write(entry.payload());
+        });
+    }
+
+    private static byte[] encode(Snapshot taken) {
+        byte[] members = MembersCodec.encode(taken.members());
+        return bytes(out -> {
+            out.writeLong(taken.index());
+            out.writeLong(taken.term());
+            out.writeLong(taken.timeMillis());
+            out.writeInt(members.length);
+            out.write(members);
+            out.write(taken.data());
+        });
+    }
+
+    private static Snapshot decodeSnapshot(byte[] content) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(content))) {
+            long index = in.readLong();
+            long term = in.readLong();
+            long timeMillis = in.readLong();
+            Members members = MembersCodec.decode(in.readNBytes(in.readInt()));
+            return new Snapshot(index, term, timeMillis, members, in.readAllBytes());
+        } catch (IOException e) {
+            throw new WagtailcartException(ResultCode.SNAPSHOT_DAMAGED, "the snapshot cannot be decoded", e);
+        }
+    }
+
+    private interface Encoder {
+        void writeTo(DataOutputStream out) throws IOException;
+    }
+
+    private static byte[] bytes(Encoder encoder) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            encoder.writeTo(out);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static WagtailcartException damaged(String message) {
+        return new WagtailcartException(ResultCode.LOG_DAMAGED, message);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftTransport.java
@@ -0,0 +1,109 @@
+package org.wagtailcart.coordination;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.wire.Exchange;
+import org.wagtailcart.wire.PeerClient;
+import org.wagtailcart.wire.PeerDispatcher;
+import org.wagtailcart.wire.StreamListener;
+
+/** Sends and receives the messages of the log. A message may get lost; the log sends again what matters. */
+final class RaftTransport {
+    private static final Logger LOG = System.getLogger(RaftTransport.class.getName());
+
+    private final MemberKey self;
+    private final PeerClient client;
+    private final Map<MemberKey, Address> heardAddresses = new ConcurrentHashMap<>();
+    private final Set<MemberKey> replacedMembers = ConcurrentHashMap.newKeySet();
+
+    RaftTransport(MemberKey self, PeerClient client) {
+        this.self = self;
+        this.client = client;
+    }
+
+    /** Registers handlers that pass messages on. */
+    void register(
+            PeerDispatcher dispatcher,
+            Consumer<RaftMessage> receiver,
+            Executor controlThread,
+            Supplier<RaftMessages.IdentityReply> identity) {
+        List.of(
+                        RaftMessage.VoteRequest.class,
+                        RaftMessage.VoteReply.class,
+                        RaftMessage.AppendRequest.class,
+                        RaftMessage.AppendReply.class,
+                        RaftMessage.SnapshotChunk.class,
+                        RaftMessage.SnapshotChunkReply.class,
+                        RaftMessage.TimeoutNow.class)
+                .forEach(type -> dispatcher.register(
+                        type, (exchange, request) -> receive(exchange, (RaftMessage) request, receiver)));
+        dispatcher.register(
+                RaftMessages.IdentityRequest.class,
+                (exchange, request) -> controlThread.execute(() -> exchange.finish(identity.get())));
+    }
+
+    /** Sends a message to the address of its receiver in the membership, or to where the receiver was heard from. */
+    void send(RaftMessage message, Members members) {
+        MemberKey to = message.route().to();
+        Address address = MembersCodec.find(members, to).map(Member::address).orElseGet(() -> heardAddresses.get(to));
+        if (address != null) {
+            client.open(address, message, new DeliveryListener(to));
+        }
+    }
+
+    private void receive(Exchange exchange, RaftMessage message, Consumer<RaftMessage> receiver) {
+        RaftMessage.Route route = message.route();
+        if (!route.to().equals(self)) {
+            throw new WagtailcartException(
+                    ResultCode.MEMBERSHIP_CHANGE_INVALID,
+                    "this is member \"" + self.memberId() + "\" with incarnation " + self.incarnation() + ", not \""
+                            + route.to().memberId() + "\" with incarnation "
+                            + route.to().incarnation());
+        }
+        heardAddresses.put(route.from(), route.fromAddress());
+        receiver.accept(message);
+        exchange.finish(new RaftMessages.Received(true));
+    }
+
+    /** Reports once that another incarnation answers at a member's address, as after the loss of its disk. */
+    private final class DeliveryListener implements StreamListener {
+        private final MemberKey to;
+
+        DeliveryListener(MemberKey to) {
+            this.to = to;
+        }
+
+        @Override
+        public void onEvent(Object event) {}
+
+        @Override
+        public void onEnd(Object answer) {}
+
+        @Override
+        public void onFailure(WagtailcartException error) {
+            if (error.code() == ResultCode.MEMBERSHIP_CHANGE_INVALID && replacedMembers.add(to)) {
+                LOG.log(
+                        Level.WARNING,
+                        LogEvent.of(
+                                "member-replaced",
+                                "member",
+                                to.memberId(),
+                                "incarnation",
+                                to.incarnation(),
+                                "reason",
+                                error.getMessage()));
+            }
+        }
+    }
+}
--- a/storage/src/main/java/org/wagtailcart/storage/DataFolder.java
+++ b/storage/src/main/java/org/wagtailcart/storage/DataFolder.java
@@ -60,6 +60,15 @@
         }
     }
 
+    /** Returns whether a folder has no files yet, so that {@link #open} gives it an identity. */
+    public static boolean isEmpty(Path folder) {
+        try {
+            return !Files.exists(folder) || names(folder).stream().allMatch(name -> name.endsWith(TEMPORARY_SUFFIX));
+        } catch (IOException e) {
+            throw failed("list", folder, e);
+        }
+    }
+
     /** Returns the incarnation of the member; never 0. */
     public long incarnation() {
         return incarnation;
