--- a/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
@@ -102,7 +102,7 @@
                                 + Arrays.stream(values())
                                         .map(SettingsKey::settingName)
                                         .collect(Collectors.joining(", "))));
-        if (value.length() > MAX_VALUE_CHARS || !key.accepted(value)) {
+        if (value.length() > MAX_VALUE_CHARS || !key.accepts(value)) {
             throw invalid(branch, name, value, key.accepts());
         }
     }
@@ -114,7 +114,8 @@
                 "branch " + branch + ": key \"" + key + "\" has the value \"" + shown + "\"; accepted is " + accepts);
     }
 
-    private boolean accepted(String value) {
+    /** Returns whether a value is accepted. */
+    public boolean accepts(String value) {
         return switch (form) {
             case PATTERN -> value.matches(pattern);
             case NUMBER -> value.matches(pattern) && Integer.parseInt(value) >= min && Integer.parseInt(value) <= max;
--- /dev/null
+++ b/settings/src/main/java/org/wagtailcart/settings/process/LogFormat.java
@@ -0,0 +1,9 @@
+package org.wagtailcart.settings.process;
+
+/** Form of a log line. */
+public enum LogFormat {
+    /** Time, level and the event's {@code key=value} fields. */
+    TEXT,
+    /** One JSON object. */
+    JSON
+}
--- /dev/null
+++ b/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettings.java
@@ -0,0 +1,52 @@
+package org.wagtailcart.settings.process;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+/**
+ * Settings of one process.
+ *
+ * @param id name of the process
+ * @param host host it runs on
+ * @param failureDomain failure domain it runs in
+ * @param roles roles it takes, at least one
+ * @param dataFolder folder for files; present for the control role
+ * @param peerListener listener for other processes; present for the control and sidecar roles
+ * @param callerListener listener for callers; present for the entry role
+ * @param operatorListener listener for operators; present for the control role
+ * @param members control members, at least one
+ * @param operatorTokenFile file with the operators' bearer token; present with an operator listener
+ * @param logLevel lowest level of logged events
+ * @param logFormat form of a log line
+ * @param onControlLoss what an entry does without confirmed settings
+ * @param shutdownGraceMillis time for which an entry keeps its listener after it stopped being ready
+ */
+public record ProcessSettings(
+        String id,
+        String host,
+        String failureDomain,
+        Set<ProcessRole> roles,
+        Optional<String> dataFolder,
+        Optional<Address> peerListener,
+        Optional<Address> callerListener,
+        Optional<Address> operatorListener,
+        List<MemberAddress> members,
+        Optional<String> operatorTokenFile,
+        LogLevel logLevel,
+        LogFormat logFormat,
+        OnControlLoss onControlLoss,
+        long shutdownGraceMillis) {
+    /**
+     * Parses the text of an INI file.
+     *
+     * @throws WagtailcartException with {@link ResultCode#INVALID_SETTINGS_FILE}; the message names section, key, value
+     *     and what is accepted
+     */
+    public static ProcessSettings parse(String text) {
+        return new ProcessSettingsReader(text).read();
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
@@ -0,0 +1,251 @@
+package org.wagtailcart.settings.process;
+
+import java.util.Arrays;
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.SettingNames;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.settings.IniText;
+import org.wagtailcart.settings.SettingsKey;
+
+/** Reads and checks the sections of a process settings file. */
+final class ProcessSettingsReader {
+    private static final Map<String, List<String>> KEYS = keys();
+    private static final String NAME = "[A-Za-z0-9._-]{1,64}";
+    private static final String NAME_TEXT = "1 to 64 letters, digits, '.', '_' or '-'";
+    private static final String LOOPBACK = "127.0.0.1:";
+    private static final String LISTENER_TEXT = "IP:PORT, or PORT to listen on the loopback address only";
+
+    // Long enough for a load balancer with a probe each second to see two failed probes.
+    private static final String DEFAULT_SHUTDOWN_GRACE_MILLIS = "3000";
+    private static final int MAX_SHUTDOWN_GRACE_MILLIS = 600_000;
+
+    private final Map<String, Map<String, String>> sections;
+
+    ProcessSettingsReader(String text) {
+        this.sections = IniText.parse(text);
+    }
+
+    ProcessSettings read() {
+        sections.forEach(ProcessSettingsReader::checkKeys);
+        Set<ProcessRole> roles = roles();
+        ProcessSettings settings = new ProcessSettings(
+                name("process", "id", required("process", "id", NAME_TEXT)),
+                name("process", "host", value("process", "host").orElse("localhost")),
+                name(
+                        "process",
+                        "failure-domain",
+                        value("process", "failure-domain").orElse("default")),
+                roles,
+                value("process", "data-folder"),
+                listener("peer"),
+                listener("caller"),
+                listener("operator"),
+                members(),
+                value("operator", "token-file"),
+                oneOf("log", "level", LogLevel.values(), LogLevel.INFO),
+                oneOf("log", "format", LogFormat.values(), LogFormat.TEXT),
+                oneOf("entry", "on-control-loss", OnControlLoss.values(), OnControlLoss.REFUSE),
+                shutdownGraceMillis());
+        checkRoles(settings);
+        checkListeners(settings);
+        return settings;
+    }
+
+    private static Map<String, List<String>> keys() {
+        Map<String, List<String>> keys = new LinkedHashMap<>();
+        keys.put("process", List.of("id", "host", "failure-domain", "roles", "data-folder"));
+        keys.put("listen", List.of("peer", "caller", "operator"));
+        keys.put("control", List.of("members"));
+        keys.put("operator", List.of("token-file"));
+        keys.put("log", List.of("level", "format"));
+        keys.put("entry", List.of("on-control-loss", "shutdown-grace-millis"));
+        return keys;
+    }
+
+    private static void checkKeys(String section, Map<String, String> values) {
+        List<String> known = KEYS.get(section);
+        if (known == null) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_SETTINGS_FILE,
+                    "section [" + section + "] is unknown; accepted sections are " + String.join(", ", KEYS.keySet()));
+        }
+        values.keySet().stream().filter(key -> !known.contains(key)).findFirst().ifPresent(key -> {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_SETTINGS_FILE,
+                    "section [" + section + "]: key \"" + key + "\" with the value \"" + values.get(key)
+                            + "\" is unknown; accepted keys are " + String.join(", ", known));
+        });
+    }
+
+    private Set<ProcessRole> roles() {
+        String text = required("process", "roles", "a comma-separated list of " + names(ProcessRole.values()));
+        Set<ProcessRole> roles = EnumSet.noneOf(ProcessRole.class);
+        list(text).forEach(name -> {
+            ProcessRole role = find(ProcessRole.values(), name)
+                    .orElseThrow(() -> invalid(
+                            "process", "roles", text, "a comma-separated list of " + names(ProcessRole.values())));
+            if (!roles.add(role)) {
+                throw invalid("process", "roles", text, "each role once");
+            }
+        });
+        return Set.copyOf(roles);
+    }
+
+    private List<MemberAddress> members() {
+        String accepted = "a comma-separated list of id@IP:PORT, each id and address once";
+        String text = required("control", "members", accepted);
+        List<MemberAddress> members =
+                list(text).map(member -> member(member, text, accepted)).toList();
+        Set<Object> seen = new HashSet<>();
+        boolean distinct =
+                members.stream().allMatch(member -> seen.add(member.memberId()) && seen.add(member.address()));
+        if (!distinct) {
+            throw invalid("control", "members", text, accepted);
+        }
+        return members;
+    }
+
+    private static MemberAddress member(String member, String text, String accepted) {
+        int at = member.indexOf('@');
+        if (at <= 0 || !member.substring(0, at).matches(NAME)) {
+            throw invalid("control", "members", text, accepted);
+        }
+        return new MemberAddress(
+                member.substring(0, at), address("control", "members", member.substring(at + 1), text, accepted));
+    }
+
+    private Optional<Address> listener(String key) {
+        return value("listen", key).map(text -> {
+            String address = text.matches("[0-9]{1,5}") ? LOOPBACK + text : text;
+            return address("listen", key, address, text, LISTENER_TEXT);
+        });
+    }
+
+    private static Address address(String section, String key, String address, String text, String accepted) {
+        if (!SettingsKey.ADDRESS.accepts(address)) {
+            throw invalid(section, key, text, accepted);
+        }
+        return Address.parse(address);
+    }
+
+    private long shutdownGraceMillis() {
+        String text = value("entry", "shutdown-grace-millis").orElse(DEFAULT_SHUTDOWN_GRACE_MILLIS);
+        if (!text.matches("[0-9]{1,7}") || Integer.parseInt(text) > MAX_SHUTDOWN_GRACE_MILLIS) {
+            throw invalid(
+                    "entry", "shutdown-grace-millis", text, "a whole number from 0 to " + MAX_SHUTDOWN_GRACE_MILLIS);
+        }
+        return Long.parseLong(text);
+    }
+
+    private static void checkRoles(ProcessSettings settings) {
+        Set<ProcessRole> roles = settings.roles();
+        boolean control = roles.contains(ProcessRole.CONTROL);
+        need(control && settings.dataFolder().isEmpty(), "process", "data-folder", "a folder, for the role control");
+        need(
+                (control || roles.contains(ProcessRole.SIDECAR))
+                        && settings.peerListener().isEmpty(),
+                "listen",
+                "peer",
+                LISTENER_TEXT + ", for the roles control and sidecar");
+        need(
+                roles.contains(ProcessRole.ENTRY) && settings.callerListener().isEmpty(),
+                "listen",
+                "caller",
+                LISTENER_TEXT + ", for the role entry");
+        need(
+                control && settings.operatorListener().isEmpty(),
+                "listen",
+                "operator",
+                LISTENER_TEXT + ", for the role control");
+        need(
+                settings.operatorListener().isPresent()
+                        && settings.operatorTokenFile().isEmpty(),
+                "operator",
+                "token-file",
+                "a file with the bearer token, for a process with an operator listener");
+    }
+
+    private static void checkListeners(ProcessSettings settings) {
+        Set<Address> seen = new HashSet<>();
+        Stream.of(settings.peerListener(), settings.callerListener(), settings.operatorListener())
+                .flatMap(Optional::stream)
+                .filter(address -> !seen.add(address))
+                .findFirst()
+                .ifPresent(address -> {
+                    throw new WagtailcartException(
+                            ResultCode.INVALID_SETTINGS_FILE,
+                            "section [listen]: the value \"" + address
+                                    + "\" appears twice; accepted is a different address for each listener");
+                });
+    }
+
+    private static void need(boolean missing, String section, String key, String accepted) {
+        if (missing) {
+            throw missing(section, key, accepted);
+        }
+    }
+
+    private Optional<String> value(String section, String key) {
+        Optional<String> value =
+                Optional.ofNullable(sections.getOrDefault(section, Map.of()).get(key));
+        if (value.isPresent() && value.get().isBlank()) {
+            throw invalid(section, key, "", "a value that is not empty");
+        }
+        return value;
+    }
+
+    private String required(String section, String key, String accepted) {
+        return value(section, key).orElseThrow(() -> missing(section, key, accepted));
+    }
+
+    private static String name(String section, String key, String value) {
+        if (!value.matches(NAME)) {
+            throw invalid(section, key, value, NAME_TEXT);
+        }
+        return value;
+    }
+
+    private <E extends Enum<E>> E oneOf(String section, String key, E[] constants, E fallback) {
+        return value(section, key)
+                .map(text -> find(constants, text)
+                        .orElseThrow(() -> invalid(section, key, text, "one of " + names(constants))))
+                .orElse(fallback);
+    }
+
+    private static <E extends Enum<E>> Optional<E> find(E[] constants, String name) {
+        return Arrays.stream(constants)
+                .filter(constant -> SettingNames.of(constant).equals(name))
+                .findFirst();
+    }
+
+    private static Stream<String> list(String text) {
+        return Arrays.stream(text.split(",", -1)).map(String::strip);
+    }
+
+    private static String names(Enum<?>[] constants) {
+        return Arrays.stream(constants).map(SettingNames::of).collect(Collectors.joining(", "));
+    }
+
+    private static WagtailcartException missing(String section, String key, String accepted) {
+        return new WagtailcartException(
+                ResultCode.INVALID_SETTINGS_FILE,
+                "section [" + section + "]: key \"" + key + "\" is missing; accepted is " + accepted);
+    }
+
+    private static WagtailcartException invalid(String section, String key, String value, String accepted) {
+        return new WagtailcartException(
+                ResultCode.INVALID_SETTINGS_FILE,
+                "section [" + section + "]: key \"" + key + "\" has the value \"" + value + "\"; accepted is "
+                        + accepted);
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/wagtailcart/settings/process/package-info.java
@@ -0,0 +1,5 @@
+/** Settings of one process, read from its INI file at start. */
+@NullMarked
+package org.wagtailcart.settings.process;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/settings/src/test/java/org/wagtailcart/settings/process/ProcessSettingsTest.java
@@ -0,0 +1,107 @@
+package org.wagtailcart.settings.process;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+class ProcessSettingsTest {
+    private static final String COMPLETE =
+            """
+            # a comment
+            [process]
+            id = fes-1
+            host = host-1
+            failure-domain = fes
+            roles = entry, control
+            data-folder = /var/lib/wagtailcart
+
+            [listen]
+            peer = 10.0.0.1:7000
+            caller = 7001
+            operator = 127.0.0.1:7002
+
+            [control]
+            members = c1@10.0.0.1:7000, c2@10.0.0.2:7000
+
+            [operator]
+            token-file = token
+
+            [log]
+            level = debug
+            format = json
+
+            [entry]
+            on-control-loss = serve-idempotent
+            shutdown-grace-millis = 250
+            """;
+
+    /** Guards against a key that is read from the wrong place, and a listener that leaves the loopback address. */
+    @Test
+    void readsEveryKey() {
+        ProcessSettings settings = ProcessSettings.parse(COMPLETE);
+        assertThat(settings.id()).isEqualTo("fes-1");
+        assertThat(settings.host()).isEqualTo("host-1");
+        assertThat(settings.failureDomain()).isEqualTo("fes");
+        assertThat(settings.roles()).containsExactly(ProcessRole.ENTRY, ProcessRole.CONTROL);
+        assertThat(settings.dataFolder()).hasValue("/var/lib/wagtailcart");
+        assertThat(settings.peerListener()).hasValue(new Address("10.0.0.1", 7000));
+        assertThat(settings.callerListener()).hasValue(new Address("127.0.0.1", 7001));
+        assertThat(settings.members()).hasSize(2);
+        assertThat(settings.members().get(1).toString()).isEqualTo("c2@10.0.0.2:7000");
+        assertThat(settings.operatorTokenFile()).hasValue("token");
+        assertThat(settings.logLevel()).isEqualTo(LogLevel.DEBUG);
+        assertThat(settings.logFormat()).isEqualTo(LogFormat.JSON);
+        assertThat(settings.onControlLoss()).isEqualTo(OnControlLoss.SERVE_IDEMPOTENT);
+        assertThat(settings.shutdownGraceMillis()).isEqualTo(250);
+    }
+
+    /** Guards against bad input that is taken, or refused without section, key, value and what is accepted. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
+            id = fes-1                  | id =                          | key "id" has the value ""
+            id = fes-1                  | id = a b                      | "a b"; accepted is 1 to 64 letters
+            id = fes-1                  |                               | key "id" is missing
+            host = host-1               | host = /                      | key "host" has the value "/"
+            roles = entry, control      | roles = entry, king           | "entry, king"; accepted is a comma-separated list of entry, control, sidecar
+            roles = entry, control      | roles = entry, entry          | accepted is each role once
+            roles = entry, control      | roles = ,                     | accepted is a comma-separated list
+            data-folder = /var/lib/wagtailcart |                        | [process]: key "data-folder" is missing
+            peer = 10.0.0.1:7000        |                               | [listen]: key "peer" is missing
+            peer = 10.0.0.1:7000        | peer = host:7000              | "host:7000"; accepted is IP:PORT
+            peer = 10.0.0.1:7000        | peer = 10.0.0.1:70000         | "10.0.0.1:70000"
+            peer = 10.0.0.1:7000        | peer = 10.0.0.256:7000        | "10.0.0.256:7000"
+            peer = 10.0.0.1:7000        | peer = 7001                   | "127.0.0.1:7001" appears twice
+            caller = 7001               | caller = 0                    | [listen]: key "caller" has the value "0"
+            caller = 7001               |                               | [listen]: key "caller" is missing
+            operator = 127.0.0.1:7002   |                               | [listen]: key "operator" is missing
+            c1@10.0.0.1:7000            | 10.0.0.1:7000                 | accepted is a comma-separated list of id@IP:PORT
+            c1@10.0.0.1:7000            | c2@10.0.0.1:7000              | each id and address once
+            c1@10.0.0.1:7000            | c3@10.0.0.2:7000              | each id and address once
+            members =                   | member =                      | key "member" with the value
+            token-file = token          |                               | [operator]: key "token-file" is missing
+            level = debug               | level = loud                  | "loud"; accepted is one of debug, info, warning, error
+            format = json               | format = xml                  | "xml"; accepted is one of text, json
+            on-control-loss = serve-idempotent | on-control-loss = pray | "pray"; accepted is one of refuse, serve-idempotent
+            shutdown-grace-millis = 250 | shutdown-grace-millis = -1    | "-1"; accepted is a whole number from 0 to 600000
+            shutdown-grace-millis = 250 | shutdown-grace-millis = 600001 | "600001"
+            [log]                       | [logs]                        | section [logs] is unknown
+            # a comment                 | id = x                        | key "id" with the value "x" stands outside a section
+            level = debug               | format = text                 | key "format" appears twice
+            """)
+    void namesWhatIsWrong(String line, String replacement, String message) {
+        String text = COMPLETE.replace(line, replacement == null ? "" : replacement);
+        assertThat(text).isNotEqualTo(COMPLETE);
+        WagtailcartException refused = assertThrows(WagtailcartException.class, () -> ProcessSettings.parse(text));
+        assertThat(refused.code()).isEqualTo(ResultCode.INVALID_SETTINGS_FILE);
+        assertThat(refused).hasMessageThat().contains(message);
+    }
+}
