Add the sidecar: attempts, ledger, orders, limits and drain

Cause: entries and the control group need the process beside the upstreams to build against. Change: SidecarRole registers for an epoch, takes AttemptRequest and AttemptQuery, passes whole and streamed answers on with checks, keeps the attempt ledger, executes orders one after another, reports load and drains. Connections to upstreams serve one request each, and the Retry-After header is hidden from OkHttp, which would otherwise repeat a request that was answered 503 with "Retry-After: 0". Ruled out: pooled upstream connections; one that went silent while idle is noticed only when the next request has already been written to it.

--- /dev/null
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/AttemptHandler.java
@@ -0,0 +1,314 @@
+package org.wagtailcart.sidecar;
+
+import com.codahale.metrics.MetricRegistry;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.SettingNames;
+import org.wagtailcart.common.UpstreamKind;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.control.client.ControlView;
+import org.wagtailcart.fleet.OrderState;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.sidecar.message.AttemptRequest;
+import org.wagtailcart.sidecar.queue.PriorityGate;
+import org.wagtailcart.sidecar.upstream.EngineClient;
+import org.wagtailcart.sidecar.upstream.UpstreamCall;
+import org.wagtailcart.sidecar.upstream.UpstreamClient;
+import org.wagtailcart.wire.Exchange;
+
+/**
+ * Takes attempts from their arrival to their end. An attempt is claimed in the ledger before any other check, so that
+ * every later refusal can be recorded as not sent before it is stated.
+ */
+final class AttemptHandler {
+    private static final Logger LOG = System.getLogger(AttemptHandler.class.getName());
+
+    private final SidecarOptions options;
+    private final ControlView view;
+    private final Epoch epoch;
+    private final RevisionGate revisions;
+    private final UpstreamClient client;
+    private final EngineClient engines;
+    private final Executor traffic;
+    private final MillisClock clock;
+    private final MetricRegistry registry;
+    private final SidecarRole role;
+    private final AtomicInteger inWork = new AtomicInteger();
+
+    AttemptHandler(
+            SidecarOptions options,
+            ControlView view,
+            Epoch epoch,
+            RevisionGate revisions,
+            UpstreamClient client,
+            EngineClient engines,
+            Executor traffic,
+            MillisClock clock,
+            MetricRegistry registry,
+            SidecarRole role) {
+        this.options = options;
+        this.view = view;
+        this.epoch = epoch;
+        this.revisions = revisions;
+        this.client = client;
+        this.engines = engines;
+        this.traffic = traffic;
+        this.clock = clock;
+        this.registry = registry;
+        this.role = role;
+    }
+
+    /** Returns the number of attempts that wait or run. */
+    int inWork() {
+        return inWork.get();
+    }
+
+    /** Takes an attempt. */
+    void handle(Exchange exchange, AttemptRequest request) {
+        Attempt attempt = new Attempt(
+                exchange,
+                request,
+                clock.nowMillis() + request.remainingMillis(),
+                options.recordedAnswerBytes(),
+                () -> role.slot(request.upstreamId()).countToken());
+        try {
+            epoch.claim(request);
+        } catch (WagtailcartException e) {
+            end(attempt, e);
+            return;
+        }
+        inWork.incrementAndGet();
+        exchange.onCancel(() -> traffic.execute(() -> cancelled(attempt)));
+        checkRevision(attempt);
+    }
+
+    /** Goes on with attempts that waited for settings, and ends those that waited too long. */
+    void tick() {
+        revisions.due().forEach(this::judgeAgain);
+    }
+
+    /** Applies the limits of an upstream to its queue. */
+    void adjust(UpstreamSlot slot, UpstreamView upstream) {
+        slot.expire(clock.nowMillis()).forEach(attempt -> refuse(attempt, expired()));
+        slot.adjust(Limits.of(upstream, view, clock)).forEach(this::runSoon);
+    }
+
+    /** Moves the attempts of an engine elsewhere, so that its order can begin. */
+    void cutForOrder(UpstreamSlot slot) {
+        slot.removeQueued()
+                .forEach(attempt -> refuse(
+                        attempt,
+                        new WagtailcartException(
+                                ResultCode.ENGINE_BUSY_WITH_ORDER, "engine is about to carry out an order")));
+        slot.movable()
+                .forEach(attempt -> attempt.cut(new WagtailcartException(
+                        ResultCode.ENGINE_BUSY_WITH_ORDER,
+                        RunState.MAY_HAVE_RUN,
+                        "stream was ended for an order to its engine")));
+    }
+
+    private void checkRevision(Attempt attempt) {
+        switch (revisions.offer(attempt)) {
+            case PROCEED -> admit(attempt);
+            case WAIT -> view.syncSoon();
+            case REFUSE -> refuse(attempt, revisions.refusal(attempt));
+        }
+    }
+
+    private void judgeAgain(Attempt attempt) {
+        if (revisions.judge(attempt) == RevisionGate.Verdict.PROCEED) {
+            admit(attempt);
+        } else {
+            refuse(attempt, revisions.refusal(attempt));
+        }
+    }
+
+    private void admit(Attempt attempt) {
+        try {
+            UpstreamView upstream = checkedUpstream(attempt.request());
+            UpstreamSlot slot = role.slot(upstream.upstreamId());
+            PriorityGate.Offer<Attempt> offer = slot.offer(attempt, Limits.of(upstream, view, clock));
+            offer.refused()
+                    .forEach(refused -> refuse(
+                            refused, new WagtailcartException(ResultCode.QUEUE_FULL, "queue of the upstream is full")));
+            offer.started().forEach(this::runSoon);
+        } catch (WagtailcartException e) {
+            refuse(attempt, e);
+        }
+    }
+
+    private UpstreamView checkedUpstream(AttemptRequest request) {
+        if (role.draining()) {
+            throw new WagtailcartException(ResultCode.SHUTTING_DOWN, "sidecar is shutting down");
+        }
+        UpstreamView upstream = view.upstream(request.upstreamId())
+                .orElseThrow(() -> new WagtailcartException(
+                        ResultCode.UPSTREAM_UNKNOWN, "upstream " + request.upstreamId() + " is not known"));
+        if (!upstream.sidecarId().equals(options.sidecarId())) {
+            throw new WagtailcartException(
+                    ResultCode.SIDECAR_NOT_ALLOWED,
+                    "upstream " + request.upstreamId() + " belongs to sidecar " + upstream.sidecarId());
+        }
+        if (!upstream.lifecycle().takesNewWork()) {
+            throw new WagtailcartException(
+                    ResultCode.UPSTREAM_LEAVING,
+                    "upstream " + request.upstreamId() + " is " + SettingNames.of(upstream.lifecycle()));
+        }
+        if (upstream.startedOrderNumber() > 0 || upstream.orderState() == OrderState.ISSUED) {
+            throw new WagtailcartException(
+                    ResultCode.ENGINE_BUSY_WITH_ORDER, "engine " + request.upstreamId() + " has an order");
+        }
+        return upstream;
+    }
+
+    private void runSoon(Attempt attempt) {
+        try {
+            traffic.execute(() -> run(attempt));
+        } catch (RejectedExecutionException e) {
+            refuse(attempt, new WagtailcartException(ResultCode.SHUTTING_DOWN, "sidecar has stopped"));
+            release(attempt);
+        }
+    }
+
+    private void run(Attempt attempt) {
+        try {
+            send(attempt);
+        } finally {
+            release(attempt);
+        }
+    }
+
+    private void send(Attempt attempt) {
+        long remaining = attempt.deadlineMillis() - clock.nowMillis();
+        WagtailcartException cut = attempt.cutReason();
+        if (cut != null || remaining <= 0) {
+            refuse(attempt, cut == null ? expired() : cut);
+            return;
+        }
+        UpstreamCall call = null;
+        try {
+            UpstreamView upstream = currentUpstream(attempt.request());
+            call = client.prepare(upstream, attempt.request(), remaining);
+            attempt.attach(call);
+            call.run(attempt);
+            succeed(attempt);
+        } catch (RuntimeException e) {
+            fail(attempt, call, e);
+        }
+    }
+
+    /** Returns the upstream as known now; its address may have changed while the attempt waited. */
+    private UpstreamView currentUpstream(AttemptRequest request) {
+        return view.upstream(request.upstreamId())
+                .orElseThrow(() -> new WagtailcartException(
+                        ResultCode.UPSTREAM_UNKNOWN, "upstream " + request.upstreamId() + " is not known any more"));
+    }
+
+    private void succeed(Attempt attempt) {
+        epoch.done(attempt.request(), attempt.recordedAnswer());
+        UpstreamSlot slot = role.slot(attempt.request().upstreamId());
+        count(ResultCode.OK);
+        attempt.finish(slot.running() - 1, slot.queued());
+        inWork.decrementAndGet();
+    }
+
+    private void fail(Attempt attempt, @Nullable UpstreamCall call, RuntimeException error) {
+        if (call == null || !call.sent()) {
+            refuse(attempt, errorOf(attempt, error));
+            return;
+        }
+        epoch.lost(attempt.request());
+        end(attempt, afterSending(errorOf(attempt, error)));
+        inWork.decrementAndGet();
+        cancelAtEngine(attempt.request());
+    }
+
+    /** Takes back a claim of "not run" that only holds before the first byte was sent. */
+    private static WagtailcartException afterSending(WagtailcartException error) {
+        return error.runState() == RunState.NOT_RUN
+                ? new WagtailcartException(error.code(), RunState.MAY_HAVE_RUN, String.valueOf(error.getMessage()))
+                : error;
+    }
+
+    private static WagtailcartException errorOf(Attempt attempt, RuntimeException error) {
+        WagtailcartException cut = attempt.cutReason();
+        if (cut != null) {
+            return cut;
+        }
+        return error instanceof WagtailcartException known
+                ? known
+                : new WagtailcartException(ResultCode.INTERNAL_ERROR, "attempt failed: " + error, error);
+    }
+
+    /** Ends an attempt of which no byte was sent: first records that, then states it. */
+    private void refuse(Attempt attempt, WagtailcartException reason) {
+        epoch.willNotSend(attempt.request());
+        end(attempt, new WagtailcartException(reason.code(), RunState.NOT_RUN, String.valueOf(reason.getMessage())));
+        inWork.decrementAndGet();
+    }
+
+    private void end(Attempt attempt, WagtailcartException error) {
+        count(error.code());
+        LOG.log(
+                Level.DEBUG,
+                LogEvent.of(
+                        "attempt-failed",
+                        "attempt",
+                        attempt.request().attemptId(),
+                        "upstream",
+                        attempt.request().upstreamId(),
+                        "code",
+                        error.code().number(),
+                        "run-state",
+                        error.runState(),
+                        "reason",
+                        error.getMessage()));
+        attempt.exchange().fail(error);
+    }
+
+    private void release(Attempt attempt) {
+        UpstreamSlot slot = role.slot(attempt.request().upstreamId());
+        List<Attempt> next = view.upstream(attempt.request().upstreamId())
+                .map(upstream -> slot.release(attempt, Limits.of(upstream, view, clock)))
+                .orElseGet(() -> slot.release(attempt, new Limits(0, 0, false)));
+        next.forEach(this::runSoon);
+    }
+
+    /** The entry is gone or gave up. An attempt that must run at most once goes on, so that its outcome becomes known. */
+    private void cancelled(Attempt attempt) {
+        if (attempt.request().nonIdempotent()) {
+            return;
+        }
+        WagtailcartException gone = new WagtailcartException(ResultCode.CALLER_GONE, "entry gave the request up");
+        boolean waited = revisions.remove(attempt)
+                || role.slot(attempt.request().upstreamId()).remove(attempt);
+        if (waited) {
+            refuse(attempt, gone);
+        } else {
+            attempt.cut(gone);
+        }
+    }
+
+    private void cancelAtEngine(AttemptRequest request) {
+        view.upstream(request.upstreamId())
+                .filter(upstream -> upstream.kind() == UpstreamKind.ENGINE)
+                .ifPresent(upstream -> engines.cancel(upstream.address(), request.attemptId()));
+    }
+
+    private void count(ResultCode code) {
+        registry.counter("sidecar.attempt." + SettingNames.of(code)).inc();
+    }
+
+    private static WagtailcartException expired() {
+        return new WagtailcartException(ResultCode.DEADLINE_UNREACHABLE, "deadline passed while the request waited");
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/Epoch.java
@@ -0,0 +1,114 @@
+package org.wagtailcart.sidecar;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.once.RecordedAnswer;
+import org.wagtailcart.sidecar.ledger.AttemptLedger;
+import org.wagtailcart.sidecar.message.AttemptQuery;
+import org.wagtailcart.sidecar.message.AttemptRequest;
+import org.wagtailcart.sidecar.message.AttemptStatus;
+
+/** Epoch of this process and the ledger that belongs to it. Safe for use by several threads. */
+final class Epoch {
+    private static final Logger LOG = System.getLogger(Epoch.class.getName());
+
+    private final SidecarOptions options;
+    private @Nullable AttemptLedger ledger;
+    private long number;
+    private boolean superseded;
+
+    Epoch(SidecarOptions options) {
+        this.options = options;
+    }
+
+    synchronized void registered(long epoch) {
+        number = epoch;
+        ledger = new AttemptLedger(epoch, options.ledgerCapacity(), options.ledgerBytes());
+    }
+
+    /** Notes an epoch that an upstream of this sidecar has in the replicated state. */
+    synchronized void observe(long epoch) {
+        if (number > 0 && epoch > number && !superseded) {
+            superseded = true;
+            LOG.log(Level.ERROR, LogEvent.of("epoch-superseded", "epoch", number, "latest", epoch));
+        }
+    }
+
+    /** Returns the epoch, 0 while not registered. */
+    synchronized long number() {
+        return number;
+    }
+
+    synchronized boolean superseded() {
+        return superseded;
+    }
+
+    /** Returns whether orders and non-idempotent calls may be taken. */
+    synchronized boolean valid() {
+        return number > 0 && !superseded;
+    }
+
+    synchronized int size() {
+        return ledger == null ? 0 : ledger.size();
+    }
+
+    synchronized long floor() {
+        return ledger == null ? 0 : ledger.floor();
+    }
+
+    /**
+     * Claims an attempt for sending. An idempotent one only needs an epoch that is not superseded.
+     *
+     * @throws WagtailcartException when it must not be sent
+     */
+    synchronized void claim(AttemptRequest request) {
+        if (request.nonIdempotent()) {
+            requireLedger(request).claim(request.attemptId(), request.attemptNumber(), request.epoch());
+        }
+        if (superseded) {
+            willNotSend(request);
+            throw new WagtailcartException(
+                    ResultCode.EPOCH_SUPERSEDED, "sidecar " + options.sidecarId() + " has a superseded epoch");
+        }
+    }
+
+    /** Without an epoch, an earlier process with the epoch of the attempt may have sent it. */
+    private AttemptLedger requireLedger(AttemptRequest request) {
+        return Optional.ofNullable(ledger)
+                .orElseThrow(() -> new WagtailcartException(
+                        ResultCode.EPOCH_UNKNOWN,
+                        RunState.MAY_HAVE_RUN,
+                        "sidecar " + options.sidecarId() + " has no epoch yet; attempt " + request.attemptId()
+                                + " has epoch " + request.epoch()));
+    }
+
+    synchronized void done(AttemptRequest request, RecordedAnswer answer) {
+        if (request.nonIdempotent() && ledger != null) {
+            ledger.done(request.attemptId(), answer);
+        }
+    }
+
+    synchronized void willNotSend(AttemptRequest request) {
+        if (request.nonIdempotent() && ledger != null) {
+            ledger.willNotSend(request.attemptId());
+        }
+    }
+
+    synchronized void lost(AttemptRequest request) {
+        if (request.nonIdempotent() && ledger != null) {
+            ledger.lost(request.attemptId());
+        }
+    }
+
+    synchronized AttemptStatus query(AttemptQuery query) {
+        return ledger == null
+                ? new AttemptStatus(AttemptStatus.State.UNKNOWN, null)
+                : ledger.query(query.attemptId(), query.attemptNumber(), query.epoch());
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/SidecarRole.java
@@ -0,0 +1,242 @@
+package org.wagtailcart.sidecar;
+
+import com.codahale.metrics.MetricRegistry;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RoleService;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.UpstreamKind;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.control.client.ControlClient;
+import org.wagtailcart.control.client.ControlView;
+import org.wagtailcart.control.client.LoadReport;
+import org.wagtailcart.fleet.OrderState;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.sidecar.message.AttemptQuery;
+import org.wagtailcart.sidecar.message.AttemptRequest;
+import org.wagtailcart.sidecar.order.OrderExecutor;
+import org.wagtailcart.sidecar.upstream.EngineClient;
+import org.wagtailcart.sidecar.upstream.EngineLoad;
+import org.wagtailcart.sidecar.upstream.UpstreamClient;
+import org.wagtailcart.wire.PeerDispatcher;
+
+/** The process beside one or more upstreams: the only path to them for requests and orders. */
+public final class SidecarRole implements RoleService {
+    private static final Logger LOG = System.getLogger(SidecarRole.class.getName());
+    private static final long TICK_MILLIS = 100;
+    private static final int TICKS_PER_POLL = 10;
+
+    private final SidecarOptions options;
+    private final ControlClient control;
+    private final ControlView view;
+    private final ExecutorService traffic;
+    private final ScheduledExecutorService controlThread;
+    private final MillisClock clock = MillisClock.monotonic();
+    private final Epoch epoch;
+    private final Registration registration;
+    private final AttemptHandler attempts;
+    private final EngineClient engines;
+    private final Map<String, UpstreamSlot> slots = new ConcurrentHashMap<>();
+    private final Map<String, OrderRunner> orders = new ConcurrentHashMap<>();
+    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    private @Nullable ScheduledFuture<?> ticker;
+    private volatile boolean draining;
+    private long ticks;
+
+    /**
+     * Creates a sidecar and registers its message handlers.
+     *
+     * @param traffic threads that may block on upstreams; at most one for each request that runs
+     * @param controlThread the one thread of control state
+     */
+    public SidecarRole(
+            SidecarOptions options,
+            ControlClient control,
+            ControlView view,
+            PeerDispatcher dispatcher,
+            ExecutorService traffic,
+            ScheduledExecutorService controlThread,
+            MetricRegistry registry) {
+        this(options, control, view, dispatcher, traffic, controlThread, registry, () -> view.settings()
+                .revision());
+    }
+
+    SidecarRole(
+            SidecarOptions options,
+            ControlClient control,
+            ControlView view,
+            PeerDispatcher dispatcher,
+            ExecutorService traffic,
+            ScheduledExecutorService controlThread,
+            MetricRegistry registry,
+            LongSupplier revision) {
+        this.options = options;
+        this.control = control;
+        this.view = view;
+        this.traffic = traffic;
+        this.controlThread = controlThread;
+        epoch = new Epoch(options);
+        registration = new Registration(options, control, controlThread, epoch);
+        UpstreamClient client = new UpstreamClient(options.upstream(), clock);
+        engines = new EngineClient(client);
+        RevisionGate revisions = new RevisionGate(revision, clock, options.revisionWaitMillis());
+        attempts = new AttemptHandler(options, view, epoch, revisions, client, engines, traffic, clock, registry, this);
+        dispatcher.register(
+                AttemptRequest.class, (exchange, request) -> attempts.handle(exchange, (AttemptRequest) request));
+        dispatcher.register(
+                AttemptQuery.class, (exchange, request) -> exchange.finish(epoch.query((AttemptQuery) request)));
+    }
+
+    @Override
+    public void start() {
+        registration.start();
+        ticker = controlThread.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        view.onChange(() -> controlThread.execute(this::tick));
+    }
+
+    @Override
+    public boolean ready() {
+        return epoch.valid() && !draining;
+    }
+
+    /** Returns whether new work is refused because the process is to end. */
+    boolean draining() {
+        return draining;
+    }
+
+    /** Returns the load of each upstream since the previous call, for the sync. */
+    public List<LoadReport> reports() {
+        long now = clock.nowMillis();
+        return view.upstreams().stream()
+                .filter(upstream -> upstream.sidecarId().equals(options.sidecarId()))
+                .map(upstream -> slot(upstream.upstreamId()).report(now))
+                .toList();
+    }
+
+    @Override
+    public CompletableFuture<Void> drain() {
+        draining = true;
+        LOG.log(Level.INFO, LogEvent.of("sidecar-drain", "sidecar", options.sidecarId()));
+        return drained;
+    }
+
+    @Override
+    public Record dump() {
+        List<SidecarDump.Upstream> upstreams = slots.entrySet().stream()
+                .map(entry -> dumpOf(entry.getKey(), entry.getValue()))
+                .toList();
+        return new SidecarDump(
+                options.sidecarId(),
+                epoch.number(),
+                epoch.superseded(),
+                draining,
+                epoch.size(),
+                epoch.floor(),
+                upstreams);
+    }
+
+    private SidecarDump.Upstream dumpOf(String upstreamId, UpstreamSlot slot) {
+        OrderRunner runner = orders.get(upstreamId);
+        OrderExecutor.Phase phase = runner == null ? OrderExecutor.Phase.IDLE : runner.phase();
+        return new SidecarDump.Upstream(
+                upstreamId, slot.reachable(), slot.running(), slot.queued(), slot.limit(), phase);
+    }
+
+    @Override
+    public void close() {
+        draining = true;
+        registration.stop();
+        if (ticker != null) {
+            ticker.cancel(false);
+        }
+        slots.values().forEach(slot -> slot.all().forEach(SidecarRole::cutForStop));
+    }
+
+    private static void cutForStop(Attempt attempt) {
+        attempt.cut(new WagtailcartException(
+                ResultCode.SHUTTING_DOWN, RunState.MAY_HAVE_RUN, "sidecar stopped while the request ran"));
+    }
+
+    /** Returns the work of an upstream of this sidecar. */
+    UpstreamSlot slot(String upstreamId) {
+        return slots.computeIfAbsent(upstreamId, id -> new UpstreamSlot(id, options.queueLimit(), clock.nowMillis()));
+    }
+
+    private void tick() {
+        try {
+            Collection<UpstreamView> own = view.upstreams().stream()
+                    .filter(upstream -> upstream.sidecarId().equals(options.sidecarId()))
+                    .toList();
+            own.forEach(upstream -> epoch.observe(upstream.epoch()));
+            attempts.tick();
+            own.forEach(this::tickUpstream);
+            ticks++;
+            if (draining && attempts.inWork() == 0 && orders.values().stream().noneMatch(OrderRunner::busy)) {
+                drained.complete(null);
+            }
+        } catch (RuntimeException e) {
+            // A fault in one tick must not end the following ones.
+            LOG.log(Level.ERROR, LogEvent.of("tick-failed", "reason", e), e);
+        }
+    }
+
+    private void tickUpstream(UpstreamView upstream) {
+        UpstreamSlot slot = slot(upstream.upstreamId());
+        attempts.adjust(slot, upstream);
+        if (upstream.kind() == UpstreamKind.ENGINE && epoch.valid()) {
+            tickOrders(slot, upstream);
+        }
+        if (ticks % TICKS_PER_POLL == 0 && slot.beginPoll()) {
+            traffic.execute(() -> poll(slot, upstream));
+        }
+    }
+
+    private void tickOrders(UpstreamSlot slot, UpstreamView upstream) {
+        OrderRunner runner = orders.computeIfAbsent(upstream.upstreamId(), this::newRunner);
+        boolean ordered = upstream.orderState() == OrderState.ISSUED || upstream.startedOrderNumber() > 0;
+        int inWork = slot.holdForOrder(ordered || runner.busy());
+        if (!draining || runner.busy()) {
+            runner.step(
+                    upstream, epoch.number(), inWork, Limits.drainLimitMillis(view.settings(), upstream.upstreamId()));
+        }
+    }
+
+    private OrderRunner newRunner(String upstreamId) {
+        return new OrderRunner(
+                upstreamId,
+                new OrderExecutor(options.order()),
+                control,
+                engines,
+                traffic,
+                controlThread,
+                clock,
+                () -> attempts.cutForOrder(slot(upstreamId)));
+    }
+
+    private void poll(UpstreamSlot slot, UpstreamView upstream) {
+        try {
+            if (upstream.kind() == UpstreamKind.ENGINE) {
+                slot.polled(true, engines.load(upstream.address()));
+            } else {
+                slot.polled(engines.accepts(upstream.address()), EngineLoad.NONE);
+            }
+        } catch (RuntimeException e) {
+            LOG.log(Level.DEBUG, LogEvent.of("poll-failed", "upstream", upstream.upstreamId(), "reason", e));
+            slot.polled(false, EngineLoad.NONE);
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/ledger/AttemptLedger.java
@@ -0,0 +1,156 @@
+package org.wagtailcart.sidecar.ledger;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.once.RecordedAnswer;
+import org.wagtailcart.sidecar.message.AttemptStatus;
+import org.wagtailcart.sidecar.message.AttemptStatus.State;
+
+/**
+ * What became of the non-idempotent attempts of one epoch. An attempt is claimed once at most, and is stated as not run
+ * only after the ledger has recorded that it will not be sent. Not safe for use by several threads.
+ */
+public final class AttemptLedger {
+    /** An attempt; the answer is null unless it is DONE. */
+    private record Entry(String attemptId, long number, State state, @Nullable RecordedAnswer answer) {
+        int sizeBytes() {
+            return answer == null ? 0 : answer.body().length;
+        }
+    }
+
+    private final long epoch;
+    private final int capacity;
+    private final long capacityBytes;
+    private final Map<String, Entry> entries = new HashMap<>();
+    private final TreeMap<Long, String> finished = new TreeMap<>();
+    private long floor;
+    private long sizeBytes;
+
+    /**
+     * Creates an empty ledger. The floor starts at the epoch: a reservation names an epoch that exists, so its log index
+     * is higher.
+     *
+     * @param epoch epoch of this process
+     * @param capacity finished attempts kept
+     * @param capacityBytes bytes of answers kept
+     */
+    public AttemptLedger(long epoch, int capacity, long capacityBytes) {
+        this.epoch = epoch;
+        this.capacity = capacity;
+        this.capacityBytes = capacityBytes;
+        this.floor = epoch;
+    }
+
+    /**
+     * Claims an attempt for sending; afterwards exactly one of {@link #done}, {@link #willNotSend} and {@link #lost} is
+     * due.
+     *
+     * @throws WagtailcartException when it must not be sent; its run state is NOT_RUN only when it was recorded before
+     *     that it will not be sent
+     */
+    public void claim(String attemptId, long number, long attemptEpoch) {
+        if (attemptEpoch != epoch) {
+            throw new WagtailcartException(
+                    ResultCode.EPOCH_SUPERSEDED,
+                    RunState.MAY_HAVE_RUN,
+                    "attempt " + attemptId + " is of epoch " + attemptEpoch + ", this sidecar has epoch " + epoch);
+        }
+        Entry known = entries.get(attemptId);
+        if (known != null) {
+            throw refusalOf(known);
+        }
+        if (number <= floor) {
+            throw new WagtailcartException(
+                    ResultCode.ATTEMPT_SUPERSEDED,
+                    RunState.MAY_HAVE_RUN,
+                    "attempt " + attemptId + " with number " + number + " is not above the floor " + floor);
+        }
+        entries.put(attemptId, new Entry(attemptId, number, State.RUNNING, null));
+    }
+
+    /** Records the answer of a claimed attempt. */
+    public void done(String attemptId, RecordedAnswer answer) {
+        finish(attemptId, State.DONE, answer);
+    }
+
+    /** Records that a claimed attempt was not sent; the caller vouches that no byte of it left this process. */
+    public void willNotSend(String attemptId) {
+        finish(attemptId, State.NOT_SENT, null);
+    }
+
+    /** Records that a claimed attempt was sent, or may have been, and has no answer. */
+    public void lost(String attemptId) {
+        finish(attemptId, State.UNKNOWN, null);
+    }
+
+    /** Tells what became of an attempt; one that was never seen is recorded as not to be sent, where that is provable. */
+    public AttemptStatus query(String attemptId, long number, long attemptEpoch) {
+        if (attemptEpoch != epoch) {
+            return new AttemptStatus(State.UNKNOWN, null);
+        }
+        Entry known = entries.get(attemptId);
+        if (known != null) {
+            return new AttemptStatus(known.state(), known.answer());
+        }
+        if (number <= floor) {
+            return new AttemptStatus(State.UNKNOWN, null);
+        }
+        entries.put(attemptId, new Entry(attemptId, number, State.RUNNING, null));
+        finish(attemptId, State.NOT_SENT, null);
+        return new AttemptStatus(State.NOT_SENT, null);
+    }
+
+    /** Returns the number of attempts recorded. */
+    public int size() {
+        return entries.size();
+    }
+
+    /** Returns the attempt number at or below which an unknown attempt may have run. */
+    public long floor() {
+        return floor;
+    }
+
+    private void finish(String attemptId, State state, @Nullable RecordedAnswer answer) {
+        Entry claimed = entries.get(attemptId);
+        if (claimed == null || claimed.state() != State.RUNNING) {
+            throw new IllegalStateException("attempt " + attemptId + " is not claimed");
+        }
+        Entry next = new Entry(attemptId, claimed.number(), state, answer);
+        entries.put(attemptId, next);
+        sizeBytes += next.sizeBytes();
+        // Numbers are log indices and thus unique; a repeated one only shortens the memory of the earlier attempt.
+        Optional.ofNullable(finished.put(claimed.number(), attemptId)).ifPresent(this::forget);
+        evict();
+    }
+
+    private void evict() {
+        while (finished.size() > capacity || (sizeBytes > capacityBytes && !finished.isEmpty())) {
+            Map.Entry<Long, String> oldest = finished.pollFirstEntry();
+            floor = Math.max(floor, oldest.getKey());
+            forget(oldest.getValue());
+        }
+    }
+
+    private void forget(String attemptId) {
+        Entry removed = entries.remove(attemptId);
+        if (removed != null) {
+            floor = Math.max(floor, removed.number());
+            sizeBytes -= removed.sizeBytes();
+        }
+    }
+
+    private static WagtailcartException refusalOf(Entry known) {
+        String text = "attempt " + known.attemptId() + " was received before and is " + known.state();
+        return switch (known.state()) {
+            case NOT_SENT -> new WagtailcartException(ResultCode.ATTEMPT_SUPERSEDED, RunState.NOT_RUN, text);
+            case DONE -> new WagtailcartException(ResultCode.KEY_IN_PROGRESS, RunState.RAN, text);
+            case RUNNING, UNKNOWN -> new WagtailcartException(ResultCode.KEY_IN_PROGRESS, RunState.MAY_HAVE_RUN, text);
+        };
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/ledger/package-info.java
@@ -0,0 +1,5 @@
+/** Record of non-idempotent attempts. */
+@NullMarked
+package org.wagtailcart.sidecar.ledger;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/order/OrderAction.java
@@ -0,0 +1,51 @@
+package org.wagtailcart.sidecar.order;
+
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.EngineTarget;
+
+/** Next thing to do for an engine's order. */
+public sealed interface OrderAction {
+    /** Does it. */
+    void performOn(OrderPort port);
+
+    /** See {@link OrderPort#begin}. */
+    record Begin(long orderNumber) implements OrderAction {
+        @Override
+        public void performOn(OrderPort port) {
+            port.begin(orderNumber);
+        }
+    }
+
+    /** See {@link OrderPort#send}. */
+    record Send(long orderNumber, EngineTarget target, long sendByMillis) implements OrderAction {
+        @Override
+        public void performOn(OrderPort port) {
+            port.send(orderNumber, target, sendByMillis);
+        }
+    }
+
+    /** See {@link OrderPort#askState}. */
+    record AskState() implements OrderAction {
+        @Override
+        public void performOn(OrderPort port) {
+            port.askState();
+        }
+    }
+
+    /** See {@link OrderPort#finish}. */
+    record Finish(long orderNumber, boolean succeeded, @Nullable EngineTarget observed, String text)
+            implements OrderAction {
+        @Override
+        public void performOn(OrderPort port) {
+            port.finish(orderNumber, succeeded, observed, text);
+        }
+    }
+
+    /** See {@link OrderPort#cutStreams}. */
+    record CutStreams() implements OrderAction {
+        @Override
+        public void performOn(OrderPort port) {
+            port.cutStreams();
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/order/OrderExecutor.java
@@ -0,0 +1,200 @@
+package org.wagtailcart.sidecar.order;
+
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.EngineTarget;
+import org.wagtailcart.fleet.OrderState;
+import org.wagtailcart.fleet.UpstreamView;
+
+/**
+ * Decides what to do next for the orders of one engine, strictly one after another. An order is sent only after the
+ * control group has recorded its start, and its outcome is never guessed. Not safe for use by several threads.
+ */
+public final class OrderExecutor {
+    /** Where the order at hand stands. */
+    public enum Phase {
+        IDLE,
+        BEGINNING,
+        SENDING,
+        WATCHING,
+        FINISHING
+    }
+
+    private final OrderTiming timing;
+    private Phase phase = Phase.IDLE;
+    private boolean resultDue;
+    private long nextMillis = Long.MIN_VALUE;
+    private long finishedNumber;
+    private long orderNumber;
+    private @Nullable EngineTarget target;
+    private long beginMillis;
+    private long drainDeadlineMillis = Long.MAX_VALUE;
+    private SendResult delivery = SendResult.LOST;
+    private long settledMillis;
+    private OrderAction.@Nullable Finish outcome;
+
+    /** Creates an executor without an order. */
+    public OrderExecutor(OrderTiming timing) {
+        this.timing = timing;
+    }
+
+    /** Returns where the order at hand stands. */
+    public Phase phase() {
+        return phase;
+    }
+
+    /** Returns whether an order is at hand, so that the engine takes no new work. */
+    public boolean busy() {
+        return phase != Phase.IDLE;
+    }
+
+    /**
+     * Returns the next action, if one is due.
+     *
+     * @param nowMillis monotonic time
+     * @param view the engine as known now
+     * @param running requests that run on the engine
+     * @param drainLimitMillis time that running requests get before they are moved elsewhere
+     */
+    public Optional<OrderAction> step(long nowMillis, UpstreamView view, int running, long drainLimitMillis) {
+        if (resultDue || nowMillis < nextMillis) {
+            return Optional.empty();
+        }
+        return switch (phase) {
+            case IDLE -> takeOrder(nowMillis, view, running, drainLimitMillis);
+            case BEGINNING -> begin(nowMillis);
+            case SENDING, WATCHING -> due(new OrderAction.AskState());
+            case FINISHING -> Optional.ofNullable(outcome).flatMap(this::due);
+        };
+    }
+
+    /** Reports the answer to {@link OrderAction.Begin}. Returns the order to be sent at once when it was permitted. */
+    public Optional<OrderAction> begun(boolean permitted, long nowMillis) {
+        expect(Phase.BEGINNING);
+        EngineTarget ordered = target;
+        if (!permitted || ordered == null) {
+            become(Phase.IDLE, nowMillis + timing.retryMillis());
+            return Optional.empty();
+        }
+        phase = Phase.SENDING;
+        return due(new OrderAction.Send(orderNumber, ordered, beginMillis + timing.sendLimitMillis()));
+    }
+
+    /** Reports that the control group gave no answer to {@link OrderAction.Begin}. */
+    public void beginUnanswered(long nowMillis) {
+        expect(Phase.BEGINNING);
+        become(Phase.BEGINNING, nowMillis + timing.retryMillis());
+    }
+
+    /** Reports the result of {@link OrderAction.Send}. */
+    public void sent(SendResult result, long nowMillis) {
+        expect(Phase.SENDING);
+        if (result == SendResult.NOT_SENT) {
+            conclude(false, null, "order was not sent: engine not reachable, or permission too old", nowMillis);
+            return;
+        }
+        watch(result, nowMillis);
+    }
+
+    /** Reports the engine's answer to {@link OrderAction.AskState}. */
+    public void observed(EngineState state, long nowMillis) {
+        expect(Phase.WATCHING);
+        if (state.changing()) {
+            become(Phase.WATCHING, nowMillis + timing.pollMillis());
+        } else if (state.fencingToken() == orderNumber) {
+            boolean reached = target == null || state.target().equals(target);
+            conclude(reached, state.target(), reached ? "" : "engine ended in another configuration", nowMillis);
+        } else if (state.fencingToken() > orderNumber) {
+            conclude(false, state.target(), "engine has a later order " + state.fencingToken(), nowMillis);
+        } else if (delivery == SendResult.LOST && nowMillis < settledMillis) {
+            become(Phase.WATCHING, nowMillis + timing.pollMillis());
+        } else {
+            conclude(false, state.target(), "engine does not have the order: " + delivery, nowMillis);
+        }
+    }
+
+    /** Reports that the engine did not answer {@link OrderAction.AskState}. */
+    public void stateUnavailable(long nowMillis) {
+        expect(Phase.WATCHING);
+        become(Phase.WATCHING, nowMillis + timing.pollMillis());
+    }
+
+    /** Reports that the control group answered {@link OrderAction.Finish}; a refusal means another process finished it. */
+    public void finished(long nowMillis) {
+        expect(Phase.FINISHING);
+        finishedNumber = orderNumber;
+        become(Phase.IDLE, nowMillis);
+    }
+
+    /** Reports that the control group gave no answer to {@link OrderAction.Finish}. */
+    public void finishUnanswered(long nowMillis) {
+        expect(Phase.FINISHING);
+        become(Phase.FINISHING, nowMillis + timing.retryMillis());
+    }
+
+    private Optional<OrderAction> takeOrder(long nowMillis, UpstreamView view, int running, long drainLimitMillis) {
+        // The view lags: it may still show an order that this executor has finished.
+        if (view.startedOrderNumber() > finishedNumber) {
+            orderNumber = view.startedOrderNumber();
+            target = view.orderNumber() == orderNumber ? view.target() : null;
+            watch(SendResult.LOST, nowMillis);
+            return due(new OrderAction.AskState());
+        }
+        if (view.orderState() != OrderState.ISSUED || view.orderNumber() <= finishedNumber) {
+            drainDeadlineMillis = Long.MAX_VALUE;
+            return Optional.empty();
+        }
+        if (running > 0) {
+            return drain(nowMillis, drainLimitMillis);
+        }
+        drainDeadlineMillis = Long.MAX_VALUE;
+        orderNumber = view.orderNumber();
+        target = view.target();
+        return begin(nowMillis);
+    }
+
+    private Optional<OrderAction> drain(long nowMillis, long drainLimitMillis) {
+        if (drainDeadlineMillis == Long.MAX_VALUE) {
+            drainDeadlineMillis = nowMillis + drainLimitMillis;
+        }
+        if (nowMillis < drainDeadlineMillis) {
+            return Optional.empty();
+        }
+        nextMillis = nowMillis + timing.pollMillis();
+        return Optional.of(new OrderAction.CutStreams());
+    }
+
+    private Optional<OrderAction> begin(long nowMillis) {
+        phase = Phase.BEGINNING;
+        beginMillis = nowMillis;
+        return due(new OrderAction.Begin(orderNumber));
+    }
+
+    private void watch(SendResult result, long nowMillis) {
+        delivery = result;
+        settledMillis = nowMillis + timing.settleMillis();
+        become(Phase.WATCHING, nowMillis);
+    }
+
+    private void conclude(boolean succeeded, @Nullable EngineTarget observed, String text, long nowMillis) {
+        outcome = new OrderAction.Finish(orderNumber, succeeded, observed, text);
+        become(Phase.FINISHING, nowMillis);
+    }
+
+    private void become(Phase next, long notBeforeMillis) {
+        phase = next;
+        resultDue = false;
+        nextMillis = notBeforeMillis;
+    }
+
+    private Optional<OrderAction> due(OrderAction action) {
+        resultDue = true;
+        return Optional.of(action);
+    }
+
+    private void expect(Phase expected) {
+        if (phase != expected || !resultDue) {
+            throw new IllegalStateException("result for phase " + expected + " in phase " + phase);
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/EngineLoad.java
@@ -0,0 +1,20 @@
+package org.wagtailcart.sidecar.upstream;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * Load that an engine reports.
+ *
+ * @param batchSize sequences in its batch
+ * @param promptTokensPerSecond prompt tokens it processes
+ * @param outputTokensPerSecond tokens it generates
+ * @param tokenIntervalMillis time between tokens of a stream
+ */
+public record EngineLoad(
+        @JsonProperty("batch_size") double batchSize,
+        @JsonProperty("prompt_tokens_per_second") double promptTokensPerSecond,
+        @JsonProperty("output_tokens_per_second") double outputTokensPerSecond,
+        @JsonProperty("token_interval_millis") double tokenIntervalMillis) {
+    /** Load of an upstream that reports none. */
+    public static final EngineLoad NONE = new EngineLoad(0, 0, 0, 0);
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/SendGuard.java
@@ -0,0 +1,51 @@
+package org.wagtailcart.sidecar.upstream;
+
+import java.io.IOException;
+import java.util.List;
+import okhttp3.Interceptor;
+import okhttp3.Response;
+import org.wagtailcart.common.MillisClock;
+
+/** Remembers whether a request may have reached its upstream, and keeps a late or second one from being written. */
+final class SendGuard {
+    private final long sendByMillis;
+    private volatile boolean sent;
+    private volatile List<String> retryAfter = List.of();
+
+    SendGuard(long sendByMillis) {
+        this.sendByMillis = sendByMillis;
+    }
+
+    /** Returns whether a byte of the request may have left this process. */
+    boolean sent() {
+        return sent;
+    }
+
+    /** Returns the values of the answer's Retry-After header. */
+    List<String> retryAfter() {
+        return retryAfter;
+    }
+
+    /** Runs between connecting and writing. */
+    static Response intercept(Interceptor.Chain chain, MillisClock clock) throws IOException {
+        SendGuard guard = chain.request().tag(SendGuard.class);
+        if (guard == null) {
+            return chain.proceed(chain.request());
+        }
+        guard.pass(clock.nowMillis());
+        Response response = chain.proceed(chain.request());
+        guard.retryAfter = response.headers("Retry-After");
+        // OkHttp repeats a request that was answered 503 with "Retry-After: 0", whatever its retry setting.
+        return response.newBuilder().removeHeader("Retry-After").build();
+    }
+
+    private void pass(long nowMillis) throws IOException {
+        if (sent) {
+            throw new IOException("request was written before");
+        }
+        if (nowMillis > sendByMillis) {
+            throw new IOException("request is too late to be written");
+        }
+        sent = true;
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamClient.java
@@ -0,0 +1,138 @@
+package org.wagtailcart.sidecar.upstream;
+
+import java.net.Proxy;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import okhttp3.ConnectionPool;
+import okhttp3.OkHttpClient;
+import okhttp3.Protocol;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.internal.http.HttpMethod;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.Priority;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.sidecar.message.AttemptRequest;
+
+/** HTTP client towards the upstreams of a sidecar. It never repeats a request by itself. */
+public final class UpstreamClient {
+    static final String REQUEST_ID = "X-Request-Id";
+
+    private static final Set<String> HOP_HEADERS = Set.of(
+            "connection",
+            "host",
+            "content-length",
+            "transfer-encoding",
+            "keep-alive",
+            "te",
+            "trailer",
+            "upgrade",
+            "expect",
+            "proxy-authorization",
+            "proxy-connection");
+
+    private final OkHttpClient client;
+    private final UpstreamOptions options;
+    private final MillisClock clock;
+
+    /** Creates a client without connections. */
+    public UpstreamClient(UpstreamOptions options, MillisClock clock) {
+        this.options = options;
+        this.clock = clock;
+        // A connection serves one request: an idle one that went silent, or that still carries the late answer to an
+        // earlier request, is then never used. The upstream is on the same host, so a new connection costs little.
+        client = new OkHttpClient.Builder()
+                .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+                .retryOnConnectionFailure(false)
+                .followRedirects(false)
+                .followSslRedirects(false)
+                .protocols(List.of(Protocol.HTTP_1_1))
+                .proxy(Proxy.NO_PROXY)
+                .connectTimeout(options.connectLimitMillis(), TimeUnit.MILLISECONDS)
+                .readTimeout(options.controlLimitMillis(), TimeUnit.MILLISECONDS)
+                .writeTimeout(options.silenceLimitMillis(), TimeUnit.MILLISECONDS)
+                .addNetworkInterceptor(chain -> SendGuard.intercept(chain, clock))
+                .build();
+    }
+
+    OkHttpClient http() {
+        return client;
+    }
+
+    MillisClock clock() {
+        return clock;
+    }
+
+    UpstreamOptions options() {
+        return options;
+    }
+
+    /**
+     * Prepares a call; nothing is sent yet.
+     *
+     * @param remainingMillis time until the deadline of the request
+     * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT} when the request is no valid HTTP request
+     */
+    public UpstreamCall prepare(UpstreamView upstream, AttemptRequest attempt, long remainingMillis) {
+        SendGuard guard = new SendGuard(Long.MAX_VALUE);
+        long limitMillis = remainingMillis + (attempt.nonIdempotent() ? options.outcomeGraceMillis() : 0);
+        boolean completion = isCompletion(upstream, attempt);
+        boolean streamed = completion && CompletionFields.isStreamed(attempt.body());
+        long headMillis = streamed ? Math.min(limitMillis, headLimit(attempt.priority())) : limitMillis;
+        OkHttpClient limited = client.newBuilder()
+                .readTimeout(Math.max(1, headMillis), TimeUnit.MILLISECONDS)
+                .callTimeout(Math.max(1, limitMillis), TimeUnit.MILLISECONDS)
+                .build();
+        Request request = request(upstream, attempt, guard);
+        return new UpstreamCall(limited.newCall(request), guard, attempt.attemptId(), completion, options);
+    }
+
+    /** Returns whether the answer must carry the request id. */
+    private static boolean isCompletion(UpstreamView upstream, AttemptRequest attempt) {
+        return switch (upstream.kind()) {
+            case ENGINE -> attempt.path().endsWith("/completions");
+            case SERVICE -> false;
+        };
+    }
+
+    private long headLimit(Priority priority) {
+        return priority == Priority.BATCH ? options.batchHeadLimitMillis() : options.headLimitMillis();
+    }
+
+    private static Request request(UpstreamView upstream, AttemptRequest attempt, SendGuard guard) {
+        try {
+            Request.Builder builder = new Request.Builder()
+                    .url("http://" + upstream.address() + attempt.path())
+                    .tag(SendGuard.class, guard)
+                    // Without this header OkHttp would ask for a compressed answer and change what the caller gets.
+                    .header("Accept-Encoding", "identity");
+            addHeaders(builder, attempt.headers());
+            return builder.header(REQUEST_ID, attempt.attemptId())
+                    .method(attempt.method(), bodyOf(attempt))
+                    .build();
+        } catch (IllegalArgumentException e) {
+            throw new WagtailcartException(ResultCode.INVALID_ARGUMENT, "request cannot be sent by HTTP: " + e, e);
+        }
+    }
+
+    private static void addHeaders(Request.Builder builder, List<String> lines) {
+        IntStream.range(0, lines.size() / 2)
+                .map(i -> 2 * i)
+                .filter(i -> !HOP_HEADERS.contains(lines.get(i).toLowerCase(Locale.ROOT)))
+                .filter(i -> !lines.get(i).equalsIgnoreCase("Accept-Encoding"))
+                .forEach(i -> builder.addHeader(lines.get(i), lines.get(i + 1)));
+    }
+
+    private static @Nullable RequestBody bodyOf(AttemptRequest attempt) {
+        if (attempt.body().length == 0 && !HttpMethod.requiresRequestBody(attempt.method())) {
+            return null;
+        }
+        return new OneShotBody(attempt.body());
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/package-info.java
@@ -0,0 +1,5 @@
+/** HTTP towards upstreams. */
+@NullMarked
+package org.wagtailcart.sidecar.upstream;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/TestExchange.java
@@ -0,0 +1,88 @@
+package org.wagtailcart.sidecar;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.sidecar.message.AttemptChunk;
+import org.wagtailcart.sidecar.message.AttemptStarted;
+import org.wagtailcart.wire.Exchange;
+
+/** An exchange whose answers stay in memory. */
+final class TestExchange implements Exchange {
+    private final List<Object> events = new CopyOnWriteArrayList<>();
+    private final CompletableFuture<Object> end = new CompletableFuture<>();
+    private final AtomicReference<Runnable> cancelAction = new AtomicReference<>(() -> {});
+
+    @Override
+    public String peer() {
+        return "test";
+    }
+
+    @Override
+    public void send(Object event) {
+        events.add(event);
+    }
+
+    @Override
+    public void finish(Object answer) {
+        end.complete(answer);
+    }
+
+    @Override
+    public void fail(WagtailcartException error) {
+        end.completeExceptionally(error);
+    }
+
+    @Override
+    public void onCancel(Runnable action) {
+        cancelAction.set(action);
+    }
+
+    @Override
+    public boolean isCancelled() {
+        return false;
+    }
+
+    void cancel() {
+        cancelAction.get().run();
+    }
+
+    List<Object> events() {
+        return events;
+    }
+
+    boolean ended() {
+        return end.isDone();
+    }
+
+    AttemptStarted started() {
+        return (AttemptStarted) events.get(0);
+    }
+
+    String body() {
+        StringBuilder text = new StringBuilder();
+        events.stream()
+                .filter(AttemptChunk.class::isInstance)
+                .forEach(chunk -> text.append(
+                        new String(((AttemptChunk) chunk).bytes(), java.nio.charset.StandardCharsets.UTF_8)));
+        return text.toString();
+    }
+
+    /** Waits for the end; returns the last answer. */
+    Object answer() throws Exception {
+        return end.get(60, TimeUnit.SECONDS);
+    }
+
+    /** Waits for the end, which must be an error. */
+    WagtailcartException failure() throws Exception {
+        try {
+            throw new AssertionError("exchange ended with " + answer());
+        } catch (ExecutionException e) {
+            return (WagtailcartException) e.getCause();
+        }
+    }
+}
