Take failing and full upstreams out of routing

A router that sends on to a dead upstream wastes the attempt, and one that only counts its own requests overfills an engine shared with other entries. Health trackers (none, ejection, circuit breaker) and fresh load reports now decide whether an upstream is open; times at which it reopens are kept in a queue, so a decision still costs the same at any fleet size. At most half of a pool is out for failures.

--- a/policy/src/main/java/org/wagtailcart/policy/routing/AttemptLoad.java
+++ b/policy/src/main/java/org/wagtailcart/policy/routing/AttemptLoad.java
@@ -48,9 +48,11 @@
         outputUpstream.outputWork = Math.max(0, outputUpstream.outputWork - done);
     }
 
-    void finish() {
-        finishPrompt();
+    /** Takes the rest off the account; returns whether the prompt had been done before. */
+    boolean finish() {
+        boolean promptDone = !finishPrompt();
         outputUpstream.outputWork = Math.max(0, outputUpstream.outputWork - outputWork);
         outputUpstream.inFlight--;
+        return promptDone;
     }
 }
--- a/policy/src/main/java/org/wagtailcart/policy/routing/LoadAwareRouter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/routing/LoadAwareRouter.java
@@ -40,13 +40,17 @@
                         Collectors.toMap(RoutableUpstream::upstreamId, Function.identity(), (first, second) -> second));
         upstreams.values().forEach(load -> pool(load).remove(load));
         upstreams.keySet().retainAll(byId.keySet());
-        byId.values().forEach(this::install);
+        byId.values().forEach(upstream -> install(upstream, nowMillis));
     }
 
-    private void install(RoutableUpstream upstream) {
-        UpstreamLoad load = upstreams.computeIfAbsent(upstream.upstreamId(), id -> new UpstreamLoad(upstream));
+    private void install(RoutableUpstream upstream, long nowMillis) {
+        UpstreamLoad load = upstreams.computeIfAbsent(upstream.upstreamId(), id -> newLoad(upstream));
         load.upstream = upstream;
-        refresh(load);
+        pool(load).add(load, nowMillis);
+    }
+
+    private UpstreamLoad newLoad(RoutableUpstream upstream) {
+        return new UpstreamLoad(upstream, options.health().tracker(options.healthOptions()));
     }
 
     @Override
@@ -58,6 +62,7 @@
         if (pool == null) {
             return Optional.empty();
         }
+        pool.reopen(nowMillis);
         UpstreamLoad prefill = best(pool.prompt, request, nowMillis, 0);
         double prefillScore = prefill == null ? Double.MAX_VALUE : score(prefill, request, nowMillis, 0);
         UpstreamLoad output = best(pool.output, request, nowMillis, prefillScore);
@@ -65,18 +70,26 @@
             return Optional.empty();
         }
         UpstreamLoad splitPrefill = output.role() == EngineRole.DECODE ? prefill : null;
-        return Optional.of(account(attemptId, request, splitPrefill, output));
+        return Optional.of(account(attemptId, request, splitPrefill, output, nowMillis));
     }
 
     private Route account(
-            String attemptId, RoutingRequest request, @Nullable UpstreamLoad prefill, UpstreamLoad output) {
+            String attemptId,
+            RoutingRequest request,
+            @Nullable UpstreamLoad prefill,
+            UpstreamLoad output,
+            long nowMillis) {
         UpstreamLoad promptUpstream = prefill == null ? output : prefill;
         AttemptLoad attempt =
                 new AttemptLoad(prefill, output, promptWork(promptUpstream, request), request.outputTokens());
         attempts.put(attemptId, attempt);
         hints.note(request.prefixHashes(), promptUpstream.id);
-        refresh(promptUpstream);
-        refresh(output);
+        promptUpstream.health.onSent(nowMillis);
+        if (output != promptUpstream) {
+            output.health.onSent(nowMillis);
+        }
+        refresh(promptUpstream, nowMillis);
+        refresh(output, nowMillis);
         return new Route(Optional.ofNullable(prefill).map(load -> load.id), output.id);
     }
 
@@ -130,7 +143,7 @@
     public void onFirstToken(String attemptId, long nowMillis) {
         AttemptLoad attempt = attempts.get(attemptId);
         if (attempt != null && attempt.finishPrompt()) {
-            refresh(attempt.promptUpstream);
+            refresh(attempt.promptUpstream, nowMillis);
         }
     }
 
@@ -146,9 +159,23 @@
     public void onFinished(String attemptId, Outcome outcome, long nowMillis) {
         AttemptLoad attempt = attempts.remove(attemptId);
         if (attempt != null) {
-            attempt.finish();
-            refresh(attempt.promptUpstream);
-            refresh(attempt.outputUpstream);
+            boolean promptDone = attempt.finish();
+            noteOutcome(attempt.outputUpstream, outcome, nowMillis);
+            if (attempt.split() && !promptDone) {
+                // Before the first token either engine may be the cause.
+                noteOutcome(attempt.promptUpstream, outcome, nowMillis);
+            }
+            refresh(attempt.promptUpstream, nowMillis);
+            refresh(attempt.outputUpstream, nowMillis);
+        }
+    }
+
+    private void noteOutcome(UpstreamLoad load, Outcome outcome, long nowMillis) {
+        switch (outcome) {
+            case SUCCESS -> load.health.onOutcome(true, nowMillis);
+            case FAILURE -> load.health.onOutcome(false, nowMillis);
+            case REFUSED -> load.pausedUntilMillis = nowMillis + options.refusalPauseMillis();
+            case CANCELLED -> {}
         }
     }
 
@@ -158,17 +185,15 @@
         if (load != null) {
             load.foreignRequests = Math.max(0, running + queued - load.inFlight);
             load.reportMillis = nowMillis;
+            refresh(load, nowMillis);
         }
     }
 
-    /** Puts an upstream into or out of its set; one that has left the fleet stays out. */
-    private void refresh(UpstreamLoad load) {
-        if (upstreams.get(load.id) == load) {
-            pool(load).refresh(load);
-        }
+    private void refresh(UpstreamLoad load, long nowMillis) {
+        pool(load).refresh(load, nowMillis);
     }
 
     private PoolUpstreams pool(UpstreamLoad load) {
-        return pools.computeIfAbsent(load.upstream.pool(), unused -> new PoolUpstreams());
+        return pools.computeIfAbsent(load.upstream.pool(), unused -> new PoolUpstreams(options.reportTrustMillis()));
     }
 }
--- a/policy/src/main/java/org/wagtailcart/policy/routing/PoolUpstreams.java
+++ b/policy/src/main/java/org/wagtailcart/policy/routing/PoolUpstreams.java
@@ -1,23 +1,81 @@
 package org.wagtailcart.policy.routing;
 
-/** Upstreams of one pool that have room, by stage. */
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.PriorityQueue;
+import java.util.Set;
+
+/** Upstreams of one pool that may get work, by stage. */
 final class PoolUpstreams {
     /** Prefill engines; mixed engines process the prompts of their own requests. */
     final OpenSet prompt = new OpenSet(UpstreamLoad.PROMPT_SLOT);
     /** Decode and mixed engines, and plain services. */
     final OpenSet output = new OpenSet(UpstreamLoad.OUTPUT_SLOT);
 
-    void refresh(UpstreamLoad load) {
-        OpenSet set = load.role().takesOutput() ? output : prompt;
-        if (load.hasRoom()) {
-            set.add(load);
-        } else {
-            set.remove(load);
-        }
+    private final long trustMillis;
+    private final Set<UpstreamLoad> members = new HashSet<>();
+    private final Set<UpstreamLoad> out = new HashSet<>();
+    private final PriorityQueue<Reopening> reopenings =
+            new PriorityQueue<>(Comparator.comparingLong(Reopening::atMillis));
+
+    PoolUpstreams(long trustMillis) {
+        this.trustMillis = trustMillis;
+    }
+
+    void add(UpstreamLoad load, long nowMillis) {
+        members.add(load);
+        refresh(load, nowMillis);
     }
 
     void remove(UpstreamLoad load) {
+        members.remove(load);
+        out.remove(load);
         prompt.remove(load);
         output.remove(load);
     }
+
+    /** Puts an upstream into or out of its set as its room and health say; ignores one that has left. */
+    void refresh(UpstreamLoad load, long nowMillis) {
+        if (!members.contains(load)) {
+            return;
+        }
+        OpenSet set = load.role().takesOutput() ? output : prompt;
+        if (takenOut(load, nowMillis) || !load.hasRoom(nowMillis, trustMillis)) {
+            set.remove(load);
+            schedule(load, load.reopensMillis(nowMillis, trustMillis));
+        } else {
+            set.add(load);
+        }
+    }
+
+    /** Takes back upstreams whose time out has passed. */
+    void reopen(long nowMillis) {
+        while (!reopenings.isEmpty() && reopenings.peek().atMillis() <= nowMillis) {
+            refresh(reopenings.remove().load(), nowMillis);
+        }
+    }
+
+    /** At most half of a pool is out for failures: beyond that the cause is elsewhere and more load would fall on the rest. */
+    private boolean takenOut(UpstreamLoad load, long nowMillis) {
+        long from = load.admitsFromMillis(nowMillis);
+        if (from <= nowMillis) {
+            out.remove(load);
+            return false;
+        }
+        if (!out.contains(load) && out.size() >= members.size() / 2) {
+            return false;
+        }
+        out.add(load);
+        schedule(load, from);
+        return true;
+    }
+
+    private void schedule(UpstreamLoad load, long atMillis) {
+        if (atMillis < Long.MAX_VALUE && load.scheduledMillis != atMillis) {
+            load.scheduledMillis = atMillis;
+            reopenings.add(new Reopening(atMillis, load));
+        }
+    }
+
+    private record Reopening(long atMillis, UpstreamLoad load) {}
 }
--- a/policy/src/main/java/org/wagtailcart/policy/routing/UpstreamLoad.java
+++ b/policy/src/main/java/org/wagtailcart/policy/routing/UpstreamLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.policy.health.HealthTracker;
 
 /** This entry's account of one upstream. */
 final class UpstreamLoad {
@@ -10,6 +11,7 @@
 
     final String id;
     final int[] positions = new int[2];
+    final HealthTracker health;
     RoutableUpstream upstream;
     int inFlight;
     /** Prompt work not yet processed, in output-token units. */
@@ -19,18 +21,36 @@
     /** Requests of other entries, from the newest report. */
     double foreignRequests;
 
-    long reportMillis;
+    long reportMillis = Long.MIN_VALUE / 2;
     /** Moving average of the work of one request here. */
     double workPerRequest;
 
-    UpstreamLoad(RoutableUpstream upstream) {
+    long pausedUntilMillis;
+    /** Newest time scheduled for a check of this upstream. */
+    long scheduledMillis;
+
+    UpstreamLoad(RoutableUpstream upstream, HealthTracker health) {
         this.id = upstream.upstreamId();
+        this.health = health;
         this.upstream = upstream;
         Arrays.fill(positions, -1);
     }
 
-    boolean hasRoom() {
-        return inFlight < upstream.maxInFlight();
+    /** Returns whether it takes one more request, counting those of other entries while their report is fresh. */
+    boolean hasRoom(long nowMillis, long trustMillis) {
+        boolean fresh = nowMillis < reportMillis + trustMillis;
+        return inFlight + (fresh ? foreignRequests : 0) < upstream.maxInFlight();
+    }
+
+    /** Returns the time from which this upstream may have room although nothing of this entry ends there. */
+    long reopensMillis(long nowMillis, long trustMillis) {
+        boolean fullByReport = inFlight < upstream.maxInFlight() && !hasRoom(nowMillis, trustMillis);
+        return fullByReport ? reportMillis + trustMillis : Long.MAX_VALUE;
+    }
+
+    /** Returns the time from which it may get requests again after failures or a refusal. */
+    long admitsFromMillis(long nowMillis) {
+        return Math.max(pausedUntilMillis, health.admitsFromMillis(nowMillis));
     }
 
     EngineRole role() {
