--- /dev/null
+++ b/policy/src/main/java/org/wagtailcart/policy/power/IntervalModel.java
@@ -0,0 +1,43 @@
+package org.wagtailcart.policy.power;
+
+/**
+ * Token interval as a linear function of batch size, fitted by least squares with exponential forgetting. Engines of a
+ * fleet share one model: single engines visit too few batch sizes to fit a line.
+ */
+final class IntervalModel {
+    /** Samples after which a line is trusted. */
+    private static final int MIN_SAMPLES = 20;
+
+    /** Half of the weight is younger than about 700 samples, a minute of reports from 13 engines. */
+    private static final double FORGETTING = 0.999;
+
+    private double weight;
+    private double sumX;
+    private double sumY;
+    private double sumXx;
+    private double sumXy;
+    private int samples;
+
+    void add(double batchSize, double intervalMillis) {
+        weight = weight * FORGETTING + 1;
+        sumX = sumX * FORGETTING + batchSize;
+        sumY = sumY * FORGETTING + intervalMillis;
+        sumXx = sumXx * FORGETTING + batchSize * batchSize;
+        sumXy = sumXy * FORGETTING + batchSize * intervalMillis;
+        samples++;
+    }
+
+    boolean trusted() {
+        return samples >= MIN_SAMPLES;
+    }
+
+    /** Returns the interval that the batch size explains. */
+    double expectedMillis(double batchSize) {
+        double spread = weight * sumXx - sumX * sumX;
+        if (spread < 1e-6 * weight * weight) {
+            return sumY / weight;
+        }
+        double slope = Math.max(0, (weight * sumXy - sumX * sumY) / spread);
+        return (sumY - slope * sumX) / weight + slope * batchSize;
+    }
+}
