--- /dev/null
+++ b/policy/src/main/java/org/wagtailcart/policy/role/RoleCounts.java
@@ -0,0 +1,64 @@
+package org.wagtailcart.policy.role;
+
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.wagtailcart.common.EngineRole;
+
+/** Engines per role. */
+record RoleCounts(int prefill, int decode, int mixed) {
+    static RoleCounts of(Collection<EngineRole> roles) {
+        Map<EngineRole, Integer> counts = new EnumMap<>(EngineRole.class);
+        Stream.of(EngineRole.values()).forEach(role -> counts.put(role, 0));
+        roles.forEach(role -> counts.merge(role, 1, Integer::sum));
+        return new RoleCounts(
+                counts.getOrDefault(EngineRole.PREFILL, 0),
+                counts.getOrDefault(EngineRole.DECODE, 0),
+                counts.getOrDefault(EngineRole.MIXED, 0));
+    }
+
+    int of(EngineRole role) {
+        return switch (role) {
+            case PREFILL -> prefill;
+            case DECODE -> decode;
+            case MIXED -> mixed;
+        };
+    }
+
+    RoleCounts plus(EngineRole role, int change) {
+        return new RoleCounts(
+                prefill + (role == EngineRole.PREFILL ? change : 0),
+                decode + (role == EngineRole.DECODE ? change : 0),
+                mixed + (role == EngineRole.MIXED ? change : 0));
+    }
+
+    /**
+     * Returns the utilization at which these engines serve the demand, with mixed engines on whatever is scarcer.
+     * Infinite when a stage has no engine.
+     */
+    double utilization(Demand demand, RoleOptions options) {
+        double low = 0;
+        double high = 64;
+        if (!fits(demand, options, high)) {
+            return Double.POSITIVE_INFINITY;
+        }
+        // 24 halvings of 64 resolve utilization to 4e-6.
+        for (int i = 0; i < 24; i++) {
+            double middle = (low + high) / 2;
+            if (fits(demand, options, middle)) {
+                high = middle;
+            } else {
+                low = middle;
+            }
+        }
+        return high;
+    }
+
+    private boolean fits(Demand demand, RoleOptions options, double utilization) {
+        double prompt = demand.promptTokensPerSecond() / utilization / options.prefillTokensPerSecond();
+        double output = demand.outputTokensPerSecond() / utilization / options.decodeTokensPerSecond();
+        double mixedNeeded = (Math.max(0, prompt - prefill) + Math.max(0, output - decode)) / options.mixedEfficiency();
+        return mixedNeeded <= mixed;
+    }
+}
