Test the entry's streams against a sidecar on a real connection

EntryStreamTest plays broken attempts over the wire module: dead upstream, drain, lost, repeated and crossed events, wrong counts, missing and repeated tokens.

--- /dev/null
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
@@ -0,0 +1,184 @@
+package org.wagtailcart.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.sidecar.message.AttemptChunk;
+import org.wagtailcart.sidecar.message.AttemptEnd;
+import org.wagtailcart.wire.Exchange;
+
+class EntryStreamTest {
+    private static final Pattern TOKEN = Pattern.compile("\"content\":\"(t[0-9]+)\"");
+
+    private final FakeControl control = new FakeControl();
+    private final FakeSidecar first = new FakeSidecar();
+    private final FakeSidecar second = new FakeSidecar();
+    private EntryRig rig;
+
+    @BeforeEach
+    void start() {
+        control.addEngine("e1", first.address, EngineRole.MIXED, 4);
+        control.addEngine("e2", second.address, EngineRole.MIXED, 4);
+        rig = new EntryRig(control, OnControlLoss.REFUSE);
+    }
+
+    @AfterEach
+    void stop() {
+        rig.close();
+        first.close();
+        second.close();
+    }
+
+    private static List<String> tokens(String body) {
+        return TOKEN.matcher(body).results().map(result -> result.group(1)).toList();
+    }
+
+    private static void assertWhole(HttpResponse<String> answer) {
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(tokens(answer.body()))
+                .containsExactlyElementsIn(IntStream.range(0, FakeSidecar.TOKENS)
+                        .mapToObj(i -> "t" + i)
+                        .toList())
+                .inOrder();
+        assertThat(answer.body()).endsWith("data: [DONE]\n\n");
+        assertThat(Pattern.compile("\"id\":\"([^\"]+)\"")
+                        .matcher(answer.body())
+                        .results()
+                        .map((MatchResult result) -> result.group(1))
+                        .distinct()
+                        .count())
+                .isEqualTo(1);
+    }
+
+    /** Guards against a changed or cut answer on the simplest path. */
+    @Test
+    void passesStreamedAndWholeAnswersOn() {
+        assertWhole(rig.complete(true));
+        HttpResponse<String> whole = rig.complete(false);
+        assertThat(whole.statusCode()).isEqualTo(200);
+        assertThat(whole.body()).contains("\"priority\":1");
+        assertThat(whole.headers().firstValue("X-Kept")).hasValue("yes");
+        assertThat(whole.headers().firstValue("Wagtailcart-Result-Code")).hasValue("0");
+        assertThat(rig.get("/v1/models").body()).contains("\"id\":\"m\"");
+        assertThat(rig.count("entry.finish.0")).isEqualTo(2);
+    }
+
+    static Stream<Arguments> brokenAttempts() {
+        return Stream.of(
+                broken("upstream dies", (request, exchange) -> {
+                    FakeSidecar.stream(request, exchange, 5);
+                    exchange.fail(new WagtailcartException(ResultCode.UPSTREAM_FAILED, "engine died"));
+                }),
+                broken("drain", (request, exchange) -> {
+                    FakeSidecar.stream(request, exchange, 5);
+                    exchange.fail(new WagtailcartException(ResultCode.UPSTREAM_LEAVING, "drain limit"));
+                }),
+                broken(
+                        "refused before the start",
+                        (request, exchange) ->
+                                exchange.fail(new WagtailcartException(ResultCode.UPSTREAM_REFUSED, "full"))),
+                broken("end without the last event", (request, exchange) -> {
+                    FakeSidecar.stream(request, exchange, 5);
+                    long size = IntStream.range(0, 5)
+                            .mapToLong(i -> FakeSidecar.tokenBytes(request, i).length)
+                            .sum();
+                    exchange.finish(new AttemptEnd(request.attemptId(), 5, size, 0, 0));
+                }),
+                broken("wrong byte count", (request, exchange) -> {
+                    FakeSidecar.stream(request, exchange, FakeSidecar.TOKENS);
+                    exchange.send(
+                            new AttemptChunk(request.attemptId(), FakeSidecar.TOKENS, FakeSidecar.lastBytes(request)));
+                    exchange.finish(new AttemptEnd(
+                            request.attemptId(), FakeSidecar.TOKENS + 1, FakeSidecar.sizeOf(request) + 1, 0, 0));
+                }),
+                broken("lost chunk", (request, exchange) -> {
+                    FakeSidecar.stream(request, exchange, 3);
+                    exchange.send(FakeSidecar.token(request, 4, 4));
+                }),
+                broken("engine skips a token", (request, exchange) -> {
+                    FakeSidecar.stream(request, exchange, 3);
+                    exchange.send(FakeSidecar.token(request, 3, 4));
+                }),
+                broken("engine repeats a token", (request, exchange) -> {
+                    FakeSidecar.stream(request, exchange, 3);
+                    exchange.send(FakeSidecar.token(request, 3, 2));
+                }),
+                broken("end of another attempt", (request, exchange) -> {
+                    FakeSidecar.stream(request, exchange, 3);
+                    exchange.finish(new AttemptEnd("other", 3, 3, 0, 0));
+                }));
+    }
+
+    private static Arguments broken(String name, FakeSidecar.Script script) {
+        return Arguments.of(name, script);
+    }
+
+    /** Guards against a stream with repeated, missing or foreign tokens after its attempt breaks in any way. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("brokenAttempts")
+    void aBrokenAttemptIsContinuedElsewhere(String name, FakeSidecar.Script script) {
+        first.scripts.add(script);
+        assertWhole(rig.complete(true));
+        assertThat(second.received).hasSize(1);
+    }
+
+    /** Guards against repeated and crossed events that reach the caller. */
+    @Test
+    void repeatedAndCrossedEventsAreDropped() {
+        first.scripts.add((request, exchange) -> {
+            FakeSidecar.stream(request, exchange, 4);
+            exchange.send(FakeSidecar.token(request, 3, 3));
+            exchange.send(new AttemptChunk("other", 4, FakeSidecar.tokenBytes(request, 9)));
+            IntStream.range(4, FakeSidecar.TOKENS).forEach(i -> exchange.send(FakeSidecar.token(request, i, i)));
+            FakeSidecar.finish(request, exchange);
+        });
+        assertWhole(rig.complete(true));
+        assertThat(second.received).isEmpty();
+    }
+
+    /** Guards against a stream that looks whole although no engine could finish it. */
+    @Test
+    void aStreamThatCannotBeContinuedEndsWithAnErrorEvent() {
+        IntStream.range(0, 10).forEach(i -> {
+            first.scripts.add(EntryStreamTest::dieAfterTwo);
+            second.scripts.add(EntryStreamTest::dieAfterTwo);
+        });
+        HttpResponse<String> answer = rig.complete(true);
+        assertThat(answer.body()).contains("event: error\ndata: {\"error\":{\"code\":6002,");
+        assertThat(answer.body()).doesNotContain("[DONE]");
+    }
+
+    private static void dieAfterTwo(org.wagtailcart.sidecar.message.AttemptRequest request, Exchange exchange) {
+        FakeSidecar.stream(request, exchange, 2);
+        exchange.fail(new WagtailcartException(ResultCode.UPSTREAM_FAILED, "engine died"));
+    }
+
+    /** Guards against an entry that sends work with old settings or spends its retry budget on a sync. */
+    @Test
+    void staleSettingsAreSyncedAndRetriedWithoutTheBudget() {
+        control.onSync = () -> control.set("/", "priority", "batch");
+        IntStream.range(0, 3)
+                .forEach(i -> first.scripts.add((request, exchange) ->
+                        exchange.fail(new WagtailcartException(ResultCode.SETTINGS_REVISION_STALE, "newer revision"))));
+        assertWhole(rig.complete(true));
+        assertThat(control.syncs.get()).isEqualTo(3);
+        assertThat(rig.count("entry.retries")).isEqualTo(0);
+        assertThat(first.received.stream().map(request -> request.revision()).toList())
+                .containsExactly(0L, 1L, 2L, 3L)
+                .inOrder();
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/wagtailcart/entry/FakeControl.java
@@ -0,0 +1,164 @@
+package org.wagtailcart.entry;
+
+import java.lang.reflect.Constructor;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.common.EngineTarget;
+import org.wagtailcart.common.Lifecycle;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.UpstreamKind;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.control.client.ControlClient;
+import org.wagtailcart.control.client.ControlView;
+import org.wagtailcart.fleet.OrderState;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.once.KeyRegistry;
+import org.wagtailcart.once.LookupKey;
+import org.wagtailcart.settings.SettingsTree;
+
+/** Control group in one object: settings and fleet set by the test, keys in a real registry. */
+final class FakeControl implements ControlView, ControlClient {
+    private final Map<String, UpstreamView> upstreams = new ConcurrentHashMap<>();
+    private final List<Runnable> actions = new CopyOnWriteArrayList<>();
+    private final SortedMap<String, Map<String, String>> branches = new TreeMap<>();
+    private final KeyRegistry keys = new KeyRegistry();
+    private long index;
+    final AtomicInteger syncs = new AtomicInteger();
+    volatile long leaseDeadlineMillis = Long.MAX_VALUE;
+    volatile boolean reachable = true;
+    volatile Runnable onSync = () -> {};
+    private volatile SettingsTree tree = SettingsTree.EMPTY;
+
+    void set(String branch, String key, String value) {
+        synchronized (branches) {
+            branches.merge(branch, Map.of(key, value), FakeControl::joined);
+            tree = treeOf(tree.revision() + 1, new TreeMap<>(branches));
+        }
+        actions.forEach(Runnable::run);
+    }
+
+    void addEngine(String id, Address sidecar, EngineRole role, int maxInFlight) {
+        EngineTarget target = new EngineTarget(role, "m", "", "1");
+        put(view(id, sidecar, UpstreamKind.ENGINE, "", target, 1, Lifecycle.ACTIVE, maxInFlight));
+    }
+
+    void addService(String id, Address sidecar, long epoch) {
+        put(view(id, sidecar, UpstreamKind.SERVICE, "parts", null, epoch, Lifecycle.ACTIVE, 8));
+    }
+
+    void put(UpstreamView view) {
+        upstreams.put(view.upstreamId(), view);
+        actions.forEach(Runnable::run);
+    }
+
+    void remove(String id) {
+        upstreams.remove(id);
+        actions.forEach(Runnable::run);
+    }
+
+    private static UpstreamView view(
+            String id,
+            Address sidecar,
+            UpstreamKind kind,
+            String service,
+            EngineTarget target,
+            long epoch,
+            Lifecycle lifecycle,
+            int maxInFlight) {
+        return new UpstreamView(
+                id,
+                1,
+                kind,
+                new Address("127.0.0.1", 9),
+                "sidecar-" + id,
+                sidecar,
+                epoch,
+                "d1",
+                service,
+                lifecycle,
+                target,
+                0,
+                OrderState.values()[0],
+                0,
+                true,
+                maxInFlight);
+    }
+
+    /** The tree has no public constructor here, because only the control group makes revisions. */
+    private static SettingsTree treeOf(long revision, SortedMap<String, Map<String, String>> branches) {
+        try {
+            Constructor<SettingsTree> constructor =
+                    SettingsTree.class.getDeclaredConstructor(long.class, SortedMap.class);
+            constructor.setAccessible(true);
+            return constructor.newInstance(revision, branches);
+        } catch (ReflectiveOperationException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static Map<String, String> joined(Map<String, String> a, Map<String, String> b) {
+        Map<String, String> both = new TreeMap<>(a);
+        both.putAll(b);
+        return both;
+    }
+
+    @Override
+    public <T> CompletableFuture<T> submit(Object command, Class<T> resultType, long limitMillis) {
+        if (!reachable) {
+            return CompletableFuture.failedFuture(new WagtailcartException(ResultCode.NO_QUORUM, "no quorum"));
+        }
+        synchronized (keys) {
+            Object result = command instanceof LookupKey query
+                    ? keys.lookup(query)
+                    : keys.apply(++index, MillisClock.wall().nowMillis(), command);
+            return CompletableFuture.completedFuture(resultType.cast(result));
+        }
+    }
+
+    @Override
+    public SettingsTree settings() {
+        return tree;
+    }
+
+    @Override
+    public Optional<UpstreamView> upstream(String upstreamId) {
+        return Optional.ofNullable(upstreams.get(upstreamId));
+    }
+
+    @Override
+    public Collection<UpstreamView> upstreams() {
+        return List.copyOf(upstreams.values());
+    }
+
+    @Override
+    public long leaseDeadlineMillis() {
+        return leaseDeadlineMillis;
+    }
+
+    @Override
+    public long powerGrantDeadlineMillis(String upstreamId) {
+        return 0;
+    }
+
+    @Override
+    public void syncSoon() {
+        syncs.incrementAndGet();
+        onSync.run();
+    }
+
+    @Override
+    public void onChange(Runnable action) {
+        actions.add(action);
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/wagtailcart/entry/LeastInFlightRouter.java
@@ -0,0 +1,66 @@
+package org.wagtailcart.entry;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.policy.routing.Outcome;
+import org.wagtailcart.policy.routing.RoutableUpstream;
+import org.wagtailcart.policy.routing.Route;
+import org.wagtailcart.policy.routing.Router;
+import org.wagtailcart.policy.routing.RoutingRequest;
+
+/** Picks the upstream with the fewest attempts, in order of ids, so that tests know where a request goes. */
+final class LeastInFlightRouter implements Router {
+    private final Map<String, Route> routes = new HashMap<>();
+    private List<RoutableUpstream> upstreams = List.of();
+
+    @Override
+    public void updateUpstreams(List<RoutableUpstream> latest, long nowMillis) {
+        upstreams = latest;
+    }
+
+    @Override
+    public Optional<Route> choose(String attemptId, RoutingRequest request, long nowMillis) {
+        Optional<Route> route = upstreams.stream()
+                .filter(upstream -> upstream.pool().equals(request.pool()))
+                .filter(upstream -> !request.excluded().contains(upstream.upstreamId()))
+                .filter(upstream -> upstream.role().takesOutput())
+                .filter(upstream -> inFlight(upstream.upstreamId()) < upstream.maxInFlight())
+                .min(Comparator.comparingLong((RoutableUpstream upstream) -> inFlight(upstream.upstreamId()))
+                        .thenComparing(RoutableUpstream::upstreamId))
+                .map(this::routeTo);
+        route.ifPresent(chosen -> routes.put(attemptId, chosen));
+        return route;
+    }
+
+    private Route routeTo(RoutableUpstream chosen) {
+        Optional<String> prefill = upstreams.stream()
+                .filter(upstream -> chosen.role() == EngineRole.DECODE && upstream.role() == EngineRole.PREFILL)
+                .map(RoutableUpstream::upstreamId)
+                .findFirst();
+        return new Route(prefill, chosen.upstreamId());
+    }
+
+    private long inFlight(String upstreamId) {
+        return routes.values().stream()
+                .filter(route -> route.upstreamId().equals(upstreamId))
+                .count();
+    }
+
+    @Override
+    public void onFirstToken(String attemptId, long nowMillis) {}
+
+    @Override
+    public void onTokens(String attemptId, int tokens, long nowMillis) {}
+
+    @Override
+    public void onFinished(String attemptId, Outcome outcome, long nowMillis) {
+        routes.remove(attemptId);
+    }
+
+    @Override
+    public void onLoadReport(String upstreamId, int running, int queued, long nowMillis) {}
+}
