Add the decisions of calls that run at most once

A call with an idempotency key must run at most once although entries, sidecars, the service and messages fail at any step. KeyedCall is a pure state machine: events in, actions out. After any doubt it asks the sidecar that holds the attempt; before any refusal it reads the key, because an earlier request with the same key may have run.

KeyRegistry now remembers first results only of reservations. Two entries may release the same attempt, and the second got the remembered FREE although the key had been taken and completed in between.

KeyedCallTest runs 4,000 random schedules over a model of two entries, two sidecars, a service and the registry; all pass.

--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/keyed/KeyedAction.java
@@ -0,0 +1,64 @@
+package org.wagtailcart.entry.keyed;
+
+import java.util.Set;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.once.RecordedAnswer;
+import org.wagtailcart.sidecar.message.AttemptQuery;
+
+/** Something that a keyed call wants done. The event that answers it carries the same step. */
+public sealed interface KeyedAction {
+    /**
+     * Choose an upstream.
+     *
+     * @param step step of this action
+     * @param excluded upstreams that did not take the call
+     * @param reason why a new attempt is wanted; empty text for the first
+     */
+    record ChooseRoute(int step, Set<String> excluded, RouteReason reason) implements KeyedAction {}
+
+    /** Why a route is wanted. */
+    enum RouteReason {
+        /** First attempt of this call. */
+        FIRST(false),
+        /** A sidecar refused; counts against the retry budget. */
+        RETRY(true),
+        /** A sidecar has newer settings, or another entry's attempt turned out not to have run. */
+        NO_COST(false);
+
+        private final boolean usesBudget;
+
+        RouteReason(boolean usesBudget) {
+            this.usesBudget = usesBudget;
+        }
+
+        /** Returns whether the route counts as a retry. */
+        public boolean usesBudget() {
+            return usesBudget;
+        }
+    }
+
+    /** Submit a command or query of the key registry. */
+    record Submit(int step, Object command) implements KeyedAction {}
+
+    /** Send the attempt; it must be sent once. */
+    record Send(int step, String attemptId, long attemptNumber, long epoch, String upstreamId) implements KeyedAction {}
+
+    /** Ask a sidecar what became of an attempt. */
+    record Ask(int step, AttemptQuery query) implements KeyedAction {}
+
+    /** Wait. */
+    record Pause(int step, long millis) implements KeyedAction {}
+
+    /** Ask for newer settings. */
+    record SyncSettings() implements KeyedAction {}
+
+    /** Give the answer to the caller. */
+    record Reply(RecordedAnswer answer, boolean replayed) implements KeyedAction {}
+
+    /** Refuse the call. */
+    record Refuse(ResultCode code, RunState runState, boolean repeatSafe) implements KeyedAction {}
+
+    /** Nothing is left to do. */
+    record Finish() implements KeyedAction {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/keyed/KeyedCall.java
@@ -0,0 +1,396 @@
+package org.wagtailcart.entry.keyed;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.entry.keyed.KeyedAction.RouteReason;
+import org.wagtailcart.entry.keyed.KeyedEvent.Answered;
+import org.wagtailcart.entry.keyed.KeyedEvent.AttemptFailed;
+import org.wagtailcart.entry.keyed.KeyedEvent.Committed;
+import org.wagtailcart.entry.keyed.KeyedEvent.DeadlinePassed;
+import org.wagtailcart.entry.keyed.KeyedEvent.NoStatus;
+import org.wagtailcart.entry.keyed.KeyedEvent.NotCommitted;
+import org.wagtailcart.entry.keyed.KeyedEvent.NotRouted;
+import org.wagtailcart.entry.keyed.KeyedEvent.Resumed;
+import org.wagtailcart.entry.keyed.KeyedEvent.Routed;
+import org.wagtailcart.entry.keyed.KeyedEvent.Status;
+import org.wagtailcart.once.CompleteKey;
+import org.wagtailcart.once.KeyId;
+import org.wagtailcart.once.KeyRegistry;
+import org.wagtailcart.once.KeyResult;
+import org.wagtailcart.once.KeyState;
+import org.wagtailcart.once.LookupKey;
+import org.wagtailcart.once.MarkKeyUnknown;
+import org.wagtailcart.once.RecordedAnswer;
+import org.wagtailcart.once.ReleaseKey;
+import org.wagtailcart.once.ReserveKey;
+import org.wagtailcart.sidecar.message.AttemptQuery;
+
+/**
+ * Decides what one entry does with one call that runs at most once: takes events and the time, returns actions. It touches
+ * no clock, thread or network. At most one action with a step is outstanding; an event of another step is ignored.
+ */
+public final class KeyedCall {
+    /** Reservations that one call makes at most. */
+    static final int MAX_ATTEMPTS = 4;
+
+    /** Time after the deadline for which the outcome of a sent attempt is still looked for and recorded. */
+    static final long FOLLOW_UP_MILLIS = 60_000;
+
+    static final long PAUSE_MILLIS = 100;
+
+    private enum Phase {
+        ROUTING,
+        LOOKING_UP,
+        RESERVING,
+        SENDING,
+        ASKING,
+        COMPLETING,
+        RELEASING,
+        MARKING,
+        OVER
+    }
+
+    /**
+     * An attempt that holds the key.
+     *
+     * @param id attempt id
+     * @param number log index of its reservation
+     * @param upstreamId upstream
+     * @param epoch sidecar epoch
+     * @param own whether this call made it
+     */
+    private record Attempt(String id, long number, String upstreamId, long epoch, boolean own) {
+        static Attempt of(KeyResult result, boolean own) {
+            return new Attempt(result.attemptId(), result.attemptNumber(), result.upstreamId(), result.epoch(), own);
+        }
+
+        AttemptQuery query() {
+            return new AttemptQuery(id, number, epoch, upstreamId);
+        }
+    }
+
+    private final KeyId keyId;
+    private final String fingerprint;
+    private final long deadlineMillis;
+    private final Set<String> excluded = new HashSet<>();
+    private final List<KeyedAction> actions = new ArrayList<>();
+    private Phase phase = Phase.ROUTING;
+    private Attempt attempt = new Attempt("", 0, "", 0, false);
+    private @Nullable RecordedAnswer answer;
+    private ResultCode refusal = ResultCode.KEY_RESERVATION_FAILED;
+    private boolean pausing;
+    private boolean replied;
+    private int step;
+    private int reservations;
+
+    /**
+     * Creates a call.
+     *
+     * @param deadlineMillis time by which the caller wants its answer
+     */
+    public KeyedCall(KeyId keyId, String fingerprint, long deadlineMillis) {
+        this.keyId = keyId;
+        this.fingerprint = fingerprint;
+        this.deadlineMillis = deadlineMillis;
+    }
+
+    /** Returns the first actions. */
+    public List<KeyedAction> start() {
+        chooseRoute(RouteReason.FIRST);
+        return taken();
+    }
+
+    /** Returns the actions that follow from an event. */
+    public List<KeyedAction> on(KeyedEvent event, long nowMillis) {
+        if (event instanceof DeadlinePassed) {
+            deadlinePassed();
+        } else if (event.step() == step && phase != Phase.OVER) {
+            handle(event, nowMillis);
+        }
+        return taken();
+    }
+
+    /** Returns whether nothing is left to do. */
+    public boolean over() {
+        return phase == Phase.OVER;
+    }
+
+    private void handle(KeyedEvent event, long nowMillis) {
+        if (event instanceof Resumed) {
+            resumed(nowMillis);
+        } else if (event instanceof Routed routed) {
+            reserve(routed);
+        } else if (event instanceof NotRouted notRouted) {
+            lookUp(notRouted.code());
+        } else if (event instanceof Committed committed) {
+            committed(committed.result(), nowMillis);
+        } else if (event instanceof NotCommitted) {
+            notCommitted();
+        } else if (event instanceof Answered answered) {
+            complete(answered.answer());
+        } else if (event instanceof AttemptFailed failed) {
+            attemptFailed(failed);
+        } else if (event instanceof Status status) {
+            status(status);
+        } else if (event instanceof NoStatus noStatus) {
+            noStatus(noStatus.code());
+        }
+    }
+
+    private void chooseRoute(RouteReason reason) {
+        phase = Phase.ROUTING;
+        actions.add(new KeyedAction.ChooseRoute(++step, Set.copyOf(excluded), reason));
+    }
+
+    /** Reads the key before a refusal, because an earlier request with the same key may have run. */
+    private void lookUp(ResultCode code) {
+        refusal = code;
+        submit(Phase.LOOKING_UP, new LookupKey(keyId, fingerprint));
+    }
+
+    private void reserve(Routed routed) {
+        attempt = new Attempt(routed.attemptId(), 0, routed.upstreamId(), routed.epoch(), true);
+        reservations++;
+        submit(
+                Phase.RESERVING,
+                new ReserveKey(keyId, fingerprint, routed.attemptId(), routed.upstreamId(), routed.epoch()));
+    }
+
+    private void committed(KeyResult result, long nowMillis) {
+        switch (phase) {
+            case RESERVING -> reserved(result, nowMillis);
+            case RELEASING -> released(result);
+            case COMPLETING -> completed(result);
+            default -> existing(result);
+        }
+    }
+
+    private void reserved(KeyResult result, long nowMillis) {
+        if (result.state() != KeyState.RESERVED) {
+            existing(result);
+            return;
+        }
+        attempt = Attempt.of(result, true);
+        if (replied || nowMillis >= deadlineMillis) {
+            release(ResultCode.DEADLINE_UNREACHABLE);
+            return;
+        }
+        phase = Phase.SENDING;
+        actions.add(
+                new KeyedAction.Send(++step, attempt.id(), attempt.number(), attempt.epoch(), attempt.upstreamId()));
+    }
+
+    /** Goes on from the state in which the registry has the key. */
+    private void existing(KeyResult result) {
+        if (replied) {
+            finish();
+            return;
+        }
+        switch (result.state()) {
+            case COMPLETED -> replay(result.answer());
+            case UNKNOWN -> refuse(ResultCode.OUTCOME_UNKNOWN, RunState.MAY_HAVE_RUN);
+            case FINGERPRINT_MISMATCH -> refuse(ResultCode.IDEMPOTENCY_KEY_REUSED, RunState.NOT_RUN);
+            case IN_FLIGHT, RESERVED -> awaitHolder(result);
+            case FREE -> refuse(refusal, RunState.NOT_RUN);
+        }
+    }
+
+    /** Gives the holder time to send before it is asked after, because a question keeps an unsent attempt from running. */
+    private void awaitHolder(KeyResult result) {
+        attempt = Attempt.of(result, result.attemptId().equals(attempt.id()));
+        phase = Phase.ASKING;
+        pause();
+    }
+
+    private void replay(@Nullable RecordedAnswer recorded) {
+        if (recorded == null || !recorded.bodyKept()) {
+            refuse(ResultCode.RECORDED_ANSWER_NOT_KEPT, RunState.RAN);
+        } else {
+            reply(recorded, true);
+        }
+    }
+
+    private void attemptFailed(AttemptFailed failed) {
+        if (failed.runState() != RunState.NOT_RUN) {
+            ask(attempt);
+            return;
+        }
+        if (failed.code() == ResultCode.SETTINGS_REVISION_STALE) {
+            actions.add(new KeyedAction.SyncSettings());
+        } else {
+            excluded.add(attempt.upstreamId());
+        }
+        release(failed.code());
+    }
+
+    private void ask(Attempt doubtful) {
+        attempt = doubtful;
+        phase = Phase.ASKING;
+        actions.add(new KeyedAction.Ask(++step, attempt.query()));
+    }
+
+    private void status(Status event) {
+        RecordedAnswer recorded = event.status().answer();
+        switch (event.status().state()) {
+            case RUNNING -> pause();
+            case DONE -> {
+                if (recorded == null) {
+                    markUnknown();
+                } else {
+                    complete(recorded);
+                }
+            }
+            case NOT_SENT -> release(ResultCode.UPSTREAM_REFUSED);
+            case UNKNOWN -> markUnknown();
+        }
+    }
+
+    private void noStatus(ResultCode code) {
+        if (code == ResultCode.EPOCH_SUPERSEDED) {
+            markUnknown();
+        } else {
+            pause();
+        }
+    }
+
+    private void complete(RecordedAnswer whole) {
+        answer = whole;
+        submit(Phase.COMPLETING, new CompleteKey(keyId, attempt.id(), kept(whole)));
+    }
+
+    private void completed(KeyResult result) {
+        RecordedAnswer whole = answer;
+        if (result.state() == KeyState.COMPLETED && result.attemptId().equals(attempt.id()) && whole != null) {
+            if (whole.bodyKept()) {
+                reply(whole, !attempt.own());
+            } else {
+                refuse(ResultCode.RECORDED_ANSWER_NOT_KEPT, RunState.RAN);
+            }
+        } else if (result.state() == KeyState.COMPLETED) {
+            replay(result.answer());
+        } else {
+            refuse(ResultCode.OUTCOME_UNKNOWN, RunState.MAY_HAVE_RUN);
+        }
+    }
+
+    private void release(ResultCode code) {
+        refusal = code;
+        submit(Phase.RELEASING, new ReleaseKey(keyId, attempt.id()));
+    }
+
+    private void released(KeyResult result) {
+        if (result.state() != KeyState.FREE) {
+            existing(result);
+        } else if (replied || refusal == ResultCode.DEADLINE_UNREACHABLE || reservations >= MAX_ATTEMPTS) {
+            refuse(refusal, RunState.NOT_RUN);
+        } else if (!attempt.own() || refusal == ResultCode.SETTINGS_REVISION_STALE) {
+            chooseRoute(RouteReason.NO_COST);
+        } else {
+            chooseRoute(RouteReason.RETRY);
+        }
+    }
+
+    private void markUnknown() {
+        submit(Phase.MARKING, new MarkKeyUnknown(keyId, attempt.id()));
+    }
+
+    private void notCommitted() {
+        switch (phase) {
+            case LOOKING_UP -> refuse(refusal, RunState.MAY_HAVE_RUN);
+            case RESERVING -> {
+                // The reservation may have been made. It is never sent, so that it can be released.
+                refuseButGoOn(ResultCode.KEY_RESERVATION_FAILED, RunState.MAY_HAVE_RUN);
+                release(ResultCode.KEY_RESERVATION_FAILED);
+            }
+            default -> pause();
+        }
+    }
+
+    private void submit(Phase next, Object command) {
+        phase = next;
+        actions.add(new KeyedAction.Submit(++step, command));
+    }
+
+    private void pause() {
+        pausing = true;
+        actions.add(new KeyedAction.Pause(++step, PAUSE_MILLIS));
+    }
+
+    /** Repeats the step that was interrupted by a pause. */
+    private void resumed(long nowMillis) {
+        if (!pausing) {
+            return;
+        }
+        pausing = false;
+        if (nowMillis >= deadlineMillis + FOLLOW_UP_MILLIS) {
+            refuse(ResultCode.KEY_IN_PROGRESS, RunState.MAY_HAVE_RUN);
+            return;
+        }
+        RecordedAnswer whole = answer;
+        switch (phase) {
+            case ASKING -> ask(attempt);
+            case COMPLETING -> {
+                if (whole != null) {
+                    complete(whole);
+                }
+            }
+            case RELEASING -> release(refusal);
+            case MARKING -> markUnknown();
+            default -> throw new IllegalStateException("pause in phase " + phase);
+        }
+    }
+
+    private void deadlinePassed() {
+        switch (phase) {
+            case OVER -> {}
+            case ROUTING -> lookUp(ResultCode.DEADLINE_UNREACHABLE);
+            case MARKING -> refuseButGoOn(ResultCode.OUTCOME_UNKNOWN, RunState.MAY_HAVE_RUN);
+            default -> refuseButGoOn(ResultCode.KEY_IN_PROGRESS, RunState.MAY_HAVE_RUN);
+        }
+    }
+
+    private void reply(RecordedAnswer whole, boolean replayed) {
+        if (!replied) {
+            replied = true;
+            actions.add(new KeyedAction.Reply(whole, replayed));
+        }
+        finish();
+    }
+
+    private void refuse(ResultCode code, RunState runState) {
+        refuseButGoOn(code, runState);
+        finish();
+    }
+
+    private void refuseButGoOn(ResultCode code, RunState runState) {
+        if (!replied) {
+            replied = true;
+            boolean provenNotRun = runState == RunState.NOT_RUN && code.runState() != RunState.NOT_RUN;
+            boolean repeatSafe = code.repeatSafe() || provenNotRun;
+            actions.add(new KeyedAction.Refuse(code, runState, repeatSafe));
+        }
+    }
+
+    private void finish() {
+        phase = Phase.OVER;
+        actions.add(new KeyedAction.Finish());
+    }
+
+    private List<KeyedAction> taken() {
+        List<KeyedAction> taken = List.copyOf(actions);
+        actions.clear();
+        return taken;
+    }
+
+    /** Returns what the registry keeps of an answer; the caller of this attempt gets all of it. */
+    private static RecordedAnswer kept(RecordedAnswer whole) {
+        return whole.body().length <= KeyRegistry.MAX_BODY_BYTES
+                ? whole
+                : new RecordedAnswer(whole.status(), whole.headers(), new byte[0], false);
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/wagtailcart/entry/keyed/KeyedCallTest.java
@@ -0,0 +1,30 @@
+package org.wagtailcart.entry.keyed;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.wagtailcart.common.ResultCode;
+
+class KeyedCallTest {
+    /**
+     * Guards against a second run, a false "not run", a wrong answer, and a key that nobody can resolve any more, under
+     * reordered, lost and repeated messages and crashes of entries, sidecars and the service.
+     */
+    @Property(tries = 4000, seed = "20261204")
+    void runsAtMostOnceAndTellsTheTruth(@ForAll long seed) {
+        KeyedWorld world = new KeyedWorld(seed);
+        world.run(250);
+        List<KeyedWorld.Caller> last = world.heal();
+        for (int i = 0; i < 2; i++) {
+            KeyedWorld.Caller caller = last.get(i);
+            assertThat(world.runs("k" + i)).isAtMost(1);
+            if (caller.answer.isPresent()) {
+                assertThat(world.runs("k" + i)).isEqualTo(1);
+            } else {
+                assertThat(caller.code).hasValue(ResultCode.OUTCOME_UNKNOWN);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/wagtailcart/entry/keyed/KeyedWorld.java
@@ -0,0 +1,367 @@
+package org.wagtailcart.entry.keyed;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.once.KeyId;
+import org.wagtailcart.once.KeyRegistry;
+import org.wagtailcart.once.KeyResult;
+import org.wagtailcart.once.LookupKey;
+import org.wagtailcart.once.RecordedAnswer;
+import org.wagtailcart.sidecar.message.AttemptQuery;
+import org.wagtailcart.sidecar.message.AttemptStatus;
+import org.wagtailcart.sidecar.message.AttemptStatus.State;
+
+/** Model of two entries, two sidecars, a service and the control group, with messages that are reordered and lost. */
+final class KeyedWorld {
+    private static final long DEADLINE_MILLIS = 2_000;
+
+    private final Random random;
+    private final KeyRegistry registry = new KeyRegistry();
+    private final List<Runnable> messages = new ArrayList<>();
+    private final List<Sidecar> sidecars = List.of(new Sidecar("u0"), new Sidecar("u1"));
+    private final List<Set<Caller>> entries = List.of(new HashSet<>(), new HashSet<>());
+    private final Map<String, Integer> runsByKey = new HashMap<>();
+    private final Set<String> ranAttempts = new HashSet<>();
+    private final List<Caller> notRun = new ArrayList<>();
+    private boolean faults = true;
+    private long now;
+    private long index;
+    private int nextAttempt;
+
+    KeyedWorld(long seed) {
+        random = new Random(seed);
+    }
+
+    /** Lets callers, crashes, losses and deliveries happen in a random order. */
+    void run(int steps) {
+        for (int i = 0; i < steps; i++) {
+            int choice = random.nextInt(100);
+            if (choice < 6) {
+                call(random.nextInt(2), "k" + random.nextInt(2));
+            } else if (choice == 6) {
+                entries.get(random.nextInt(2)).clear();
+            } else if (choice == 7) {
+                sidecars.get(random.nextInt(2)).restart();
+            } else if (choice < 11) {
+                sidecars.get(random.nextInt(2)).evict();
+            } else if (choice < 20) {
+                advance(random.nextInt(400));
+            } else {
+                deliver();
+            }
+        }
+    }
+
+    /** Ends all faults, settles, and returns the outcome of one more call for each key. */
+    List<Caller> heal() {
+        faults = false;
+        settle();
+        advance(10 * DEADLINE_MILLIS + KeyedCall.FOLLOW_UP_MILLIS);
+        settle();
+        List<Caller> last = List.of(call(0, "k0"), call(1, "k1"));
+        settle();
+        notRun.forEach(this::assertNotRun);
+        return last;
+    }
+
+    int runs(String key) {
+        return runsByKey.getOrDefault(key, 0);
+    }
+
+    private void settle() {
+        for (int i = 0; i < 20_000 && !messages.isEmpty(); i++) {
+            deliver();
+            advance(1);
+        }
+    }
+
+    private void deliver() {
+        if (!messages.isEmpty()) {
+            messages.remove(random.nextInt(messages.size())).run();
+        }
+    }
+
+    private void advance(long millis) {
+        now += millis;
+        entries.forEach(callers -> List.copyOf(callers).forEach(Caller::checkDeadline));
+    }
+
+    private boolean fault(int oneIn) {
+        return faults && random.nextInt(oneIn) == 0;
+    }
+
+    private Caller call(int entry, String key) {
+        Caller caller = new Caller(entry, key);
+        entries.get(entry).add(caller);
+        caller.perform(caller.call.start());
+        return caller;
+    }
+
+    private void assertNotRun(Caller caller) {
+        assertWithMessage("\"not run\" after attempts %s", caller.attempts)
+                .that(caller.attempts.stream().anyMatch(ranAttempts::contains))
+                .isFalse();
+    }
+
+    /** One call at an entry, with the part of the entry that performs its actions. */
+    final class Caller {
+        private final int entry;
+        private final String key;
+        private final int runsAtStart;
+        private final long deadlineMillis = now + DEADLINE_MILLIS;
+        private final Set<String> attempts = new HashSet<>();
+        private final KeyedCall call;
+        private boolean deadlinePassed;
+        Optional<RecordedAnswer> answer = Optional.empty();
+        Optional<ResultCode> code = Optional.empty();
+
+        private Caller(int entry, String key) {
+            this.entry = entry;
+            this.key = key;
+            this.runsAtStart = runs(key);
+            this.call = new KeyedCall(new KeyId("w", key), "f", deadlineMillis);
+        }
+
+        private boolean alive() {
+            return entries.get(entry).contains(this);
+        }
+
+        private void event(KeyedEvent event) {
+            if (alive()) {
+                perform(call.on(event, now));
+            }
+        }
+
+        private void checkDeadline() {
+            if (now >= deadlineMillis && !deadlinePassed) {
+                deadlinePassed = true;
+                event(new KeyedEvent.DeadlinePassed(0));
+            }
+        }
+
+        private void perform(List<KeyedAction> actions) {
+            actions.forEach(this::perform);
+        }
+
+        private void perform(KeyedAction action) {
+            if (action instanceof KeyedAction.ChooseRoute choose) {
+                messages.add(() -> choose(choose));
+            } else if (action instanceof KeyedAction.Submit submit) {
+                submit(submit);
+            } else if (action instanceof KeyedAction.Send send) {
+                send(send);
+            } else if (action instanceof KeyedAction.Ask ask) {
+                ask(ask);
+            } else if (action instanceof KeyedAction.Pause pause) {
+                messages.add(() -> {
+                    now += pause.millis();
+                    event(new KeyedEvent.Resumed(pause.step()));
+                });
+            } else if (action instanceof KeyedAction.Reply reply) {
+                replied(reply.answer());
+            } else if (action instanceof KeyedAction.Refuse refuse) {
+                refused(refuse);
+            } else if (action instanceof KeyedAction.Finish) {
+                entries.get(entry).remove(this);
+            }
+        }
+
+        private void choose(KeyedAction.ChooseRoute choose) {
+            if (fault(12)) {
+                event(new KeyedEvent.NotRouted(choose.step(), ResultCode.QUEUE_FULL));
+                return;
+            }
+            Sidecar sidecar = sidecars.get(random.nextInt(2));
+            String attemptId = "a" + nextAttempt++;
+            attempts.add(attemptId);
+            long epoch = fault(15) ? sidecar.epoch - 1 : sidecar.epoch;
+            event(new KeyedEvent.Routed(choose.step(), attemptId, sidecar.id, epoch));
+        }
+
+        private void submit(KeyedAction.Submit submit) {
+            boolean answerLost = fault(10);
+            boolean commandLost = answerLost && random.nextBoolean();
+            if (!commandLost) {
+                messages.add(() -> {
+                    KeyResult result = apply(submit.command());
+                    messages.add(() -> event(new KeyedEvent.Committed(submit.step(), result)));
+                });
+            }
+            if (answerLost) {
+                messages.add(() -> event(new KeyedEvent.NotCommitted(submit.step())));
+            }
+            if (!commandLost && fault(10)) {
+                messages.add(() -> apply(submit.command()));
+            }
+        }
+
+        private KeyResult apply(Object command) {
+            return command instanceof LookupKey query ? registry.lookup(query) : registry.apply(++index, now, command);
+        }
+
+        private void send(KeyedAction.Send send) {
+            if (fault(15)) {
+                messages.add(() ->
+                        event(new KeyedEvent.AttemptFailed(send.step(), ResultCode.CONNECT_FAILED, RunState.NOT_RUN)));
+                return;
+            }
+            if (fault(8)) {
+                messages.add(() -> event(
+                        new KeyedEvent.AttemptFailed(send.step(), ResultCode.CONNECTION_LOST, RunState.MAY_HAVE_RUN)));
+            }
+            if (!fault(15)) {
+                Consumer<KeyedEvent> back = event -> messages.add(() -> event(event));
+                messages.add(() -> sidecar(send.upstreamId()).send(send, key, back));
+            } else {
+                messages.add(() -> event(new KeyedEvent.AttemptFailed(
+                        send.step(), ResultCode.CONNECTION_SILENT, RunState.MAY_HAVE_RUN)));
+            }
+        }
+
+        private void ask(KeyedAction.Ask ask) {
+            if (fault(5)) {
+                messages.add(() -> event(new KeyedEvent.NoStatus(ask.step(), ResultCode.CONNECTION_LOST)));
+                if (random.nextBoolean()) {
+                    return;
+                }
+            }
+            messages.add(() -> {
+                AttemptStatus status = sidecar(ask.query().upstreamId()).query(ask.query());
+                messages.add(() -> event(new KeyedEvent.Status(ask.step(), status)));
+            });
+        }
+
+        private void replied(RecordedAnswer whole) {
+            answer = Optional.of(whole);
+            assertWithMessage("answer of %s", key)
+                    .that(new String(whole.body(), StandardCharsets.UTF_8))
+                    .isEqualTo(key + " run 1");
+        }
+
+        private void refused(KeyedAction.Refuse refuse) {
+            code = Optional.of(refuse.code());
+            if (refuse.runState() == RunState.NOT_RUN) {
+                notRun.add(this);
+                assertNotRun(this);
+                assertWithMessage("\"not run\" (%s) for %s, which ran before the call", refuse.code(), key)
+                        .that(runsAtStart)
+                        .isEqualTo(0);
+            }
+        }
+    }
+
+    private Sidecar sidecar(String id) {
+        return sidecars.stream()
+                .filter(sidecar -> sidecar.id.equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Sidecar as the design states it: ledger, floor and epoch. */
+    private final class Sidecar {
+        private final String id;
+        private final Map<String, Entry> ledger = new HashMap<>();
+        private long epoch;
+        private long floor;
+
+        private Sidecar(String id) {
+            this.id = id;
+            this.epoch = ++index;
+        }
+
+        private record Entry(long number, AttemptStatus status) {}
+
+        private void restart() {
+            ledger.clear();
+            epoch = ++index;
+            floor = index;
+        }
+
+        private void evict() {
+            ledger.entrySet().stream()
+                    .filter(entry -> entry.getValue().status().state() != State.RUNNING)
+                    .findAny()
+                    .map(Map.Entry::getKey)
+                    .ifPresent(attempt ->
+                            floor = Math.max(floor, ledger.remove(attempt).number()));
+        }
+
+        private void send(KeyedAction.Send send, String key, Consumer<KeyedEvent> back) {
+            Entry known = ledger.get(send.attemptId());
+            if (send.epoch() != epoch) {
+                back.accept(failed(send, ResultCode.EPOCH_SUPERSEDED, RunState.NOT_RUN));
+            } else if (known != null && known.status().state() == State.NOT_SENT) {
+                back.accept(failed(send, ResultCode.ATTEMPT_SUPERSEDED, RunState.NOT_RUN));
+            } else if (known != null || send.attemptNumber() <= floor) {
+                back.accept(failed(send, ResultCode.ATTEMPT_SUPERSEDED, RunState.MAY_HAVE_RUN));
+            } else if (fault(12)) {
+                back.accept(failed(send, ResultCode.SETTINGS_REVISION_STALE, RunState.NOT_RUN));
+            } else if (fault(12)) {
+                note(send.attemptId(), send.attemptNumber(), State.NOT_SENT, null);
+                back.accept(failed(send, ResultCode.UPSTREAM_REFUSED, RunState.NOT_RUN));
+            } else {
+                note(send.attemptId(), send.attemptNumber(), State.RUNNING, null);
+                messages.add(() -> serve(send, key, back));
+            }
+        }
+
+        /** The request reaches the service, which runs it unless it crashes first; its answer may be lost. */
+        private void serve(KeyedAction.Send send, String key, Consumer<KeyedEvent> back) {
+            boolean crashedBefore = fault(10);
+            if (!crashedBefore) {
+                int run = runsByKey.merge(key, 1, Integer::sum);
+                ranAttempts.add(send.attemptId());
+                assertWithMessage("runs of %s", key).that(run).isAtMost(1);
+            }
+            boolean lost = crashedBefore || fault(8);
+            byte[] body = (key + " run " + runs(key)).getBytes(StandardCharsets.UTF_8);
+            RecordedAnswer whole = new RecordedAnswer(201, List.of(), body, true);
+            messages.add(() -> answered(send, lost ? null : whole, back));
+        }
+
+        private void answered(KeyedAction.Send send, RecordedAnswer whole, Consumer<KeyedEvent> back) {
+            if (!ledger.containsKey(send.attemptId()) || send.epoch() != epoch) {
+                back.accept(failed(send, ResultCode.CONNECTION_LOST, RunState.MAY_HAVE_RUN));
+                return;
+            }
+            note(send.attemptId(), send.attemptNumber(), whole == null ? State.UNKNOWN : State.DONE, whole);
+            back.accept(
+                    whole == null
+                            ? failed(send, ResultCode.UPSTREAM_FAILED, RunState.MAY_HAVE_RUN)
+                            : new KeyedEvent.Answered(send.step(), whole));
+        }
+
+        private AttemptStatus query(AttemptQuery query) {
+            if (query.epoch() != epoch) {
+                return new AttemptStatus(State.UNKNOWN, null);
+            }
+            if (!ledger.containsKey(query.attemptId())) {
+                if (query.attemptNumber() <= floor) {
+                    return new AttemptStatus(State.UNKNOWN, null);
+                }
+                note(query.attemptId(), query.attemptNumber(), State.NOT_SENT, null);
+            }
+            return ledger.get(query.attemptId()).status();
+        }
+
+        private void note(String attemptId, long number, State state, RecordedAnswer whole) {
+            ledger.put(attemptId, new Entry(number, new AttemptStatus(state, whole)));
+        }
+
+        private static KeyedEvent failed(KeyedAction.Send send, ResultCode code, RunState runState) {
+            return new KeyedEvent.AttemptFailed(send.step(), code, runState);
+        }
+    }
+}
--- a/once/src/main/java/org/wagtailcart/once/KeyRegistry.java
+++ b/once/src/main/java/org/wagtailcart/once/KeyRegistry.java
@@ -7,12 +7,10 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
-import org.wagtailcart.once.StoredResult.CommandId;
 import org.wagtailcart.wire.MessageCodec;
 import org.wagtailcart.wire.MessageType;
 
@@ -33,7 +31,7 @@
      */
     public static final long OPEN_LIMIT_MILLIS = TimeUnit.HOURS.toMillis(24);
 
-    /** Time for which the first result of a command is kept for a resent one; no client resends for longer. */
+    /** Time for which the first result of a reservation is kept for a resent one; no client resends for longer. */
     public static final long RESULT_RETENTION_MILLIS = TimeUnit.MINUTES.toMillis(10);
 
     /** Largest body kept with an answer. */
@@ -53,7 +51,7 @@
     private final Map<KeyId, StoredKey> open = new LinkedHashMap<>();
     private final Map<KeyId, StoredKey> completed = new LinkedHashMap<>();
     private final Map<KeyId, StoredKey> unknown = new LinkedHashMap<>();
-    private final Map<CommandId, StoredResult> results = new LinkedHashMap<>();
+    private final Map<String, StoredResult> results = new LinkedHashMap<>();
     private long timeMillis;
     private long answerBytes;
     private long reservedCount;
@@ -80,16 +78,16 @@
         timeMillis = Math.max(timeMillis, commandTimeMillis);
         expireSome();
         if (command instanceof ReserveKey reserve) {
-            return once(reserve.attemptId(), reserve.keyId(), reserve, () -> reserve(index, reserve));
+            return reserveOnce(index, reserve);
         }
         if (command instanceof CompleteKey complete) {
-            return once(complete.attemptId(), complete.keyId(), complete, () -> complete(complete));
+            return complete(complete);
         }
         if (command instanceof ReleaseKey release) {
-            return once(release.attemptId(), release.keyId(), release, () -> release(release));
+            return release(release);
         }
         if (command instanceof MarkKeyUnknown mark) {
-            return once(mark.attemptId(), mark.keyId(), mark, () -> markUnknown(mark));
+            return markUnknown(mark);
         }
         throw new IllegalArgumentException("command " + command.getClass() + " is not a key command");
     }
@@ -147,20 +145,30 @@
         replace(completed, state.completed());
         replace(unknown, state.unknown());
         results.clear();
-        state.results().forEach(result -> results.put(result.commandId(), result));
+        state.results().forEach(result -> results.put(result.attemptId(), result));
         answerBytes =
                 completed.values().stream().mapToLong(StoredKey::answerBytes).sum();
     }
 
-    private KeyResult once(String attemptId, KeyId keyId, Object command, Supplier<KeyResult> action) {
-        CommandId id = new CommandId(attemptId, command.getClass().getSimpleName());
-        StoredResult earlier = results.get(id);
-        if (earlier != null && earlier.keyId().equals(keyId) && earlier.deadlineMillis() > timeMillis) {
-            return withAnswer(keyId, earlier.result());
+    /**
+     * Reserves a key, or repeats the first result for a resent command. The other commands need no such memory: they act
+     * only while their attempt holds the key, and several entries may send them for the same attempt, each of which needs
+     * the state as it is now.
+     */
+    private KeyResult reserveOnce(long index, ReserveKey command) {
+        StoredResult earlier = results.get(command.attemptId());
+        if (earlier != null && earlier.keyId().equals(command.keyId()) && earlier.deadlineMillis() > timeMillis) {
+            return withAnswer(command.keyId(), earlier.result());
         }
-        KeyResult result = action.get();
-        results.remove(id);
-        results.put(id, new StoredResult(id, keyId, withAnswer(result, null), timeMillis + RESULT_RETENTION_MILLIS));
+        KeyResult result = reserve(index, command);
+        results.remove(command.attemptId());
+        results.put(
+                command.attemptId(),
+                new StoredResult(
+                        command.attemptId(),
+                        command.keyId(),
+                        withAnswer(result, null),
+                        timeMillis + RESULT_RETENTION_MILLIS));
         if (results.size() > MAX_RESULTS) {
             results.remove(results.keySet().iterator().next());
         }
@@ -242,7 +250,7 @@
         results.values().stream()
                 .limit(MAX_EXPIRED_PER_COMMAND)
                 .takeWhile(result -> result.deadlineMillis() <= timeMillis)
-                .map(StoredResult::commandId)
+                .map(StoredResult::attemptId)
                 .toList()
                 .forEach(results::remove);
     }
--- a/once/src/main/java/org/wagtailcart/once/KeySnapshot.java
+++ b/once/src/main/java/org/wagtailcart/once/KeySnapshot.java
@@ -9,7 +9,7 @@
  * @param open keys IN_FLIGHT
  * @param completed keys COMPLETED
  * @param unknown keys UNKNOWN
- * @param results first results of recent commands
+ * @param results first results of recent reservations
  */
 record KeySnapshot(
         long timeMillis,
