Add the daemon: wiring by Dagger, logs, operator listener, shutdown

Cause: the roles need a program. Change: wagtailcartd creates the roles its settings name, binds the peer port first, drains on SIGTERM. Ruled out: Jackson's Optional module; dumps are plain records.

--- /dev/null
+++ b/daemon/src/main/java/org/wagtailcart/daemon/Daemon.java
@@ -0,0 +1,195 @@
+package org.wagtailcart.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import dagger.Lazy;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.RoleService;
+import org.wagtailcart.control.ControlRole;
+import org.wagtailcart.control.client.SyncLoop;
+import org.wagtailcart.coordination.ReplicatedLog;
+import org.wagtailcart.entry.EntryRole;
+import org.wagtailcart.settings.process.ProcessRole;
+import org.wagtailcart.settings.process.ProcessSettings;
+import org.wagtailcart.sidecar.SidecarRole;
+import org.wagtailcart.wire.IoLoop;
+import org.wagtailcart.wire.MessageCodec;
+import org.wagtailcart.wire.PeerClient;
+import org.wagtailcart.wire.PeerDispatcher;
+import org.wagtailcart.wire.PeerServer;
+import org.wagtailcart.wire.WireOptions;
+
+/** One process: starts its roles, drains them on shutdown and closes them. */
+@Singleton
+final class Daemon {
+    private static final Logger LOG = System.getLogger(Daemon.class.getName());
+
+    /** Longest time a shutdown waits for open requests; longer than any deadline a caller may name. */
+    private static final long DRAIN_LIMIT_MILLIS = 3_700_000;
+
+    private final ProcessSettings settings;
+    private final Incarnation incarnation;
+    private final IoLoop loop;
+    private final MessageCodec codec;
+    private final PeerDispatcher dispatcher;
+    private final PeerClient peers;
+    private final ExecutorService traffic;
+    private final MetricRegistry registry;
+    private final LoadReports reports;
+    private final Lazy<OperatorToken> token;
+    private final Lazy<SyncLoop> sync;
+    private final Lazy<ReplicatedLog> log;
+    private final Lazy<ControlRole> control;
+    private final Lazy<SidecarRole> sidecar;
+    private final Lazy<EntryRole> entry;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private List<RoleService> roles = List.of();
+    private @Nullable PeerServer server;
+    private @Nullable OperatorListener operatorListener;
+
+    @Inject
+    Daemon(
+            ProcessSettings settings,
+            Incarnation incarnation,
+            IoLoop loop,
+            MessageCodec codec,
+            PeerDispatcher dispatcher,
+            PeerClient peers,
+            ExecutorService traffic,
+            MetricRegistry registry,
+            LoadReports reports,
+            Lazy<OperatorToken> token,
+            Lazy<SyncLoop> sync,
+            Lazy<ReplicatedLog> log,
+            Lazy<ControlRole> control,
+            Lazy<SidecarRole> sidecar,
+            Lazy<EntryRole> entry) {
+        this.settings = settings;
+        this.incarnation = incarnation;
+        this.loop = loop;
+        this.codec = codec;
+        this.dispatcher = dispatcher;
+        this.peers = peers;
+        this.traffic = traffic;
+        this.registry = registry;
+        this.reports = reports;
+        this.token = token;
+        this.sync = sync;
+        this.log = log;
+        this.control = control;
+        this.sidecar = sidecar;
+        this.entry = entry;
+    }
+
+    /**
+     * Starts the process. The peer listener comes first: its port is the mutex that keeps a second copy of this process
+     * from acting while a paused one exists.
+     */
+    void start() {
+        settings.peerListener()
+                .ifPresent(address -> server =
+                        new PeerServer(loop, address, codec, dispatcher, traffic, WireOptions.standard(), registry));
+        roles = settings.roles().stream()
+                .sorted(Comparator.comparing(ProcessRole::name))
+                .map(this::create)
+                .toList();
+        if (needsSync()) {
+            sync.get().start();
+        }
+        roles.forEach(RoleService::start);
+        startOperatorListener();
+        LOG.log(
+                Level.INFO,
+                LogEvent.of(
+                        "process-started", "id", settings.id(), "host", settings.host(), "roles", settings.roles()));
+    }
+
+    /** Drains all roles, entries first, and closes the process. */
+    void shutDown() {
+        LOG.log(Level.INFO, LogEvent.of("shutdown-started", "id", settings.id()));
+        List<RoleService> inDrainOrder = roles.stream()
+                .sorted(Comparator.comparing(role -> role instanceof EntryRole ? 0 : 1))
+                .toList();
+        inDrainOrder.forEach(this::drain);
+        inDrainOrder.forEach(RoleService::close);
+        Optional.ofNullable(operatorListener).ifPresent(OperatorListener::close);
+        if (needsSync()) {
+            sync.get().close();
+        }
+        if (settings.roles().contains(ProcessRole.CONTROL)) {
+            log.get().close();
+        }
+        Optional.ofNullable(server).ifPresent(PeerServer::close);
+        peers.close();
+        loop.close();
+        LOG.log(Level.INFO, LogEvent.of("process-stopped", "id", settings.id()));
+        stopped.countDown();
+    }
+
+    /** Waits until {@link #shutDown} has finished. */
+    void awaitStop() throws InterruptedException {
+        stopped.await();
+    }
+
+    /** Returns the state of the process. */
+    ProcessDump dump() {
+        List<ProcessDump.RoleDump> states = roles.stream()
+                .map(role -> new ProcessDump.RoleDump(role.getClass().getSimpleName(), role.ready(), role.dump()))
+                .toList();
+        int connections = peers.connectionCount()
+                + Optional.ofNullable(server).map(PeerServer::connectionCount).orElse(0);
+        return new ProcessDump(
+                settings.id(), settings.host(), settings.failureDomain(), incarnation.number(), connections, states);
+    }
+
+    private RoleService create(ProcessRole role) {
+        return switch (role) {
+            case CONTROL -> control.get();
+            case SIDECAR -> createSidecar();
+            case ENTRY -> entry.get();
+        };
+    }
+
+    private RoleService createSidecar() {
+        SidecarRole created = sidecar.get();
+        reports.add(created::reports);
+        return created;
+    }
+
+    private boolean needsSync() {
+        return settings.roles().stream().anyMatch(role -> role != ProcessRole.CONTROL);
+    }
+
+    private void startOperatorListener() {
+        if (settings.roles().contains(ProcessRole.CONTROL)) {
+            return;
+        }
+        settings.operatorListener().ifPresent(address -> {
+            OperatorListener listener = new OperatorListener(address, token.get(), roles, this::dump, registry);
+            listener.start();
+            operatorListener = listener;
+        });
+    }
+
+    private void drain(RoleService role) {
+        CompletableFuture<Void> drained = role.drain();
+        try {
+            drained.orTimeout(DRAIN_LIMIT_MILLIS, TimeUnit.MILLISECONDS).join();
+        } catch (RuntimeException e) {
+            LOG.log(
+                    Level.WARNING,
+                    LogEvent.of("drain-incomplete", "role", role.getClass().getSimpleName(), "reason", e));
+        }
+    }
+}
--- a/daemon/src/main/java/org/wagtailcart/daemon/LogSetup.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/LogSetup.java
@@ -6,13 +6,17 @@
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
+import org.wagtailcart.settings.process.LogLevel;
 
 /** Installs level and format of the settings in the JDK's logging, which stands behind {@code System.Logger}. */
 final class LogSetup {
+    /** Held strongly, because the log manager drops loggers that nobody references and with them their level. */
+    private static final Logger PRODUCT = Logger.getLogger("org.wagtailcart");
+
     private LogSetup() {}
 
     /** Replaces all handlers by one that writes to standard error. Libraries log warnings and errors only. */
-    static void install(Level level, LogFormat format) {
+    static void install(LogLevel level, LogFormat format) {
         LogManager.getLogManager().reset();
         Handler handler = new ConsoleHandler();
         handler.setLevel(Level.ALL);
@@ -21,9 +25,15 @@
         Arrays.stream(root.getHandlers()).forEach(root::removeHandler);
         root.addHandler(handler);
         root.setLevel(Level.WARNING);
-        PRODUCT.setLevel(level);
+        PRODUCT.setLevel(toJavaLevel(level));
     }
 
-    /** Held strongly, because the log manager drops loggers that nobody references and with them their level. */
-    private static final Logger PRODUCT = Logger.getLogger("org.wagtailcart");
+    private static Level toJavaLevel(LogLevel level) {
+        return switch (level) {
+            case DEBUG -> Level.FINE;
+            case INFO -> Level.INFO;
+            case WARNING -> Level.WARNING;
+            case ERROR -> Level.SEVERE;
+        };
+    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/wagtailcart/daemon/Main.java
@@ -0,0 +1,92 @@
+package org.wagtailcart.daemon;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.settings.process.ProcessSettings;
+
+/** Program {@code wagtailcartd}. */
+public final class Main {
+    private static final Logger LOG = System.getLogger(Main.class.getName());
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+
+    @Parameter(names = "--settings", description = "Settings file of this process (INI)", required = true)
+    private @Nullable String settingsFile;
+
+    @Parameter(names = "--check", description = "Check the settings file and exit")
+    private boolean check;
+
+    @Parameter(names = "--help", help = true, description = "Show this text")
+    private boolean help;
+
+    private Main() {}
+
+    /** Runs the daemon until SIGTERM. Exit codes: 0 stopped as asked, 1 failed to start, 2 wrong usage or settings. */
+    public static void main(String[] arguments) throws InterruptedException {
+        Main main = new Main();
+        JCommander parser = JCommander.newBuilder()
+                .programName("wagtailcartd")
+                .addObject(main)
+                .build();
+        try {
+            parser.parse(arguments);
+        } catch (ParameterException e) {
+            LOG.log(Level.ERROR, LogEvent.of("wrong-usage", "text", e.getMessage()));
+            System.exit(EXIT_USAGE);
+        }
+        if (main.help) {
+            parser.usage();
+            return;
+        }
+        System.exit(main.run());
+    }
+
+    private int run() throws InterruptedException {
+        ProcessSettings settings;
+        try {
+            settings = read(String.valueOf(settingsFile));
+        } catch (WagtailcartException e) {
+            logFailure("settings-refused", e);
+            return EXIT_USAGE;
+        }
+        LogSetup.install(
+                settings.logLevel(), LogFormat.valueOf(settings.logFormat().name()));
+        if (check) {
+            LOG.log(Level.INFO, LogEvent.of("settings-valid", "file", settingsFile));
+            return 0;
+        }
+        Daemon daemon = DaggerDaemonComponent.factory().create(settings).daemon();
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::shutDown, "shutdown"));
+        try {
+            daemon.start();
+        } catch (WagtailcartException e) {
+            logFailure("start-failed", e);
+            return EXIT_FAILED;
+        }
+        daemon.awaitStop();
+        return 0;
+    }
+
+    private static ProcessSettings read(String file) {
+        try {
+            return ProcessSettings.parse(Files.readString(Path.of(file)));
+        } catch (IOException e) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_SETTINGS_FILE, "settings file \"" + file + "\" cannot be read", e);
+        }
+    }
+
+    private static void logFailure(String event, WagtailcartException e) {
+        LOG.log(Level.ERROR, LogEvent.of(event, "code", e.code().number(), "text", e.getMessage()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wagtailcart/daemon/OperatorListener.java
@@ -0,0 +1,75 @@
+package org.wagtailcart.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.Handlers;
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.RoleService;
+
+/** HTTP listener of a process without the control role: health, metrics and the state dump. */
+final class OperatorListener implements AutoCloseable {
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final Undertow server;
+
+    OperatorListener(
+            Address address,
+            OperatorToken token,
+            List<RoleService> roles,
+            Supplier<ProcessDump> dump,
+            MetricRegistry registry) {
+        HttpHandler routes = Handlers.path()
+                .addExactPath("/livez", exchange -> exchange.getResponseSender().send("ok"))
+                .addExactPath("/readyz", exchange -> answerReady(exchange, roles))
+                .addExactPath("/metrics", exchange -> answerJson(exchange, MetricsDump.of(registry)))
+                .addExactPath("/dump", exchange -> answerDump(exchange, token, dump));
+        server = Undertow.builder()
+                .addHttpListener(address.port(), address.ip())
+                .setIoThreads(1)
+                .setWorkerThreads(1)
+                .setHandler(routes)
+                .build();
+    }
+
+    void start() {
+        server.start();
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+
+    private static void answerReady(HttpServerExchange exchange, List<RoleService> roles) {
+        boolean ready = roles.stream().allMatch(RoleService::ready);
+        exchange.setStatusCode(ready ? 200 : 503);
+        exchange.getResponseSender().send(ready ? "ready" : "not ready");
+    }
+
+    private void answerDump(HttpServerExchange exchange, OperatorToken token, Supplier<ProcessDump> dump) {
+        String authorization = Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION))
+                .orElse("");
+        if (token.accepts(authorization)) {
+            answerJson(exchange, dump.get());
+        } else {
+            exchange.setStatusCode(401);
+            exchange.getResponseSender().send("{\"error\":{\"code\":1003,\"message\":\"operator token is missing\"}}");
+        }
+    }
+
+    private void answerJson(HttpServerExchange exchange, Object body) {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        try {
+            exchange.getResponseSender().send(mapper.writeValueAsString(body));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("state cannot be written as JSON", e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wagtailcart/daemon/OperatorToken.java
@@ -0,0 +1,50 @@
+package org.wagtailcart.daemon;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.settings.process.ProcessSettings;
+
+/** The operators' bearer token, read from its file at start. */
+@Singleton
+final class OperatorToken {
+    private final String text;
+
+    /**
+     * Reads the file.
+     *
+     * @throws WagtailcartException with {@link ResultCode#INVALID_SETTINGS_FILE} when it cannot be read or is empty
+     */
+    @Inject
+    OperatorToken(ProcessSettings settings) {
+        String file = settings.operatorTokenFile()
+                .orElseThrow(() ->
+                        new WagtailcartException(ResultCode.INVALID_SETTINGS_FILE, "[operator] token-file is missing"));
+        try {
+            text = Files.readString(Path.of(file)).strip();
+        } catch (IOException e) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_SETTINGS_FILE, "[operator] token-file \"" + file + "\" cannot be read", e);
+        }
+        if (text.isEmpty()) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_SETTINGS_FILE, "[operator] token-file \"" + file + "\" is empty");
+        }
+    }
+
+    String text() {
+        return text;
+    }
+
+    /** Compares an Authorization header in constant time. */
+    boolean accepts(String authorization) {
+        return MessageDigest.isEqual(
+                ("Bearer " + text).getBytes(StandardCharsets.UTF_8), authorization.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wagtailcart/daemon/ProcessModule.java
@@ -0,0 +1,87 @@
+package org.wagtailcart.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import dagger.Module;
+import dagger.Provides;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.atomic.AtomicInteger;
+import javax.inject.Singleton;
+import org.wagtailcart.control.client.ControlMessages;
+import org.wagtailcart.coordination.RaftMessages;
+import org.wagtailcart.fleet.FleetMessages;
+import org.wagtailcart.once.KeyMessages;
+import org.wagtailcart.settings.SettingsMessages;
+import org.wagtailcart.sidecar.message.SidecarMessages;
+import org.wagtailcart.wire.IoLoop;
+import org.wagtailcart.wire.MessageCodec;
+import org.wagtailcart.wire.PeerClient;
+import org.wagtailcart.wire.PeerDispatcher;
+import org.wagtailcart.wire.WireOptions;
+
+/** What every process has, whatever its roles: threads, codec, connections and metrics. */
+@Module
+final class ProcessModule {
+    private ProcessModule() {}
+
+    @Provides
+    @Singleton
+    static MetricRegistry metrics() {
+        return new MetricRegistry();
+    }
+
+    @Provides
+    @Singleton
+    static IoLoop ioLoop() {
+        return new IoLoop("peer-io");
+    }
+
+    @Provides
+    @Singleton
+    static MessageCodec codec() {
+        return new MessageCodec(List.of(
+                RaftMessages.TYPES,
+                SettingsMessages.TYPES,
+                KeyMessages.TYPES,
+                FleetMessages.TYPES,
+                ControlMessages.TYPES,
+                SidecarMessages.TYPES));
+    }
+
+    @Provides
+    @Singleton
+    static PeerDispatcher dispatcher() {
+        return new PeerDispatcher();
+    }
+
+    /** Threads for traffic; they never run control state. */
+    @Provides
+    @Singleton
+    static ExecutorService traffic() {
+        return Executors.newCachedThreadPool(threads("traffic-"));
+    }
+
+    @Provides
+    @Singleton
+    static ScheduledExecutorService timer() {
+        return Executors.newScheduledThreadPool(1, threads("timer-"));
+    }
+
+    @Provides
+    @Singleton
+    static PeerClient peers(IoLoop loop, MessageCodec codec, ExecutorService traffic, MetricRegistry registry) {
+        return new PeerClient(loop, codec, traffic, WireOptions.standard(), registry);
+    }
+
+    private static ThreadFactory threads(String prefix) {
+        AtomicInteger number = new AtomicInteger();
+        return task -> {
+            Thread thread = new Thread(task, prefix + number.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RegistryKeyPart.java
@@ -0,0 +1,34 @@
+package org.wagtailcart.daemon;
+
+import org.wagtailcart.control.KeyPart;
+import org.wagtailcart.once.KeyRegistry;
+import org.wagtailcart.once.LookupKey;
+
+/** The registry of idempotency keys as a part of the control state. */
+final class RegistryKeyPart implements KeyPart {
+    private final KeyRegistry registry;
+
+    RegistryKeyPart(KeyRegistry registry) {
+        this.registry = registry;
+    }
+
+    @Override
+    public Object apply(long index, long timeMillis, Object command) {
+        return registry.apply(index, timeMillis, command);
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return registry.snapshot();
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        registry.restore(snapshot);
+    }
+
+    @Override
+    public Object lookup(Object query) {
+        return registry.lookup((LookupKey) query);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -0,0 +1,168 @@
+package org.wagtailcart.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import dagger.Module;
+import dagger.Provides;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Collectors;
+import javax.inject.Singleton;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.control.ControlOptions;
+import org.wagtailcart.control.ControlRole;
+import org.wagtailcart.control.ControlState;
+import org.wagtailcart.control.FleetPlanner;
+import org.wagtailcart.control.client.ControlClient;
+import org.wagtailcart.control.client.ControlClientImpl;
+import org.wagtailcart.control.client.ProcessIdentity;
+import org.wagtailcart.control.client.SyncLoop;
+import org.wagtailcart.coordination.InitialMember;
+import org.wagtailcart.coordination.RaftLog;
+import org.wagtailcart.coordination.RaftOptions;
+import org.wagtailcart.coordination.RaftTiming;
+import org.wagtailcart.coordination.ReplicatedLog;
+import org.wagtailcart.entry.EntryOptions;
+import org.wagtailcart.entry.EntryRole;
+import org.wagtailcart.entry.OnControlLoss;
+import org.wagtailcart.entry.admission.BoundedAdmission;
+import org.wagtailcart.entry.admission.ShareRetryBudget;
+import org.wagtailcart.once.KeyRegistry;
+import org.wagtailcart.policy.routing.LoadAwareRouter;
+import org.wagtailcart.settings.process.MemberAddress;
+import org.wagtailcart.settings.process.ProcessSettings;
+import org.wagtailcart.sidecar.SidecarOptions;
+import org.wagtailcart.sidecar.SidecarRole;
+import org.wagtailcart.wire.MessageCodec;
+import org.wagtailcart.wire.PeerClient;
+import org.wagtailcart.wire.PeerDispatcher;
+
+/** The roles and what they share. Each is created only when the settings ask for it. */
+@Module
+final class RolesModule {
+    private RolesModule() {}
+
+    @Provides
+    @Singleton
+    static ControlClient controlClient(
+            PeerClient peers, MessageCodec codec, ProcessSettings settings, ScheduledExecutorService timer) {
+        return new ControlClientImpl(peers, codec, memberAddresses(settings), timer);
+    }
+
+    @Provides
+    @Singleton
+    static SyncLoop syncLoop(
+            ProcessSettings settings,
+            Incarnation incarnation,
+            PeerClient peers,
+            MessageCodec codec,
+            ScheduledExecutorService timer,
+            LoadReports reports) {
+        String roles = settings.roles().stream()
+                .map(role -> role.name().toLowerCase(Locale.ROOT))
+                .filter(role -> !role.equals("control"))
+                .sorted()
+                .collect(Collectors.joining(","));
+        ProcessIdentity identity = new ProcessIdentity(
+                settings.id(), incarnation.number(), roles, settings.host(), settings.failureDomain());
+        return new SyncLoop(identity, memberAddresses(settings), peers, codec, timer, reports::collect);
+    }
+
+    @Provides
+    @Singleton
+    static ControlState controlState(MessageCodec codec) {
+        return new ControlState(codec, new RegistryKeyPart(new KeyRegistry()));
+    }
+
+    @Provides
+    @Singleton
+    static ReplicatedLog log(
+            ProcessSettings settings,
+            ControlState state,
+            PeerClient peers,
+            PeerDispatcher dispatcher,
+            MetricRegistry registry) {
+        List<InitialMember> initial = settings.members().stream()
+                .map(member -> new InitialMember(member.memberId(), member.address()))
+                .toList();
+        Path folder = Path.of(required(settings.dataFolder(), "process", "data-folder"));
+        Address address = required(settings.peerListener(), "listen", "peer");
+        RaftOptions options = new RaftOptions(settings.id(), address, folder, initial, RaftTiming.standard());
+        return RaftLog.open(options, state, peers, dispatcher, registry);
+    }
+
+    @Provides
+    @Singleton
+    static ControlRole control(
+            ProcessSettings settings,
+            OperatorToken token,
+            ReplicatedLog log,
+            ControlState state,
+            MessageCodec codec,
+            PeerDispatcher dispatcher,
+            PeerClient peers,
+            MetricRegistry registry,
+            ScheduledExecutorService timer) {
+        Address operator = required(settings.operatorListener(), "listen", "operator");
+        ControlOptions options = ControlOptions.standard(operator, token.text());
+        return new ControlRole(options, log, state, codec, dispatcher, peers, FleetPlanner.NONE, registry, timer);
+    }
+
+    @Provides
+    @Singleton
+    static EntryRole entry(
+            ProcessSettings settings,
+            Incarnation incarnation,
+            ControlClient control,
+            SyncLoop view,
+            PeerClient peers,
+            ScheduledExecutorService timer,
+            MetricRegistry registry) {
+        EntryOptions options = new EntryOptions(
+                required(settings.callerListener(), "listen", "caller"),
+                OnControlLoss.valueOf(settings.onControlLoss().name()),
+                settings.shutdownGraceMillis());
+        return new EntryRole(
+                options,
+                control,
+                view,
+                peers,
+                new LoadAwareRouter(incarnation.number()),
+                new BoundedAdmission(),
+                new ShareRetryBudget(),
+                timer,
+                MillisClock.monotonic(),
+                registry);
+    }
+
+    @Provides
+    @Singleton
+    static SidecarRole sidecar(
+            ProcessSettings settings,
+            Incarnation incarnation,
+            ControlClient control,
+            SyncLoop view,
+            PeerDispatcher dispatcher,
+            ExecutorService traffic,
+            ScheduledExecutorService timer,
+            MetricRegistry registry) {
+        Address address = required(settings.peerListener(), "listen", "peer");
+        SidecarOptions options = SidecarOptions.standard(settings.id(), address, incarnation.number());
+        return new SidecarRole(options, control, view, dispatcher, traffic, timer, registry);
+    }
+
+    private static List<Address> memberAddresses(ProcessSettings settings) {
+        return settings.members().stream().map(MemberAddress::address).toList();
+    }
+
+    private static <T> T required(Optional<T> value, String section, String key) {
+        return value.orElseThrow(() ->
+                new WagtailcartException(ResultCode.INVALID_SETTINGS_FILE, "[" + section + "] " + key + " is missing"));
+    }
+}
