Bind the peer port before the roles, accept after; test the whole path with processes

Cause: a request that arrived while roles were still registering was refused as unknown (seen: 'this process does not handle CommandRequest'); a process that had been paused closed live connections because its own lateness counted against PONG deadlines (seen in PeerTest). Change: PeerServer binds in the constructor and handles requests after start(); the I/O loop moves PONG deadlines by the time it did not run. ProcessFleet starts real processes for tests. Ruled out: a retryable 'starting' code; waiting in the accept backlog needs no code.

--- a/coordination/src/test/java/org/wagtailcart/coordination/LoopbackMember.java
+++ b/coordination/src/test/java/org/wagtailcart/coordination/LoopbackMember.java
@@ -37,6 +37,7 @@
                 dispatcher,
                 registry);
         server = new PeerServer(loop, self.address(), CODEC, dispatcher, executor, WireOptions.standard(), registry);
+        server.start();
     }
 
     MetricRegistry registry() {
--- a/daemon/src/main/java/org/wagtailcart/daemon/Daemon.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/Daemon.java
@@ -94,7 +94,7 @@
 
     /**
      * Starts the process. The peer listener comes first: its port is the mutex that keeps a second copy of this process
-     * from acting while a paused one exists.
+     * from acting while a paused one exists. Requests are handled once all roles have registered their messages.
      */
     void start() {
         settings.peerListener()
@@ -108,6 +108,7 @@
             sync.get().start();
         }
         roles.forEach(RoleService::start);
+        Optional.ofNullable(server).ifPresent(PeerServer::start);
         startOperatorListener();
         LOG.log(
                 Level.INFO,
--- /dev/null
+++ b/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
@@ -0,0 +1,310 @@
+package org.wagtailcart.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.control.client.ControlClientImpl;
+import org.wagtailcart.settings.ApplySettings;
+import org.wagtailcart.settings.ApplySettingsResult;
+import org.wagtailcart.settings.SettingsIni;
+import org.wagtailcart.settings.SettingsTree;
+import org.wagtailcart.wire.IoLoop;
+import org.wagtailcart.wire.PeerClient;
+import org.wagtailcart.wire.WireOptions;
+
+/** A small fleet of real processes on loopback with stand-ins for engines and services. */
+final class ProcessFleet implements AutoCloseable {
+    static final String MODEL = "repair-assistant";
+    private static final long WAIT_LIMIT_MILLIS = 90_000;
+
+    private final Path folder;
+    private final Map<String, ChildProcess> processes = new LinkedHashMap<>();
+    private final Map<String, Address> addresses = new LinkedHashMap<>();
+    private final List<String> controls;
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(10))
+            .build();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+    private final IoLoop loop = new IoLoop("fleet-io");
+    private final PeerClient peers =
+            new PeerClient(loop, ProcessModule.codec(), timer, WireOptions.standard(), new MetricRegistry());
+
+    /** Starts the control members and applies nothing yet. */
+    ProcessFleet(Path folder, int controlCount) {
+        this.folder = folder;
+        this.controls = IntStream.rangeClosed(1, controlCount)
+                .mapToObj(i -> "control-" + i)
+                .toList();
+        controls.forEach(name -> address(name + ".peer"));
+        write("operator.token", "test-token\n");
+        controls.forEach(name -> startDaemon(name, "control"));
+    }
+
+    /** Returns the address of a listener, chosen on first use. */
+    Address address(String name) {
+        return addresses.computeIfAbsent(name, unused -> freeAddress());
+    }
+
+    ChildProcess process(String name) {
+        return processes.get(name);
+    }
+
+    /** Starts or restarts a daemon with one role. */
+    ChildProcess startDaemon(String name, String role) {
+        write(name + ".ini", settingsOf(name, role));
+        return start(name, "org.wagtailcart.daemon.Main", List.of("--settings", name + ".ini"));
+    }
+
+    /** Starts a stand-in engine; more arguments follow its listener. */
+    ChildProcess startEngine(String name, String... arguments) {
+        List<String> all = new ArrayList<>(List.of(
+                "engine", "--listen", address(name).toString(), "--model", MODEL, "--fast", "--change-millis", "800"));
+        all.addAll(List.of(arguments));
+        return start(name, "org.wagtailcart.standin.Standin", all);
+    }
+
+    /** Starts a stand-in service. */
+    ChildProcess startService(String name) {
+        return start(
+                name,
+                "org.wagtailcart.standin.Standin",
+                List.of("service", "--listen", address(name).toString()));
+    }
+
+    /** Applies a text in the form of the operators' INI file and returns the new revision. */
+    long apply(String ini, long expectedRevision) {
+        List<Address> members =
+                controls.stream().map(name -> address(name + ".peer")).toList();
+        ControlClientImpl client = new ControlClientImpl(peers, ProcessModule.codec(), members, timer);
+        ApplySettings change = new ApplySettings(
+                UUID.randomUUID().toString(),
+                "test",
+                expectedRevision,
+                SettingsIni.edits(SettingsTree.EMPTY, ini, false));
+        ApplySettingsResult result =
+                client.submit(change, ApplySettingsResult.class, 60_000).join();
+        if (result.codeNumber() != 0) {
+            throw new AssertionError(result.toString());
+        }
+        return result.revision();
+    }
+
+    /** Returns a tree with one engine for each sidecar, and one service beside the first two sidecars. */
+    String tree(List<String> sidecars) {
+        String engines = sidecars.stream()
+                .map(sidecar -> upstream("/upstreams/assistant/", "engine-" + suffix(sidecar), sidecar))
+                .collect(Collectors.joining());
+        String services = sidecars.stream()
+                .limit(2)
+                .map(sidecar -> upstream("/upstreams/stock/", "stock-" + suffix(sidecar), sidecar))
+                .collect(Collectors.joining());
+        return """
+                [/]
+                deadline-millis = 60000
+                drain-limit-millis = 20000
+                queue-limit = 200
+                [/upstreams]
+                max-in-flight = 16
+                soft-max-in-flight = 8
+                [/upstreams/assistant]
+                kind = engine
+                model = %s
+                version = 1
+                role = mixed
+                fencing = checked
+                [/upstreams/stock]
+                kind = service
+                service = parts-stock
+                non-idempotent = POST /bookings
+                """
+                        .formatted(MODEL)
+                + engines
+                + services;
+    }
+
+    /** Waits until an entry is ready and knows the model. */
+    void awaitServing(String entry) {
+        await(entry + " to be ready", () -> get(entry, "/readyz").statusCode() == 200);
+        await(
+                entry + " to know the model",
+                () -> get(entry, "/v1/models").body().contains(MODEL));
+    }
+
+    HttpResponse<String> get(String entry, String path) {
+        return send(request(entry, path).GET().build());
+    }
+
+    /** Sends a completion and returns the answer. */
+    HttpResponse<String> complete(String entry, String prompt, int maxTokens, boolean stream) {
+        String body = "{\"model\":\"%s\",\"stream\":%s,\"max_tokens\":%d,\"prompt\":\"%s\"}"
+                .formatted(MODEL, stream, maxTokens, prompt);
+        return send(request(entry, "/v1/completions")
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build());
+    }
+
+    /** Sends a booking under a key and returns the answer. */
+    HttpResponse<String> book(String entry, String key, String part) {
+        return send(request(entry, "/services/parts-stock/bookings")
+                .header("Idempotency-Key", key)
+                .POST(HttpRequest.BodyPublishers.ofString("{\"part\":\"" + part + "\"}"))
+                .build());
+    }
+
+    /** Returns how often a key ran, over all services. */
+    int runs(String key, List<String> services) {
+        return services.stream()
+                .map(name -> send(HttpRequest.newBuilder(uri(address(name), "/standin/runs"))
+                                .GET()
+                                .build())
+                        .body())
+                .mapToInt(body -> json(body).findPath(key).asInt(0))
+                .sum();
+    }
+
+    /** Makes a stand-in do something wrong. */
+    void fault(String standin, String json) {
+        HttpResponse<String> answer = send(HttpRequest.newBuilder(uri(address(standin), "/standin/faults"))
+                .POST(HttpRequest.BodyPublishers.ofString(json))
+                .build());
+        if (answer.statusCode() >= 300) {
+            throw new AssertionError(answer.body());
+        }
+    }
+
+    JsonNode json(String body) {
+        try {
+            return mapper.readTree(body);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Sends a request; connection failures become status 599, so that callers can poll. */
+    HttpResponse<String> send(HttpRequest request) {
+        try {
+            return http.send(request, HttpResponse.BodyHandlers.ofString());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    HttpRequest.Builder request(String process, String path) {
+        return HttpRequest.newBuilder(uri(address(process + ".caller"), path))
+                .timeout(Duration.ofSeconds(90))
+                .header("Content-Type", "application/json");
+    }
+
+    /** Waits for a condition; an exception counts as not yet. */
+    void await(String what, BooleanSupplier condition) {
+        long deadlineMillis = System.nanoTime() / 1_000_000 + WAIT_LIMIT_MILLIS;
+        while (!holds(condition)) {
+            if (System.nanoTime() / 1_000_000 > deadlineMillis) {
+                throw new AssertionError("waited in vain for " + what + "\n" + logs());
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
+        }
+    }
+
+    String logs() {
+        return processes.values().stream()
+                .map(process ->
+                        "--- " + process.name() + (process.alive() ? "" : " (ended)") + "\n" + tail(process.log()))
+                .collect(Collectors.joining("\n"));
+    }
+
+    @Override
+    public void close() {
+        processes.values().stream().filter(ChildProcess::alive).forEach(ChildProcess::resume);
+        processes.values().stream().filter(ChildProcess::alive).forEach(ChildProcess::kill);
+        peers.close();
+        loop.close();
+        timer.shutdownNow();
+    }
+
+    private static boolean holds(BooleanSupplier condition) {
+        try {
+            return condition.getAsBoolean();
+        } catch (RuntimeException e) {
+            return false;
+        }
+    }
+
+    private ChildProcess start(String name, String mainClass, List<String> arguments) {
+        ChildProcess process = ChildProcess.start(name, folder, mainClass, arguments);
+        processes.put(name, process);
+        return process;
+    }
+
+    private String settingsOf(String name, String role) {
+        String members = controls.stream()
+                .map(control -> control + "@" + address(control + ".peer"))
+                .collect(Collectors.joining(", "));
+        String listeners = "peer = " + address(name + ".peer") + "\noperator = " + address(name + ".operator") + "\n";
+        return "[process]\nid = " + name + "\nhost = host-" + name + "\nfailure-domain = fes\nroles = " + role + "\n"
+                + (role.equals("control") ? "data-folder = data-" + name + "\n" : "")
+                + "[listen]\n" + listeners
+                + (role.equals("entry") ? "caller = " + address(name + ".caller") + "\n" : "")
+                + "[control]\nmembers = " + members + "\n[operator]\ntoken-file = operator.token\n";
+    }
+
+    private String upstream(String branch, String name, String sidecar) {
+        return "[" + branch + name + "]\naddress = " + address(name) + "\nsidecar = " + sidecar + "\nsidecar-address = "
+                + address(sidecar + ".peer") + "\nhost = host-" + sidecar + "\nfailure-domain = fes\n";
+    }
+
+    private void write(String file, String text) {
+        try {
+            Files.writeString(folder.resolve(file), text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static String suffix(String name) {
+        return name.substring(name.lastIndexOf('-') + 1);
+    }
+
+    private static String tail(String log) {
+        return log.substring(Math.max(0, log.length() - 4_000));
+    }
+
+    private static URI uri(Address address, String path) {
+        return URI.create("http://" + address + path);
+    }
+
+    private static Address freeAddress() {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return new Address("127.0.0.1", socket.getLocalPort());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/entry/src/test/java/org/wagtailcart/entry/FakeSidecar.java
+++ b/entry/src/test/java/org/wagtailcart/entry/FakeSidecar.java
@@ -54,6 +54,7 @@
         address = freeAddress();
         server = new PeerServer(
                 loop, address, CODEC, this::handle, executor, WireOptions.standard(), new MetricRegistry());
+        server.start();
     }
 
     static Address freeAddress() {
--- a/wire/src/main/java/org/wagtailcart/wire/IoLoop.java
+++ b/wire/src/main/java/org/wagtailcart/wire/IoLoop.java
@@ -65,11 +65,11 @@
     }
 
     /**
-     * Listens on an address and passes each accepted channel on.
+     * Binds an address. Peers can connect from now on; their frames wait until {@link #acceptFrom}.
      *
      * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT} when the address cannot be bound
      */
-    ServerSocketChannel listen(Address address, Consumer<SocketChannel> accepted) {
+    ServerSocketChannel bind(Address address) {
         try {
             ServerSocketChannel server = ServerSocketChannel.open();
             try {
@@ -80,13 +80,17 @@
                 server.close();
                 throw e;
             }
-            submit(() -> register(server, SelectionKey.OP_ACCEPT, key -> accept(server, accepted)));
             return server;
         } catch (IOException e) {
             throw new WagtailcartException(ResultCode.INVALID_ARGUMENT, "cannot listen on " + address, e);
         }
     }
 
+    /** Passes each accepted channel on. */
+    void acceptFrom(ServerSocketChannel server, Consumer<SocketChannel> accepted) {
+        submit(() -> register(server, SelectionKey.OP_ACCEPT, key -> accept(server, accepted)));
+    }
+
     /** Registers a channel; must run on the loop's thread. */
     SelectionKey register(java.nio.channels.SelectableChannel channel, int operations, Consumer<SelectionKey> ready) {
         try {
@@ -171,12 +175,14 @@
         if (nowMillis < nextTickMillis) {
             return;
         }
+        // A process that was paused has unread answers; their deadlines move by the time it was away.
+        long awayMillis = nextTickMillis == 0 ? 0 : Math.max(0, nowMillis - nextTickMillis - TICK_MILLIS);
         nextTickMillis = nowMillis + TICK_MILLIS;
         List.copyOf(selector.keys()).stream()
                 .map(SelectionKey::attachment)
                 .filter(PeerConnection.class::isInstance)
                 .map(PeerConnection.class::cast)
-                .forEach(connection -> runGuarded(() -> connection.tick(nowMillis)));
+                .forEach(connection -> runGuarded(() -> connection.tick(nowMillis, awayMillis)));
     }
 
     private static void closeKey(SelectionKey key) {
--- a/wire/src/main/java/org/wagtailcart/wire/PeerConnection.java
+++ b/wire/src/main/java/org/wagtailcart/wire/PeerConnection.java
@@ -154,8 +154,15 @@
         owner.onClosed(this, reason);
     }
 
-    /** Checks deadlines; runs on the loop's thread. */
-    void tick(long nowMillis) {
+    /**
+     * Checks deadlines; runs on the loop's thread.
+     *
+     * @param awayMillis time for which this process itself did not run
+     */
+    void tick(long nowMillis, long awayMillis) {
+        if (pongDeadlineMillis != Long.MAX_VALUE) {
+            pongDeadlineMillis += awayMillis;
+        }
         if (nowMillis >= connectDeadlineMillis) {
             close(new WagtailcartException(ResultCode.CONNECT_FAILED, "connect to " + remote + " timed out"));
             return;
--- a/wire/src/main/java/org/wagtailcart/wire/PeerServer.java
+++ b/wire/src/main/java/org/wagtailcart/wire/PeerServer.java
@@ -30,7 +30,7 @@
     private final Set<PeerConnection> connections = ConcurrentHashMap.newKeySet();
 
     /**
-     * Starts to listen.
+     * Binds the address. The port is taken from now on; requests are handled after {@link #start}.
      *
      * @param executor runs the handler
      * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT} when the address cannot be bound
@@ -49,7 +49,12 @@
         this.executor = executor;
         this.options = options;
         this.metrics = WireMetrics.in(registry);
-        this.listener = loop.listen(listen, this::accepted);
+        this.listener = loop.bind(listen);
+    }
+
+    /** Starts to handle requests, also those of peers that connected before. */
+    public void start() {
+        loop.acceptFrom(listener, this::accepted);
     }
 
     /** Returns the number of open connections. */
