Add the operators' HTTP interface on Undertow

Cause: operators need the tree, lifecycle, orders, members and status. Change: OperatorServer serves JSON under /v1 with a bearer token compared in constant time; every refusal carries code, run state and repeat_safe. An INI file is diffed against the expected revision, so that a resent file is the same command. Not proved yet: no test in this commit.

--- a/control/src/main/java/org/wagtailcart/control/ControlRole.java
+++ b/control/src/main/java/org/wagtailcart/control/ControlRole.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -15,15 +16,23 @@
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RoleService;
+import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.control.client.CommandRequest;
+import org.wagtailcart.control.client.ControlClientImpl;
 import org.wagtailcart.control.client.LoadDigest;
 import org.wagtailcart.control.client.LoadDigestReply;
 import org.wagtailcart.control.client.PowerGrant;
 import org.wagtailcart.control.client.ProcessesReply;
 import org.wagtailcart.control.client.ProcessesRequest;
 import org.wagtailcart.control.client.SyncRequest;
+import org.wagtailcart.control.http.OperatorBackend;
+import org.wagtailcart.control.http.OperatorServer;
 import org.wagtailcart.coordination.LogStatus;
+import org.wagtailcart.coordination.Member;
+import org.wagtailcart.coordination.MemberChange;
+import org.wagtailcart.coordination.Members;
 import org.wagtailcart.coordination.ReplicatedLog;
 import org.wagtailcart.wire.Exchange;
 import org.wagtailcart.wire.MessageCodec;
@@ -31,14 +40,20 @@
 import org.wagtailcart.wire.PeerDispatcher;
 
 /** A control member: answers syncs and commands, forwards load to the leader and leads when elected. */
-public final class ControlRole implements RoleService {
+public final class ControlRole implements RoleService, OperatorBackend {
     private static final Logger LOG = System.getLogger(ControlRole.class.getName());
 
+    // An election takes 1 to 3 s; an operator rather waits than repeats by hand.
+    private static final long OPERATOR_LIMIT_MILLIS = 10_000;
+
     private final ControlOptions options;
     private final ReplicatedLog log;
     private final ControlState state;
     private final PeerDispatcher dispatcher;
     private final PeerClient peers;
+    private final MessageCodec codec;
+    private final MetricRegistry registry;
+    private final Executor executor;
     private final ScheduledExecutorService scheduler;
     private final MillisClock clock = MillisClock.monotonic();
     private final LoadBook book = new LoadBook();
@@ -51,6 +66,7 @@
     // Earlier than any monotonic time, so that an unconfirmed member grants no lease.
     private volatile long confirmedAtMillis = Long.MIN_VALUE / 4;
     private volatile boolean started;
+    private @Nullable OperatorServer operatorServer;
 
     /**
      * Creates a member that does not serve yet.
@@ -58,6 +74,7 @@
      * @param codec codec with the messages of settings, fleet, keys and control
      * @param dispatcher receives the handlers of this role when it starts
      * @param peers connections to the leader
+     * @param executor runs the operators' requests; they may wait for their body
      * @param scheduler runs digests and planning
      */
     public ControlRole(
@@ -69,12 +86,16 @@
             PeerClient peers,
             FleetPlanner planner,
             MetricRegistry registry,
+            Executor executor,
             ScheduledExecutorService scheduler) {
         this.options = options;
         this.log = log;
         this.state = state;
         this.dispatcher = dispatcher;
         this.peers = peers;
+        this.codec = codec;
+        this.registry = registry;
+        this.executor = executor;
         this.scheduler = scheduler;
         this.commands = new Commands(log, state, codec);
         this.answers = new SyncAnswers(codec);
@@ -91,6 +112,8 @@
         dispatcher.register(ProcessesRequest.class, this::processes);
         repeat(this::forwardDigest, options.digestMillis());
         repeat(duties::run, options.planMillis());
+        operatorServer =
+                new OperatorServer(options.operatorAddress(), options.operatorToken(), this, registry, executor);
         started = true;
     }
 
@@ -113,6 +136,56 @@
     @Override
     public void close() {
         started = false;
+        if (operatorServer != null) {
+            operatorServer.close();
+        }
+    }
+
+    @Override
+    public PublishedState state() {
+        return state.published();
+    }
+
+    @Override
+    public LogStatus status() {
+        return log.status();
+    }
+
+    @Override
+    public long leaseMillis() {
+        return options.leaseMillis();
+    }
+
+    @Override
+    public <T> CompletableFuture<T> submit(Record command, Class<T> resultType) {
+        if (commands.isLeader()) {
+            return commands.propose(command).thenApply(resultType::cast);
+        }
+        List<Address> members =
+                log.status().members().members().stream().map(Member::address).toList();
+        return new ControlClientImpl(peers, codec, members, scheduler)
+                .submit(command, resultType, OPERATOR_LIMIT_MILLIS);
+    }
+
+    @Override
+    public CompletableFuture<ProcessesReply> processes() {
+        LogStatus status = log.status();
+        if (status.role() == LogStatus.Role.LEADER) {
+            return CompletableFuture.completedFuture(ownProcesses());
+        }
+        return status.leader()
+                .map(leader -> peers.call(
+                        leader.address(),
+                        new ProcessesRequest(status.self().memberId()),
+                        ProcessesReply.class,
+                        OPERATOR_LIMIT_MILLIS))
+                .orElseGet(() -> CompletableFuture.failedFuture(
+                        new WagtailcartException(ResultCode.NOT_LEADER, "no leader is known")));
+    }
+
+    @Override
+    public CompletableFuture<Members> changeMembers(MemberChange change) {
+        return log.changeMembers(change);
     }
 
     private void repeat(Runnable task, long periodMillis) {
@@ -219,7 +292,8 @@
      * Returns the time since the published state was confirmed. A confirmation that arrives before its commands are
      * applied does not count yet.
      */
-    private long confirmationAgeMillis() {
+    @Override
+    public long confirmationAgeMillis() {
         LogStatus status = log.status();
         if (status.appliedIndex() >= status.commitIndex()) {
             confirmedAtMillis = status.confirmedAtMillis();
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/http/OperatorServer.java
@@ -0,0 +1,200 @@
+package org.wagtailcart.control.http;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.SettingNames;
+import org.wagtailcart.common.WagtailcartException;
+
+/** Serves operators over HTTP. Every request needs the bearer token. */
+public final class OperatorServer implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(OperatorServer.class.getName());
+    // A whole tree of 30,000 workspaces is below 5 MB as INI.
+    private static final long MAX_BODY_BYTES = 8L << 20;
+
+    private final Json json = new Json();
+    private final byte[] expectedAuthorization;
+    private final Undertow server;
+
+    /**
+     * Starts to listen.
+     *
+     * @param executor runs the endpoints; they may wait for their request body
+     * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT} when the address cannot be bound
+     */
+    public OperatorServer(
+            Address listen, String token, OperatorBackend backend, MetricRegistry registry, Executor executor) {
+        this.expectedAuthorization = ("Bearer " + token).getBytes(StandardCharsets.UTF_8);
+        this.server = Undertow.builder()
+                .addHttpListener(listen.port(), listen.ip())
+                .setIoThreads(1)
+                .setWorkerThreads(1)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
+                .setHandler(authorized(routes(backend, registry, executor)))
+                .build();
+        try {
+            server.start();
+        } catch (RuntimeException e) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT,
+                    "operator listener " + listen + " cannot be bound: " + e.getMessage(),
+                    e);
+        }
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+
+    private HttpHandler authorized(HttpHandler next) {
+        return exchange -> {
+            String given = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
+            byte[] bytes = given == null ? new byte[0] : given.getBytes(StandardCharsets.UTF_8);
+            if (MessageDigest.isEqual(bytes, expectedAuthorization)) {
+                next.handleRequest(exchange);
+            } else {
+                send(
+                        exchange,
+                        refusal(new WagtailcartException(
+                                ResultCode.UNAUTHORIZED,
+                                "header \"Authorization\" does not hold the operators' bearer token")));
+            }
+        };
+    }
+
+    private HttpHandler routes(OperatorBackend backend, MetricRegistry registry, Executor executor) {
+        SettingsApi settings = new SettingsApi(backend, json);
+        FleetApi fleet = new FleetApi(backend, json, executor);
+        MetricsApi metrics = new MetricsApi(registry);
+        return new RoutingHandler()
+                .get("/v1/tree", now(executor, settings::tree))
+                .get("/v1/tree/ini", reply(executor, request -> done(settings.ini(request))))
+                .post("/v1/tree", later(executor, settings::apply))
+                .post("/v1/tree/ini", later(executor, settings::applyIni))
+                .get("/v1/history", now(executor, settings::history))
+                .get("/v1/compare", now(executor, settings::compare))
+                .get("/v1/upstreams", now(executor, fleet::upstreams))
+                .get("/v1/upstreams/{id}", now(executor, fleet::upstream))
+                .post("/v1/upstreams/{id}/lifecycle", later(executor, fleet::lifecycle))
+                .post("/v1/upstreams/{id}/order", later(executor, fleet::order))
+                .get("/v1/members", now(executor, fleet::members))
+                .post("/v1/members", later(executor, fleet::changeMembers))
+                .get("/v1/status", later(executor, fleet::status))
+                .get("/v1/wait", later(executor, fleet::waitInForce))
+                .get("/v1/dump", now(executor, request -> backend.dump()))
+                .get("/v1/metrics", now(executor, metrics::metrics))
+                .setFallbackHandler(this::notFound)
+                .setInvalidMethodHandler(this::notFound);
+    }
+
+    private void notFound(HttpServerExchange exchange) {
+        send(
+                exchange,
+                refusal(new WagtailcartException(
+                        ResultCode.NOT_FOUND,
+                        exchange.getRequestMethod() + " " + exchange.getRequestPath() + " is unknown")));
+    }
+
+    private HttpHandler now(Executor executor, Function<OperatorRequest, Record> endpoint) {
+        return later(executor, request -> done(endpoint.apply(request)));
+    }
+
+    private HttpHandler later(Executor executor, Function<OperatorRequest, CompletableFuture<Record>> endpoint) {
+        return reply(
+                executor, request -> endpoint.apply(request).thenApply(body -> OperatorReply.json(json.write(body))));
+    }
+
+    /** Runs an endpoint on the executor; its result may come from the control thread, which must not send. */
+    private HttpHandler reply(Executor executor, Function<OperatorRequest, CompletableFuture<OperatorReply>> endpoint) {
+        return exchange -> exchange.dispatch(executor, () -> {
+            CompletableFuture<OperatorReply> reply;
+            try {
+                reply = endpoint.apply(read(exchange));
+            } catch (RuntimeException | IOException e) {
+                reply = CompletableFuture.failedFuture(e);
+            }
+            CompletableFuture<?> unused = reply.exceptionally(error -> refusal(known(error)))
+                    .thenAcceptAsync(answer -> send(exchange, answer), executor);
+        });
+    }
+
+    private static <T> CompletableFuture<T> done(T value) {
+        return CompletableFuture.completedFuture(value);
+    }
+
+    private static OperatorRequest read(HttpServerExchange exchange) throws IOException {
+        Map<String, String> parameters = new TreeMap<>();
+        exchange.getQueryParameters().forEach((name, values) -> parameters.put(name, values.getFirst()));
+        exchange.startBlocking();
+        try {
+            return new OperatorRequest(parameters, exchange.getInputStream().readAllBytes());
+        } catch (RequestTooBigException e) {
+            throw new WagtailcartException(
+                    ResultCode.PAYLOAD_TOO_LARGE, "body is larger than " + MAX_BODY_BYTES + " bytes", e);
+        }
+    }
+
+    private OperatorReply refusal(WagtailcartException error) {
+        ResultCode code = error.code();
+        String runState = SettingNames.of(error.runState());
+        Bodies.Reason body = new Bodies.Reason(
+                code.number(),
+                SettingNames.of(code),
+                Optional.ofNullable(error.getMessage()).orElse(""),
+                runState,
+                code.repeatSafe());
+        return new OperatorReply(
+                code.httpStatus(),
+                "application/json",
+                Map.of(
+                        "Wagtailcart-Result-Code", String.valueOf(code.number()),
+                        "Wagtailcart-Run-State", runState,
+                        "Wagtailcart-Repeat-Safe", String.valueOf(code.repeatSafe())),
+                json.write(new Bodies.Refusal(body)));
+    }
+
+    private static WagtailcartException known(Throwable error) {
+        Throwable cause = unwrap(error);
+        if (cause instanceof WagtailcartException known) {
+            return known;
+        }
+        LOG.log(Level.ERROR, LogEvent.of("operator-request-failed", "reason", cause), cause);
+        return new WagtailcartException(ResultCode.INTERNAL_ERROR, "the request failed: " + cause);
+    }
+
+    private static Throwable unwrap(Throwable error) {
+        @Nullable Throwable cause = error.getCause();
+        return error instanceof CompletionException && cause != null ? cause : error;
+    }
+
+    private static void send(HttpServerExchange exchange, OperatorReply reply) {
+        exchange.setStatusCode(reply.status());
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, reply.contentType());
+        reply.headers().forEach((name, value) -> exchange.getResponseHeaders().put(new HttpString(name), value));
+        exchange.getResponseSender().send(ByteBuffer.wrap(reply.body()));
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/http/SettingsApi.java
@@ -0,0 +1,137 @@
+package org.wagtailcart.control.http;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.SettingNames;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.settings.ApplySettings;
+import org.wagtailcart.settings.ApplySettingsResult;
+import org.wagtailcart.settings.SettingsEdit;
+import org.wagtailcart.settings.SettingsHistory;
+import org.wagtailcart.settings.SettingsIni;
+import org.wagtailcart.settings.SettingsKey;
+import org.wagtailcart.settings.SettingsTree;
+
+/** Endpoints for the tree and its history. */
+final class SettingsApi {
+    private static final int MAX_HISTORY = 1_000;
+
+    private final OperatorBackend backend;
+    private final Json json;
+
+    SettingsApi(OperatorBackend backend, Json json) {
+        this.backend = backend;
+        this.json = json;
+    }
+
+    Record tree(OperatorRequest request) {
+        SettingsTree tree = current();
+        String branch = request.parameter("branch").orElse("/");
+        if (!tree.exists(branch) && !branch.equals("/")) {
+            throw new WagtailcartException(
+                    ResultCode.NOT_FOUND, "branch " + branch + " does not exist in revision " + tree.revision());
+        }
+        Stream<String> paths = request.flag("below") ? tree.subtree(branch).keySet().stream() : Stream.of(branch);
+        return new Bodies.Tree(
+                tree.revision(), paths.map(path -> branchBody(tree, path)).toList());
+    }
+
+    OperatorReply ini(OperatorRequest request) {
+        SettingsTree tree = current();
+        return OperatorReply.text(
+                SettingsIni.export(tree, request.parameter("branch").orElse("/")),
+                Map.of("Wagtailcart-Revision", String.valueOf(tree.revision())));
+    }
+
+    CompletableFuture<Record> apply(OperatorRequest request) {
+        Bodies.Apply body = json.read(request.body(), Bodies.Apply.class);
+        List<SettingsEdit> edits = body.edits().stream().map(SettingsApi::edit).toList();
+        long expected = Objects.requireNonNullElse(body.expectedRevision(), -1L);
+        if (expected < 0) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT,
+                    "body field \"expected_revision\" is missing; accepted is the revision you saw");
+        }
+        return submit(new ApplySettings(
+                Arguments.changeId(body.changeId()), Arguments.operator(body.operator()), expected, edits));
+    }
+
+    CompletableFuture<Record> applyIni(OperatorRequest request) {
+        String changeId = Arguments.changeId(request.required("change_id"));
+        String operator = Arguments.operator(request.required("operator"));
+        long expected = request.number("expected_revision", 0, Long.MAX_VALUE);
+        SettingsHistory history = backend.state().settings();
+        // The edits follow from the expected revision and not from the current one, so that a resent file is the same
+        // command and gets its first result.
+        SettingsTree base = expected > history.current().revision() ? history.current() : history.at(expected);
+        List<SettingsEdit> edits = SettingsIni.edits(base, utf8(request.body()), request.flag("replace"));
+        if (edits.isEmpty()) {
+            return CompletableFuture.completedFuture(new Bodies.Changed(expected, List.of()));
+        }
+        return submit(new ApplySettings(changeId, operator, expected, edits));
+    }
+
+    Record history(OperatorRequest request) {
+        int limit = (int) request.number("limit", 1, MAX_HISTORY, 50);
+        SettingsHistory history = backend.state().settings();
+        return new Bodies.History(history.current().revision(), history.latest(limit));
+    }
+
+    Record compare(OperatorRequest request) {
+        long from = request.number("from", 0, Long.MAX_VALUE);
+        SettingsHistory history = backend.state().settings();
+        long to = request.number("to", 0, Long.MAX_VALUE, history.current().revision());
+        return new Bodies.Comparison(from, to, history.compare(from, to));
+    }
+
+    private SettingsTree current() {
+        return backend.state().settings().current();
+    }
+
+    private CompletableFuture<Record> submit(ApplySettings command) {
+        return backend.submit(command, ApplySettingsResult.class).thenApply(result -> {
+            Arguments.checkResult(result.codeNumber(), result.text());
+            return new Bodies.Changed(result.revision(), command.edits());
+        });
+    }
+
+    private static Bodies.Branch branchBody(SettingsTree tree, String branch) {
+        Map<String, Bodies.EffectiveValue> effective = new TreeMap<>();
+        Stream.of(SettingsKey.values()).map(SettingsKey::settingName).forEach(key -> tree.origin(branch, key)
+                .ifPresent(origin -> effective.put(
+                        key,
+                        new Bodies.EffectiveValue(tree.effective(branch, key).orElse(""), origin))));
+        return new Bodies.Branch(branch, new TreeMap<>(tree.own(branch)), effective);
+    }
+
+    private static SettingsEdit edit(Bodies.Edit edit) {
+        if (edit == null || edit.kind() == null || edit.branch() == null) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT, "body field \"edits\": an edit lacks \"kind\" or \"branch\"");
+        }
+        return new SettingsEdit(
+                SettingNames.parse(SettingsEdit.Kind.values(), edit.kind(), "body field \"kind\""),
+                edit.branch(),
+                Objects.requireNonNullElse(edit.key(), ""),
+                Objects.requireNonNullElse(edit.value(), ""));
+    }
+
+    private static String utf8(byte[] bytes) {
+        try {
+            return StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(bytes))
+                    .toString();
+        } catch (CharacterCodingException e) {
+            throw new WagtailcartException(ResultCode.INVALID_SETTINGS_FILE, "text is not UTF-8", e);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/http/package-info.java
@@ -0,0 +1,5 @@
+/** HTTP interface for operators, with JSON bodies. */
+@NullMarked
+package org.wagtailcart.control.http;
+
+import org.jspecify.annotations.NullMarked;
