Add the silent relay and the load generator

Cause: the checks need connections that go silent without closing, and a load whose mix of prompt and output lengths swings. Change: Relay drops bytes in one or both directions, for all or only for the existing connections. LoadGenerator sends seeded open-loop arrivals, verifies every token of every answer and the run count of every keyed call, and reports goodput and percentiles as text or JSON. Ruled out: timing from the moment of sending; it would hide the queue in front of a slow entry, so times count from the planned arrival.

--- a/standin/src/main/java/org/wagtailcart/standin/Command.java
+++ b/standin/src/main/java/org/wagtailcart/standin/Command.java
@@ -1,9 +1,13 @@
 package org.wagtailcart.standin;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import com.beust.jcommander.IStringConverter;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
@@ -22,7 +26,7 @@
     }
 
     /** Starts the stand-in. */
-    abstract void run();
+    abstract void run() throws InterruptedException;
 
     /** Returns whether the process stays after {@link #run}. */
     boolean serves() {
@@ -37,6 +41,8 @@
         commands.put("weights", new Weights());
         commands.put("hosts", new Hosts());
         commands.put("power", new Power());
+        commands.put("relay", new RelayCommand());
+        commands.put("load", new Load());
         return commands;
     }
 
@@ -151,6 +157,101 @@
         }
     }
 
+    @Parameters(commandDescription = "TCP relay that can drop bytes silently")
+    static final class RelayCommand extends Listening {
+        @Parameter(
+                names = "--target",
+                description = "IP:PORT that connections are relayed to",
+                required = true,
+                converter = AddressConverter.class)
+        private Address target = new Address("127.0.0.1", 1);
+
+        @Parameter(
+                names = "--control",
+                description = "IP:PORT of the HTTP listener that sets the mode",
+                required = true,
+                converter = AddressConverter.class)
+        private Address control = new Address("127.0.0.1", 1);
+
+        @Override
+        void run() {
+            new Relay(new Relay.Options(listen(), target, control)).start();
+        }
+    }
+
+    @Parameters(commandDescription = "Load generator")
+    static final class Load extends Command {
+        @Parameter(
+                names = "--entry",
+                description = "IP:PORT of an entry's caller listener; may be given several times",
+                required = true,
+                converter = AddressConverter.class)
+        private List<Address> entries = new ArrayList<>();
+
+        @Parameter(names = "--model", description = "Model to ask for", required = true)
+        private String model = "";
+
+        @Parameter(names = "--service", description = "Service of the keyed calls; none without it")
+        private String service = "";
+
+        @Parameter(names = "--service-path", description = "Path of the keyed calls")
+        private String servicePath = "/book";
+
+        @Parameter(names = "--workspace", description = "Workspace of the requests")
+        private String workspace = "default";
+
+        @Parameter(names = "--seed", description = "Seed of arrivals and lengths")
+        private long seed = 1;
+
+        @Parameter(names = "--seconds", description = "Time in which requests arrive")
+        private long seconds = 60;
+
+        @Parameter(names = "--rate", description = "Mean arrivals per second")
+        private double rate = 10;
+
+        @Parameter(names = "--swing-seconds", description = "Time in which the mix swings and comes back")
+        private long swingSeconds = 60;
+
+        @Parameter(names = "--keyed-share", description = "Share of keyed calls, 0 to 1")
+        private double keyedShare = 0.1;
+
+        @Parameter(names = "--length-scale", description = "Factor on the lengths of prompts and outputs")
+        private double lengthScale = 1;
+
+        @Parameter(names = "--deadline-millis", description = "Deadline of each request")
+        private long deadlineMillis = 60_000;
+
+        @Parameter(names = "--json", description = "Print the outcome as JSON")
+        private boolean json;
+
+        @Override
+        boolean serves() {
+            return false;
+        }
+
+        @Override
+        void run() throws InterruptedException {
+            LoadResult result = new LoadGenerator(options()).run();
+            Console.line(json ? new String(Json.write(result), UTF_8) : result.text());
+        }
+
+        LoadOptions options() {
+            return new LoadOptions(
+                    entries,
+                    model,
+                    service,
+                    servicePath,
+                    workspace,
+                    seed,
+                    seconds * 1000,
+                    rate,
+                    swingSeconds * 1000,
+                    keyedShare,
+                    lengthScale,
+                    deadlineMillis);
+        }
+    }
+
     @Parameters(commandDescription = "Stand-in for the power feed that engines share")
     static final class Power extends Listening {
         @Parameter(names = "--limit", description = "Engines that may run hard at once")
--- a/standin/src/main/java/org/wagtailcart/standin/CompletionAnswer.java
+++ b/standin/src/main/java/org/wagtailcart/standin/CompletionAnswer.java
@@ -4,7 +4,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** A whole answer or one event of a stream. */
-record CompletionAnswer(String id, String object, String model, List<Choice> choices, @Nullable Usage usage) {
+record CompletionAnswer(String id, String object, String model, @Nullable List<Choice> choices, @Nullable Usage usage) {
     record Choice(
             int index,
             @Nullable String text,
--- a/standin/src/main/java/org/wagtailcart/standin/FaultKind.java
+++ b/standin/src/main/java/org/wagtailcart/standin/FaultKind.java
@@ -14,6 +14,8 @@
     SILENT,
     /** Stops in the middle of an answer without closing the connection. */
     STALL,
+    /** Runs the request and answers 503 with "Retry-After: 0", which tempts HTTP clients to repeat it. */
+    RETRY_AT_ONCE,
     /** Ends an answer early: a stream without its end marker, a whole body short of its stated length. */
     TRUNCATE,
     /** Writes a part of the answer twice. */
--- /dev/null
+++ b/standin/src/main/java/org/wagtailcart/standin/LoadRecorder.java
@@ -0,0 +1,66 @@
+package org.wagtailcart.standin;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/** Collects the outcomes of a load. Safe for use by several threads. */
+final class LoadRecorder {
+    static final long FIRST_TOKEN_LIMIT_MILLIS = 1_800;
+    static final long TOKEN_INTERVAL_LIMIT_MILLIS = 46;
+
+    private static final long MAX_MICROS = 3_600_000_000L;
+    private static final double INTERVAL_SHARE = 95;
+
+    private final Histogram firstTokenMicros = new Histogram(MAX_MICROS, 3);
+    private final Histogram intervalMicros = new Histogram(MAX_MICROS, 3);
+    private final Map<String, Long> failures = new TreeMap<>();
+    private long completed;
+    private long good;
+    private long goodTokens;
+    private long keyedAnswered;
+    private long keyedRunsAboveOne;
+
+    /** Records a verified stream. */
+    synchronized void stream(long firstMicros, Histogram intervals, int tokens) {
+        completed++;
+        firstTokenMicros.recordValue(Math.min(firstMicros, MAX_MICROS));
+        intervalMicros.add(intervals);
+        boolean inTime = firstMicros <= FIRST_TOKEN_LIMIT_MILLIS * 1000
+                && intervals.getValueAtPercentile(INTERVAL_SHARE) <= TOKEN_INTERVAL_LIMIT_MILLIS * 1000;
+        if (inTime) {
+            good++;
+            goodTokens += tokens;
+        }
+    }
+
+    /** Records the answer to a keyed call. */
+    synchronized void keyed(long runs) {
+        completed++;
+        keyedAnswered++;
+        good += runs == 1 ? 1 : 0;
+        keyedRunsAboveOne += runs > 1 ? 1 : 0;
+    }
+
+    /** Records a request without a complete and verified answer. */
+    synchronized void failed(String reason) {
+        failures.merge(reason, 1L, Long::sum);
+    }
+
+    synchronized LoadResult result(LoadOptions options, int planned) {
+        return new LoadResult(
+                options.seed(),
+                planned,
+                completed,
+                good,
+                planned == 0 ? 0 : (double) good / planned,
+                goodTokens * 1000.0 / options.durationMillis(),
+                keyedAnswered,
+                keyedRunsAboveOne,
+                LoadResult.Percentiles.of(firstTokenMicros),
+                LoadResult.Percentiles.of(intervalMicros),
+                failures.entrySet().stream()
+                        .map(entry -> new LoadResult.Failure(entry.getKey(), entry.getValue()))
+                        .toList());
+    }
+}
--- a/standin/src/main/java/org/wagtailcart/standin/StandinService.java
+++ b/standin/src/main/java/org/wagtailcart/standin/StandinService.java
@@ -95,6 +95,11 @@
             return;
         }
         echo(exchange);
+        if (faults.take(FaultKind.RETRY_AT_ONCE).isPresent()) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, "0");
+            HttpListener.answer(exchange, 503, answer);
+            return;
+        }
         if (faults.take(FaultKind.TRUNCATE).isPresent()) {
             truncated(exchange, Json.write(answer));
             return;
--- /dev/null
+++ b/standin/src/test/java/org/wagtailcart/standin/LoadGeneratorTest.java
@@ -0,0 +1,108 @@
+package org.wagtailcart.standin;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
+import com.beust.jcommander.JCommander;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtailcart.common.Address;
+
+/** Runs the load generator against an engine itself, which takes the same completion requests as an entry. */
+class LoadGeneratorTest {
+    private Address address;
+    private Address relayed;
+    private StandinEngine engine;
+    private Relay relay;
+
+    @BeforeEach
+    void start() throws IOException {
+        address = free();
+        relayed = free();
+        engine = new StandinEngine(EngineOptions.forTest(address, "m"));
+        engine.start();
+        relay = new Relay(new Relay.Options(relayed, address, null));
+        relay.start();
+    }
+
+    @AfterEach
+    void stop() {
+        relay.close();
+        engine.close();
+    }
+
+    /** Guards against a generator that does not verify, or does not count, complete answers. */
+    @Test
+    void countsVerifiedAnswers() throws Exception {
+        LoadResult result = new LoadGenerator(options(1, 60_000)).run();
+        assertThat(result.planned()).isGreaterThan(10);
+        assertThat(result.failures()).isEmpty();
+        assertThat(result.completed()).isEqualTo(result.planned());
+    }
+
+    /** Guards against a generator that counts a faulty answer as complete. */
+    @ParameterizedTest
+    @CsvSource({"TRUNCATE", "CROSS", "DUPLICATE", "RESET_BEFORE"})
+    void faultyAnswersAreFailures(FaultKind kind) throws Exception {
+        engine.fault(new Fault(kind, 3, 2, 0));
+        LoadResult result = new LoadGenerator(options(2, 60_000)).run();
+        assertThat(result.completed()).isEqualTo(result.planned() - 3);
+    }
+
+    /** Guards against a plan that depends on anything but its options. */
+    @Test
+    void planIsTheSameForTheSameSeed() {
+        assertThat(LoadPlan.of(options(7, 1_000))).isEqualTo(LoadPlan.of(options(7, 1_000)));
+        assertThat(LoadPlan.of(options(7, 1_000))).isNotEqualTo(LoadPlan.of(options(8, 1_000)));
+    }
+
+    /** Guards against a relay that closes the connections whose bytes it drops, or that drops those of later ones. */
+    @Test
+    void relaySilencesOnlyExistingConnections() throws Exception {
+        try (Socket old = new Socket(relayed.ip(), relayed.port())) {
+            long deadline = System.nanoTime() + 20_000_000_000L;
+            while (relay.connections() == 0 && System.nanoTime() < deadline) {
+                Thread.onSpinWait();
+            }
+            relay.setMode(new Relay.Mode(true, true, true));
+            old.getOutputStream().write("GET /engine/state HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(US_ASCII));
+            LoadOptions through = options(3, 60_000, relayed);
+            assertThat(new LoadGenerator(through).run().failures()).isEmpty();
+            assertThat(old.getInputStream().available()).isEqualTo(0);
+            assertThat(relay.connections()).isAtLeast(1);
+        }
+    }
+
+    /** Guards against a command line whose repeated entries or defaults do not reach the generator. */
+    @Test
+    void commandLineBecomesOptions() {
+        Command.Load load = new Command.Load();
+        JCommander.newBuilder()
+                .addCommand("load", load)
+                .build()
+                .parse("load", "--entry", "127.0.0.1:1", "--entry", "127.0.0.1:2", "--model", "m", "--seconds", "3");
+        assertThat(load.options().entries()).containsExactly(new Address("127.0.0.1", 1), new Address("127.0.0.1", 2));
+        assertThat(load.options().durationMillis()).isEqualTo(3_000);
+    }
+
+    private LoadOptions options(long seed, long deadlineMillis) {
+        return options(seed, deadlineMillis, address);
+    }
+
+    private static LoadOptions options(long seed, long deadlineMillis, Address entry) {
+        return new LoadOptions(List.of(entry), "m", "", "/", "default", seed, 1_000, 30, 1_000, 0, 0.1, deadlineMillis);
+    }
+
+    private static Address free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return new Address("127.0.0.1", socket.getLocalPort());
+        }
+    }
+}
