--- a/sidecar/src/main/java/org/wagtailcart/sidecar/order/OrderExecutor.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/order/OrderExecutor.java
@@ -43,6 +43,11 @@
         return phase;
     }
 
+    /** Returns the number of the order at hand or, when idle, of the latest one; 0 for none. */
+    public long orderNumber() {
+        return orderNumber;
+    }
+
     /** Returns whether an order is at hand, so that the engine takes no new work. */
     public boolean busy() {
         return phase != Phase.IDLE;
