Serve calls that run at most once

KeyedRunner performs the actions of KeyedCall: it commits reservations, sends the attempt, asks sidecars, records the answer before it replies, and goes on when the caller disconnects, so that a repeat finds the answer. A drain waits for it.

A caller's disconnect during a whole answer was not noticed: reads on the request's own conduit end with the request body. CallerWatch reads the original conduit instead; aCallerThatDisconnectsCancelsTheAttempt was red before (30 s without a cancel) and is green now.

--- a/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
+++ b/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
@@ -22,6 +22,7 @@
 import org.wagtailcart.entry.answer.CallerResponse;
 import org.wagtailcart.entry.answer.Refusal;
 import org.wagtailcart.entry.call.CallContext;
+import org.wagtailcart.entry.call.KeyedCalls;
 import org.wagtailcart.entry.call.RepeatableCall;
 import org.wagtailcart.entry.call.Stage;
 import org.wagtailcart.entry.request.CallerRequest;
@@ -40,6 +41,7 @@
     private final CallContext context;
     private final WorkspaceLimits limits;
     private final State state;
+    private final KeyedCalls keyedCalls;
     private final AtomicInteger open = new AtomicInteger();
 
     /** What the handler asks of its entry. */
@@ -78,10 +80,12 @@
         this.context = context;
         this.limits = limits;
         this.state = state;
+        this.keyedCalls = new KeyedCalls(context, state::requestEnded);
     }
 
+    /** Returns the number of requests without a complete response and of keyed calls whose outcome is not settled. */
     int openRequests() {
-        return open.get();
+        return Math.max(open.get(), keyedCalls.open());
     }
 
     @Override
@@ -202,7 +206,11 @@
 
     private void start(HttpServerExchange exchange, CallerRequest request, CallerResponse response) {
         try {
-            RepeatableCall.start(context, request, response, exchange.getIoThread());
+            if (request.kind().repeatable()) {
+                RepeatableCall.start(context, request, response, exchange.getIoThread());
+            } else {
+                keyedCalls.start(request, response, exchange.getIoThread());
+            }
         } catch (RuntimeException e) {
             LOG.log(Level.ERROR, LogEvent.of("call-failed", "path", exchange.getRequestPath(), "reason", e), e);
             response.refuse(Refusal.of(new WagtailcartException(ResultCode.INTERNAL_ERROR, "entry failed: " + e)));
--- a/entry/src/main/java/org/wagtailcart/entry/answer/CallerWatch.java
+++ b/entry/src/main/java/org/wagtailcart/entry/answer/CallerWatch.java
@@ -4,7 +4,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
-import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
 
 /** Notices that a caller disconnects while its response is not complete; the server itself reads only between requests. */
 final class CallerWatch {
@@ -22,13 +22,14 @@
         exchange.getConnection().addCloseListener(closed -> goneAction.run());
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
             CallerWatch watch = new CallerWatch(connection, exchange, goneAction);
-            ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
-            source.getReadSetter().set(watch::readable);
-            source.resumeReads();
+            connection.getChannel().getSourceChannel().getReadSetter().set(channel -> watch.readable());
+            connection.getOriginalSourceConduit().resumeReads();
         }
     }
 
-    private void readable(ConduitStreamSourceChannel source) {
+    /** Reads below the request's own conduit, which reports the end of the request body only. */
+    private void readable() {
+        StreamSourceConduit source = connection.getOriginalSourceConduit();
         if (exchange.isComplete()) {
             return;
         }
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/call/KeyedCalls.java
@@ -0,0 +1,66 @@
+package org.wagtailcart.entry.call;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.entry.answer.CallerResponse;
+import org.wagtailcart.entry.keyed.KeyedCall;
+import org.wagtailcart.entry.request.CallerRequest;
+import org.wagtailcart.once.KeyId;
+
+/** Starts calls that run at most once and counts those whose outcome is not settled, even after their caller left. */
+public final class KeyedCalls {
+    private final CallContext context;
+    private final Runnable onEnd;
+    private final AtomicInteger open = new AtomicInteger();
+
+    /**
+     * Creates a counter of calls.
+     *
+     * @param onEnd runs after each call that has ended
+     */
+    public KeyedCalls(CallContext context, Runnable onEnd) {
+        this.context = context;
+        this.onEnd = onEnd;
+    }
+
+    /** Returns the number of calls that have not ended. */
+    public int open() {
+        return open.get();
+    }
+
+    /**
+     * Starts a call.
+     *
+     * @param executor executor of the caller's connection; the calling thread is on it now
+     */
+    public void start(CallerRequest request, CallerResponse response, Executor executor) {
+        KeyId keyId = new KeyId(request.workspace(), request.idempotencyKey().orElseThrow());
+        KeyedCall call = new KeyedCall(keyId, fingerprint(request), request.deadlineMillis());
+        open.incrementAndGet();
+        context.budget().onRequest();
+        new KeyedRunner(context, request, response, executor, call, this::ended).start();
+    }
+
+    private void ended() {
+        open.decrementAndGet();
+        onEnd.run();
+    }
+
+    /** Returns a hash of what makes two requests the same. */
+    private static String fingerprint(CallerRequest request) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            String head = request.pool() + "\n" + request.method() + "\n" + request.path() + "\n";
+            digest.update(head.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest.digest(request.body()));
+        } catch (NoSuchAlgorithmException e) {
+            throw new WagtailcartException(ResultCode.INTERNAL_ERROR, "SHA-256 is not available", e);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/call/KeyedRunner.java
@@ -0,0 +1,335 @@
+package org.wagtailcart.entry.call;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
+import java.util.function.Function;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.UpstreamKind;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.entry.admission.Waiting;
+import org.wagtailcart.entry.answer.CallerResponse;
+import org.wagtailcart.entry.answer.Refusal;
+import org.wagtailcart.entry.attempt.AttemptExchange;
+import org.wagtailcart.entry.attempt.AttemptSink;
+import org.wagtailcart.entry.keyed.KeyedAction;
+import org.wagtailcart.entry.keyed.KeyedCall;
+import org.wagtailcart.entry.keyed.KeyedEvent;
+import org.wagtailcart.entry.request.CallerRequest;
+import org.wagtailcart.entry.request.HttpHead;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.once.KeyResult;
+import org.wagtailcart.once.RecordedAnswer;
+import org.wagtailcart.policy.routing.Outcome;
+import org.wagtailcart.policy.routing.Route;
+import org.wagtailcart.policy.routing.RoutingRequest;
+import org.wagtailcart.sidecar.message.AttemptRequest;
+import org.wagtailcart.sidecar.message.AttemptStatus;
+
+/**
+ * Performs the actions of one {@link KeyedCall}. It goes on when the caller disconnects, so that the answer is recorded
+ * for a repeat. All state belongs to the executor of the caller's connection.
+ */
+final class KeyedRunner {
+    private static final long MIN_COMMIT_MILLIS = 1_000;
+    private static final long MAX_COMMIT_MILLIS = 5_000;
+    private static final long ASK_MILLIS = 2_000;
+
+    /** Time after the deadline for which a sent attempt may still answer before its sidecar is asked. */
+    private static final long LATE_ANSWER_MILLIS = 5_000;
+
+    private static final int MAX_ANSWER_BYTES = 16 << 20;
+
+    private final CallContext context;
+    private final CallerRequest request;
+    private final CallerResponse response;
+    private final Executor executor;
+    private final KeyedCall call;
+    private final Runnable onEnd;
+    private Future<?> deadlineTimer = CompletableFuture.completedFuture(null);
+    private String routedAttempt = "";
+    private String waitingAttempt = "";
+
+    KeyedRunner(
+            CallContext context,
+            CallerRequest request,
+            CallerResponse response,
+            Executor executor,
+            KeyedCall call,
+            Runnable onEnd) {
+        this.context = context;
+        this.request = request;
+        this.response = response;
+        this.executor = executor;
+        this.call = call;
+        this.onEnd = onEnd;
+    }
+
+    void start() {
+        deadlineTimer = context.after(remainingMillis(), executor, () -> handle(new KeyedEvent.DeadlinePassed(0)));
+        perform(call.start());
+    }
+
+    private long remainingMillis() {
+        return request.deadlineMillis() - context.clock().nowMillis();
+    }
+
+    private void handle(KeyedEvent event) {
+        if (!call.over()) {
+            perform(call.on(event, context.clock().nowMillis()));
+        }
+    }
+
+    private void later(KeyedEvent event) {
+        CallContext.tryExecute(executor, () -> handle(event));
+    }
+
+    private void perform(List<KeyedAction> actions) {
+        actions.forEach(this::perform);
+    }
+
+    private void perform(KeyedAction action) {
+        if (action instanceof KeyedAction.ChooseRoute choose) {
+            releaseRoute(Outcome.CANCELLED);
+            choose(choose);
+        } else if (action instanceof KeyedAction.Submit submit) {
+            submit(submit);
+        } else if (action instanceof KeyedAction.Send send) {
+            send(send);
+        } else if (action instanceof KeyedAction.Ask ask) {
+            releaseRoute(Outcome.FAILURE);
+            ask(ask);
+        } else if (action instanceof KeyedAction.Pause pause) {
+            releaseRoute(Outcome.CANCELLED);
+            var unused = context.after(pause.millis(), executor, () -> handle(new KeyedEvent.Resumed(pause.step())));
+        } else if (action instanceof KeyedAction.SyncSettings) {
+            context.view().syncSoon();
+        } else if (action instanceof KeyedAction.Reply reply) {
+            reply(reply);
+        } else if (action instanceof KeyedAction.Refuse refuse) {
+            refuse(refuse);
+        } else if (action instanceof KeyedAction.Finish) {
+            finish();
+        }
+    }
+
+    private void choose(KeyedAction.ChooseRoute choose) {
+        if (choose.reason().usesBudget() && !context.budget().tryRetry()) {
+            later(new KeyedEvent.NotRouted(choose.step(), ResultCode.RETRY_BUDGET_EXHAUSTED));
+            return;
+        }
+        String attemptId = CallContext.newAttemptId();
+        waitingAttempt = attemptId;
+        RoutingRequest routing = new RoutingRequest(
+                request.pool(),
+                request.priority(),
+                0,
+                0,
+                List.of(),
+                request.deadlineMillis(),
+                Set.copyOf(choose.excluded()));
+        context.dispatch()
+                .submit(new Waiting(
+                        attemptId, UpstreamKind.SERVICE, routing, true, executor, receiver(choose.step(), attemptId)));
+    }
+
+    private Waiting.Receiver receiver(int step, String attemptId) {
+        return new Waiting.Receiver() {
+            @Override
+            public void onRoute(Route route) {
+                if (!waitingAttempt.equals(attemptId)) {
+                    context.dispatch().finished(attemptId, Outcome.CANCELLED);
+                    return;
+                }
+                waitingAttempt = "";
+                routedAttempt = attemptId;
+                context.counters().count(Stage.ADMIT, ResultCode.OK);
+                handle(routed(step, attemptId, route.upstreamId()));
+            }
+
+            @Override
+            public void onRefused(ResultCode code) {
+                if (waitingAttempt.equals(attemptId)) {
+                    waitingAttempt = "";
+                    context.counters().count(Stage.ADMIT, code);
+                    handle(new KeyedEvent.NotRouted(step, code));
+                }
+            }
+        };
+    }
+
+    private KeyedEvent routed(int step, String attemptId, String upstreamId) {
+        if (!context.lease().allows(request.kind())) {
+            releaseRoute(Outcome.CANCELLED);
+            return new KeyedEvent.NotRouted(step, ResultCode.SETTINGS_LEASE_EXPIRED);
+        }
+        Optional<UpstreamView> upstream = context.upstream(upstreamId);
+        ResultCode outcome = upstream.isPresent() ? ResultCode.OK : ResultCode.UPSTREAM_UNKNOWN;
+        context.counters().count(Stage.ROUTE, outcome);
+        if (upstream.isEmpty()) {
+            releaseRoute(Outcome.CANCELLED);
+            return new KeyedEvent.NotRouted(step, outcome);
+        }
+        return new KeyedEvent.Routed(step, attemptId, upstreamId, upstream.get().epoch());
+    }
+
+    private void submit(KeyedAction.Submit submit) {
+        long limitMillis = Math.max(MIN_COMMIT_MILLIS, Math.min(MAX_COMMIT_MILLIS, remainingMillis()));
+        whenDone(
+                context.control().submit(submit.command(), KeyResult.class, limitMillis),
+                result -> new KeyedEvent.Committed(submit.step(), result),
+                error -> new KeyedEvent.NotCommitted(submit.step()));
+    }
+
+    private void ask(KeyedAction.Ask ask) {
+        Optional<UpstreamView> upstream = context.upstream(ask.query().upstreamId());
+        if (upstream.isEmpty()) {
+            later(new KeyedEvent.NoStatus(ask.step(), ResultCode.UPSTREAM_UNKNOWN));
+            return;
+        }
+        whenDone(
+                context.peers().call(upstream.get().sidecarAddress(), ask.query(), AttemptStatus.class, ASK_MILLIS),
+                status -> new KeyedEvent.Status(ask.step(), status),
+                error -> new KeyedEvent.NoStatus(ask.step(), error.code()));
+    }
+
+    private <T> void whenDone(
+            CompletableFuture<T> future,
+            Function<T, KeyedEvent> onResult,
+            Function<WagtailcartException, KeyedEvent> onError) {
+        var unused = future.handle((result, error) -> {
+            later(error == null ? onResult.apply(result) : onError.apply(failureOf(error)));
+            return true;
+        });
+    }
+
+    private static WagtailcartException failureOf(Throwable error) {
+        Throwable cause = error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
+        return cause instanceof WagtailcartException known
+                ? known
+                : new WagtailcartException(ResultCode.INTERNAL_ERROR, "call failed", cause);
+    }
+
+    private void send(KeyedAction.Send send) {
+        Optional<UpstreamView> upstream = context.upstream(send.upstreamId());
+        if (upstream.isEmpty()) {
+            // Nothing was sent, and this step is left for good, so nothing will be.
+            later(new KeyedEvent.AttemptFailed(send.step(), ResultCode.UPSTREAM_UNKNOWN, RunState.NOT_RUN));
+            return;
+        }
+        AttemptRequest message = new AttemptRequest(
+                send.attemptId(),
+                send.attemptNumber(),
+                send.epoch(),
+                send.upstreamId(),
+                context.view().settings().revision(),
+                Math.max(1, remainingMillis()),
+                request.priority(),
+                request.method(),
+                request.path(),
+                request.headers(),
+                request.body());
+        AttemptExchange.open(
+                context.peers(),
+                upstream.get().sidecarAddress(),
+                message,
+                sink(send),
+                executor,
+                end -> context.dispatch().loadReport(send.upstreamId(), end.running(), end.queued()));
+        var unused = context.after(
+                remainingMillis() + LATE_ANSWER_MILLIS,
+                executor,
+                () -> handle(
+                        new KeyedEvent.AttemptFailed(send.step(), ResultCode.UPSTREAM_TIMEOUT, RunState.MAY_HAVE_RUN)));
+    }
+
+    private AttemptSink sink(KeyedAction.Send send) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        List<String> headers = new ArrayList<>();
+        int[] status = new int[1];
+        return new AttemptSink() {
+            @Override
+            public void onStarted(int upstreamStatus, List<String> upstreamHeaders) {
+                status[0] = upstreamStatus;
+                headers.addAll(HttpHead.endToEnd(upstreamHeaders));
+            }
+
+            @Override
+            public void onBytes(byte[] bytes) {
+                if (body.size() <= MAX_ANSWER_BYTES) {
+                    body.writeBytes(bytes);
+                }
+            }
+
+            @Override
+            public void onComplete() {
+                context.counters().count(Stage.ATTEMPT, ResultCode.OK);
+                releaseRoute(Outcome.SUCCESS);
+                boolean kept = body.size() <= MAX_ANSWER_BYTES;
+                handle(new KeyedEvent.Answered(
+                        send.step(),
+                        new RecordedAnswer(
+                                status[0], List.copyOf(headers), kept ? body.toByteArray() : new byte[0], kept)));
+            }
+
+            @Override
+            public void onFailed(WagtailcartException error) {
+                context.counters().count(Stage.ATTEMPT, error.code());
+                releaseRoute(error.runState() == RunState.NOT_RUN ? Outcome.REFUSED : Outcome.FAILURE);
+                handle(new KeyedEvent.AttemptFailed(send.step(), error.code(), error.runState()));
+            }
+        };
+    }
+
+    private void releaseRoute(Outcome outcome) {
+        if (!routedAttempt.isEmpty()) {
+            context.dispatch().finished(routedAttempt, outcome);
+            routedAttempt = "";
+        }
+    }
+
+    private void reply(KeyedAction.Reply reply) {
+        context.counters().count(Stage.FINISH, ResultCode.OK);
+        context.counters().count(reply.replayed() ? "replayed" : "completed");
+        List<String> headers = new ArrayList<>(reply.answer().headers());
+        if (reply.replayed()) {
+            headers.addAll(List.of("Wagtailcart-Replayed", "true"));
+        }
+        response.reply(reply.answer().status(), headers, reply.answer().body());
+    }
+
+    private void refuse(KeyedAction.Refuse refuse) {
+        context.counters().count(Stage.FINISH, refuse.code());
+        response.refuse(new Refusal(refuse.code(), refuse.runState(), refuse.repeatSafe(), text(refuse.code())));
+    }
+
+    private static String text(ResultCode code) {
+        return switch (code) {
+            case IDEMPOTENCY_KEY_REUSED -> "this Idempotency-Key belongs to another request";
+            case KEY_IN_PROGRESS ->
+                "the request with this Idempotency-Key has no known outcome yet; repeat it with the" + " same key";
+            case OUTCOME_UNKNOWN ->
+                "the request may have run; its outcome cannot be found out and it is never run again";
+            case RECORDED_ANSWER_NOT_KEPT -> "the request ran; its answer was too large to be kept";
+            case KEY_RESERVATION_FAILED -> "the Idempotency-Key could not be reserved";
+            default -> "the request was not sent to the service";
+        };
+    }
+
+    private void finish() {
+        if (!waitingAttempt.isEmpty()) {
+            context.dispatch().cancel(waitingAttempt);
+            waitingAttempt = "";
+        }
+        releaseRoute(Outcome.CANCELLED);
+        deadlineTimer.cancel(false);
+        onEnd.run();
+    }
+}
--- a/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
@@ -166,9 +166,13 @@
     private void sendPrefill(UpstreamView engine, Completion completion) {
         String prefillId = attemptId + "-p";
         AttemptSink sink = new AttemptSink() {
+            private boolean rejected;
+
             @Override
             public void onStarted(int status, List<String> headers) {
-                if (status != 200) {
+                // The decode engine rejects the same request in words meant for the caller.
+                rejected = status >= 400 && status < 500 && status != 429;
+                if (status != 200 && !rejected) {
                     throw new WagtailcartException(
                             ResultCode.UPSTREAM_FAILED, "prefill engine answered with status " + status);
                 }
@@ -181,7 +185,7 @@
 
             @Override
             public void onComplete() {
-                prefilled = new Prefilled(engine.address(), prefillId);
+                prefilled = rejected ? null : new Prefilled(engine.address(), prefillId);
                 sendDecode();
             }
 
--- /dev/null
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
@@ -0,0 +1,362 @@
+package org.wagtailcart.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.sidecar.message.AttemptRequest;
+import org.wagtailcart.sidecar.message.AttemptStatus;
+import org.wagtailcart.wire.Exchange;
+
+class EntryCallsTest {
+    private static final String BOOK = "/services/parts/book?x=1";
+
+    private final FakeControl control = new FakeControl();
+    private final FakeSidecar first = new FakeSidecar();
+    private final FakeSidecar second = new FakeSidecar();
+    private EntryRig rig;
+
+    @BeforeEach
+    void start() {
+        control.set("/upstreams/p1", "non-idempotent", "POST /book");
+        control.addEngine("e1", first.address, EngineRole.MIXED, 1);
+        control.addService("p1", first.address, 1);
+        rig = new EntryRig(control, OnControlLoss.REFUSE);
+    }
+
+    @AfterEach
+    void stop() {
+        rig.close();
+        first.close();
+        second.close();
+    }
+
+    private HttpResponse<String> book(EntryRig at, String key, String body, String... deadline) {
+        String[] headers = deadline.length == 0
+                ? new String[] {"Idempotency-Key", key}
+                : new String[] {"Idempotency-Key", key, "Wagtailcart-Deadline-Millis", deadline[0]};
+        return at.post(BOOK, body, headers).join();
+    }
+
+    private static void assertRefused(HttpResponse<String> answer, ResultCode code, String runState) {
+        assertThat(answer.body()).contains("{\"error\":{\"code\":" + code.number() + ",");
+        assertThat(answer.headers().firstValue("Wagtailcart-Result-Code")).hasValue(String.valueOf(code.number()));
+        assertThat(answer.headers().firstValue("Wagtailcart-Run-State")).hasValue(runState);
+        assertThat(answer.body()).contains("\"run_state\":\"" + runState + "\"");
+        assertThat(answer.statusCode()).isEqualTo(code.httpStatus());
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).isLessThan(end);
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Guards against a second run of a repeated request and against an answer that is not the recorded one. */
+    @Test
+    void aRepeatedKeyGetsTheRecordedAnswerThroughAnyEntry() {
+        HttpResponse<String> ran = book(rig, "k", "wheel");
+        assertThat(ran.statusCode()).isEqualTo(201);
+        assertThat(ran.headers().firstValue("Wagtailcart-Replayed")).isEmpty();
+        try (EntryRig other = new EntryRig(control, OnControlLoss.REFUSE)) {
+            HttpResponse<String> again = book(other, "k", "wheel");
+            assertThat(again.body()).isEqualTo(ran.body());
+            assertThat(again.statusCode()).isEqualTo(201);
+            assertThat(again.headers().firstValue("X-Kept")).hasValue("yes");
+            assertThat(again.headers().firstValue("Wagtailcart-Replayed")).hasValue("true");
+        }
+        assertRefused(book(rig, "k", "another wheel"), ResultCode.IDEMPOTENCY_KEY_REUSED, "not-run");
+        assertThat(first.received).hasSize(1);
+        assertThat(first.received.peek().path()).isEqualTo("/book?x=1");
+    }
+
+    /** Guards against two runs when the same request arrives at two entries at once. */
+    @Test
+    void duplicatesThroughTwoEntriesRunOnce() {
+        try (EntryRig other = new EntryRig(control, OnControlLoss.REFUSE)) {
+            List<CompletableFuture<HttpResponse<String>>> answers = IntStream.range(0, 8)
+                    .mapToObj(i -> (i % 2 == 0 ? rig : other).post(BOOK, "wheel", "Idempotency-Key", "k"))
+                    .toList();
+            assertThat(answers.stream()
+                            .map(answer -> answer.join().body())
+                            .distinct()
+                            .toList())
+                    .containsExactly("booked 1");
+            assertThat(first.runs.get()).isEqualTo(1);
+        }
+    }
+
+    /** Guards against a repeat of a request that ran although its answer was lost, and against a caller left without it. */
+    @Test
+    void aLostAnswerIsFetchedFromTheLedger() {
+        first.scripts.add((request, exchange) -> {
+            first.answer(request, new SilentExchange(exchange));
+            exchange.fail(new WagtailcartException(ResultCode.CONNECTION_LOST, "connection broke"));
+        });
+        assertThat(book(rig, "k", "wheel").body()).isEqualTo("booked 1");
+        assertThat(first.received).hasSize(1);
+    }
+
+    /** Guards against a claim about an outcome that nobody knows, and against a later run of the key. */
+    @Test
+    void anUnknownOutcomeIsReportedAndNeverRunAgain() {
+        first.scripts.add((request, exchange) -> {
+            first.ledger.put(request.attemptId(), new AttemptStatus(AttemptStatus.State.UNKNOWN, null));
+            exchange.fail(new WagtailcartException(ResultCode.UPSTREAM_FAILED, "service died"));
+        });
+        assertRefused(book(rig, "k", "wheel"), ResultCode.OUTCOME_UNKNOWN, "may-have-run");
+        assertRefused(book(rig, "k", "wheel"), ResultCode.OUTCOME_UNKNOWN, "may-have-run");
+        assertThat(first.received).hasSize(1);
+    }
+
+    /** Guards against a retry under the same attempt id after a sidecar proved that the request did not run. */
+    @Test
+    void aRefusedAttemptIsRetriedElsewhereUnderAFreshReservation() {
+        control.addService("p2", second.address, 2);
+        first.scripts.add((request, exchange) ->
+                exchange.fail(new WagtailcartException(ResultCode.UPSTREAM_REFUSED, "connect refused")));
+        assertThat(book(rig, "k", "wheel").statusCode()).isEqualTo(201);
+        AttemptRequest refused = first.received.peek();
+        AttemptRequest sent = second.received.peek();
+        assertThat(sent.attemptId()).isNotEqualTo(refused.attemptId());
+        assertThat(sent.attemptNumber()).isGreaterThan(refused.attemptNumber());
+        assertThat(sent.epoch()).isEqualTo(2);
+    }
+
+    /** Guards against a booking that runs unreserved, and against "not run" for a key that cannot be read. */
+    @Test
+    void keyedCallsNeedTheControlGroup() {
+        assertRefused(rig.post(BOOK, "wheel").join(), ResultCode.IDEMPOTENCY_KEY_MISSING, "not-run");
+        control.reachable = false;
+        assertRefused(book(rig, "k", "wheel"), ResultCode.KEY_RESERVATION_FAILED, "may-have-run");
+        control.leaseDeadlineMillis = 0;
+        assertRefused(book(rig, "k", "wheel"), ResultCode.SETTINGS_LEASE_EXPIRED, "may-have-run");
+        assertThat(first.received).isEmpty();
+    }
+
+    /** Guards against an early refusal that says "not run" for a key that ran, and against a lost answer under load. */
+    @Test
+    void aKeyThatRanIsReplayedEvenWithoutAnUpstream() {
+        book(rig, "k", "wheel");
+        control.remove("p1");
+        control.put(withoutEpoch());
+        assertThat(book(rig, "k", "wheel").headers().firstValue("Wagtailcart-Replayed"))
+                .hasValue("true");
+        assertRefused(book(rig, "new", "wheel"), ResultCode.NO_UPSTREAM, "not-run");
+    }
+
+    private UpstreamView withoutEpoch() {
+        FakeControl other = new FakeControl();
+        other.addService("p1", first.address, 0);
+        return other.upstream("p1").orElseThrow();
+    }
+
+    /** Guards against new work under settings that may be out of date, and against the wrong policy in force. */
+    @ParameterizedTest
+    @CsvSource({"REFUSE, 503, 503", "SERVE_IDEMPOTENT, 200, 200"})
+    void anExpiredLeaseStopsNewWorkAsConfigured(OnControlLoss policy, int ready, int completion) {
+        try (EntryRig other = new EntryRig(control, policy)) {
+            assertThat(other.get("/readyz").statusCode()).isEqualTo(200);
+            control.leaseDeadlineMillis = 0;
+            assertThat(other.get("/readyz").statusCode()).isEqualTo(ready);
+            assertThat(other.get("/livez").statusCode()).isEqualTo(200);
+            assertThat(other.complete(false).statusCode()).isEqualTo(completion);
+            assertRefused(book(other, "k", "wheel"), ResultCode.SETTINGS_LEASE_EXPIRED, "may-have-run");
+        }
+    }
+
+    /** Guards against invalid input that gets through or stops the entry. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "/v1/chat/completions | {} | Wagtailcart-Priority | normal | 1001",
+                "/v1/chat/completions | nonsense | Wagtailcart-Priority | normal | 1001",
+                "/v1/chat/completions | {\"model\":\"m\",\"stream\":3} | Wagtailcart-Priority | normal | 1001",
+                "/v1/chat/completions | {\"model\":\"m\",\"max_tokens\":-1} | Wagtailcart-Priority | normal | 1001",
+                "/v1/chat/completions | {\"model\":\"no\"} | Wagtailcart-Priority | normal | 7006",
+                "/v1/chat/completions | {\"model\":\"m\"} | Wagtailcart-Priority | urgent | 1001",
+                "/v1/chat/completions | {\"model\":\"m\"} | Wagtailcart-Deadline-Millis | 0 | 1001",
+                "/v1/chat/completions | {\"model\":\"m\"} | Wagtailcart-Workspace | a/b | 1001",
+                "/services/none/x | x | Wagtailcart-Priority | normal | 1004",
+                "/elsewhere | x | Wagtailcart-Priority | normal | 1004"
+            })
+    void invalidInputIsRefusedWithItsCode(String path, String body, String header, String value, int code) {
+        ResultCode expected = ResultCode.ofNumber(code).orElseThrow();
+        assertRefused(rig.post(path, body, header, value).join(), expected, "not-run");
+        assertThat(rig.complete(true).statusCode()).isEqualTo(200);
+    }
+
+    /** Guards against a workspace that uses more than its share. */
+    @Test
+    void aWorkspaceIsHeldToItsLimit() {
+        control.set("/workspaces/w", "requests-per-second", "2");
+        List<Integer> statuses =
+                IntStream.range(0, 12)
+                        .mapToObj(i -> rig.completeLater(false, "Wagtailcart-Workspace", "w"))
+                        .toList()
+                        .stream()
+                        .map(answer -> answer.join().statusCode())
+                        .toList();
+        assertThat(statuses).contains(200);
+        assertThat(statuses).contains(429);
+        assertThat(rig.complete(false).statusCode()).isEqualTo(200);
+    }
+
+    /** Guards against unbounded queues, against batches before counter questions, and against late refusals. */
+    @Test
+    void theQueueIsBoundedAndInteractiveWorkGoesFirst() throws Exception {
+        control.set("/upstreams/e1", "queue-limit", "1");
+        CountDownLatch go = new CountDownLatch(1);
+        first.scripts.add((request, exchange) -> {
+            awaitLatch(go);
+            first.answer(request, exchange);
+        });
+        CompletableFuture<HttpResponse<String>> running = rig.completeLater(false);
+        await(() -> first.received.size() == 1);
+        CompletableFuture<HttpResponse<String>> batch = rig.completeLater(false, "Wagtailcart-Priority", "batch");
+        await(() -> rig.entry.dump().waitingRequests() == 1);
+        assertRefused(rig.complete(false, "Wagtailcart-Priority", "batch"), ResultCode.QUEUE_FULL, "not-run");
+        CompletableFuture<HttpResponse<String>> urgent =
+                rig.completeLater(false, "Wagtailcart-Priority", "interactive");
+        await(() -> rig.entry.dump().waitingRequests() == 2);
+        assertRefused(
+                rig.complete(false, "Wagtailcart-Deadline-Millis", "50"), ResultCode.DEADLINE_UNREACHABLE, "not-run");
+        go.countDown();
+        CompletableFuture.allOf(running, batch, urgent).get(30, TimeUnit.SECONDS);
+        assertThat(first.received.stream()
+                        .map(request -> request.priority().rank())
+                        .toList())
+                .containsExactly(1, 2, 0)
+                .inOrder();
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await(30, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Guards against an attempt that outlives its caller, streamed or not. */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void aCallerThatDisconnectsCancelsTheAttempt(boolean streamed) throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        first.scripts.add((request, exchange) -> {
+            if (streamed) {
+                FakeSidecar.stream(request, exchange, 2);
+            }
+            begun.countDown();
+        });
+        String body = "{\"model\":\"m\",\"stream\":" + streamed + "}";
+        try (Socket socket = new Socket("127.0.0.1", rig.address.port())) {
+            String head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n";
+            socket.getOutputStream().write((head + body).getBytes(StandardCharsets.US_ASCII));
+            assertThat(begun.await(30, TimeUnit.SECONDS)).isTrue();
+        }
+        assertThat(first.cancelled.await(30, TimeUnit.SECONDS)).isTrue();
+        await(() -> rig.entry.dump().routedAttempts() == 0);
+    }
+
+    /** Guards against a deadline that is not kept, and against a claim that the work did not run. */
+    @Test
+    void aPassedDeadlineIsReportedAndCancelsTheAttempt() throws Exception {
+        first.scripts.add((request, exchange) -> {});
+        assertRefused(
+                rig.complete(false, "Wagtailcart-Deadline-Millis", "300"), ResultCode.UPSTREAM_TIMEOUT, "may-have-run");
+        assertThat(first.cancelled.await(30, TimeUnit.SECONDS)).isTrue();
+    }
+
+    /** Guards against a prompt that is processed twice, and against a decode engine that does not get its KV cache. */
+    @Test
+    void aPromptIsProcessedByThePrefillEngineFirst() {
+        control.remove("e1");
+        control.addEngine("e3", second.address, EngineRole.PREFILL, 4);
+        control.addEngine("e4", first.address, EngineRole.DECODE, 4);
+        assertThat(rig.complete(true).body()).endsWith("data: [DONE]\n\n");
+        String prefill = new String(second.received.peek().body(), StandardCharsets.UTF_8);
+        String decode = new String(first.received.peek().body(), StandardCharsets.UTF_8);
+        assertThat(prefill).contains("\"hold_kv\":true,\"max_tokens\":0");
+        assertThat(decode)
+                .contains("\"kv_source\":{\"address\":\"127.0.0.1:9\",\"request_id\":\""
+                        + second.received.peek().attemptId() + "\"}");
+    }
+
+    /** Guards against a shutdown that cuts an open request or refuses new work before its grace period is over. */
+    @Test
+    void aDrainFinishesOpenRequests() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        first.scripts.add((request, exchange) -> {
+            FakeSidecar.stream(request, exchange, 3);
+            awaitLatch(go);
+            IntStream.range(3, FakeSidecar.TOKENS).forEach(i -> exchange.send(FakeSidecar.token(request, i, i)));
+            FakeSidecar.finish(request, exchange);
+        });
+        CompletableFuture<HttpResponse<String>> open = rig.completeLater(true);
+        await(() -> first.received.size() == 1);
+        CompletableFuture<Void> drained = rig.entry.drain();
+        assertThat(rig.get("/readyz").statusCode()).isEqualTo(503);
+        await(() -> rig.post("/services/parts/list", "x").join().statusCode() == 503);
+        assertThat(drained.isDone()).isFalse();
+        go.countDown();
+        assertThat(open.get(30, TimeUnit.SECONDS).body()).endsWith("data: [DONE]\n\n");
+        drained.get(30, TimeUnit.SECONDS);
+    }
+
+    /** Guards against a plain call whose method, status, headers or body change on the way. */
+    @Test
+    void plainServiceCallsPassUnchanged() {
+        first.scripts.add((request, exchange) -> FakeSidecar.whole(request, exchange, 418, request.body()));
+        HttpResponse<String> answer =
+                rig.post("/services/parts/list/1?q=a%20b", "body", "X-Own", "1").join();
+        assertThat(answer.statusCode()).isEqualTo(418);
+        assertThat(answer.body()).isEqualTo("body");
+        assertThat(first.received.peek().path()).isEqualTo("/list/1?q=a%20b");
+        assertThat(first.received.peek().headers()).contains("X-Own");
+    }
+
+    /** Lets a script run without its answers reaching the entry. */
+    private record SilentExchange(Exchange inner) implements Exchange {
+        @Override
+        public String peer() {
+            return inner.peer();
+        }
+
+        @Override
+        public void send(Object event) {}
+
+        @Override
+        public void finish(Object answer) {}
+
+        @Override
+        public void fail(WagtailcartException error) {}
+
+        @Override
+        public void onCancel(Runnable action) {}
+
+        @Override
+        public boolean isCancelled() {
+            return false;
+        }
+    }
+}
--- a/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
@@ -19,6 +19,7 @@
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.sidecar.message.AttemptChunk;
 import org.wagtailcart.sidecar.message.AttemptEnd;
+import org.wagtailcart.sidecar.message.AttemptRequest;
 import org.wagtailcart.wire.Exchange;
 
 class EntryStreamTest {
@@ -162,7 +163,7 @@
         assertThat(answer.body()).doesNotContain("[DONE]");
     }
 
-    private static void dieAfterTwo(org.wagtailcart.sidecar.message.AttemptRequest request, Exchange exchange) {
+    private static void dieAfterTwo(AttemptRequest request, Exchange exchange) {
         FakeSidecar.stream(request, exchange, 2);
         exchange.fail(new WagtailcartException(ResultCode.UPSTREAM_FAILED, "engine died"));
     }
--- a/entry/src/test/java/org/wagtailcart/entry/FakeSidecar.java
+++ b/entry/src/test/java/org/wagtailcart/entry/FakeSidecar.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.once.RecordedAnswer;
 import org.wagtailcart.sidecar.message.AttemptChunk;
@@ -48,6 +49,7 @@
     final Queue<Script> scripts = new ConcurrentLinkedQueue<>();
     final Queue<AttemptRequest> received = new ConcurrentLinkedQueue<>();
     final Map<String, AttemptStatus> ledger = new ConcurrentHashMap<>();
+    final AtomicInteger runs = new AtomicInteger();
     final CountDownLatch cancelled = new CountDownLatch(1);
 
     FakeSidecar() {
@@ -81,7 +83,7 @@
     /** Answers as a healthy engine or service. */
     void answer(AttemptRequest request, Exchange exchange) {
         if (request.nonIdempotent()) {
-            byte[] body = ("booked " + ledger.size()).getBytes(StandardCharsets.UTF_8);
+            byte[] body = ("booked " + runs.incrementAndGet()).getBytes(StandardCharsets.UTF_8);
             RecordedAnswer answer = new RecordedAnswer(201, List.of("X-Kept", "yes"), body, true);
             ledger.put(request.attemptId(), new AttemptStatus(AttemptStatus.State.DONE, answer));
             whole(request, exchange, 201, body);
