Add the policy benchmark in virtual time

The decisions need a measure that is the same for all of them. The benchmark runs both deployments against a fake of the engine at its interface, with three entries that decide without seeing each other and load reports that are late, stale and lost. Each baseline replaces one decision and keeps the others, so a difference has one cause; the informed policy knows the mix to come, the hidden limit and the true state. Grant allocation moves to GrantBook so that the fixed and the informed limit use the same one.

--- /dev/null
+++ b/bench/src/main/java/org/wagtailcart/bench/BaselineRouter.java
@@ -0,0 +1,134 @@
+package org.wagtailcart.bench;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleBiFunction;
+import java.util.stream.Stream;
+import org.wagtailcart.policy.routing.Outcome;
+import org.wagtailcart.policy.routing.RoutableUpstream;
+import org.wagtailcart.policy.routing.Route;
+import org.wagtailcart.policy.routing.Router;
+import org.wagtailcart.policy.routing.RoutingRequest;
+
+/** Router that scans all upstreams with room and takes the one with the lowest cost; baselines differ in the cost. */
+final class BaselineRouter implements Router {
+    private final ToDoubleBiFunction<Account, RoutingRequest> cost;
+    private final Predicate<String> usable;
+    private final Map<String, Account> accounts = new HashMap<>();
+    private final Map<String, Attempt> attempts = new HashMap<>();
+    private List<Account> order = List.of();
+    private long choices;
+
+    private BaselineRouter(ToDoubleBiFunction<Account, RoutingRequest> cost, Predicate<String> usable) {
+        this.cost = cost;
+        this.usable = usable;
+    }
+
+    static BaselineRouter roundRobin() {
+        return new BaselineRouter((account, request) -> account.lastChoice, id -> true);
+    }
+
+    static BaselineRouter leastInFlight() {
+        return new BaselineRouter((account, request) -> account.inFlight, id -> true);
+    }
+
+    /** Returns a router with a cost of its own that sees the true state of upstreams. */
+    static BaselineRouter informed(ToDoubleBiFunction<Account, RoutingRequest> cost, Predicate<String> usable) {
+        return new BaselineRouter(cost, usable);
+    }
+
+    /** Account of one upstream. */
+    static final class Account {
+        RoutableUpstream upstream;
+        int inFlight;
+        double promptTokens;
+        long lastChoice;
+
+        Account(RoutableUpstream upstream) {
+            this.upstream = upstream;
+        }
+    }
+
+    private record Attempt(Account prompt, Account output, double promptTokens, boolean[] promptDone) {}
+
+    @Override
+    public void updateUpstreams(List<RoutableUpstream> upstreams, long nowMillis) {
+        order = upstreams.stream().map(this::account).toList();
+    }
+
+    private Account account(RoutableUpstream upstream) {
+        Account account = accounts.computeIfAbsent(upstream.upstreamId(), id -> new Account(upstream));
+        account.upstream = upstream;
+        return account;
+    }
+
+    @Override
+    public Optional<Route> choose(String attemptId, RoutingRequest request, long nowMillis) {
+        Optional<Account> output =
+                lowest(request, account -> account.upstream.role().takesOutput());
+        if (output.isEmpty()) {
+            return Optional.empty();
+        }
+        boolean split = !output.get().upstream.role().takesPrompts();
+        Optional<Account> prompt =
+                split ? lowest(request, account -> !account.upstream.role().takesOutput()) : output;
+        return prompt.map(account -> start(attemptId, request, account, output.get()));
+    }
+
+    private Optional<Account> lowest(RoutingRequest request, Predicate<Account> stage) {
+        return candidates(request, stage)
+                .min(Comparator.comparingDouble((Account account) -> cost.applyAsDouble(account, request))
+                        .thenComparingLong(account -> account.lastChoice));
+    }
+
+    private Stream<Account> candidates(RoutingRequest request, Predicate<Account> stage) {
+        return order.stream()
+                .filter(account -> account.upstream.pool().equals(request.pool()))
+                .filter(stage)
+                .filter(account -> account.inFlight < account.upstream.maxInFlight())
+                .filter(account -> !request.excluded().contains(account.upstream.upstreamId()))
+                .filter(account -> usable.test(account.upstream.upstreamId()));
+    }
+
+    private Route start(String attemptId, RoutingRequest request, Account prompt, Account output) {
+        prompt.lastChoice = ++choices;
+        prompt.inFlight++;
+        prompt.promptTokens += request.promptTokens();
+        output.lastChoice = choices;
+        output.inFlight += output == prompt ? 0 : 1;
+        attempts.put(attemptId, new Attempt(prompt, output, request.promptTokens(), new boolean[1]));
+        Optional<String> prefill = output == prompt ? Optional.empty() : Optional.of(prompt.upstream.upstreamId());
+        return new Route(prefill, output.upstream.upstreamId());
+    }
+
+    @Override
+    public void onFirstToken(String attemptId, long nowMillis) {
+        Optional.ofNullable(attempts.get(attemptId)).ifPresent(BaselineRouter::endPrompt);
+    }
+
+    private static void endPrompt(Attempt attempt) {
+        if (!attempt.promptDone[0]) {
+            attempt.promptDone[0] = true;
+            attempt.prompt.promptTokens -= attempt.promptTokens;
+            attempt.prompt.inFlight -= attempt.prompt == attempt.output ? 0 : 1;
+        }
+    }
+
+    @Override
+    public void onTokens(String attemptId, int tokens, long nowMillis) {}
+
+    @Override
+    public void onFinished(String attemptId, Outcome outcome, long nowMillis) {
+        Optional.ofNullable(attempts.remove(attemptId)).ifPresent(attempt -> {
+            endPrompt(attempt);
+            attempt.output.inFlight--;
+        });
+    }
+
+    @Override
+    public void onLoadReport(String upstreamId, int running, int queued, long nowMillis) {}
+}
--- /dev/null
+++ b/bench/src/main/java/org/wagtailcart/bench/FakeService.java
@@ -0,0 +1,61 @@
+package org.wagtailcart.bench;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+/** A plain service replica with a few workers. */
+final class FakeService {
+    static final int MAX_IN_FLIGHT = 16;
+    private static final int WORKERS = 4;
+    private static final double MEAN_MILLIS = 50;
+    private static final double HANG_MILLIS = 1_000;
+
+    final String id;
+    final String domain;
+    private final int index;
+    private final Scenario scenario;
+    private final EventLoop loop;
+    private final SplittableRandom random;
+    private final Deque<Consumer<Boolean>> waiting = new ArrayDeque<>();
+    private int busy;
+
+    FakeService(int index, String domain, Scenario scenario, EventLoop loop, SplittableRandom random) {
+        this.id = "service-" + index;
+        this.domain = domain;
+        this.index = index;
+        this.scenario = scenario;
+        this.loop = loop;
+        this.random = random;
+    }
+
+    boolean up() {
+        return scenario.serviceState(index, loop.nowMillis()) == ServiceState.UP;
+    }
+
+    /** Runs a call; the callback gets whether it succeeded. */
+    void call(Consumer<Boolean> done) {
+        switch (scenario.serviceState(index, loop.nowMillis())) {
+            case FAILING -> done.accept(false);
+            case HANGING -> loop.after(HANG_MILLIS, () -> done.accept(false));
+            case UP -> {
+                waiting.add(done);
+                work();
+            }
+        }
+    }
+
+    private void work() {
+        if (busy >= WORKERS || waiting.isEmpty()) {
+            return;
+        }
+        busy++;
+        Consumer<Boolean> done = waiting.remove();
+        loop.after(-MEAN_MILLIS * Math.log(1 - random.nextDouble()), () -> {
+            busy--;
+            done.accept(true);
+            work();
+        });
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/wagtailcart/bench/Mix.java
@@ -0,0 +1,57 @@
+package org.wagtailcart.bench;
+
+import java.util.function.ToDoubleFunction;
+import org.wagtailcart.policy.role.Demand;
+import org.wagtailcart.policy.role.RoleCounts;
+import org.wagtailcart.policy.role.RoleOptions;
+
+/** Shares of the kinds of engine requests. */
+enum Mix {
+    BALANCED(0.50, 0.35, 0.05, 0.10),
+    PROMPT_HEAVY(0.35, 0.15, 0.40, 0.10),
+    OUTPUT_HEAVY(0.25, 0.65, 0.00, 0.10);
+
+    /** Share of shared prefix tokens found in the cache of the chosen engine; only plans made in advance use it. */
+    private static final double EXPECTED_HITS = 0.8;
+
+    private final double counter;
+    private final double draft;
+    private final double manual;
+    private final double batch;
+
+    Mix(double counter, double draft, double manual, double batch) {
+        this.counter = counter;
+        this.draft = draft;
+        this.manual = manual;
+        this.batch = batch;
+    }
+
+    /** Returns the kind at a point between 0 and 1. */
+    RequestKind pick(double point) {
+        if (point < counter) {
+            return RequestKind.COUNTER;
+        }
+        if (point < counter + draft) {
+            return RequestKind.DRAFT;
+        }
+        return point < counter + draft + manual ? RequestKind.MANUAL : RequestKind.BATCH;
+    }
+
+    Demand demand(double requestsPerSecond) {
+        double prompt = mean(kind -> kind.promptTokens - EXPECTED_HITS * kind.sharedTokens);
+        return new Demand(requestsPerSecond * prompt, requestsPerSecond * mean(kind -> kind.outputTokens));
+    }
+
+    /** Returns requests per second that the best split of the engines could serve with every engine full. */
+    double capacity(int engines, RoleOptions options) {
+        Demand one = demand(1);
+        return 1 / RoleCounts.best(engines, one, options).utilization(one, options);
+    }
+
+    private double mean(ToDoubleFunction<RequestKind> value) {
+        return counter * value.applyAsDouble(RequestKind.COUNTER)
+                + draft * value.applyAsDouble(RequestKind.DRAFT)
+                + manual * value.applyAsDouble(RequestKind.MANUAL)
+                + batch * value.applyAsDouble(RequestKind.BATCH);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/wagtailcart/bench/Scenario.java
@@ -0,0 +1,204 @@
+package org.wagtailcart.bench;
+
+import static org.wagtailcart.bench.Mix.BALANCED;
+import static org.wagtailcart.bench.Mix.OUTPUT_HEAVY;
+import static org.wagtailcart.bench.Mix.PROMPT_HEAVY;
+
+import com.beust.jcommander.IStringConverter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.wagtailcart.common.SettingNames;
+
+/** What happens to the fleet. Times are virtual and count from the start of a run. */
+enum Scenario {
+    STEADY(0) {
+        @Override
+        List<Phase> phases() {
+            return List.of(new Phase(0, BALANCED, 0.75));
+        }
+    },
+    SWING(-1) {
+        @Override
+        List<Phase> phases() {
+            return List.of(
+                    new Phase(0, BALANCED, 0.7),
+                    new Phase(150_000, PROMPT_HEAVY, 0.7),
+                    new Phase(300_000, BALANCED, 0.7),
+                    new Phase(420_000, OUTPUT_HEAVY, 0.7));
+        }
+    },
+    STEP(-1) {
+        @Override
+        List<Phase> phases() {
+            return List.of(new Phase(0, BALANCED, 0.7), new Phase(150_000, PROMPT_HEAVY, 0.7));
+        }
+    },
+    BURST(0) {
+        @Override
+        List<Phase> phases() {
+            return List.of(
+                    new Phase(0, BALANCED, 0.6),
+                    new Phase(200_000, BALANCED, 1.2),
+                    new Phase(215_000, BALANCED, 0.6),
+                    new Phase(350_000, PROMPT_HEAVY, 1.0),
+                    new Phase(362_000, BALANCED, 0.6));
+        }
+    },
+    BACK_AND_FORTH(0) {
+        @Override
+        List<Phase> phases() {
+            return LongStream.range(0, 54)
+                    .mapToObj(i -> new Phase(i * 10_000, i % 2 == 0 ? BALANCED : PROMPT_HEAVY, 0.55))
+                    .toList();
+        }
+    },
+    HIDDEN_POWER(0) {
+        @Override
+        List<Phase> phases() {
+            return List.of(new Phase(0, BALANCED, 0.6));
+        }
+
+        @Override
+        int powerLimit(long atMillis) {
+            return atMillis < 200_000 ? 9 : atMillis < 350_000 ? 6 : 11;
+        }
+
+        @Override
+        List<Long> powerChanges() {
+            return List.of(200_000L, 350_000L);
+        }
+    },
+    ENGINE_LOST(-1) {
+        @Override
+        List<Phase> phases() {
+            return List.of(new Phase(0, BALANCED, 0.7));
+        }
+
+        @Override
+        List<Loss> losses() {
+            return List.of(new Loss(0.0, 150_000, 250_000), new Loss(0.99, 300_000, 320_000));
+        }
+    },
+    STALE_REPORTS(0) {
+        @Override
+        List<Phase> phases() {
+            return List.of(new Phase(0, BALANCED, 0.75));
+        }
+
+        @Override
+        double reportLagMillis(long atMillis) {
+            return atMillis > 120_000 ? 5_000 : super.reportLagMillis(atMillis);
+        }
+
+        @Override
+        double reportLoss(long atMillis) {
+            return atMillis > 120_000 ? 0.5 : 0;
+        }
+    },
+    FLAPPING_SERVICE(0) {
+        @Override
+        List<Phase> phases() {
+            return List.of(new Phase(0, BALANCED, 0.4));
+        }
+
+        @Override
+        double servicesPerSecond() {
+            return 60;
+        }
+
+        @Override
+        ServiceState serviceState(int index, long atMillis) {
+            boolean down = index == 0 && atMillis > 120_000 && atMillis < 300_000;
+            boolean flapping = index == 1 && atMillis > 250_000 && atMillis < 480_000 && (atMillis / 4_000) % 2 == 0;
+            return down ? ServiceState.FAILING : flapping ? ServiceState.HANGING : ServiceState.UP;
+        }
+    },
+    OVERLOAD(0) {
+        @Override
+        List<Phase> phases() {
+            return List.of(new Phase(0, BALANCED, 1.5));
+        }
+    },
+    NOISE(0) {
+        @Override
+        List<Phase> phases() {
+            return List.of(new Phase(0, BALANCED, 0.65));
+        }
+
+        @Override
+        double noise() {
+            return 0.3;
+        }
+    };
+
+    static final long WARM_UP_MILLIS = 90_000;
+    static final long END_MILLIS = 540_000;
+
+    private final int allowedRoleChanges;
+
+    Scenario(int allowedRoleChanges) {
+        this.allowedRoleChanges = allowedRoleChanges;
+    }
+
+    /** An engine that dies and comes back; the position is a share of the fleet. */
+    record Loss(double position, long atMillis, long backMillis) {}
+
+    abstract List<Phase> phases();
+
+    /** Returns whether the target allows role changes at all. */
+    boolean allowsRoleChanges() {
+        return allowedRoleChanges != 0;
+    }
+
+    int powerLimit(long atMillis) {
+        return Integer.MAX_VALUE;
+    }
+
+    List<Long> powerChanges() {
+        return List.of();
+    }
+
+    List<Loss> losses() {
+        return List.of();
+    }
+
+    double reportLagMillis(long atMillis) {
+        return 500;
+    }
+
+    double reportLoss(long atMillis) {
+        return 0;
+    }
+
+    double servicesPerSecond() {
+        return 10;
+    }
+
+    ServiceState serviceState(int index, long atMillis) {
+        return ServiceState.UP;
+    }
+
+    /** Returns the spread of rates, of reported values and of step times. */
+    double noise() {
+        return 0;
+    }
+
+    String label() {
+        return SettingNames.of(this);
+    }
+
+    Phase phaseAt(double atMillis) {
+        List<Phase> phases = new ArrayList<>(phases());
+        phases.removeIf(phase -> phase.fromMillis() > atMillis);
+        return phases.get(phases.size() - 1);
+    }
+
+    /** Converts a command line value. */
+    static final class Converter implements IStringConverter<Scenario> {
+        @Override
+        public Scenario convert(String value) {
+            return SettingNames.parse(values(), value, "scenario");
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/wagtailcart/bench/SimEntry.java
@@ -0,0 +1,200 @@
+package org.wagtailcart.bench;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.wagtailcart.policy.admission.AdmissionQueue;
+import org.wagtailcart.policy.admission.AdmissionResult;
+import org.wagtailcart.policy.retry.RetryBudget;
+import org.wagtailcart.policy.role.Demand;
+import org.wagtailcart.policy.routing.Outcome;
+import org.wagtailcart.policy.routing.RoutableUpstream;
+import org.wagtailcart.policy.routing.Route;
+import org.wagtailcart.policy.routing.Router;
+
+/** One entry: the decisions of {@code policy} with the network replaced by delays. */
+final class SimEntry {
+    private static final int QUEUE_LIMIT = 400;
+    private static final int MAX_ATTEMPTS = 4;
+    /** Tokens between two corrections of the account. */
+    private static final int TOKENS_PER_NOTE = 16;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final Simulation simulation;
+    private final EventLoop loop;
+    private final String domain;
+    private final Router router;
+    private final RetryBudget budget = new RetryBudget();
+    private final Map<String, AdmissionQueue<SimRequest>> queues = new HashMap<>();
+    private double promptTokens;
+    private double outputTokens;
+
+    SimEntry(Simulation simulation, String domain, Router router) {
+        this.simulation = simulation;
+        this.loop = simulation.loop();
+        this.domain = domain;
+        this.router = router;
+        Stream.of("engine", "service").forEach(pool -> queues.put(pool, new AdmissionQueue<>(QUEUE_LIMIT)));
+    }
+
+    double latencyMillis(String from, String to) {
+        return from.equals(to) ? 0.1 : simulation.deployment().domainLatencyMillis;
+    }
+
+    void updateUpstreams(List<RoutableUpstream> upstreams) {
+        router.updateUpstreams(upstreams, loop.nowMillis());
+        pumpAll();
+    }
+
+    void onLoadReport(String upstreamId, int running, int queued) {
+        router.onLoadReport(upstreamId, running, queued, loop.nowMillis());
+    }
+
+    /** Gives up on what can no longer meet its deadline. */
+    void tick() {
+        queues.values().stream()
+                .flatMap(queue -> queue.expire(loop.nowMillis()).stream())
+                .forEach(request -> refuse(request.item()));
+        pumpAll();
+    }
+
+    /** Returns the demand since the last call and starts over. */
+    Demand takeDemand() {
+        Demand demand = new Demand(promptTokens / MILLIS_PER_SECOND, outputTokens / MILLIS_PER_SECOND);
+        promptTokens = 0;
+        outputTokens = 0;
+        return demand;
+    }
+
+    void onArrival(SimRequest request) {
+        budget.onFirstAttempt();
+        promptTokens += request.promptTokens;
+        outputTokens += request.kind.outputTokens;
+        startOrQueue(request, request.startByMillis());
+    }
+
+    private void startOrQueue(SimRequest request, long startByMillis) {
+        AdmissionQueue<SimRequest> queue = queue(request.pool());
+        if (queue.size() == 0 && start(request)) {
+            return;
+        }
+        if (queue.offer(request, request.kind.priority, startByMillis, loop.nowMillis()) != AdmissionResult.QUEUED) {
+            refuse(request);
+            return;
+        }
+        pump(queue);
+    }
+
+    private static void refuse(SimRequest request) {
+        request.refused = true;
+    }
+
+    private AdmissionQueue<SimRequest> queue(String pool) {
+        return queues.computeIfAbsent(pool, unused -> new AdmissionQueue<>(QUEUE_LIMIT));
+    }
+
+    private void pumpAll() {
+        queues.values().forEach(this::pump);
+    }
+
+    private void pump(AdmissionQueue<SimRequest> queue) {
+        while (queue.peek().isPresent() && start(queue.peek().orElseThrow().item())) {
+            queue.poll(loop.nowMillis());
+        }
+    }
+
+    private boolean start(SimRequest request) {
+        String attemptId = request.id + "/" + request.attempts;
+        Optional<Route> route = router.choose(attemptId, request.routing(), loop.nowMillis());
+        route.ifPresent(chosen -> {
+            request.attempts++;
+            send(attemptId, request, chosen);
+        });
+        return route.isPresent();
+    }
+
+    private void send(String attemptId, SimRequest request, Route route) {
+        if (request.kind.forService()) {
+            callService(attemptId, request, simulation.service(route.upstreamId()));
+            return;
+        }
+        FakeEngine output = simulation.engine(route.upstreamId());
+        FakeEngine prefill = route.prefillUpstreamId().map(simulation::engine).orElse(null);
+        SimAttempt attempt = new SimAttempt(attemptId, request, this, output, loop.now());
+        FakeEngine first = prefill == null ? output : prefill;
+        double latency = latencyMillis(domain, first.domain);
+        loop.after(latency, () -> {
+            if (!first.submit(attempt)) {
+                loop.after(latency, () -> onFailed(attempt, false));
+            }
+        });
+    }
+
+    private void callService(String attemptId, SimRequest request, FakeService service) {
+        double latency = latencyMillis(domain, service.domain);
+        loop.after(
+                latency,
+                () -> service.call(
+                        success -> loop.after(latency, () -> onAnswer(attemptId, request, service, success))));
+    }
+
+    private void onAnswer(String attemptId, SimRequest request, FakeService service, boolean success) {
+        router.onFinished(attemptId, success ? Outcome.SUCCESS : Outcome.FAILURE, loop.nowMillis());
+        if (success) {
+            request.finishedMillis = loop.now() + simulation.deployment().callerLatencyMillis;
+        } else {
+            request.tried.add(service.id);
+            retry(request, true);
+        }
+        pump(queue(request.pool()));
+    }
+
+    /** Takes a token of an attempt; returns whether it was the last. */
+    boolean onToken(SimAttempt attempt) {
+        SimRequest request = attempt.request;
+        double callerMillis =
+                loop.now() + latencyMillis(domain, attempt.output.domain) + simulation.deployment().callerLatencyMillis;
+        request.noteToken(callerMillis);
+        int generated = request.generated - attempt.resumedTokens;
+        if (generated == 1) {
+            router.onFirstToken(attempt.id, loop.nowMillis());
+        }
+        if (generated % TOKENS_PER_NOTE == 0) {
+            router.onTokens(attempt.id, TOKENS_PER_NOTE, loop.nowMillis());
+        }
+        if (request.generated < request.outputTokens) {
+            return false;
+        }
+        attempt.ended = true;
+        request.finishedMillis = callerMillis;
+        loop.after(0, () -> {
+            router.onFinished(attempt.id, Outcome.SUCCESS, loop.nowMillis());
+            pump(queue(request.pool()));
+        });
+        return true;
+    }
+
+    /** Notes a failed attempt and retries or resumes it elsewhere when that is allowed. */
+    void onFailed(SimAttempt attempt, boolean mayHaveRun) {
+        if (attempt.ended) {
+            return;
+        }
+        attempt.ended = true;
+        router.onFinished(attempt.id, mayHaveRun ? Outcome.FAILURE : Outcome.REFUSED, loop.nowMillis());
+        attempt.request.tried.add(attempt.output.id);
+        retry(attempt.request, mayHaveRun);
+    }
+
+    private void retry(SimRequest request, boolean mayHaveRun) {
+        boolean allowed = request.attempts < MAX_ATTEMPTS && (request.kind.idempotent() || !mayHaveRun);
+        if (allowed && budget.tryRetry()) {
+            long startBy = request.generated > 0 ? request.deadlineMillis() : request.startByMillis();
+            startOrQueue(request, startBy);
+        } else {
+            request.failed = true;
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/wagtailcart/bench/Suite.java
@@ -0,0 +1,28 @@
+package org.wagtailcart.bench;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** Runs all contenders of scenarios and deployments. */
+final class Suite {
+    static final long DEFAULT_SEED = 20261204;
+
+    private Suite() {}
+
+    static List<Result> run(List<Scenario> scenarios, List<Deployment> deployments, long seed) {
+        return scenarios.stream()
+                .flatMap(
+                        scenario -> deployments.stream().flatMap(deployment -> simulations(scenario, deployment, seed)))
+                .toList()
+                .parallelStream()
+                .map(Simulation::run)
+                .toList();
+    }
+
+    private static Stream<Simulation> simulations(Scenario scenario, Deployment deployment, long seed) {
+        return Arrays.stream(Contender.values())
+                .filter(contender -> !contender.healthOnly() || scenario == Scenario.FLAPPING_SERVICE)
+                .map(contender -> new Simulation(scenario, deployment, contender, seed));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/wagtailcart/bench/Targets.java
@@ -0,0 +1,72 @@
+package org.wagtailcart.bench;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+
+/** Targets of design section 12. */
+final class Targets {
+    private Targets() {}
+
+    /** Returns one line per target that is not met. */
+    static List<String> missed(List<Result> results) {
+        return results.stream()
+                .filter(result -> result.contender() == Contender.WAGTAILCART)
+                .flatMap(result -> missedBy(result, results).stream())
+                .toList();
+    }
+
+    private static List<String> missedBy(Result own, List<Result> results) {
+        List<Result> same = results.stream()
+                .filter(other -> other.scenario() == own.scenario() && other.deployment() == own.deployment())
+                .toList();
+        List<String> missed = new ArrayList<>();
+        Result informed = find(same, other -> other.contender() == Contender.INFORMED)
+                .max(Comparator.comparingDouble(Result::goodput))
+                .orElse(own);
+        check(missed, own, "goodput against informed", own.goodput() / informed.goodput(), Limits.OF_INFORMED, true);
+        Optional<Result> best =
+                find(same, other -> other.contender().baseline()).max(Comparator.comparingDouble(Result::goodput));
+        best.ifPresent(baseline -> check(
+                missed,
+                own,
+                "goodput against " + baseline.contender().label(),
+                own.goodput() / baseline.goodput(),
+                1,
+                true));
+        // A shift needs the moves the informed policy makes.
+        int allowed = own.scenario().allowsRoleChanges() ? informed.roleChanges() : 0;
+        check(missed, own, "role changes", own.roleChanges(), allowed, false);
+        check(missed, own, "time above power limit", own.overPower(), Limits.OVER_POWER_SHARE, false);
+        check(missed, own, "retry amplification", own.retryAmplification(), Limits.RETRY_AMPLIFICATION, false);
+        if (own.scenario() == Scenario.OVERLOAD) {
+            check(missed, own, "interactive within limits", own.interactiveGood(), Limits.INTERACTIVE_GOOD, true);
+        }
+        return missed;
+    }
+
+    private static Stream<Result> find(List<Result> results, Predicate<Result> condition) {
+        return results.stream().filter(condition);
+    }
+
+    private static void check(
+            List<String> missed, Result own, String what, double value, double target, boolean atLeast) {
+        boolean met = atLeast ? value >= target : value <= target;
+        if (!met) {
+            missed.add(String.format(
+                    Locale.ROOT,
+                    "%s %s seed %d: %s is %.4f, target %s %.4f",
+                    own.scenario(),
+                    own.deployment(),
+                    own.seed(),
+                    what,
+                    value,
+                    atLeast ? "at least" : "at most",
+                    target));
+        }
+    }
+}
--- a/bench/src/main/java/org/wagtailcart/bench/package-info.java
+++ b/bench/src/main/java/org/wagtailcart/bench/package-info.java
@@ -1,4 +1,4 @@
-/** Placeholder. */
+/** Policy benchmark in virtual time: the decisions of {@code policy} against simple baselines and an informed policy. */
 @NullMarked
 package org.wagtailcart.bench;
 
--- a/policy/src/main/java/org/wagtailcart/policy/power/PowerController.java
+++ b/policy/src/main/java/org/wagtailcart/policy/power/PowerController.java
@@ -1,9 +1,6 @@
 package org.wagtailcart.policy.power;
 
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.wagtailcart.policy.EngineObservation;
 
 /**
@@ -16,7 +13,7 @@
 
     private final PowerOptions options;
     private final StrainDetector detector;
-    private final Map<String, Long> deadlines = new HashMap<>();
+    private final GrantBook grants;
     private List<EngineObservation> engines = List.of();
     private int allowance;
     /** Lowest count that showed strain. */
@@ -34,6 +31,7 @@
     public PowerController(PowerOptions options) {
         this.options = options;
         this.detector = new StrainDetector(options);
+        this.grants = new GrantBook(options.grantMillis());
         this.allowance = options.initialAllowance();
         this.ceilingRetryMillis = options.firstCeilingRetryMillis();
     }
@@ -100,37 +98,8 @@
                 .count();
     }
 
-    /**
-     * Returns the grants in force, with renewed deadlines. An engine that loses its grant counts until its old deadline
-     * has passed, so that the number of engines that may run hard never exceeds the allowance because of a transfer.
-     */
+    /** Returns the grants in force, with renewed deadlines. */
     public List<EngineGrant> grants(long nowMillis) {
-        deadlines.values().removeIf(deadline -> deadline <= nowMillis);
-        List<String> wanted = engines.stream()
-                .filter(EngineObservation::inService)
-                .sorted(Comparator.comparingDouble(this::need).reversed())
-                .limit(allowance)
-                .map(EngineObservation::upstreamId)
-                .toList();
-        List<String> granted = wanted.stream().filter(this::mayHold).toList();
-        granted.forEach(engine -> deadlines.put(engine, nowMillis + options.grantMillis()));
-        return granted.stream()
-                .map(engine -> new EngineGrant(engine, nowMillis + options.grantMillis()))
-                .toList();
-    }
-
-    private boolean mayHold(String engine) {
-        if (!deadlines.containsKey(engine) && deadlines.size() >= allowance) {
-            return false;
-        }
-        // Reserves the place for the engines that follow in the same round.
-        deadlines.putIfAbsent(engine, Long.MAX_VALUE);
-        return true;
-    }
-
-    /** Load, with a bonus for a present holder so that grants do not wander between equally loaded engines. */
-    private double need(EngineObservation engine) {
-        double load = engine.running() + engine.queued();
-        return deadlines.containsKey(engine.upstreamId()) ? 1.3 * load + 4 : load;
+        return grants.grants(engines, allowance, nowMillis);
     }
 }
--- a/policy/src/main/java/org/wagtailcart/policy/role/RoleCounts.java
+++ b/policy/src/main/java/org/wagtailcart/policy/role/RoleCounts.java
@@ -1,14 +1,17 @@
 package org.wagtailcart.policy.role;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.wagtailcart.common.EngineRole;
 
 /** Engines per role. */
-record RoleCounts(int prefill, int decode, int mixed) {
-    static RoleCounts of(Collection<EngineRole> roles) {
+public record RoleCounts(int prefill, int decode, int mixed) {
+    /** Counts roles. */
+    public static RoleCounts of(Collection<EngineRole> roles) {
         Map<EngineRole, Integer> counts = new EnumMap<>(EngineRole.class);
         Stream.of(EngineRole.values()).forEach(role -> counts.put(role, 0));
         roles.forEach(role -> counts.merge(role, 1, Integer::sum));
@@ -18,7 +21,20 @@
                 counts.getOrDefault(EngineRole.MIXED, 0));
     }
 
-    int of(EngineRole role) {
+    /**
+     * Returns the split with the lowest utilization for a known demand; of equal ones the first with the fewest prefill
+     * engines. Every role present has at least two engines, so that the loss of one leaves the stage served.
+     */
+    public static RoleCounts best(int engines, Demand demand, RoleOptions options) {
+        Stream<RoleCounts> split = IntStream.rangeClosed(2, engines - 2)
+                .mapToObj(prefill -> new RoleCounts(prefill, engines - prefill, 0));
+        return Stream.concat(Stream.of(new RoleCounts(0, 0, engines)), split)
+                .min(Comparator.comparingDouble(counts -> counts.utilization(demand, options)))
+                .orElseThrow();
+    }
+
+    /** Returns the number of engines in a role. */
+    public int of(EngineRole role) {
         return switch (role) {
             case PREFILL -> prefill;
             case DECODE -> decode;
@@ -26,7 +42,8 @@
         };
     }
 
-    RoleCounts plus(EngineRole role, int change) {
+    /** Returns these counts with one role changed. */
+    public RoleCounts plus(EngineRole role, int change) {
         return new RoleCounts(
                 prefill + (role == EngineRole.PREFILL ? change : 0),
                 decode + (role == EngineRole.DECODE ? change : 0),
@@ -37,7 +54,7 @@
      * Returns the utilization at which these engines serve the demand, with mixed engines on whatever is scarcer.
      * Infinite when a stage has no engine.
      */
-    double utilization(Demand demand, RoleOptions options) {
+    public double utilization(Demand demand, RoleOptions options) {
         double low = 0;
         double high = 64;
         if (!fits(demand, options, high)) {
