Complete the thin path: keyed calls through real processes

Cause: keyed calls were not wired; the test took an entry for serving before a sidecar had registered. Change: merge of keyed calls; the fleet waits for an answered completion. Measured: mvn test -pl daemon -am -Dtest=PathTest: streamed and whole completions, one booking sent twice through two entries ran once, the same key with another body got 422. Conclusion: the path stands; thicken the parts and prove the requirements under failure.

--- a/bench/src/main/java/org/wagtailcart/bench/Workload.java
+++ b/bench/src/main/java/org/wagtailcart/bench/Workload.java
@@ -78,7 +78,8 @@
         int shared = kind.sharedTokens / CostModel.BLOCK_TOKENS;
         long own = random.nextLong();
         return LongStream.range(0, prompt / CostModel.BLOCK_TOKENS)
-                .mapToObj(block -> block < shared ? (kind.name().hashCode() * 1_000L + group) * 1_000 + block : own + block)
+                .mapToObj(block ->
+                        block < shared ? (kind.name().hashCode() * 1_000L + group) * 1_000 + block : own + block)
                 .toList();
     }
 
--- a/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -108,10 +108,12 @@
             PeerDispatcher dispatcher,
             PeerClient peers,
             MetricRegistry registry,
+            ExecutorService traffic,
             ScheduledExecutorService timer) {
         Address operator = required(settings.operatorListener(), "listen", "operator");
         ControlOptions options = ControlOptions.standard(operator, token.text());
-        return new ControlRole(options, log, state, codec, dispatcher, peers, FleetPlanner.NONE, registry, timer);
+        return new ControlRole(
+                options, log, state, codec, dispatcher, peers, FleetPlanner.NONE, registry, traffic, timer);
     }
 
     @Provides
--- a/daemon/src/test/java/org/wagtailcart/daemon/PathTest.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/PathTest.java
@@ -1,6 +1,7 @@
 package org.wagtailcart.daemon;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
@@ -27,7 +28,9 @@
             fleet.awaitServing("entry-2");
 
             HttpResponse<String> streamed = fleet.complete("entry-1", "hello", 5, true);
-            assertThat(streamed.statusCode()).isEqualTo(200);
+            assertWithMessage(streamed.body() + fleet.logs())
+                    .that(streamed.statusCode())
+                    .isEqualTo(200);
             assertThat(streamed.body()).contains("data: [DONE]");
             HttpResponse<String> whole = fleet.complete("entry-2", "hello", 5, false);
             assertThat(fleet.json(whole.body()).at("/usage/completion_tokens").asInt())
--- a/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
@@ -147,12 +147,10 @@
                 + services;
     }
 
-    /** Waits until an entry is ready and knows the model. */
+    /** Waits until an entry is ready and an engine answers through it. */
     void awaitServing(String entry) {
         await(entry + " to be ready", () -> get(entry, "/readyz").statusCode() == 200);
-        await(
-                entry + " to know the model",
-                () -> get(entry, "/v1/models").body().contains(MODEL));
+        await(entry + " to serve", () -> complete(entry, "ready?", 1, false).statusCode() == 200);
     }
 
     HttpResponse<String> get(String entry, String path) {
