Build the settings of the entry's fake through the public tree interface

Change: it replays edits, as every process does. Measured: mvn test -pl entry -am -Dtest='Entry*Test': 40 tests pass. Conclusion: no test reaches into another module's private parts.

--- a/entry/src/test/java/org/wagtailcart/entry/FakeControl.java
+++ b/entry/src/test/java/org/wagtailcart/entry/FakeControl.java
@@ -1,6 +1,5 @@
 package org.wagtailcart.entry;
 
-import java.lang.reflect.Constructor;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +24,7 @@
 import org.wagtailcart.fleet.UpstreamView;
 import org.wagtailcart.once.KeyRegistry;
 import org.wagtailcart.once.LookupKey;
+import org.wagtailcart.settings.SettingsEdit;
 import org.wagtailcart.settings.SettingsTree;
 
 /** Control group in one object: settings and fleet set by the test, keys in a real registry. */
@@ -95,16 +95,13 @@
                 maxInFlight);
     }
 
-    /** The tree has no public constructor here, because only the control group makes revisions. */
     private static SettingsTree treeOf(long revision, SortedMap<String, Map<String, String>> branches) {
-        try {
-            Constructor<SettingsTree> constructor =
-                    SettingsTree.class.getDeclaredConstructor(long.class, SortedMap.class);
-            constructor.setAccessible(true);
-            return constructor.newInstance(revision, branches);
-        } catch (ReflectiveOperationException e) {
-            throw new AssertionError(e);
-        }
+        List<SettingsEdit> edits = branches.entrySet().stream()
+                .flatMap(branch -> branch.getValue().entrySet().stream()
+                        .map(value -> new SettingsEdit(
+                                SettingsEdit.Kind.SET, branch.getKey(), value.getKey(), value.getValue())))
+                .toList();
+        return SettingsTree.EMPTY.replay(revision, edits);
     }
 
     private static Map<String, String> joined(Map<String, String> a, Map<String, String> b) {
