Add the fuzz of the consensus state machine

Change: a simulated group in virtual time and an oracle; stamps carry the run of the process, because a host's clock may start anew and the leader would then keep a stamp of the old clock.

--- a/coordination/src/main/java/org/wagtailcart/coordination/ConfirmationRounds.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/ConfirmationRounds.java
@@ -22,7 +22,12 @@
      * @param stamps latest stamp of each member at the start
      * @param reads reads that this round confirms
      */
-    record Round(long number, long startMillis, long commitIndex, Map<MemberKey, Long> stamps, List<Long> reads) {}
+    record Round(
+            long number,
+            long startMillis,
+            long commitIndex,
+            Map<MemberKey, RaftMessage.Stamp> stamps,
+            List<Long> reads) {}
 
     private final Deque<Round> open = new ArrayDeque<>();
     private List<Long> waitingReads = new ArrayList<>();
@@ -43,7 +48,7 @@
                 && open.stream().allMatch(round -> round.reads().isEmpty());
     }
 
-    void start(long nowMillis, long commitIndex, Map<MemberKey, Long> stamps) {
+    void start(long nowMillis, long commitIndex, Map<MemberKey, RaftMessage.Stamp> stamps) {
         number++;
         open.add(new Round(number, nowMillis, commitIndex, stamps, waitingReads));
         waitingReads = new ArrayList<>();
--- a/coordination/src/main/java/org/wagtailcart/coordination/Leadership.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/Leadership.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
@@ -23,7 +24,7 @@
     private final Map<MemberKey, Progress> others = new LinkedHashMap<>();
     private final ConfirmationRounds rounds = new ConfirmationRounds();
     private long commitIndex;
-    private RaftMessage.Confirmation confirmed = RaftMessage.Confirmation.NONE;
+    private Optional<ConfirmationRounds.Round> confirmedRound = Optional.empty();
     private long heartbeatDueMillis;
     private @Nullable MemberKey transferTarget;
     private long transferDeadlineMillis;
@@ -51,9 +52,9 @@
         return commitIndex >= firstIndex;
     }
 
-    /** Returns the latest confirmation of this leader by a quorum. */
-    RaftMessage.Confirmation confirmed() {
-        return confirmed;
+    /** Returns the latest round that a quorum has confirmed. */
+    Optional<ConfirmationRounds.Round> confirmedRound() {
+        return confirmedRound;
     }
 
     @Nullable
@@ -103,7 +104,7 @@
         if (progress == null) {
             return;
         }
-        progress.heard(nowMillis, reply.round(), reply.stampMillis());
+        progress.heard(nowMillis, reply.round(), reply.stamp());
         if (reply.success()) {
             matched(progress, reply.matchIndex());
         } else {
@@ -119,7 +120,7 @@
         if (progress == null) {
             return;
         }
-        progress.heard(nowMillis, reply.round(), reply.stampMillis());
+        progress.heard(nowMillis, reply.round(), reply.stamp());
         if (progress.state == Progress.State.SNAPSHOT && reply.index() == progress.snapshotIndex) {
             progress.snapshotOffset = reply.nextOffset();
             sendChunk(nowMillis, reply.route().from(), progress);
@@ -172,8 +173,8 @@
 
     private void startRound(long nowMillis) {
         if (isEstablished()) {
-            Map<MemberKey, Long> stamps = others.entrySet().stream()
-                    .collect(Collectors.toMap(Map.Entry::getKey, other -> other.getValue().stampMillis));
+            Map<MemberKey, RaftMessage.Stamp> stamps = others.entrySet().stream()
+                    .collect(Collectors.toMap(Map.Entry::getKey, other -> other.getValue().stamp));
             rounds.start(nowMillis, commitIndex, stamps);
         }
     }
@@ -187,9 +188,9 @@
     }
 
     private void noteConfirmed(ConfirmationRounds.Round round) {
-        confirmed = new RaftMessage.Confirmation(round.startMillis(), round.commitIndex());
-        others.forEach((key, progress) -> progress.confirmed =
-                new RaftMessage.Confirmation(round.stamps().getOrDefault(key, Long.MIN_VALUE), round.commitIndex()));
+        confirmedRound = Optional.of(round);
+        others.forEach((key, progress) -> progress.confirmed = new RaftMessage.Confirmation(
+                round.stamps().getOrDefault(key, RaftMessage.Stamp.NONE), round.commitIndex()));
     }
 
     /** Returns the highest value that a quorum of voters has reached. */
--- a/coordination/src/main/java/org/wagtailcart/coordination/Progress.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/Progress.java
@@ -23,7 +23,7 @@
     long sentMillis = Long.MIN_VALUE;
     long ackedRound;
     RaftMessage.Confirmation confirmed = RaftMessage.Confirmation.NONE;
-    long stampMillis = Long.MIN_VALUE;
+    RaftMessage.Stamp stamp = RaftMessage.Stamp.NONE;
     boolean probeSent;
     long snapshotIndex;
     int snapshotOffset;
@@ -43,10 +43,12 @@
         nextIndex = lastIndex + 1;
     }
 
-    void heard(long nowMillis, long round, long stamp) {
+    void heard(long nowMillis, long round, RaftMessage.Stamp newStamp) {
         heardMillis = nowMillis;
         ackedRound = Math.max(ackedRound, round);
-        stampMillis = Math.max(stampMillis, stamp);
+        if (newStamp.run() != stamp.run() || newStamp.millis() > stamp.millis()) {
+            stamp = newStamp;
+        }
     }
 
     void matched(long index) {
--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftMessage.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftMessage.java
@@ -53,14 +53,25 @@
             Confirmation confirmed)
             implements RaftMessage {}
 
+    /**
+     * Time by a follower's own clock. Only the run that made a stamp can read it, because a clock may start anew with
+     * the host.
+     *
+     * @param run random number of the run of the process, 0 for no stamp
+     * @param millis its clock
+     */
+    record Stamp(long run, long millis) {
+        static final Stamp NONE = new Stamp(0, 0);
+    }
+
     /**
      * Confirmation of a follower by a leader that a quorum still followed after it had received the stamp.
      *
-     * @param stampMillis clock of the follower, from its own reply; 0 for none
+     * @param stamp from the follower's own reply
      * @param commitIndex index that the follower must have applied to be up to date as of the stamp
      */
-    record Confirmation(long stampMillis, long commitIndex) {
-        static final Confirmation NONE = new Confirmation(0, 0);
+    record Confirmation(Stamp stamp, long commitIndex) {
+        static final Confirmation NONE = new Confirmation(Stamp.NONE, 0);
     }
 
     /**
@@ -70,10 +81,10 @@
      * @param matchIndex durable index that matches the leader's; when rejected, the index from which to try again
      * @param rejectedIndex when rejected, the previous index of the request
      * @param round round of the request
-     * @param stampMillis clock of the sender
+     * @param stamp clock of the sender
      */
     record AppendReply(
-            Route route, long term, boolean success, long matchIndex, long rejectedIndex, long round, long stampMillis)
+            Route route, long term, boolean success, long matchIndex, long rejectedIndex, long round, Stamp stamp)
             implements RaftMessage {}
 
     /**
@@ -106,7 +117,7 @@
      * @param index snapshot that is being received
      * @param nextOffset position from which to go on
      */
-    record SnapshotChunkReply(Route route, long term, long index, int nextOffset, long round, long stampMillis)
+    record SnapshotChunkReply(Route route, long term, long index, int nextOffset, long round, Stamp stamp)
             implements RaftMessage {}
 
     /** Tells a voter that has the whole log to start an election at once. */
--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftNode.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftNode.java
@@ -1,7 +1,6 @@
 package org.wagtailcart.coordination;
 
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
@@ -27,15 +26,12 @@
     private final NodeLog log;
     private final Outbox out;
     private final Elections elections = new Elections();
-    private final SnapshotReceiver snapshotReceiver = new SnapshotReceiver();
-    private final Confirmations confirmations;
+    private final Replica replica;
 
     private Role role = Role.FOLLOWER;
     private HardState hardState;
     private @Nullable MemberKey leader;
     private @Nullable Leadership leadership;
-    private long commitIndex;
-    private long appliedIndex;
     private long leaderHeardMillis;
     private long electionDeadlineMillis;
 
@@ -58,9 +54,7 @@
         this.hardState = hardState;
         this.log = log;
         this.out = new Outbox(self, address, hardState);
-        this.confirmations = new Confirmations(nowMillis);
-        this.commitIndex = log.snapshotIndex();
-        this.appliedIndex = log.snapshotIndex();
+        this.replica = new Replica(log, out, new Confirmations(random.nextLong(1, Long.MAX_VALUE), nowMillis));
         resetElectionDeadline(nowMillis);
     }
 
@@ -76,7 +70,7 @@
         }
         hardState = new HardState(1, null);
         appendMembers(wallMillis, voters);
-        return finish(nowMillis);
+        return finish();
     }
 
     /** Handles the passing of time. */
@@ -91,7 +85,7 @@
         } else if (nowMillis >= electionDeadlineMillis && MembersCodec.isVoter(log.members(), self)) {
             startElection(nowMillis, true, false);
         }
-        return finish(nowMillis);
+        return finish();
     }
 
     /** Handles a message; one that is addressed to another incarnation has no effect. */
@@ -99,7 +93,7 @@
         if (message.route().to().equals(self)) {
             handle(nowMillis, message);
         }
-        return finish(nowMillis);
+        return finish();
     }
 
     /** Notes that all stores up to a number are durable. */
@@ -113,7 +107,7 @@
         if (leading != null) {
             leading.advance(nowMillis);
         }
-        return finish(nowMillis);
+        return finish();
     }
 
     /**
@@ -128,14 +122,14 @@
             out.event(new NodeEvent.Appended(proposal.id(), log.lastIndex(), hardState.term()));
         });
         leading.replicate(nowMillis);
-        return finish(nowMillis);
+        return finish();
     }
 
     /** Asks for confirmations of leadership; see {@link NodeEvent.ReadConfirmed}. */
     NodeOutput read(long nowMillis, List<Long> readIds) {
         Leadership leading = requireLeadership();
         readIds.forEach(id -> leading.read(nowMillis, id));
-        return finish(nowMillis);
+        return finish();
     }
 
     /**
@@ -148,7 +142,7 @@
         Leadership leading = requireLeadership();
         Members current = log.members();
         // Before an entry of this term is committed, an earlier change by another leader may still be undone.
-        if (!leading.isEstablished() || current.index() > commitIndex) {
+        if (!leading.isEstablished() || current.index() > replica.commitIndex()) {
             throw new WagtailcartException(
                     ResultCode.MEMBERSHIP_CHANGE_IN_PROGRESS, "an earlier membership change is not committed yet");
         }
@@ -161,7 +155,7 @@
         }
         out.event(new NodeEvent.Appended(proposalId, log.lastIndex(), hardState.term()));
         leading.replicate(nowMillis);
-        return finish(nowMillis);
+        return finish();
     }
 
     /**
@@ -173,13 +167,14 @@
         if (!requireLeadership().transfer(nowMillis)) {
             out.event(new NodeEvent.TransferFailed("no other voter is in contact"));
         }
-        return finish(nowMillis);
+        return finish();
     }
 
     /** Describes a snapshot of everything applied so far. */
     Snapshot describeSnapshot(long timeMillis, byte[] data) {
-        long appliedTerm = log.termAt(appliedIndex).orElseThrow();
-        return new Snapshot(appliedIndex, appliedTerm, timeMillis, log.membersAt(appliedIndex), data);
+        long appliedTerm = log.termAt(replica.appliedIndex()).orElseThrow();
+        return new Snapshot(
+                replica.appliedIndex(), appliedTerm, timeMillis, log.membersAt(replica.appliedIndex()), data);
     }
 
     /** Drops entries that a durable snapshot covers. */
@@ -194,7 +189,7 @@
 
     /** Returns whether enough entries were applied since the last snapshot. */
     boolean isSnapshotDue() {
-        long entries = appliedIndex - log.snapshotIndex();
+        long entries = replica.appliedIndex() - log.snapshotIndex();
         return entries >= timing.snapshotEntries() || (entries > 0 && log.entryBytes() >= timing.snapshotLogBytes());
     }
 
@@ -203,16 +198,15 @@
         Member me = MembersCodec.find(members, self)
                 .orElseGet(() -> new Member(self.memberId(), self.incarnation(), address, false));
         Optional<Member> known = Optional.ofNullable(leader).flatMap(key -> MembersCodec.find(members, key));
-        long confirmedAt = confirmations.confirmedAtMillis();
         return new LogStatus(
                 me,
                 statusRole(),
                 hardState.term(),
                 known,
-                commitIndex,
-                appliedIndex,
+                replica.commitIndex(),
+                replica.appliedIndex(),
                 log.snapshotIndex(),
-                confirmedAt,
+                replica.confirmedAtMillis(),
                 members);
     }
 
@@ -221,7 +215,7 @@
     }
 
     long appliedIndex() {
-        return appliedIndex;
+        return replica.appliedIndex();
     }
 
     HardState hardState() {
@@ -321,113 +315,21 @@
     }
 
     private void onAppendRequest(long nowMillis, RaftMessage.AppendRequest request) {
-        if (!followLeader(nowMillis, request)) {
-            rejectAppend(nowMillis, request, 0);
-            return;
-        }
-        confirmations.receive(nowMillis, request.confirmed());
-        if (request.previousIndex() < commitIndex && request.previousIndex() < log.baseIndex()) {
-            replyMatch(nowMillis, request, Math.min(commitIndex, log.storedIndex()));
-            return;
-        }
-        if (!log.matches(request.previousIndex(), request.previousTerm())) {
-            rejectAppend(nowMillis, request, retryIndex(request.previousIndex()));
-            return;
-        }
-        request.entries().forEach(this::store);
-        long matchIndex = request.previousIndex() + request.entries().size();
-        commitIndex = Math.max(commitIndex, Math.min(request.commitIndex(), matchIndex));
-        replyMatch(nowMillis, request, matchIndex);
-    }
-
-    /** Returns the index from which the leader should try again: before all entries of the term that conflicts. */
-    private long retryIndex(long previousIndex) {
-        if (previousIndex > log.lastIndex()) {
-            return log.lastIndex();
-        }
-        long index = previousIndex - 1;
-        OptionalLong conflicting = log.termAt(previousIndex);
-        while (index > commitIndex && log.termAt(index).equals(conflicting)) {
-            index--;
-        }
-        return index;
-    }
-
-    private void store(LogEntry entry) {
-        if (entry.index() <= log.baseIndex() || log.matches(entry.index(), entry.term())) {
-            return;
-        }
-        if (entry.index() <= log.lastIndex()) {
-            if (entry.index() <= commitIndex) {
-                throw new IllegalStateException("entry " + entry.index() + " would replace a committed one");
-            }
-            log.truncateFrom(entry.index());
-        }
-        log.append(entry);
-    }
-
-    private void replyMatch(long nowMillis, RaftMessage.AppendRequest request, long matchIndex) {
-        if (matchIndex > log.storedIndex()) {
-            out.sendAfterStore(appendReply(nowMillis, request, true, matchIndex));
-        }
-        if (request.entries().isEmpty() || matchIndex <= log.storedIndex()) {
-            out.send(appendReply(nowMillis, request, true, Math.min(matchIndex, log.storedIndex())));
+        if (followLeader(nowMillis, request)) {
+            replica.append(nowMillis, hardState.term(), request);
+        } else {
+            replica.reject(nowMillis, hardState.term(), request);
         }
     }
 
-    private void rejectAppend(long nowMillis, RaftMessage.AppendRequest request, long retryIndex) {
-        out.send(appendReply(nowMillis, request, false, retryIndex));
-    }
-
-    private RaftMessage.AppendReply appendReply(
-            long nowMillis, RaftMessage.AppendRequest request, boolean success, long matchIndex) {
-        return new RaftMessage.AppendReply(
-                out.routeTo(request.route().from()),
-                hardState.term(),
-                success,
-                matchIndex,
-                request.previousIndex(),
-                request.round(),
-                nowMillis);
-    }
-
     private void onSnapshotChunk(long nowMillis, RaftMessage.SnapshotChunk chunk) {
-        MemberKey from = chunk.route().from();
-        if (!followLeader(nowMillis, chunk)) {
-            out.send(snapshotReply(nowMillis, chunk, false, 0));
-        } else if (chunk.index() <= commitIndex || log.matches(chunk.index(), chunk.lastTerm())) {
-            commitIndex = Math.max(commitIndex, chunk.index());
-            out.sendAfterStore(snapshotReply(nowMillis, chunk, true, Math.min(chunk.index(), log.storedIndex())));
+        if (followLeader(nowMillis, chunk)) {
+            replica.receive(nowMillis, hardState.term(), chunk);
         } else {
-            Optional<Snapshot> complete = snapshotReceiver.accept(chunk);
-            complete.ifPresentOrElse(
-                    snapshot -> {
-                        install(snapshot);
-                        out.sendAfterStore(snapshotReply(nowMillis, chunk, true, snapshot.index()));
-                    },
-                    () -> out.send(new RaftMessage.SnapshotChunkReply(
-                            out.routeTo(from),
-                            hardState.term(),
-                            chunk.index(),
-                            snapshotReceiver.nextOffset(),
-                            chunk.round(),
-                            nowMillis)));
+            replica.reject(nowMillis, hardState.term(), chunk);
         }
     }
 
-    private RaftMessage.AppendReply snapshotReply(
-            long nowMillis, RaftMessage.SnapshotChunk chunk, boolean success, long matchIndex) {
-        return new RaftMessage.AppendReply(
-                out.routeTo(chunk.route().from()), hardState.term(), success, matchIndex, 0, chunk.round(), nowMillis);
-    }
-
-    private void install(Snapshot snapshot) {
-        log.install(snapshot);
-        commitIndex = snapshot.index();
-        appliedIndex = snapshot.index();
-        out.restore(snapshot);
-    }
-
     /** Accepts the sender as leader of the term; returns false when its term is over. */
     private boolean followLeader(long nowMillis, RaftMessage message) {
         if (message.term() < hardState.term()) {
@@ -475,7 +377,7 @@
         role = Role.LEADER;
         leader = self;
         append(LogEntry.Kind.NOOP, 0, new byte[0]);
-        Leadership leading = new Leadership(self, timing, log, out, hardState.term(), commitIndex, nowMillis);
+        Leadership leading = new Leadership(self, timing, log, out, hardState.term(), replica.commitIndex(), nowMillis);
         leadership = leading;
         announceRole();
         leading.tick(nowMillis);
@@ -537,19 +439,13 @@
         append(LogEntry.Kind.MEMBERS, wallMillis, payload);
     }
 
-    private NodeOutput finish(long nowMillis) {
+    private NodeOutput finish() {
         Leadership leading = leadership;
         if (leading != null) {
-            commitIndex = Math.max(commitIndex, leading.commitIndex());
-            confirmations.receive(nowMillis, leading.confirmed());
-        }
-        // An entry is applied only once it is durable here, so that a restart never goes back behind an answer.
-        long applicable = Math.min(commitIndex, log.storedIndex());
-        if (applicable > appliedIndex) {
-            out.apply(log.between(appliedIndex + 1, applicable));
-            appliedIndex = applicable;
+            replica.committed(leading.commitIndex());
+            leading.confirmedRound().ifPresent(replica::confirmed);
         }
-        confirmations.applied(appliedIndex);
-        return out.take(Objects.requireNonNull(hardState), log);
+        replica.apply();
+        return out.take(hardState, log);
     }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/wagtailcart/coordination/Replica.java
@@ -0,0 +1,170 @@
+package org.wagtailcart.coordination;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Copy of the log that a member keeps for the leader it follows, and how far it is committed and applied. */
+final class Replica {
+    private final NodeLog log;
+    private final Outbox out;
+    private final Confirmations confirmations;
+    private final SnapshotReceiver snapshotReceiver = new SnapshotReceiver();
+    private long commitIndex;
+    private long appliedIndex;
+
+    Replica(NodeLog log, Outbox out, Confirmations confirmations) {
+        this.log = log;
+        this.out = out;
+        this.confirmations = confirmations;
+        this.commitIndex = log.snapshotIndex();
+        this.appliedIndex = log.snapshotIndex();
+    }
+
+    long commitIndex() {
+        return commitIndex;
+    }
+
+    long appliedIndex() {
+        return appliedIndex;
+    }
+
+    long confirmedAtMillis() {
+        return confirmations.confirmedAtMillis();
+    }
+
+    void committed(long index) {
+        commitIndex = Math.max(commitIndex, index);
+    }
+
+    void confirmed(ConfirmationRounds.Round round) {
+        confirmations.receive(round);
+    }
+
+    /** Hands out committed entries. */
+    void apply() {
+        // An entry is applied only once it is durable here, so that a restart never goes back behind an answer.
+        long applicable = Math.min(commitIndex, log.storedIndex());
+        if (applicable > appliedIndex) {
+            out.apply(log.between(appliedIndex + 1, applicable));
+            appliedIndex = applicable;
+        }
+        confirmations.applied(appliedIndex);
+    }
+
+    /** Handles a request of the leader of the term. */
+    void append(long nowMillis, long term, RaftMessage.AppendRequest request) {
+        confirmations.receive(request.confirmed());
+        if (request.previousIndex() < log.baseIndex()) {
+            // Everything up to the base is committed, so the leader has it as well.
+            reply(nowMillis, term, request, Math.min(commitIndex, log.storedIndex()));
+            return;
+        }
+        if (!log.matches(request.previousIndex(), request.previousTerm())) {
+            out.send(appendReply(nowMillis, term, request, false, retryIndex(request.previousIndex())));
+            return;
+        }
+        request.entries().forEach(this::store);
+        long matchIndex = request.previousIndex() + request.entries().size();
+        committed(Math.min(request.commitIndex(), matchIndex));
+        reply(nowMillis, term, request, matchIndex);
+    }
+
+    /** Refuses a request of a leader whose term is over. */
+    void reject(long nowMillis, long term, RaftMessage.AppendRequest request) {
+        out.send(appendReply(nowMillis, term, request, false, 0));
+    }
+
+    /** Refuses a part of a snapshot of a leader whose term is over. */
+    void reject(long nowMillis, long term, RaftMessage.SnapshotChunk chunk) {
+        out.send(snapshotReply(nowMillis, term, chunk, false, 0));
+    }
+
+    /** Handles a part of a snapshot of the leader of the term. */
+    void receive(long nowMillis, long term, RaftMessage.SnapshotChunk chunk) {
+        if (chunk.index() <= commitIndex || log.matches(chunk.index(), chunk.lastTerm())) {
+            committed(chunk.index());
+            out.send(snapshotReply(nowMillis, term, chunk, true, Math.min(chunk.index(), log.storedIndex())));
+            return;
+        }
+        Optional<Snapshot> complete = snapshotReceiver.accept(chunk);
+        if (complete.isPresent()) {
+            install(complete.get());
+            out.sendAfterStore(snapshotReply(nowMillis, term, chunk, true, chunk.index()));
+        } else {
+            out.send(new RaftMessage.SnapshotChunkReply(
+                    out.routeTo(chunk.route().from()),
+                    term,
+                    chunk.index(),
+                    snapshotReceiver.nextOffset(),
+                    chunk.round(),
+                    confirmations.stamp(nowMillis)));
+        }
+    }
+
+    private void install(Snapshot snapshot) {
+        log.install(snapshot);
+        commitIndex = snapshot.index();
+        appliedIndex = snapshot.index();
+        out.restore(snapshot);
+    }
+
+    /** Returns the index after which the leader should try again: before all entries of the term that conflicts. */
+    private long retryIndex(long previousIndex) {
+        if (previousIndex > log.lastIndex()) {
+            return log.lastIndex();
+        }
+        OptionalLong conflicting = log.termAt(previousIndex);
+        long index = previousIndex - 1;
+        while (index > commitIndex && log.termAt(index).equals(conflicting)) {
+            index--;
+        }
+        return index;
+    }
+
+    private void store(LogEntry entry) {
+        if (log.matches(entry.index(), entry.term())) {
+            return;
+        }
+        if (entry.index() <= log.lastIndex()) {
+            if (entry.index() <= commitIndex) {
+                throw new IllegalStateException("entry " + entry.index() + " would replace a committed one");
+            }
+            log.truncateFrom(entry.index());
+        }
+        log.append(entry);
+    }
+
+    /** Replies at once with what is durable, and once more when the rest is. */
+    private void reply(long nowMillis, long term, RaftMessage.AppendRequest request, long matchIndex) {
+        if (matchIndex > log.storedIndex()) {
+            out.sendAfterStore(appendReply(nowMillis, term, request, true, matchIndex));
+        }
+        if (request.entries().isEmpty() || matchIndex <= log.storedIndex()) {
+            out.send(appendReply(nowMillis, term, request, true, Math.min(matchIndex, log.storedIndex())));
+        }
+    }
+
+    private RaftMessage.AppendReply appendReply(
+            long nowMillis, long term, RaftMessage.AppendRequest request, boolean success, long matchIndex) {
+        return new RaftMessage.AppendReply(
+                out.routeTo(request.route().from()),
+                term,
+                success,
+                matchIndex,
+                request.previousIndex(),
+                request.round(),
+                confirmations.stamp(nowMillis));
+    }
+
+    private RaftMessage.AppendReply snapshotReply(
+            long nowMillis, long term, RaftMessage.SnapshotChunk chunk, boolean success, long matchIndex) {
+        return new RaftMessage.AppendReply(
+                out.routeTo(chunk.route().from()),
+                term,
+                success,
+                matchIndex,
+                0,
+                chunk.round(),
+                confirmations.stamp(nowMillis));
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/wagtailcart/coordination/Oracle.java
@@ -0,0 +1,111 @@
+package org.wagtailcart.coordination;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Checks what must always hold, over all members of a simulated group. */
+final class Oracle {
+    private record EntryId(long index, long term) {}
+
+    private record Content(LogEntry.Kind kind, int payloadHash, long previousTerm) {}
+
+    private final Map<Long, MemberKey> leadersByTerm = new HashMap<>();
+    private final Map<EntryId, Content> contents = new HashMap<>();
+    private final NavigableMap<Long, Long> committedTerms = new TreeMap<>();
+    private final NavigableMap<Long, Long> stateHashes = new TreeMap<>();
+    private final NavigableMap<Long, Long> committedAt = new TreeMap<>(Map.of(-1L, 0L));
+    private final Set<String> committedCommands = new HashSet<>();
+    private final Set<String> refusedCommands = new HashSet<>();
+    private long highestAcknowledged;
+    long acknowledgedProposals;
+    long confirmedReads;
+    long confirmations;
+
+    /** One leader per term, and each leader has every committed entry. */
+    void leads(MemberKey member, long term, NodeLog log) {
+        MemberKey other = leadersByTerm.putIfAbsent(term, member);
+        check(other == null || other.equals(member), "term " + term + " has leaders " + other + " and " + member);
+        committedTerms.forEach((index, committedTerm) -> check(
+                index <= log.baseIndex() || log.matches(index, committedTerm),
+                "leader " + member + " of term " + term + " lacks committed entry " + index));
+    }
+
+    /** Log matching: index and term determine an entry and the term before it, and so the whole log up to it. */
+    void stored(NodeLog log, LogEntry entry) {
+        long previousTerm =
+                entry.index() == 1 ? 0 : log.termAt(entry.index() - 1).orElse(-1);
+        Content content = new Content(entry.kind(), Arrays.hashCode(entry.payload()), previousTerm);
+        Content known = contents.putIfAbsent(new EntryId(entry.index(), entry.term()), content);
+        check(known == null || known.equals(content), "entry " + entry + " differs between members");
+    }
+
+    /** Committed entries are never lost or changed, and every member gets the same state from them. */
+    void applied(long now, MemberKey member, LogEntry entry, long stateHash) {
+        Long known = committedTerms.putIfAbsent(entry.index(), entry.term());
+        check(known == null || known == entry.term(), member + " applied another entry at " + entry.index());
+        Long hash = stateHashes.putIfAbsent(entry.index(), stateHash);
+        check(hash == null || hash == stateHash, member + " has another state after " + entry.index());
+        if (known == null && entry.kind() == LogEntry.Kind.COMMAND) {
+            String command = new String(entry.payload(), java.nio.charset.StandardCharsets.UTF_8);
+            check(committedCommands.add(command), "command " + command + " was committed twice");
+            check(!refusedCommands.contains(command), "command " + command + " was refused as not run but committed");
+        }
+        if (entry.index() > committedAt.lastEntry().getValue()) {
+            committedAt.put(now, entry.index());
+        }
+    }
+
+    void restored(MemberKey member, long index, long stateHash) {
+        check(stateHashes.get(index) == stateHash, member + " restored another state at " + index);
+    }
+
+    void refused(String command) {
+        refusedCommands.add(command);
+        check(!committedCommands.contains(command), "command " + command + " was committed but refused as not run");
+    }
+
+    /** An acknowledged proposal comes after everything acknowledged before it was made. */
+    void acknowledged(long index, long highestWhenProposed) {
+        check(index > highestWhenProposed, "proposal at " + index + " is not after " + highestWhenProposed);
+        highestAcknowledged = Math.max(highestAcknowledged, index);
+        acknowledgedProposals++;
+    }
+
+    long highestAcknowledged() {
+        return highestAcknowledged;
+    }
+
+    /** Returns the highest index known to be committed. */
+    long highestCommitted() {
+        return committedAt.lastEntry().getValue();
+    }
+
+    /** A confirmed read sees everything committed before it was asked for. */
+    void read(long appliedIndex, long committedWhenAsked) {
+        check(appliedIndex >= committedWhenAsked, "read at " + appliedIndex + " misses " + committedWhenAsked);
+        confirmedReads++;
+    }
+
+    /** A member that reports a confirmation has applied everything that was committed before that time. */
+    void confirmed(MemberKey member, long confirmedAt, long appliedIndex) {
+        if (confirmedAt > 0) {
+            long committed = committedAt.lowerEntry(confirmedAt).getValue();
+            check(
+                    appliedIndex >= committed,
+                    member + " reports " + confirmedAt + " but misses entries from " + appliedIndex + " to "
+                            + committed);
+            confirmations++;
+        }
+    }
+
+    private static void check(boolean condition, String violation) {
+        if (!condition) {
+            throw new AssertionError(violation);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/wagtailcart/coordination/RaftNodeFuzzTest.java
@@ -0,0 +1,73 @@
+package org.wagtailcart.coordination;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class RaftNodeFuzzTest {
+    /** More seeds for a longer run: {@code -DargLine="-Dfuzz.seeds=5000"}. */
+    static LongStream seeds() {
+        return LongStream.range(0, Long.getLong("fuzz.seeds", 100));
+    }
+
+    /**
+     * Guards against two leaders in a term, logs that differ, lost or changed committed entries, acknowledged proposals
+     * out of order, stale confirmed reads, wrong confirmation times and a group that does not recover.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void staysConsistentUnderFaultsAndRecovers(long seed) {
+        SimulatedGroup group = new SimulatedGroup(seed, 1 + 2 * (int) (seed % 3), 2);
+        group.run(4_000);
+        group.faults = true;
+        group.run(60_000);
+        group.heal();
+        group.run(15_000);
+        long acknowledged = group.oracle.acknowledgedProposals;
+        long reads = group.oracle.confirmedReads;
+        group.run(5_000);
+        assertWithMessage("proposals after the faults")
+                .that(group.oracle.acknowledgedProposals)
+                .isGreaterThan(acknowledged);
+        assertWithMessage("reads after the faults")
+                .that(group.oracle.confirmedReads)
+                .isGreaterThan(reads);
+        assertThat(group.oracle.confirmations).isGreaterThan(0);
+        assertMembersAgree(group);
+    }
+
+    private static void assertMembersAgree(SimulatedGroup group) {
+        LogStatus leader = group.leader().orElseThrow().status();
+        List<SimulatedMember> members = group.hosts.values().stream()
+                .filter(member -> MembersCodec.isVoter(leader.members(), member.key))
+                .toList();
+        members.forEach(member -> assertWithMessage("lag of %s", member.key)
+                .that(leader.commitIndex() - member.status().appliedIndex())
+                .isLessThan(100));
+    }
+
+    /** Guards against a host that was isolated for a long time and forces an election when it returns. */
+    @Test
+    void returningIsolatedMemberDoesNotDisturbTheTerm() {
+        SimulatedGroup group = new SimulatedGroup(1, 3, 0);
+        group.run(5_000);
+        SimulatedMember leader = group.leader().orElseThrow();
+        SimulatedMember follower = group.hosts.values().stream()
+                .filter(member -> member != leader)
+                .findFirst()
+                .orElseThrow();
+        long term = group.highestTerm();
+        group.isolate(follower.key.memberId());
+        group.run(600_000);
+        group.reconnect(follower.key.memberId());
+        group.run(10_000);
+        assertThat(group.highestTerm()).isEqualTo(term);
+        assertThat(leader.isLeader()).isTrue();
+        assertMembersAgree(group);
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/wagtailcart/coordination/SimulatedGroup.java
@@ -0,0 +1,297 @@
+package org.wagtailcart.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.wagtailcart.common.Address;
+
+/** A group in virtual time with a network, disks and an administrator, all driven by one seed. */
+final class SimulatedGroup {
+    private record Delivery(long at, long order, RaftMessage message) {}
+
+    private record Link(String from, String to) {}
+
+    private static final RaftTiming TIMING = new RaftTiming(150, 1_000, 2_000, 200, 4, 64, 25, 1 << 20, 5, 1_000);
+    private static final long TICK_MILLIS = 25;
+    private static final Address ADDRESS = new Address("127.0.0.1", 1);
+
+    final Oracle oracle = new Oracle();
+    /** The member of each host; a lost disk puts another incarnation in its place. */
+    final Map<String, SimulatedMember> hosts = new LinkedHashMap<>();
+
+    private final Map<MemberKey, Boolean> gone = new HashMap<>();
+    private final PriorityQueue<Delivery> network =
+            new PriorityQueue<>(Comparator.comparingLong(Delivery::at).thenComparingLong(Delivery::order));
+    private final Map<Link, Long> cutUntil = new HashMap<>();
+    private final Set<String> isolated = new HashSet<>();
+    final SplittableRandom random;
+    long now = 1_000;
+    boolean faults;
+    private long order;
+    private long nextId = 1;
+    private long nextIncarnation = 100;
+    private int targetVoters;
+
+    SimulatedGroup(long seed, int voters, int spares) {
+        random = new SplittableRandom(seed);
+        targetVoters = voters;
+        for (int i = 1; i <= voters + spares; i++) {
+            startBlank("m" + i);
+        }
+        List<Member> founders = hosts.values().stream()
+                .limit(voters)
+                .map(member -> new Member(member.key.memberId(), member.key.incarnation(), ADDRESS, true))
+                .toList();
+        hosts.get("m1").found(now, founders);
+    }
+
+    /** Runs for some virtual time. */
+    void run(long millis) {
+        long end = now + millis;
+        while (now < end) {
+            now++;
+            if (faults) {
+                injectFault();
+            }
+            deliver();
+            for (SimulatedMember member : List.copyOf(hosts.values())) {
+                advance(member);
+            }
+            if (now % 20 == 0) {
+                useGroup();
+            }
+            if (now % 400 == 0) {
+                administrate();
+            }
+        }
+    }
+
+    /** Ends all faults. */
+    void heal() {
+        faults = false;
+        cutUntil.clear();
+        isolated.clear();
+        hosts.values().forEach(member -> {
+            member.pausedUntil = 0;
+            restart(member);
+        });
+    }
+
+    void isolate(String host) {
+        isolated.add(host);
+    }
+
+    void reconnect(String host) {
+        isolated.remove(host);
+    }
+
+    Optional<SimulatedMember> leader() {
+        return hosts.values().stream()
+                .filter(SimulatedMember::isLeader)
+                .max(Comparator.comparingLong(member -> member.status().term()));
+    }
+
+    long highestTerm() {
+        return hosts.values().stream()
+                .mapToLong(member -> member.status().term())
+                .max()
+                .orElseThrow();
+    }
+
+    private void startBlank(String host) {
+        MemberKey key = new MemberKey(host, nextIncarnation++);
+        SimulatedMember member = new SimulatedMember(key, TIMING, oracle, this::send);
+        member.start(now, random.nextLong(), random.nextLong(0, 1_000_000));
+        hosts.put(host, member);
+    }
+
+    private void restart(SimulatedMember member) {
+        if (!member.up) {
+            member.start(now, random.nextLong(), random.nextLong(0, 1_000_000));
+        }
+    }
+
+    private void advance(SimulatedMember member) {
+        if (!member.up || member.pausedUntil > now) {
+            return;
+        }
+        if (member.unsyncedCount() > 0 && member.syncDueAt == 0) {
+            boolean slow = faults && chance(0.01);
+            member.syncDueAt = now + (slow ? random.nextLong(300, 1_500) : random.nextLong(1, 15));
+        }
+        if (member.syncDueAt != 0 && now >= member.syncDueAt) {
+            member.syncDueAt = 0;
+            member.sync(now);
+        }
+        if (now % TICK_MILLIS == 0) {
+            member.tick(now);
+        }
+    }
+
+    private void send(RaftMessage message) {
+        if (faults && chance(0.02)) {
+            return;
+        }
+        long delay = faults && chance(0.01) ? random.nextLong(500, 4_000) : random.nextLong(1, faults ? 40 : 4);
+        network.add(new Delivery(now + delay, order++, message));
+        if (faults && chance(0.02)) {
+            network.add(new Delivery(now + random.nextLong(1, 3_000), order++, message));
+        }
+    }
+
+    private void deliver() {
+        List<Delivery> due = new ArrayList<>();
+        while (!network.isEmpty() && network.peek().at() <= now) {
+            due.add(network.remove());
+        }
+        for (Delivery delivery : due) {
+            RaftMessage.Route route = delivery.message().route();
+            SimulatedMember receiver = hosts.get(route.to().memberId());
+            boolean cut = cutUntil.getOrDefault(
+                                    new Link(route.from().memberId(), route.to().memberId()), 0L)
+                            > now
+                    || isolated.contains(route.from().memberId())
+                    || isolated.contains(route.to().memberId());
+            if (cut || receiver == null || !receiver.up) {
+                continue;
+            }
+            if (receiver.pausedUntil > now) {
+                network.add(new Delivery(receiver.pausedUntil, delivery.order(), delivery.message()));
+            } else {
+                receiver.step(now, delivery.message());
+            }
+        }
+    }
+
+    private void injectFault() {
+        if (!chance(0.0015)) {
+            return;
+        }
+        SimulatedMember member = randomHost();
+        switch (random.nextInt(8)) {
+            case 0, 1 -> crash(member);
+            case 2 -> member.pausedUntil = now + random.nextLong(100, 8_000);
+            case 3 -> cutOneWay(member.key.memberId(), random.nextLong(200, 6_000));
+            case 4, 5 -> cutHalf(random.nextLong(500, 6_000));
+            case 6 -> loseDisk(member);
+            default -> leader().filter(leader -> leader.pausedUntil <= now).ifPresent(this::transfer);
+        }
+        hosts.values().stream().filter(other -> chance(0.5)).forEach(this::restart);
+    }
+
+    private void transfer(SimulatedMember leader) {
+        try {
+            leader.transfer(now);
+        } catch (org.wagtailcart.common.WagtailcartException alreadyTransferring) {
+            // A transfer is under way.
+        }
+    }
+
+    private void crash(SimulatedMember member) {
+        if (member.up) {
+            member.crash(random.nextInt(member.unsyncedCount() + 1));
+            member.syncDueAt = 0;
+        }
+    }
+
+    /** Loses a disk if the voters that remain can still form a quorum. */
+    private void loseDisk(SimulatedMember member) {
+        Optional<Members> members = leader().map(leader -> leader.status().members());
+        if (members.isEmpty() || members.get().index() > leader().get().status().commitIndex()) {
+            return;
+        }
+        List<MemberKey> voters = MembersCodec.voters(members.get());
+        long alive = voters.stream()
+                .filter(key -> !gone.containsKey(key) && !key.equals(member.key))
+                .count();
+        if (2 * alive > voters.size()) {
+            crash(member);
+            gone.put(member.key, true);
+            startBlank(member.key.memberId());
+        }
+    }
+
+    private void cutOneWay(String host, long millis) {
+        boolean outbound = chance(0.5);
+        hosts.keySet().stream()
+                .filter(other -> chance(0.7))
+                .forEach(other -> cutUntil.put(outbound ? new Link(host, other) : new Link(other, host), now + millis));
+    }
+
+    private void cutHalf(long millis) {
+        Set<String> side = new HashSet<>(
+                hosts.keySet().stream().filter(host -> chance(0.5)).toList());
+        hosts.keySet().forEach(from -> hosts.keySet().stream()
+                .filter(to -> side.contains(from) != side.contains(to))
+                .forEach(to -> cutUntil.put(new Link(from, to), now + millis)));
+    }
+
+    private void useGroup() {
+        List<SimulatedMember> running = hosts.values().stream()
+                .filter(member -> member.up && member.pausedUntil <= now)
+                .toList();
+        running.stream().filter(member -> member.isLeader() || chance(0.05)).forEach(member -> {
+            long id = nextId++;
+            member.propose(now, id, "command-" + id);
+            member.read(now, nextId++);
+        });
+    }
+
+    /** Replaces members whose disk was lost and changes the number of voters now and then. */
+    private void administrate() {
+        Optional<SimulatedMember> found = leader().filter(member -> member.pausedUntil <= now);
+        if (found.isEmpty()) {
+            return;
+        }
+        SimulatedMember leader = found.get();
+        Members members = leader.status().members();
+        for (Member member : members.members()) {
+            if (gone.containsKey(MemberKey.of(member))) {
+                leader.changeMembers(now, new MemberChange(MemberChange.Kind.REMOVE, member));
+                return;
+            }
+        }
+        if (faults && chance(0.05)) {
+            targetVoters = random.nextInt(1, hosts.size() + 1);
+        }
+        balance(leader, members);
+    }
+
+    private void balance(SimulatedMember leader, Members members) {
+        List<MemberKey> voters = MembersCodec.voters(members);
+        List<Member> learners =
+                members.members().stream().filter(member -> !member.voter()).toList();
+        if (voters.size() > targetVoters) {
+            MemberKey victim = voters.get(random.nextInt(voters.size()));
+            leader.changeMembers(now, new MemberChange(MemberChange.Kind.REMOVE, memberOf(victim)));
+        } else if (voters.size() < targetVoters && !learners.isEmpty()) {
+            leader.changeMembers(now, new MemberChange(MemberChange.Kind.PROMOTE, learners.get(0)));
+        } else if (voters.size() + learners.size() < targetVoters) {
+            hosts.values().stream()
+                    .filter(member -> MembersCodec.find(members, member.key).isEmpty())
+                    .findFirst()
+                    .ifPresent(member -> leader.changeMembers(
+                            now, new MemberChange(MemberChange.Kind.ADD_LEARNER, memberOf(member.key))));
+        }
+    }
+
+    private SimulatedMember randomHost() {
+        return List.copyOf(hosts.values()).get(random.nextInt(hosts.size()));
+    }
+
+    private boolean chance(double probability) {
+        return random.nextDouble() < probability;
+    }
+
+    private static Member memberOf(MemberKey key) {
+        return new Member(key.memberId(), key.incarnation(), ADDRESS, false);
+    }
+}
