--- a/coordination/src/main/java/org/wagtailcart/coordination/Leadership.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/Leadership.java
@@ -233,6 +233,9 @@
 
     private void heartbeat(long nowMillis, MemberKey key, Progress progress) {
         progress.probeSent = false;
+        if (needsSnapshot(progress)) {
+            startSnapshot(nowMillis, key, progress);
+        }
         switch (progress.state) {
             case PROBE -> sendEntries(nowMillis, key, progress);
             case REPLICATE -> sendAppend(nowMillis, key, progress.nextIndex - 1, List.of(), progress);
@@ -246,8 +249,13 @@
         }
     }
 
+    /** Returns whether the entry before the next one is no longer in the log. */
+    private boolean needsSnapshot(Progress progress) {
+        return progress.state != Progress.State.SNAPSHOT && progress.nextIndex <= log.baseIndex();
+    }
+
     private void sendEntries(long nowMillis, MemberKey key, Progress progress) {
-        if (progress.state != Progress.State.SNAPSHOT && progress.nextIndex <= log.baseIndex()) {
+        if (needsSnapshot(progress)) {
             startSnapshot(nowMillis, key, progress);
             return;
         }
