--- a/settings/src/main/java/org/wagtailcart/settings/IniText.java
+++ b/settings/src/main/java/org/wagtailcart/settings/IniText.java
@@ -43,7 +43,7 @@
         return sections;
     }
 
-    /** Returns one section in INI form. */
+    /** Returns one section in INI form; values hold no double quote and no backslash. */
     public static String format(String section, Map<String, String> values) {
         StringBuilder text = new StringBuilder("[").append(section).append("]\n");
         values.forEach((key, value) ->
@@ -70,9 +70,7 @@
     }
 
     private static String quote(String value) {
-        boolean plain = value.equals(value.strip()) && value.chars().noneMatch(c -> "\"'\\;#".indexOf(c) >= 0);
-        return plain && !value.isEmpty()
-                ? value
-                : '"' + value.replace("\\", "\\\\").replace("\"", "\\\"") + '"';
+        boolean plain = value.equals(value.strip()) && value.chars().noneMatch(c -> "';#".indexOf(c) >= 0);
+        return plain && !value.isEmpty() ? value : '"' + value + '"';
     }
 }
--- a/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
@@ -19,12 +19,12 @@
     ADDRESS("IP:PORT", Form.ADDRESS),
     SIDECAR(Accepted.IDENTIFIER_TEXT, Accepted.IDENTIFIER),
     SIDECAR_ADDRESS("IP:PORT", Form.ADDRESS),
-    HOST("1 to 200 printable characters", "(?=[^ ])" + Accepted.TEXT),
-    FAILURE_DOMAIN("1 to 200 printable characters", "(?=[^ ])" + Accepted.TEXT),
+    HOST(Accepted.TEXT_TEXT, "(?=[^ ])" + Accepted.TEXT),
+    FAILURE_DOMAIN(Accepted.TEXT_TEXT, "(?=[^ ])" + Accepted.TEXT),
     SERVICE(Accepted.IDENTIFIER_TEXT, Accepted.IDENTIFIER),
-    MODEL("1 to 200 printable characters", "(?=[^ ])" + Accepted.TEXT),
-    ADAPTER("up to 200 printable characters", "(?! )" + Accepted.TEXT),
-    VERSION("1 to 200 printable characters", "(?=[^ ])" + Accepted.TEXT),
+    MODEL(Accepted.TEXT_TEXT, "(?=[^ ])" + Accepted.TEXT),
+    ADAPTER(Accepted.OPTIONAL_TEXT_TEXT, "(?! )" + Accepted.TEXT),
+    VERSION(Accepted.TEXT_TEXT, "(?=[^ ])" + Accepted.TEXT),
     ROLE(names(EngineRole.values())),
     ROLE_CHANGES("auto|fixed"),
     FENCING("checked|ignored"),
@@ -150,8 +150,11 @@
     /** Patterns and descriptions; constants of an enum cannot refer to the enum's own static fields. */
     private static final class Accepted {
         static final String IDENTIFIER = "[A-Za-z0-9._-]{1,64}";
-        static final String TEXT = "\\P{Cntrl}{0,200}(?<! )";
-        static final String CALL = "(GET|HEAD|POST|PUT|PATCH|DELETE) /[!-+\\--~]*+";
+        static final String TEXT = "[^\\p{Cntrl}\"\\\\]{0,200}(?<! )";
+        // INI has no form for a quoted value that ends with a backslash.
+        static final String TEXT_TEXT = "1 to 200 printable characters without \" and \\";
+        static final String OPTIONAL_TEXT_TEXT = "up to 200 printable characters without \" and \\";
+        static final String CALL = "(GET|HEAD|POST|PUT|PATCH|DELETE) /[!#-+\\--\\[\\]-~]*+";
         static final String CALLS = "(" + CALL + "(, *+" + CALL + ")*+)?";
         static final String IDENTIFIER_TEXT = "1 to 64 letters, digits, '.', '_' or '-'";
 
