--- a/control/src/main/java/org/wagtailcart/control/client/ControlClientImpl.java
+++ b/control/src/main/java/org/wagtailcart/control/client/ControlClientImpl.java
@@ -137,7 +137,7 @@
             if (result instanceof LeaderHint hint) {
                 follow(hint);
             } else if (result instanceof CommandRefused refused) {
-                fail(refused.toException().code(), refused.runState(), refused.text());
+                retryAfter(refused.toException());
             } else if (resultType.isInstance(result)) {
                 future.complete(resultType.cast(result));
             } else {
@@ -187,10 +187,10 @@
             future.completeExceptionally(new WagtailcartException(code, known, text));
         }
 
+        /** Returns whether another member or a later try would refuse the same command again. */
         private static boolean isFinal(ResultCode code) {
-            return (code.number() / 1000 == 1 && code != ResultCode.INTERNAL_ERROR)
-                    || code == ResultCode.FRAME_TOO_LARGE
-                    || code == ResultCode.UNKNOWN_MESSAGE;
+            int group = code.number() / 1000;
+            return group == 1 || group == 4 || group == 5 || code == ResultCode.FRAME_TOO_LARGE;
         }
     }
 }
--- /dev/null
+++ b/control/src/test/java/org/wagtailcart/control/ControlStateTest.java
@@ -0,0 +1,91 @@
+package org.wagtailcart.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.Lifecycle;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.control.client.CommandRefused;
+import org.wagtailcart.control.client.CommandRequest;
+import org.wagtailcart.coordination.LocalLog;
+import org.wagtailcart.coordination.Member;
+import org.wagtailcart.fleet.FleetResult;
+import org.wagtailcart.fleet.SetLifecycle;
+import org.wagtailcart.settings.ApplySettings;
+import org.wagtailcart.settings.ApplySettingsResult;
+import org.wagtailcart.settings.SettingsEdit;
+
+class ControlStateTest {
+    private final ControlState state = new ControlState(Samples.CODEC, new NoKeys());
+
+    private int apply(long index, Record command) {
+        Object result = state.apply(index, 1, Samples.encode(command));
+        return result instanceof ApplySettingsResult settings
+                ? settings.codeNumber()
+                : ((FleetResult) result).codeNumber();
+    }
+
+    /** Guards against two operators who both believe that their change of the same revision was accepted. */
+    @Test
+    @Timeout(60)
+    void oneOfRacingOperatorsWins() {
+        try (LocalLog log = new LocalLog(new Member("c1", 1, new Address("127.0.0.1", 1), true), state)) {
+            for (int round = 0; round < 50; round++) {
+                long revision = round;
+                List<CompletableFuture<Object>> racing = IntStream.range(0, 8)
+                        .parallel()
+                        .mapToObj(operator -> log.propose(Samples.encode(new ApplySettings(
+                                revision + "-" + operator,
+                                "op" + operator,
+                                revision,
+                                List.of(SettingsEdit.set("/a", "queue-limit", String.valueOf(operator)))))))
+                        .toList();
+                List<Integer> codes = racing.stream()
+                        .map(future -> ((ApplySettingsResult) future.join()).codeNumber())
+                        .toList();
+                assertThat(codes.stream().filter(code -> code == 0)).hasSize(1);
+                assertThat(codes.stream().filter(code -> code == ResultCode.REVISION_CONFLICT.number()))
+                        .hasSize(7);
+                assertThat(state.published().settings().current().revision()).isEqualTo(round + 1);
+            }
+        }
+    }
+
+    /**
+     * Guards against a model that loses its last engine by a mix of settings and lifecycle changes, each harmless by
+     * itself, before and after a restart from a snapshot.
+     */
+    @Test
+    void settingsAndLifecycleTogetherKeepAnEngine() {
+        assertThat(apply(1, new ApplySettings("c1", "op", 0, Samples.engines(2))))
+                .isEqualTo(0);
+        assertThat(apply(2, new SetLifecycle("c2", "op", "e0", Lifecycle.DRAINING, "")))
+                .isEqualTo(0);
+        byte[] snapshot = state.snapshot();
+        state.restore(snapshot);
+        ApplySettings removal =
+                new ApplySettings("c3", "op", 1, List.of(SettingsEdit.remove("/upstreams/assistant/e1")));
+        assertThat(apply(3, removal)).isEqualTo(ResultCode.MODEL_WITHOUT_ENGINE.number());
+        assertThat(apply(4, new SetLifecycle("c4", "op", "e0", Lifecycle.ACTIVE, "")))
+                .isEqualTo(0);
+        ApplySettings again = new ApplySettings("c5", "op", 1, removal.edits());
+        assertThat(apply(5, again)).isEqualTo(0);
+        assertThat(apply(6, new SetLifecycle("c6", "op", "e0", Lifecycle.WITHDRAWN, "")))
+                .isEqualTo(ResultCode.MODEL_WITHOUT_ENGINE.number());
+        assertThat(apply(7, removal)).isEqualTo(ResultCode.MODEL_WITHOUT_ENGINE.number());
+    }
+
+    /** Guards against a damaged command that stops every member of the group. */
+    @Test
+    void damagedCommandIsRefused() {
+        Object result = state.apply(1, 1, new byte[] {1, 2, 3});
+        assertThat(result).isInstanceOf(CommandRefused.class);
+        Object unknown = state.apply(2, 1, Samples.CODEC.encode(new CommandRequest(9999, new byte[0])));
+        assertThat(((CommandRefused) unknown).codeNumber()).isEqualTo(ResultCode.UNKNOWN_MESSAGE.number());
+    }
+}
