Add the operators' command line

Cause: operators need one program for the tree, the fleet and the members. Change: wagtailcart with JCommander sub-commands over the HTTP interface, check-settings and check-tree without a server, text or JSON output, exit codes that tell a refusal from an unknown outcome. Not proved yet: no test in this commit.

--- /dev/null
+++ b/cli/src/main/java/org/wagtailcart/cli/CheckCommands.java
@@ -0,0 +1,73 @@
+package org.wagtailcart.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Function;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.settings.EngineStatus;
+import org.wagtailcart.settings.SettingsIni;
+import org.wagtailcart.settings.SettingsState;
+import org.wagtailcart.settings.SettingsTree;
+import org.wagtailcart.settings.process.ProcessSettings;
+
+/** Commands that check a file without a server. */
+final class CheckCommands {
+    private CheckCommands() {}
+
+    static List<CliCommand> all() {
+        return List.of(new CheckSettings(), new CheckTree());
+    }
+
+    private static ExitCode check(Session session, String file, Function<String, String> check) {
+        String text = new String(Session.read(file), StandardCharsets.UTF_8);
+        try {
+            session.console().result(check.apply(text));
+            return ExitCode.OK;
+        } catch (WagtailcartException e) {
+            throw new CliException(
+                    ExitCode.INVALID_FILE, file + ": code " + e.code().number() + ": " + e.getMessage());
+        }
+    }
+
+    @Parameters(commandDescription = "Checks the settings file of a process")
+    private static final class CheckSettings extends CliCommand {
+        @Parameter(description = "FILE", required = true)
+        private String file = "";
+
+        @Override
+        String name() {
+            return "check-settings";
+        }
+
+        @Override
+        ExitCode run(Session session) {
+            return check(session, file, text -> {
+                ProcessSettings settings = ProcessSettings.parse(text);
+                return "valid: process " + settings.id() + " with roles " + settings.roles();
+            });
+        }
+    }
+
+    @Parameters(commandDescription = "Checks an INI file of the operators' tree by itself")
+    private static final class CheckTree extends CliCommand {
+        @Parameter(description = "FILE", required = true)
+        private String file = "";
+
+        @Override
+        String name() {
+            return "check-tree";
+        }
+
+        @Override
+        ExitCode run(Session session) {
+            return check(session, file, text -> {
+                SettingsTree tree = SettingsState.check(
+                        SettingsTree.EMPTY, SettingsIni.edits(SettingsTree.EMPTY, text, true), EngineStatus.NONE);
+                return "valid: " + tree.branches().size() + " branches, "
+                        + tree.upstreams().size() + " upstreams";
+            });
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/wagtailcart/cli/CliException.java
@@ -0,0 +1,17 @@
+package org.wagtailcart.cli;
+
+/** Ends the command with an exit code and a message. */
+final class CliException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final ExitCode exitCode;
+
+    CliException(ExitCode exitCode, String message) {
+        super(message);
+        this.exitCode = exitCode;
+    }
+
+    ExitCode exitCode() {
+        return exitCode;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/wagtailcart/cli/Session.java
@@ -0,0 +1,75 @@
+package org.wagtailcart.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.UUID;
+import java.util.function.Function;
+import org.wagtailcart.common.Address;
+
+/** What a command works with. The connection is made on first use, so that local checks need no token. */
+final class Session {
+    private final GlobalOptions options;
+    private final Console console;
+
+    Session(GlobalOptions options, Console console) {
+        this.options = options;
+        this.console = console;
+    }
+
+    Console console() {
+        return console;
+    }
+
+    String operator() {
+        return options.operator;
+    }
+
+    /** Calls the servers and writes the response. */
+    ExitCode print(Function<OperatorClient, JsonNode> call) {
+        JsonNode response = call(call);
+        print(response);
+        return ExitCode.OK;
+    }
+
+    void print(JsonNode response) {
+        console.result(options.json ? response.toString() : HumanText.of(response));
+    }
+
+    <T> T call(Function<OperatorClient, T> call) {
+        String token = new String(read(options.tokenFile), StandardCharsets.UTF_8).strip();
+        try (OperatorClient client =
+                new OperatorClient(options.servers.stream().map(Address::parse).toList(), token)) {
+            return call.apply(client);
+        }
+    }
+
+    /** Returns the given id or a new one, and tells a new one for the case that the outcome stays unknown. */
+    String changeId(String given) {
+        if (!given.isEmpty()) {
+            return given;
+        }
+        String id = UUID.randomUUID().toString();
+        console.error("change id " + id);
+        return id;
+    }
+
+    long revision(long given) {
+        return given >= 0
+                ? given
+                : call(client -> client.get("/v1/tree", Map.of()))
+                        .path("revision")
+                        .asLong();
+    }
+
+    static byte[] read(String file) {
+        try {
+            return Files.readAllBytes(Path.of(file));
+        } catch (IOException e) {
+            throw new CliException(ExitCode.INVALID_FILE, "file \"" + file + "\" cannot be read: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/wagtailcart/cli/TreeCommands.java
@@ -0,0 +1,194 @@
+package org.wagtailcart.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Commands that show and change the operators' tree. */
+final class TreeCommands {
+    private TreeCommands() {}
+
+    /** An edit as the server takes it. */
+    record Edit(String kind, String branch, String key, String value) {}
+
+    /** A change as the server takes it. */
+    record Apply(String changeId, String operator, long expectedRevision, List<Edit> edits) {}
+
+    static List<CliCommand> all() {
+        return List.of(
+                new Tree(),
+                new Export(),
+                new ApplyFile(),
+                new EditCommand("set", "set", 3),
+                new EditCommand("unset", "unset", 2),
+                new EditCommand("remove", "remove-branch", 1),
+                new EditCommand("move", "move-branch", 2),
+                new History(),
+                new Compare());
+    }
+
+    @Parameters(commandDescription = "Shows own and effective values and the branch that sets each")
+    private static final class Tree extends CliCommand {
+        @Parameter(names = "--branch", description = "Path of the branch")
+        private String branch = "/";
+
+        @Parameter(names = "--below", description = "Shows the branches below it, too")
+        private boolean below;
+
+        @Override
+        String name() {
+            return "tree";
+        }
+
+        @Override
+        ExitCode run(Session session) {
+            Map<String, String> query = Map.of("branch", branch, "below", String.valueOf(below));
+            return session.print(client -> client.get("/v1/tree", query));
+        }
+    }
+
+    @Parameters(commandDescription = "Writes the tree as INI")
+    private static final class Export extends CliCommand {
+        @Parameter(names = "--branch", description = "Path of the branch")
+        private String branch = "/";
+
+        @Override
+        String name() {
+            return "export";
+        }
+
+        @Override
+        ExitCode run(Session session) {
+            session.console().result(session.call(client -> client.getText("/v1/tree/ini", Map.of("branch", branch))));
+            return ExitCode.OK;
+        }
+    }
+
+    /** Options of commands that change the tree. */
+    private abstract static class Change extends CliCommand {
+        @Parameter(
+                names = "--expected-revision",
+                description =
+                        "Revision you saw; the change is refused when another one is in force. Default: the current")
+        private long expectedRevision = -1;
+
+        @Parameter(
+                names = "--change-id",
+                description = "Id of the change; repeat a change with the id of its first try")
+        private String changeId = "";
+
+        long expectedRevision(Session session) {
+            return session.revision(expectedRevision);
+        }
+
+        String changeId(Session session) {
+            return session.changeId(changeId);
+        }
+    }
+
+    @Parameters(commandDescription = "Brings an INI file into force")
+    private static final class ApplyFile extends Change {
+        @Parameter(description = "FILE", required = true)
+        private String file = "";
+
+        @Parameter(names = "--replace", description = "Removes keys and branches that the file does not name")
+        private boolean replace;
+
+        @Override
+        String name() {
+            return "apply";
+        }
+
+        @Override
+        ExitCode run(Session session) {
+            byte[] text = Session.read(file);
+            Map<String, String> query = new TreeMap<>();
+            query.put("expected_revision", String.valueOf(expectedRevision(session)));
+            query.put("change_id", changeId(session));
+            query.put("operator", session.operator());
+            query.put("replace", String.valueOf(replace));
+            return session.print(client -> client.postText("/v1/tree/ini", query, text));
+        }
+    }
+
+    @Parameters(
+            commandDescription = "Changes one key or branch: set BRANCH KEY VALUE, unset BRANCH KEY,"
+                    + " remove BRANCH, move BRANCH NEW-PARENT")
+    private static final class EditCommand extends Change {
+        private final String name;
+        private final String kind;
+        private final int argumentCount;
+
+        @Parameter(description = "BRANCH [KEY [VALUE]] or BRANCH NEW-PARENT", required = true)
+        private List<String> arguments = new ArrayList<>();
+
+        EditCommand(String name, String kind, int argumentCount) {
+            this.name = name;
+            this.kind = kind;
+            this.argumentCount = argumentCount;
+        }
+
+        @Override
+        String name() {
+            return name;
+        }
+
+        @Override
+        ExitCode run(Session session) {
+            if (arguments.size() != argumentCount) {
+                throw new CliException(
+                        ExitCode.USAGE, name + " needs " + argumentCount + " arguments, not " + arguments.size());
+            }
+            boolean move = kind.equals("move-branch");
+            String key = argumentCount > 1 && !move ? arguments.get(1) : "";
+            String value = argumentCount > 2 || move ? arguments.get(argumentCount - 1) : "";
+            Apply body = new Apply(
+                    changeId(session),
+                    session.operator(),
+                    expectedRevision(session),
+                    List.of(new Edit(kind, arguments.get(0), key, value)));
+            return session.print(client -> client.post("/v1/tree", body));
+        }
+    }
+
+    @Parameters(commandDescription = "Shows the latest changes, newest first")
+    private static final class History extends CliCommand {
+        @Parameter(names = "--limit", description = "Number of changes")
+        private int limit = 20;
+
+        @Override
+        String name() {
+            return "history";
+        }
+
+        @Override
+        ExitCode run(Session session) {
+            return session.print(client -> client.get("/v1/history", Map.of("limit", String.valueOf(limit))));
+        }
+    }
+
+    @Parameters(commandDescription = "Shows what differs between two revisions")
+    private static final class Compare extends CliCommand {
+        @Parameter(description = "FROM [TO]", required = true)
+        private List<String> revisions = new ArrayList<>();
+
+        @Override
+        String name() {
+            return "compare";
+        }
+
+        @Override
+        ExitCode run(Session session) {
+            if (revisions.size() > 2) {
+                throw new CliException(ExitCode.USAGE, "compare needs 1 or 2 arguments, not " + revisions.size());
+            }
+            Map<String, String> query = new TreeMap<>();
+            query.put("from", revisions.get(0));
+            revisions.stream().skip(1).forEach(to -> query.put("to", to));
+            return session.print(client -> client.get("/v1/compare", query));
+        }
+    }
+}
