Test the operators' HTTP interface over a local log

Cause: the interface and the path from a change to a process had no proof. Change: OperatorServerTest covers bad input of every endpoint, the token, and one path through registration, sync, grants, drain and wait.

--- /dev/null
+++ b/control/src/test/java/org/wagtailcart/control/http/ControlFixture.java
@@ -0,0 +1,71 @@
+package org.wagtailcart.control.http;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.control.ControlOptions;
+import org.wagtailcart.control.ControlRole;
+import org.wagtailcart.control.ControlState;
+import org.wagtailcart.control.FleetPlanner;
+import org.wagtailcart.control.NoKeys;
+import org.wagtailcart.control.Samples;
+import org.wagtailcart.coordination.LocalLog;
+import org.wagtailcart.coordination.Member;
+import org.wagtailcart.wire.IoLoop;
+import org.wagtailcart.wire.PeerClient;
+import org.wagtailcart.wire.PeerDispatcher;
+import org.wagtailcart.wire.PeerServer;
+import org.wagtailcart.wire.WireOptions;
+
+/** A control member over a local log, with its peer and operator listeners. */
+public final class ControlFixture implements AutoCloseable {
+    public static final String TOKEN = "secret";
+
+    public final Address peerAddress = freeAddress();
+    public final Address operatorAddress = freeAddress();
+    public final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(2);
+    public final PeerClient peers;
+    public final ControlState state = new ControlState(Samples.CODEC, new NoKeys());
+
+    private final ExecutorService executor = Executors.newCachedThreadPool();
+    private final IoLoop loop = new IoLoop("fixture-io");
+    private final MetricRegistry registry = new MetricRegistry();
+    private final LocalLog log = new LocalLog(new Member("c1", 1, peerAddress, true), state);
+    private final PeerServer server;
+    private final ControlRole role;
+
+    public ControlFixture(FleetPlanner planner) {
+        PeerDispatcher dispatcher = new PeerDispatcher();
+        peers = new PeerClient(loop, Samples.CODEC, executor, WireOptions.standard(), registry);
+        server = new PeerServer(
+                loop, peerAddress, Samples.CODEC, dispatcher, executor, WireOptions.standard(), registry);
+        // A short lease, so that "in force everywhere" needs less listening than the 12 s of production.
+        ControlOptions options = new ControlOptions(operatorAddress, TOKEN, 2_000, 50, 50);
+        role = new ControlRole(
+                options, log, state, Samples.CODEC, dispatcher, peers, planner, registry, executor, scheduler);
+        role.start();
+    }
+
+    private static Address freeAddress() {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return new Address("127.0.0.1", socket.getLocalPort());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        role.close();
+        scheduler.shutdownNow();
+        peers.close();
+        server.close();
+        log.close();
+        loop.close();
+        executor.shutdownNow();
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/wagtailcart/control/http/OperatorServerTest.java
@@ -0,0 +1,211 @@
+package org.wagtailcart.control.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtailcart.common.Lifecycle;
+import org.wagtailcart.control.FleetObservation;
+import org.wagtailcart.control.FleetPlanner;
+import org.wagtailcart.control.Samples;
+import org.wagtailcart.control.client.ControlClientImpl;
+import org.wagtailcart.control.client.LoadReport;
+import org.wagtailcart.control.client.PowerGrant;
+import org.wagtailcart.control.client.ProcessIdentity;
+import org.wagtailcart.control.client.SyncLoop;
+import org.wagtailcart.fleet.RegisterSidecar;
+import org.wagtailcart.fleet.RegisterSidecarResult;
+import org.wagtailcart.settings.ApplySettings;
+import org.wagtailcart.settings.ApplySettingsResult;
+
+@Timeout(120)
+class OperatorServerTest {
+    private static final HttpClient HTTP = HttpClient.newHttpClient();
+    private static final FleetPlanner GRANTS = new FleetPlanner() {
+        @Override
+        public List<Object> plan(FleetObservation observation, long nowMillis) {
+            return List.of();
+        }
+
+        @Override
+        public List<PowerGrant> grants(FleetObservation observation, long nowMillis) {
+            return List.of(new PowerGrant("e1", 5_000), new PowerGrant("e9", 5_000));
+        }
+    };
+
+    private static ControlFixture fixture;
+
+    @BeforeAll
+    static void start() {
+        fixture = new ControlFixture(GRANTS);
+        ApplySettingsResult result = client().submit(
+                        new ApplySettings("c1", "test", 0, Samples.engines(3)), ApplySettingsResult.class, 30_000)
+                .join();
+        assertThat(result.codeNumber()).isEqualTo(0);
+    }
+
+    @AfterAll
+    static void stop() {
+        fixture.close();
+    }
+
+    private static ControlClientImpl client() {
+        return new ControlClientImpl(fixture.peers, Samples.CODEC, List.of(fixture.peerAddress), fixture.scheduler);
+    }
+
+    private static HttpResponse<String> call(String method, String path, String body, String token)
+            throws IOException, InterruptedException {
+        return HTTP.send(
+                HttpRequest.newBuilder(URI.create("http://" + fixture.operatorAddress + path))
+                        .header("Authorization", "Bearer " + token)
+                        .method(method, HttpRequest.BodyPublishers.ofString(body))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static JsonNode ok(String method, String path, String body) throws Exception {
+        HttpResponse<String> response = call(method, path, body, ControlFixture.TOKEN);
+        assertThat(response.body()).doesNotContain("\"error\"");
+        assertThat(response.statusCode()).isEqualTo(200);
+        return new ObjectMapper().readTree(response.body());
+    }
+
+    /** Guards against bad input that is taken, ends the server or is refused without code, run state and field. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
+            GET  | /nowhere | '' | 404 | 1004 | not-run | /nowhere is unknown
+            PUT  | /v1/tree | '' | 404 | 1004 | not-run | PUT /v1/tree is unknown
+            GET  | /v1/tree?branch=/none | '' | 404 | 1004 | not-run | branch /none does not exist
+            GET  | /v1/tree?below=maybe | '' | 400 | 1001 | not-run | "below" has the value "maybe"
+            GET  | /v1/history?limit=0 | '' | 400 | 1001 | not-run | "limit" has the value "0"
+            GET  | /v1/compare?from=x | '' | 400 | 1001 | not-run | "from" has the value "x"
+            GET  | /v1/compare?from=0&to=99 | '' | 404 | 1004 | not-run | revision 99 is not retained
+            GET  | /v1/wait | '' | 400 | 1001 | not-run | "revision" is missing
+            GET  | /v1/upstreams/none | '' | 404 | 4006 | not-run | "none" is not in the settings tree
+            POST | /v1/tree | '{' | 400 | 1001 | not-run | body
+            POST | /v1/tree | 'null' | 400 | 1001 | not-run | body is null
+            POST | /v1/tree | '{}' | 400 | 1001 | not-run | "change_id" is missing
+            POST | /v1/tree | '{"change_id":"a","operator":"o","expected_revision":1,"edits":[null]}' | 400 | 1001 | not-run | lacks "kind"
+            POST | /v1/tree | '{"change_id":"a","operator":"o","edits":[]}' | 400 | 1001 | not-run | "expected_revision" is missing
+            POST | /v1/tree | '{"change_id":"a b","operator":"o","expected_revision":1,"edits":[]}' | 400 | 1001 | not-run | "change_id" has the value "a b"
+            POST | /v1/tree | '{"change_id":"a","operator":"o","expected_revision":"x","edits":[]}' | 400 | 1001 | not-run | "expected_revision"
+            POST | /v1/tree | '{"change_id":"a","operator":"o","nope":1}' | 400 | 1001 | not-run | "nope"
+            POST | /v1/tree | '{"change_id":"b1","operator":"o","expected_revision":1,"edits":[{"kind":"set","branch":"/a","key":"nope","value":"1"}]}' | 400 | 4002 | not-run | key "nope" is unknown
+            POST | /v1/tree | '{"change_id":"b2","operator":"o","expected_revision":7,"edits":[{"kind":"remove-branch","branch":"/upstreams"}]}' | 409 | 4001 | not-run | revision 1 is in force
+            POST | /v1/tree | '{"change_id":"b3","operator":"o","expected_revision":1,"edits":[{"kind":"remove-branch","branch":"/upstreams"}]}' | 409 | 4005 | not-run | leaves assistant without an engine
+            POST | /v1/tree/ini?change_id=b4&operator=o&expected_revision=1 | 'a = 1' | 400 | 1002 | not-run | stands outside a section
+            POST | /v1/tree/ini?operator=o&expected_revision=1 | '' | 400 | 1001 | not-run | "change_id" is missing
+            POST | /v1/upstreams/e1/lifecycle | '{"change_id":"b5","operator":"o","lifecycle":"gone"}' | 400 | 1001 | not-run | "gone" is not one of active, draining
+            POST | /v1/upstreams/zz/lifecycle | '{"change_id":"b6","operator":"o","lifecycle":"draining"}' | 404 | 4006 | not-run | zz
+            POST | /v1/upstreams/e1/order | '{"change_id":"b7","role":"both","expected_order_number":0}' | 400 | 1001 | not-run | role "both" is not one of
+            POST | /v1/upstreams/e1/order | '{"change_id":"b8","role":"decode"}' | 400 | 1001 | not-run | "expected_order_number" is missing
+            POST | /v1/upstreams/e1/order | '{"change_id":"b9","expected_order_number":5}' | 409 | 4012 | not-run | expected order number 5
+            POST | /v1/members | '{"kind":"promote","member_id":"zz"}' | 400 | 3007 | not-run | member "zz" is unknown
+            POST | /v1/members | '{"kind":"add-learner","member_id":"c2","incarnation":1,"address":"x"}' | 400 | 1001 | not-run | not of the form IP:PORT
+            """)
+    void namesWhatIsWrong(
+            String method, String path, String body, int status, int code, String runState, String message)
+            throws Exception {
+        HttpResponse<String> response = call(method, path, body, ControlFixture.TOKEN);
+        JsonNode error = new ObjectMapper().readTree(response.body()).path("error");
+        assertThat(error.path("message").asText()).contains(message);
+        assertThat(error.path("code").asInt()).isEqualTo(code);
+        assertThat(error.path("run_state").asText()).isEqualTo(runState);
+        assertThat(error.path("repeat_safe").isBoolean()).isTrue();
+        assertThat(response.statusCode()).isEqualTo(status);
+        assertThat(response.headers().firstValue("Wagtailcart-Result-Code")).hasValue(String.valueOf(code));
+    }
+
+    /** Guards against a request without the token that reaches an endpoint. */
+    @ParameterizedTest
+    @CsvSource({"GET, /v1/tree", "POST, /v1/tree", "GET, /nowhere", "GET, /v1/dump"})
+    void refusesAnotherToken(String method, String path) throws Exception {
+        HttpResponse<String> response = call(method, path, "", "other");
+        assertThat(response.statusCode()).isEqualTo(401);
+        assertThat(response.body()).contains("\"code\":1003");
+    }
+
+    /**
+     * Guards against a process that does not learn of a change, a wait that ends before every process has it, a drained
+     * upstream that stays draining, and grants that reach the wrong sidecar.
+     */
+    @Test
+    void processesLearnOfChangesAndReportBack() throws Exception {
+        RegisterSidecarResult registered = client().submit(
+                        new RegisterSidecar(
+                                "s1",
+                                7,
+                                fixture.state
+                                        .published()
+                                        .fleet()
+                                        .upstreams()
+                                        .get("e1")
+                                        .sidecarAddress()),
+                        RegisterSidecarResult.class,
+                        30_000)
+                .get(30, TimeUnit.SECONDS);
+        assertThat(registered.codeNumber()).isEqualTo(0);
+        LoadReport idle = new LoadReport("e1", true, 0, 0, 0, 0, 0, 0, false);
+        try (SyncLoop loop = new SyncLoop(
+                new ProcessIdentity("s1", 7, "sidecar", "h", "d"),
+                List.of(fixture.peerAddress),
+                fixture.peers,
+                Samples.CODEC,
+                fixture.scheduler,
+                () -> List.of(idle))) {
+            CompletableFuture<Void> granted = new CompletableFuture<>();
+            CompletableFuture<Void> drained = new CompletableFuture<>();
+            loop.onChange(() -> loop.upstream("e1")
+                    .filter(view -> view.lifecycle() == Lifecycle.DRAINED)
+                    .ifPresent(view -> drained.complete(null)));
+            loop.start();
+            fixture.scheduler.scheduleWithFixedDelay(
+                    () -> {
+                        if (loop.powerGrantDeadlineMillis("e1") > 0) {
+                            granted.complete(null);
+                        }
+                    },
+                    10,
+                    10,
+                    TimeUnit.MILLISECONDS);
+            granted.get(60, TimeUnit.SECONDS);
+            assertThat(loop.powerGrantDeadlineMillis("e9")).isEqualTo(0);
+            ok(
+                    "POST",
+                    "/v1/upstreams/e1/lifecycle",
+                    "{\"change_id\":\"d1\",\"operator\":\"o\",\"lifecycle\":\"draining\"}");
+            drained.get(60, TimeUnit.SECONDS);
+            assertThat(loop.leaseDeadlineMillis()).isGreaterThan(0);
+            assertThat(loop.settings().effective("/upstreams/assistant/e1", "model"))
+                    .hasValue("assistant");
+            JsonNode wait = ok("GET", "/v1/wait?revision=1&limit_millis=60000", "");
+            assertThat(wait.path("in_force").asBoolean()).isTrue();
+            JsonNode early = ok("GET", "/v1/wait?revision=2&limit_millis=0", "");
+            assertThat(early.path("in_force").asBoolean()).isFalse();
+            assertThat(early.path("lagging").get(0).path("process_id").asText()).isEqualTo("s1");
+            assertThat(ok("GET", "/v1/status", "")
+                            .path("processes")
+                            .get(0)
+                            .path("revision")
+                            .asLong())
+                    .isEqualTo(1);
+        }
+    }
+}
