--- /dev/null
+++ b/settings/src/test/java/org/wagtailcart/settings/DocumentationTest.java
@@ -0,0 +1,46 @@
+package org.wagtailcart.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.SettingNames;
+
+class DocumentationTest {
+    private static List<String> rows(String file, String start, int columns) throws IOException {
+        return Files.readAllLines(Path.of("..", "docs", file)).stream()
+                .filter(line -> line.startsWith(start))
+                .map(line -> String.join("|", Arrays.copyOf(line.split("\\|", -1), columns + 1)))
+                .toList();
+    }
+
+    /** Guards against a table that lacks a result code or states another run state, repeat or status. */
+    @Test
+    void resultCodesMatchTheEnum() throws IOException {
+        List<String> expected = Arrays.stream(ResultCode.values())
+                .map(code -> "| " + code.number() + " | `" + SettingNames.of(code) + "` | "
+                        + SettingNames.of(code.runState()) + " | " + (code.repeatSafe() ? "yes" : "no") + " | "
+                        + code.httpStatus() + " ")
+                .toList();
+        List<String> rows = rows("result-codes.md", "| ", 5);
+        assertThat(rows.subList(1, rows.size()))
+                .containsExactlyElementsIn(expected)
+                .inOrder();
+    }
+
+    /** Guards against a table that lacks a key of the tree or states other accepted values. */
+    @Test
+    void keysMatchTheEnum() throws IOException {
+        List<String> expected = Arrays.stream(SettingsKey.values())
+                .map(key -> "| `" + key.settingName() + "` | " + key.accepts() + " ")
+                .toList();
+        assertThat(rows("settings.md", "| `", 2).subList(0, expected.size()))
+                .containsExactlyElementsIn(expected)
+                .inOrder();
+    }
+}
