--- a/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
+++ b/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
@@ -7,10 +7,13 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
@@ -35,6 +38,9 @@
     /** Leaves room for the rest of an attempt in a frame of 4 MiB. */
     static final int MAX_BODY_BYTES = 3 << 20;
 
+    /** Time within which a body must arrive; a caller that never sends it would hold up a shutdown. */
+    private static final long MAX_BODY_MILLIS = 30_000;
+
     private static final Logger LOG = System.getLogger(CallerHandler.class.getName());
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -129,19 +135,34 @@
             return;
         }
         exchange.setMaxEntitySize(MAX_BODY_BYTES);
+        Future<?> limit = context.timer()
+                .schedule(
+                        () -> exchange.getIoThread().execute(() -> closeConnection(exchange)),
+                        MAX_BODY_MILLIS,
+                        TimeUnit.MILLISECONDS);
         exchange.getRequestReceiver()
                 .receiveFullBytes(
-                        (received, body) ->
-                                received.dispatch(SameThreadExecutor.INSTANCE, () -> accept(received, body)),
+                        (received, body) -> {
+                            limit.cancel(false);
+                            received.dispatch(SameThreadExecutor.INSTANCE, () -> accept(received, body));
+                        },
                         (failed, error) -> refuseUnread(failed));
     }
 
+    private static void closeConnection(HttpServerExchange exchange) {
+        try {
+            exchange.getConnection().close();
+        } catch (IOException e) {
+            LOG.log(Level.DEBUG, LogEvent.of("close-failed", "reason", e.getMessage()));
+        }
+    }
+
     private void refuseUnread(HttpServerExchange exchange) {
         exchange.setPersistent(false);
         exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
                 () -> refuse(
-                        new CallerResponse(exchange),
+                        new CallerResponse(exchange, context.timer()),
                         Stage.ACCEPT,
                         Refusal.of(new WagtailcartException(
                                 ResultCode.PAYLOAD_TOO_LARGE,
@@ -149,7 +170,7 @@
     }
 
     private void accept(HttpServerExchange exchange, byte[] body) {
-        CallerResponse response = new CallerResponse(exchange);
+        CallerResponse response = new CallerResponse(exchange, context.timer());
         try {
             if (state.refusesNewWork()) {
                 exchange.setPersistent(false);
--- a/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
+++ b/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
@@ -5,7 +5,9 @@
 import io.undertow.UndertowOptions;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.RoleService;
@@ -24,6 +26,12 @@
 
 /** The entry: takes the requests of callers and passes them to sidecars. */
 public final class EntryRole implements RoleService {
+    /** Time within which the head of a request must arrive whole. */
+    private static final int HEAD_MILLIS = 10_000;
+
+    /** Time after which a connection without a request is closed; longer than load balancers keep theirs. */
+    private static final int IDLE_MILLIS = 600_000;
+
     private final EntryOptions options;
     private final ControlView view;
     private final ScheduledExecutorService timer;
@@ -32,6 +40,7 @@
     private final WorkspaceLimits limits = new WorkspaceLimits();
     private final CallerHandler handler;
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    private final AtomicBoolean installing = new AtomicBoolean();
     private volatile PoolDirectory pools;
     private volatile boolean draining;
     private volatile boolean refusing;
@@ -54,6 +63,10 @@
             ScheduledExecutorService timer,
             MillisClock clock,
             MetricRegistry registry) {
+        if (timer instanceof ScheduledThreadPoolExecutor pool) {
+            // Deadlines of finished requests would otherwise stay in memory until they pass.
+            pool.setRemoveOnCancelPolicy(true);
+        }
         this.options = options;
         this.view = view;
         this.timer = timer;
@@ -89,13 +102,15 @@
 
     @Override
     public synchronized void start() {
-        view.onChange(this::install);
+        view.onChange(this::installSoon);
         install();
         Undertow started = Undertow.builder()
                 .addHttpListener(
                         options.callerAddress().port(), options.callerAddress().ip())
                 .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .setServerOption(UndertowOptions.DECODE_URL, false)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MILLIS)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
                 .setWorkerThreads(1)
                 .setHandler(handler)
                 .build();
@@ -156,7 +171,15 @@
                 || options.onControlLoss().serves(kind);
     }
 
+    /** Leaves the thread that installs settings; several changes in a row are installed at once. */
+    private void installSoon() {
+        if (installing.compareAndSet(false, true)) {
+            timer.execute(this::install);
+        }
+    }
+
     private synchronized void install() {
+        installing.set(false);
         PoolDirectory latest = new PoolDirectory(view.settings(), view.upstreams());
         pools = latest;
         dispatch.update(latest, view.upstreams());
--- a/entry/src/main/java/org/wagtailcart/entry/answer/CallerResponse.java
+++ b/entry/src/main/java/org/wagtailcart/entry/answer/CallerResponse.java
@@ -13,6 +13,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Queue;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.SettingNames;
@@ -22,7 +25,11 @@
     /** Bytes that may wait for a slow caller before its connection is closed. */
     private static final long MAX_QUEUED_BYTES = 8 << 20;
 
+    /** Time for which a caller may take the rest of an ended response; a stalled one would hold up a shutdown. */
+    private static final long MAX_DELIVERY_MILLIS = 30_000;
+
     private final HttpServerExchange exchange;
+    private final ScheduledExecutorService timer;
     private final Queue<byte[]> queued = new ArrayDeque<>();
     private final IoCallback callback = new IoCallback() {
         @Override
@@ -44,8 +51,9 @@
     private boolean gone;
 
     /** Creates the response of an exchange that was dispatched. */
-    public CallerResponse(HttpServerExchange exchange) {
+    public CallerResponse(HttpServerExchange exchange, ScheduledExecutorService timer) {
         this.exchange = exchange;
+        this.timer = timer;
         CallerWatch.watch(exchange, this::abort);
     }
 
@@ -100,6 +108,18 @@
             ended = true;
             pump();
         }
+        if (!gone && !exchange.isComplete()) {
+            limitDelivery();
+        }
+    }
+
+    private void limitDelivery() {
+        Future<?> limit = timer.schedule(
+                () -> exchange.getIoThread().execute(this::abort), MAX_DELIVERY_MILLIS, TimeUnit.MILLISECONDS);
+        exchange.addExchangeCompleteListener((done, next) -> {
+            limit.cancel(false);
+            next.proceed();
+        });
     }
 
     /** Sends a whole response. */
--- a/entry/src/main/java/org/wagtailcart/entry/call/CallContext.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/CallContext.java
@@ -8,12 +8,15 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.control.client.ControlClient;
 import org.wagtailcart.control.client.ControlView;
 import org.wagtailcart.entry.admission.Dispatch;
 import org.wagtailcart.entry.admission.RetryBudget;
 import org.wagtailcart.entry.request.RequestKind;
 import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.policy.routing.Outcome;
 import org.wagtailcart.wire.PeerClient;
 
 /**
@@ -46,6 +49,15 @@
         boolean allows(RequestKind kind);
     }
 
+    /** Returns what a failed attempt says about its upstream. */
+    static Outcome outcomeOf(WagtailcartException error) {
+        return switch (error.code()) {
+            case SETTINGS_REVISION_STALE, CALLER_GONE -> Outcome.CANCELLED;
+            case CONNECT_FAILED -> Outcome.FAILURE;
+            default -> error.runState() == RunState.NOT_RUN ? Outcome.REFUSED : Outcome.FAILURE;
+        };
+    }
+
     /** Returns a random attempt id. */
     static String newAttemptId() {
         return UUID.randomUUID().toString();
--- a/entry/src/main/java/org/wagtailcart/entry/call/KeyedRunner.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/KeyedRunner.java
@@ -54,6 +54,7 @@
     private final KeyedCall call;
     private final Runnable onEnd;
     private Future<?> deadlineTimer = CompletableFuture.completedFuture(null);
+    private Future<?> lateAnswerTimer = CompletableFuture.completedFuture(null);
     private String routedAttempt = "";
     private String waitingAttempt = "";
 
@@ -243,7 +244,8 @@
                 sink(send),
                 executor,
                 end -> context.dispatch().loadReport(send.upstreamId(), end.running(), end.queued()));
-        var unused = context.after(
+        lateAnswerTimer.cancel(false);
+        lateAnswerTimer = context.after(
                 remainingMillis() + LATE_ANSWER_MILLIS,
                 executor,
                 () -> handle(
@@ -282,7 +284,7 @@
             @Override
             public void onFailed(WagtailcartException error) {
                 context.counters().count(Stage.ATTEMPT, error.code());
-                releaseRoute(error.runState() == RunState.NOT_RUN ? Outcome.REFUSED : Outcome.FAILURE);
+                releaseRoute(CallContext.outcomeOf(error));
                 handle(new KeyedEvent.AttemptFailed(send.step(), error.code(), error.runState()));
             }
         };
@@ -330,6 +332,7 @@
         }
         releaseRoute(Outcome.CANCELLED);
         deadlineTimer.cancel(false);
+        lateAnswerTimer.cancel(false);
         onEnd.run();
     }
 }
--- a/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
@@ -298,7 +298,7 @@
         }
         context.counters().count(Stage.ATTEMPT, error.code());
         mayHaveRun |= error.runState() != RunState.NOT_RUN;
-        release(error.runState() == RunState.NOT_RUN ? Outcome.REFUSED : Outcome.FAILURE);
+        release(CallContext.outcomeOf(error));
         if (error.code() == ResultCode.SETTINGS_REVISION_STALE && syncs++ < MAX_SYNCS) {
             excluded.remove(upstreamId);
             context.view().syncSoon();
--- a/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
@@ -131,6 +131,7 @@
     @Test
     void aRefusedAttemptIsRetriedElsewhereUnderAFreshReservation() {
         control.addService("p2", second.address, 2);
+        rig.settle();
         first.scripts.add((request, exchange) ->
                 exchange.fail(new WagtailcartException(ResultCode.UPSTREAM_REFUSED, "connect refused")));
         assertThat(book(rig, "k", "wheel").statusCode()).isEqualTo(201);
@@ -158,6 +159,7 @@
         book(rig, "k", "wheel");
         control.remove("p1");
         control.put(withoutEpoch());
+        rig.settle();
         assertThat(book(rig, "k", "wheel").headers().firstValue("Wagtailcart-Replayed"))
                 .hasValue("true");
         assertRefused(book(rig, "new", "wheel"), ResultCode.NO_UPSTREAM, "not-run");
@@ -209,6 +211,7 @@
     @Test
     void aWorkspaceIsHeldToItsLimit() {
         control.set("/workspaces/w", "requests-per-second", "2");
+        rig.settle();
         List<Integer> statuses =
                 IntStream.range(0, 12)
                         .mapToObj(i -> rig.completeLater(false, "Wagtailcart-Workspace", "w"))
@@ -225,6 +228,7 @@
     @Test
     void theQueueIsBoundedAndInteractiveWorkGoesFirst() throws Exception {
         control.set("/upstreams/e1", "queue-limit", "1");
+        rig.settle();
         CountDownLatch go = new CountDownLatch(1);
         first.scripts.add((request, exchange) -> {
             awaitLatch(go);
@@ -281,9 +285,13 @@
     /** Guards against a deadline that is not kept, and against a claim that the work did not run. */
     @Test
     void aPassedDeadlineIsReportedAndCancelsTheAttempt() throws Exception {
+        // The connection to the sidecar is made first, so that the attempt leaves before its deadline.
+        assertThat(rig.complete(false).statusCode()).isEqualTo(200);
         first.scripts.add((request, exchange) -> {});
         assertRefused(
-                rig.complete(false, "Wagtailcart-Deadline-Millis", "300"), ResultCode.UPSTREAM_TIMEOUT, "may-have-run");
+                rig.complete(false, "Wagtailcart-Deadline-Millis", "2000"),
+                ResultCode.UPSTREAM_TIMEOUT,
+                "may-have-run");
         assertThat(first.cancelled.await(30, TimeUnit.SECONDS)).isTrue();
     }
 
@@ -293,6 +301,7 @@
         control.remove("e1");
         control.addEngine("e3", second.address, EngineRole.PREFILL, 4);
         control.addEngine("e4", first.address, EngineRole.DECODE, 4);
+        rig.settle();
         assertThat(rig.complete(true).body()).endsWith("data: [DONE]\n\n");
         String prefill = new String(second.received.peek().body(), StandardCharsets.UTF_8);
         String decode = new String(first.received.peek().body(), StandardCharsets.UTF_8);
--- a/entry/src/test/java/org/wagtailcart/entry/EntryRig.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryRig.java
@@ -9,6 +9,7 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -55,6 +56,15 @@
         entry.start();
     }
 
+    /** Waits until the entry has installed all changes of its view. */
+    void settle() {
+        try {
+            timer.submit(() -> {}).get();
+        } catch (InterruptedException | ExecutionException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     HttpResponse<String> get(String path) {
         return send(request(path).GET().build()).join();
     }
--- a/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
@@ -14,12 +14,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.sidecar.message.AttemptChunk;
 import org.wagtailcart.sidecar.message.AttemptEnd;
 import org.wagtailcart.sidecar.message.AttemptRequest;
+import org.wagtailcart.sidecar.message.AttemptStarted;
 import org.wagtailcart.wire.Exchange;
 
 class EntryStreamTest {
@@ -182,4 +184,40 @@
                 .containsExactly(0L, 1L, 2L, 3L)
                 .inOrder();
     }
+
+    /** Guards against a stream that hangs for ever when its connection falls silent without closing. */
+    @Test
+    void aSilentConnectionIsReplacedAndTheStreamContinued() throws Exception {
+        try (SilentRelay relay = new SilentRelay(first.address)) {
+            control.remove("e2");
+            control.addEngine("e1", relay.address, EngineRole.MIXED, 4);
+            rig.settle();
+            first.scripts.add((request, exchange) -> {
+                FakeSidecar.stream(request, exchange, 4);
+                relay.fallSilent();
+            });
+            assertWhole(rig.complete(true));
+            assertThat(first.received).hasSize(2);
+        }
+    }
+
+    /** Guards against a cut answer that looks whole, small or too large to be held. */
+    @ParameterizedTest
+    @ValueSource(ints = {100, 3 << 20})
+    void aWholeAnswerWithWrongCountsNeverLooksWhole(int size) {
+        FakeSidecar.Script cut = (request, exchange) -> {
+            exchange.send(new AttemptStarted(request.attemptId(), 200, List.of()));
+            exchange.send(new AttemptChunk(request.attemptId(), 0, new byte[size / 2]));
+            exchange.finish(new AttemptEnd(request.attemptId(), 2, size, 0, 0));
+        };
+        IntStream.range(0, 3).forEach(i -> {
+            first.scripts.add(cut);
+            second.scripts.add(cut);
+        });
+        Object outcome = rig.completeLater(false)
+                .<Object>thenApply(HttpResponse::statusCode)
+                .exceptionally(Throwable::getClass)
+                .join();
+        assertThat(outcome).isNotEqualTo(200);
+    }
 }
--- /dev/null
+++ b/entry/src/test/java/org/wagtailcart/entry/SilentRelay.java
@@ -0,0 +1,72 @@
+package org.wagtailcart.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.wagtailcart.common.Address;
+
+/** Relays connections; those that are open when it falls silent stay open without a byte, new ones work. */
+final class SilentRelay implements AutoCloseable {
+    private final ExecutorService executor = Executors.newCachedThreadPool();
+    private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final ServerSocket listener;
+    private final Address target;
+    final Address address;
+
+    SilentRelay(Address target) throws IOException {
+        this.target = target;
+        this.listener = new ServerSocket(0);
+        this.address = new Address("127.0.0.1", listener.getLocalPort());
+        executor.execute(this::accept);
+    }
+
+    void fallSilent() {
+        silent.addAll(open);
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket from = listener.accept();
+                Socket to = new Socket(target.ip(), target.port());
+                open.add(from);
+                open.add(to);
+                executor.execute(() -> pump(from, to));
+                executor.execute(() -> pump(to, from));
+            }
+        } catch (IOException e) {
+            return;
+        }
+    }
+
+    private void pump(Socket from, Socket to) {
+        byte[] buffer = new byte[4096];
+        try {
+            InputStream in = from.getInputStream();
+            OutputStream out = to.getOutputStream();
+            for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
+                if (!silent.contains(from)) {
+                    out.write(buffer, 0, read);
+                }
+            }
+        } catch (IOException e) {
+            return;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
+        executor.shutdownNow();
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/wagtailcart/entry/attempt/EventStreamTest.java
@@ -0,0 +1,66 @@
+package org.wagtailcart.entry.attempt;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Random;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.wagtailcart.common.WagtailcartException;
+
+class EventStreamTest {
+    private static final int TOKENS = 10;
+
+    private static String event(String attempt, int index) {
+        return "id: " + index + "\ndata: {\"id\":\"" + attempt + "\",\"text\":\"ü" + index + "\"}\n\n";
+    }
+
+    private static String rest(String attempt, int from) {
+        return IntStream.range(from, TOKENS).mapToObj(i -> event(attempt, i)).collect(Collectors.joining())
+                + "data: {\"id\":\"" + attempt + "\",\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n"
+                + EventStream.DONE;
+    }
+
+    /**
+     * Guards against tokens that are lost or repeated, or characters that are damaged, wherever the bytes are split and
+     * however often the stream breaks and is continued.
+     */
+    @Property(tries = 500, seed = "77")
+    void anySplitAndAnyNumberOfContinuationsGiveTheSameStream(@ForAll long seed) {
+        Random random = new Random(seed);
+        EventStream stream = new EventStream();
+        StringBuilder delivered = new StringBuilder();
+        int attempts = 1 + random.nextInt(4);
+        for (int attempt = 1; attempt <= attempts; attempt++) {
+            stream.startAttempt("attempt-" + attempt);
+            byte[] bytes = rest("attempt-" + attempt, (int) stream.tokens()).getBytes(StandardCharsets.UTF_8);
+            int end = attempt == attempts ? bytes.length : random.nextInt(bytes.length);
+            for (int at = 0; at < end; ) {
+                int next = Math.min(end, at + 1 + random.nextInt(40));
+                delivered.append(text(stream.accept(Arrays.copyOfRange(bytes, at, next))));
+                at = next;
+            }
+        }
+        delivered.append(text(stream.end()));
+        assertThat(delivered.toString()).isEqualTo(rest("attempt-1", 0));
+    }
+
+    /** Guards against a cut stream that passes as whole, at any byte before the end. */
+    @Property(tries = 300, seed = "78")
+    void noProperPrefixIsWhole(@ForAll long seed) {
+        byte[] bytes = rest("a", 0).getBytes(StandardCharsets.UTF_8);
+        EventStream stream = new EventStream();
+        stream.startAttempt("a");
+        byte[] delivered = stream.accept(Arrays.copyOf(bytes, new Random(seed).nextInt(bytes.length)));
+        assertThat(text(delivered)).doesNotContain("[DONE]");
+        assertThrows(WagtailcartException.class, stream::end);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+}
