Match listed calls by plain path and bound held bodies

POST /services/parts/bo%6Fk escaped the list of calls that run at most once, because the raw path was matched; the path without escapes, empty segments and dot segments is matched now (everySpellingOfAListedPathNeedsAKey). A sidecar with newer settings made a keyed call use up its attempts before the sync; it now waits for the newer revision (aKeyedCallWaitsForNewerSettings). Request bodies held at once are bounded by a quarter of the heap, since queue limits count requests, not bytes. requests-per-second is inherited from the root like every other key. A prefilled prompt counts as work that may have run.

--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/BodyMemory.java
@@ -0,0 +1,30 @@
+package org.wagtailcart.entry;
+
+import io.undertow.server.HttpServerExchange;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Bounds the bytes of all request bodies that are held at once, which the queue limits alone do not. */
+final class BodyMemory {
+    private final long limitBytes;
+    private final AtomicLong heldBytes = new AtomicLong();
+
+    BodyMemory(long limitBytes) {
+        this.limitBytes = limitBytes;
+    }
+
+    /** Holds room for the body of a request until it has ended; a body of unknown length takes the most it may have. */
+    boolean tryHold(HttpServerExchange exchange) {
+        long stated = exchange.getRequestContentLength();
+        boolean empty = stated < 0 && exchange.isRequestComplete();
+        long bytes = stated >= 0 ? stated : empty ? 0 : CallerHandler.MAX_BODY_BYTES;
+        if (heldBytes.addAndGet(bytes) > limitBytes) {
+            heldBytes.addAndGet(-bytes);
+            return false;
+        }
+        exchange.addExchangeCompleteListener((done, next) -> {
+            heldBytes.addAndGet(-bytes);
+            next.proceed();
+        });
+        return true;
+    }
+}
--- a/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
+++ b/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
@@ -32,6 +32,7 @@
 import org.wagtailcart.entry.request.HttpHead;
 import org.wagtailcart.entry.request.PoolDirectory;
 import org.wagtailcart.entry.request.RequestClassifier;
+import org.wagtailcart.entry.request.RequestKind;
 
 /** Receives the HTTP requests of callers and starts a call for each. */
 final class CallerHandler implements HttpHandler {
@@ -48,6 +49,7 @@
     private final WorkspaceLimits limits;
     private final State state;
     private final KeyedCalls keyedCalls;
+    private final BodyMemory bodies = new BodyMemory(Runtime.getRuntime().maxMemory() / 4);
     private final AtomicInteger open = new AtomicInteger();
 
     /** What the handler asks of its entry. */
@@ -131,7 +133,14 @@
             next.proceed();
         });
         if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
-            refuseUnread(exchange);
+            refuseUnread(exchange, bodyError());
+            return;
+        }
+        if (!bodies.tryHold(exchange)) {
+            refuseUnread(
+                    exchange,
+                    new WagtailcartException(
+                            ResultCode.QUEUE_FULL, "bodies of open requests fill the memory for them"));
             return;
         }
         exchange.setMaxEntitySize(MAX_BODY_BYTES);
@@ -146,7 +155,7 @@
                             limit.cancel(false);
                             received.dispatch(SameThreadExecutor.INSTANCE, () -> accept(received, body));
                         },
-                        (failed, error) -> refuseUnread(failed));
+                        (failed, error) -> refuseUnread(failed, bodyError()));
     }
 
     private static void closeConnection(HttpServerExchange exchange) {
@@ -157,16 +166,19 @@
         }
     }
 
-    private void refuseUnread(HttpServerExchange exchange) {
+    private static WagtailcartException bodyError() {
+        return new WagtailcartException(
+                ResultCode.PAYLOAD_TOO_LARGE, "body is larger than " + MAX_BODY_BYTES + " bytes or was not sent whole");
+    }
+
+    private void refuseUnread(HttpServerExchange exchange, WagtailcartException error) {
         exchange.setPersistent(false);
         exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
                 () -> refuse(
                         new CallerResponse(exchange, context.timer()),
                         Stage.ACCEPT,
-                        Refusal.of(new WagtailcartException(
-                                ResultCode.PAYLOAD_TOO_LARGE,
-                                "body is larger than " + MAX_BODY_BYTES + " bytes or was not sent whole"))));
+                        keyed(exchange, Refusal.of(error))));
     }
 
     private void accept(HttpServerExchange exchange, byte[] body) {
@@ -176,6 +188,9 @@
                 exchange.setPersistent(false);
                 throw new WagtailcartException(ResultCode.SHUTTING_DOWN, "entry is stopping");
             }
+            if (!context.lease().allows(RequestKind.SERVICE_CALL)) {
+                throw leaseExpired();
+            }
             if (!RequestClassifier.handles(exchange.getRequestPath())) {
                 throw new WagtailcartException(
                         ResultCode.NOT_FOUND, "path " + exchange.getRequestPath() + " does not exist");
@@ -209,10 +224,10 @@
 
     private void admit(CallerRequest request) {
         if (!context.lease().allows(request.kind())) {
-            throw new WagtailcartException(ResultCode.SETTINGS_LEASE_EXPIRED, "settings are not confirmed");
+            throw leaseExpired();
         }
         PoolDirectory pools = state.pools();
-        long limit = pools.workspaceSetting(request.workspace(), "requests-per-second")
+        long limit = pools.workspaceEffective(request.workspace(), "requests-per-second")
                 .filter(text -> text.matches("[0-9]{1,7}"))
                 .map(Long::parseLong)
                 .orElse(0L);
@@ -225,6 +240,11 @@
         }
     }
 
+    private static WagtailcartException leaseExpired() {
+        return new WagtailcartException(
+                ResultCode.SETTINGS_LEASE_EXPIRED, "settings are not confirmed by the control group");
+    }
+
     private void start(HttpServerExchange exchange, CallerRequest request, CallerResponse response) {
         try {
             if (request.kind().repeatable()) {
--- a/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
+++ b/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.server.handlers.HttpContinueReadHandler;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -10,7 +11,9 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RoleService;
+import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.control.client.ControlClient;
 import org.wagtailcart.control.client.ControlView;
 import org.wagtailcart.entry.admission.Admission;
@@ -112,12 +115,21 @@
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MILLIS)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
                 .setWorkerThreads(1)
-                .setHandler(handler)
+                .setHandler(new HttpContinueReadHandler(handler))
                 .build();
-        started.start();
+        listen(started);
         server = started;
     }
 
+    private void listen(Undertow starting) {
+        try {
+            starting.start();
+        } catch (RuntimeException e) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT, "cannot listen on " + options.callerAddress(), e);
+        }
+    }
+
     @Override
     public boolean ready() {
         return !draining && allows(RequestKind.COMPLETION);
--- a/entry/src/main/java/org/wagtailcart/entry/call/CallContext.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/CallContext.java
@@ -42,6 +42,9 @@
         ScheduledExecutorService timer,
         MillisClock clock,
         Lease lease) {
+    private static final long SYNC_CHECK_MILLIS = 50;
+    private static final int MAX_SYNC_CHECKS = 100;
+
     /** Tells whether new work is served. */
     @FunctionalInterface
     public interface Lease {
@@ -73,6 +76,21 @@
         return timer.schedule(() -> tryExecute(executor, task), Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
     }
 
+    /** Asks for newer settings and runs a task when they are in force, or after five seconds without. */
+    void afterSync(long staleRevision, Executor executor, Runnable task) {
+        view.syncSoon();
+        awaitRevision(staleRevision, MAX_SYNC_CHECKS, executor, task);
+    }
+
+    private void awaitRevision(long staleRevision, int checks, Executor executor, Runnable task) {
+        if (view.settings().revision() != staleRevision || checks == 0) {
+            tryExecute(executor, task);
+        } else {
+            var unused =
+                    after(SYNC_CHECK_MILLIS, executor, () -> awaitRevision(staleRevision, checks - 1, executor, task));
+        }
+    }
+
     /** Runs a task on an executor that may have ended with the process. */
     static void tryExecute(Executor executor, Runnable task) {
         try {
--- a/entry/src/main/java/org/wagtailcart/entry/call/KeyedRunner.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/KeyedRunner.java
@@ -57,6 +57,8 @@
     private Future<?> lateAnswerTimer = CompletableFuture.completedFuture(null);
     private String routedAttempt = "";
     private String waitingAttempt = "";
+    private boolean syncWanted;
+    private long sentRevision;
 
     KeyedRunner(
             CallContext context,
@@ -111,7 +113,7 @@
             releaseRoute(Outcome.CANCELLED);
             var unused = context.after(pause.millis(), executor, () -> handle(new KeyedEvent.Resumed(pause.step())));
         } else if (action instanceof KeyedAction.SyncSettings) {
-            context.view().syncSoon();
+            syncWanted = true;
         } else if (action instanceof KeyedAction.Reply reply) {
             reply(reply);
         } else if (action instanceof KeyedAction.Refuse refuse) {
@@ -126,6 +128,18 @@
             later(new KeyedEvent.NotRouted(choose.step(), ResultCode.RETRY_BUDGET_EXHAUSTED));
             return;
         }
+        if (syncWanted) {
+            syncWanted = false;
+            context.afterSync(sentRevision, executor, () -> submitRoute(choose));
+        } else {
+            submitRoute(choose);
+        }
+    }
+
+    private void submitRoute(KeyedAction.ChooseRoute choose) {
+        if (call.over()) {
+            return;
+        }
         String attemptId = CallContext.newAttemptId();
         waitingAttempt = attemptId;
         RoutingRequest routing = new RoutingRequest(
@@ -145,7 +159,7 @@
         return new Waiting.Receiver() {
             @Override
             public void onRoute(Route route) {
-                if (!waitingAttempt.equals(attemptId)) {
+                if (!waitingAttempt.equals(attemptId) || call.over()) {
                     context.dispatch().finished(attemptId, Outcome.CANCELLED);
                     return;
                 }
@@ -225,12 +239,13 @@
             later(new KeyedEvent.AttemptFailed(send.step(), ResultCode.UPSTREAM_UNKNOWN, RunState.NOT_RUN));
             return;
         }
+        sentRevision = context.view().settings().revision();
         AttemptRequest message = new AttemptRequest(
                 send.attemptId(),
                 send.attemptNumber(),
                 send.epoch(),
                 send.upstreamId(),
-                context.view().settings().revision(),
+                sentRevision,
                 Math.max(1, remainingMillis()),
                 request.priority(),
                 request.method(),
@@ -300,7 +315,7 @@
     private void reply(KeyedAction.Reply reply) {
         context.counters().count(Stage.FINISH, ResultCode.OK);
         context.counters().count(reply.replayed() ? "replayed" : "completed");
-        List<String> headers = new ArrayList<>(reply.answer().headers());
+        List<String> headers = new ArrayList<>(HttpHead.endToEnd(reply.answer().headers()));
         if (reply.replayed()) {
             headers.addAll(List.of("Wagtailcart-Replayed", "true"));
         }
--- a/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
@@ -40,7 +40,6 @@
     /** Times that one request waits for newer settings. */
     private static final int MAX_SYNCS = 20;
 
-    private static final long SYNC_WAIT_MILLIS = 100;
     private static final long RETRY_PAUSE_MILLIS = 50;
 
     private final CallContext context;
@@ -61,6 +60,7 @@
     private int attempts;
     private int resumes;
     private int syncs;
+    private long sentRevision;
 
     /**
      * Engine that holds the KV cache of the prompt.
@@ -185,6 +185,7 @@
 
             @Override
             public void onComplete() {
+                mayHaveRun = true;
                 prefilled = rejected ? null : new Prefilled(engine.address(), prefillId);
                 sendDecode();
             }
@@ -251,12 +252,13 @@
             onDeadline();
             return;
         }
+        sentRevision = context.view().settings().revision();
         AttemptRequest message = new AttemptRequest(
                 id,
                 0,
                 0,
                 upstream.upstreamId(),
-                context.view().settings().revision(),
+                sentRevision,
                 remainingMillis,
                 request.priority(),
                 request.method(),
@@ -301,8 +303,7 @@
         release(CallContext.outcomeOf(error));
         if (error.code() == ResultCode.SETTINGS_REVISION_STALE && syncs++ < MAX_SYNCS) {
             excluded.remove(upstreamId);
-            context.view().syncSoon();
-            pause(SYNC_WAIT_MILLIS);
+            context.afterSync(sentRevision, executor, () -> route(false));
         } else if (!writer.resumable()) {
             refuse(error);
         } else if (response.started()) {
--- a/entry/src/main/java/org/wagtailcart/entry/request/PoolDirectory.java
+++ b/entry/src/main/java/org/wagtailcart/entry/request/PoolDirectory.java
@@ -40,7 +40,7 @@
      */
     private record KeyedPrefix(String method, String path) {
         boolean matches(String requestMethod, String requestPath) {
-            return method.equals(requestMethod) && requestPath.startsWith(path);
+            return method.equalsIgnoreCase(requestMethod) && requestPath.startsWith(path);
         }
     }
 
@@ -71,7 +71,11 @@
         return of(kind).containsKey(pool);
     }
 
-    /** Returns whether a call to a service must run at most once. */
+    /**
+     * Returns whether a call to a service must run at most once.
+     *
+     * @param path path without escapes, empty segments and dot segments, so that no spelling of it escapes the list
+     */
     public boolean runsAtMostOnce(String service, String method, String path) {
         return Optional.ofNullable(services.get(service)).stream()
                 .flatMap(pool -> pool.keyedCalls().stream())
@@ -95,8 +99,12 @@
         return !settings.own(WORKSPACES + workspace).isEmpty();
     }
 
-    /** Returns a setting of a workspace or of all workspaces, not of the root. */
-    public Optional<String> workspaceSetting(String workspace, String key) {
+    /** Returns a setting in force for a workspace. */
+    public Optional<String> workspaceEffective(String workspace, String key) {
+        return settings.effective(WORKSPACES + workspace, key);
+    }
+
+    private Optional<String> workspaceSetting(String workspace, String key) {
         return Stream.of(WORKSPACES + workspace, "/workspaces")
                 .flatMap(branch -> Optional.ofNullable(settings.own(branch).get(key)).stream())
                 .findFirst();
--- a/entry/src/main/java/org/wagtailcart/entry/request/RequestClassifier.java
+++ b/entry/src/main/java/org/wagtailcart/entry/request/RequestClassifier.java
@@ -1,5 +1,9 @@
 package org.wagtailcart.entry.request;
 
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -90,7 +94,7 @@
 
     private static RequestKind serviceKind(
             HttpHead head, String path, String service, PoolDirectory pools, Optional<String> key) {
-        boolean listed = pools.runsAtMostOnce(service, head.method(), path);
+        boolean listed = pools.runsAtMostOnce(service, head.method(), plainPath(path));
         if (listed && key.isEmpty()) {
             throw new WagtailcartException(
                     ResultCode.IDEMPOTENCY_KEY_MISSING,
@@ -104,6 +108,27 @@
         return listed || wanted ? RequestKind.KEYED_CALL : RequestKind.SERVICE_CALL;
     }
 
+    /** Returns a path without escapes, empty segments and dot segments. */
+    private static String plainPath(String path) {
+        Deque<String> segments = new ArrayDeque<>();
+        for (String segment : decoded(path).split("/", -1)) {
+            if (segment.equals("..")) {
+                segments.pollLast();
+            } else if (!segment.isEmpty() && !segment.equals(".")) {
+                segments.addLast(segment);
+            }
+        }
+        return "/" + String.join("/", segments);
+    }
+
+    private static String decoded(String path) {
+        try {
+            return URLDecoder.decode(path.replace("+", "%2B"), StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            throw invalid("path \"" + path + "\" has a malformed escape");
+        }
+    }
+
     private static String workspace(HttpHead head) {
         String name = head.header("Wagtailcart-Workspace").orElse("default");
         if (!name.matches(NAME_PATTERN)) {
--- a/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
@@ -70,6 +71,14 @@
         }
     }
 
+    /** Guards against a spelling of a path that makes a call repeatable. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/book", "/bo%6Fk/1", "//book", "/x/../book", "/%2e/book"})
+    void everySpellingOfAListedPathNeedsAKey(String path) {
+        assertRefused(
+                rig.post("/services/parts" + path, "wheel").join(), ResultCode.IDEMPOTENCY_KEY_MISSING, "not-run");
+    }
+
     /** Guards against a second run of a repeated request and against an answer that is not the recorded one. */
     @Test
     void aRepeatedKeyGetsTheRecordedAnswerThroughAnyEntry() {
@@ -142,6 +151,22 @@
         assertThat(sent.epoch()).isEqualTo(2);
     }
 
+    /** Guards against a keyed call that gives up, or is sent twice, when a sidecar has newer settings. */
+    @Test
+    void aKeyedCallWaitsForNewerSettings() {
+        control.onSync = () -> control.set("/", "priority", "batch");
+        IntStream.range(0, 2)
+                .forEach(i -> first.scripts.add((request, exchange) ->
+                        exchange.fail(new WagtailcartException(ResultCode.SETTINGS_REVISION_STALE, "newer revision"))));
+        assertThat(book(rig, "k", "wheel").statusCode()).isEqualTo(201);
+        assertThat(first.received.stream()
+                        .map(AttemptRequest::revision)
+                        .distinct()
+                        .count())
+                .isEqualTo(3);
+        assertThat(first.runs.get()).isEqualTo(1);
+    }
+
     /** Guards against a booking that runs unreserved, and against "not run" for a key that cannot be read. */
     @Test
     void keyedCallsNeedTheControlGroup() {
