--- a/entry/src/main/java/org/wagtailcart/entry/attempt/AttemptExchange.java
+++ b/entry/src/main/java/org/wagtailcart/entry/attempt/AttemptExchange.java
@@ -100,6 +100,11 @@
             cancel();
             over = true;
             sink.onFailed(e);
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, LogEvent.of("attempt-event-error", "attempt", attemptId, "reason", e), e);
+            cancel();
+            over = true;
+            sink.onFailed(new WagtailcartException(ResultCode.INTERNAL_ERROR, "entry failed: " + e, e));
         }
     }
 
--- a/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
@@ -21,6 +21,9 @@
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.once.KeyId;
+import org.wagtailcart.once.KeyResult;
+import org.wagtailcart.once.ReserveKey;
 import org.wagtailcart.sidecar.message.AttemptRequest;
 import org.wagtailcart.sidecar.message.AttemptStatus;
 import org.wagtailcart.wire.Exchange;
@@ -124,6 +127,21 @@
         assertThat(first.received).hasSize(1);
     }
 
+    /** Guards against a key that stays blocked after its entry died between the reservation and the request. */
+    @Test
+    void aKeyOfADeadEntryIsReleasedAfterProof() {
+        ReserveKey reserve = new ReserveKey(new KeyId("default", "k"), fingerprintOf("k2"), "ghost", "p1", 1);
+        control.submit(reserve, KeyResult.class, 1_000);
+        assertThat(book(rig, "k", "k2").body()).isEqualTo("booked 2");
+        assertThat(first.ledger.get("ghost").state()).isEqualTo(AttemptStatus.State.NOT_SENT);
+    }
+
+    /** Returns the fingerprint that the entry reserves for a booking with the given body. */
+    private String fingerprintOf(String body) {
+        book(rig, "probe", body);
+        return control.fingerprints.get(new KeyId("default", "probe"));
+    }
+
     /** Guards against a claim about an outcome that nobody knows, and against a later run of the key. */
     @Test
     void anUnknownOutcomeIsReportedAndNeverRunAgain() {
--- a/entry/src/test/java/org/wagtailcart/entry/keyed/KeyedCallTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/keyed/KeyedCallTest.java
@@ -1,6 +1,7 @@
 package org.wagtailcart.entry.keyed;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.List;
 import net.jqwik.api.ForAll;
@@ -9,17 +10,23 @@
 
 class KeyedCallTest {
     /**
-     * Guards against a second run, a false "not run", a wrong answer, and a key that nobody can resolve any more, under
+     * Guards against a second run, a false "not run", a wrong answer, an answer that a repeat does not get, and a key that nobody can resolve any more, under
      * reordered, lost and repeated messages and crashes of entries, sidecars and the service.
      */
     @Property(tries = 4000, seed = "20261204")
     void runsAtMostOnceAndTellsTheTruth(@ForAll long seed) {
         KeyedWorld world = new KeyedWorld(seed);
         world.run(250);
+        List<Boolean> answered = List.of(world.answered("k0"), world.answered("k1"));
         List<KeyedWorld.Caller> last = world.heal();
         for (int i = 0; i < 2; i++) {
             KeyedWorld.Caller caller = last.get(i);
             assertThat(world.runs("k" + i)).isAtMost(1);
+            if (answered.get(i)) {
+                assertWithMessage("an answer that a caller got is replayed")
+                        .that(caller.answer)
+                        .isPresent();
+            }
             if (caller.answer.isPresent()) {
                 assertThat(world.runs("k" + i)).isEqualTo(1);
             } else {
--- a/entry/src/test/java/org/wagtailcart/entry/keyed/KeyedWorld.java
+++ b/entry/src/test/java/org/wagtailcart/entry/keyed/KeyedWorld.java
@@ -34,6 +34,7 @@
     private final List<Set<Caller>> entries = List.of(new HashSet<>(), new HashSet<>());
     private final Map<String, Integer> runsByKey = new HashMap<>();
     private final Set<String> ranAttempts = new HashSet<>();
+    private final Set<String> answeredKeys = new HashSet<>();
     private final List<Caller> notRun = new ArrayList<>();
     private boolean faults = true;
     private long now;
@@ -80,6 +81,11 @@
         return runsByKey.getOrDefault(key, 0);
     }
 
+    /** Returns whether a caller got the answer of the service. */
+    boolean answered(String key) {
+        return answeredKeys.contains(key);
+    }
+
     private void settle() {
         for (int i = 0; i < 20_000 && !messages.isEmpty(); i++) {
             deliver();
@@ -245,6 +251,7 @@
 
         private void replied(RecordedAnswer whole) {
             answer = Optional.of(whole);
+            answeredKeys.add(key);
             assertWithMessage("answer of %s", key)
                     .that(new String(whole.body(), StandardCharsets.UTF_8))
                     .isEqualTo(key + " run 1");
