Refuse tokens without an index

A stream is continued from the number of tokens delivered; events without an index were passed on uncounted, so that a continuation would have repeated them. One event before the first token and comments may have no index; the former is delivered once.

Failed attempts and unknown outcomes are logged, one event a line.

--- a/entry/src/main/java/org/wagtailcart/entry/attempt/EventStream.java
+++ b/entry/src/main/java/org/wagtailcart/entry/attempt/EventStream.java
@@ -27,6 +27,8 @@
     private String firstAttemptId = "";
     private String attemptId = "";
     private long tokens;
+    private boolean preambleDelivered;
+    private boolean begun;
     private boolean finished;
     private boolean done;
     private byte[] undecoded = new byte[0];
@@ -38,6 +40,7 @@
         partial.setLength(0);
         undecoded = new byte[0];
         held.clear();
+        begun = false;
         finished = false;
         done = false;
     }
@@ -89,24 +92,44 @@
         if (field(event, "event").map("error"::equals).orElse(false)) {
             throw new WagtailcartException(ResultCode.UPSTREAM_FAILED, "engine reported an error in the stream");
         }
-        checkIndex(event);
+        boolean last = isLast(event);
+        if (!last && !finished && isPreamble(event)) {
+            return preamble(event);
+        }
+        finished |= last;
+        if (!finished) {
+            checkIndex(event);
+        }
         String shown = attemptId.equals(firstAttemptId) ? event : event.replace(attemptId, firstAttemptId);
-        if (finished || isLast(event)) {
-            finished = true;
+        if (finished) {
             held.add(shown);
             return "";
         }
         return shown;
     }
 
-    private void checkIndex(String event) {
-        Optional<String> index = field(event, "id");
-        if (index.isEmpty() || finished || isLast(event)) {
-            return;
+    /** Comments, and one event without a token before the first token of an attempt. */
+    private boolean isPreamble(String event) {
+        return field(event, "id").isEmpty() && (field(event, "data").isEmpty() || !begun);
+    }
+
+    /** Delivers what precedes the tokens once, not again when the stream is continued. */
+    private String preamble(String event) {
+        if (field(event, "data").isEmpty()) {
+            return event;
         }
-        if (!index.get().equals(Long.toString(tokens))) {
-            throw incomplete("token " + index.get() + " arrived where token " + tokens + " was expected");
+        begun = true;
+        boolean first = !preambleDelivered && tokens == 0;
+        preambleDelivered = true;
+        return first ? event.replace(attemptId, firstAttemptId) : "";
+    }
+
+    private void checkIndex(String event) {
+        String index = field(event, "id").orElse("without index");
+        if (!index.equals(Long.toString(tokens))) {
+            throw incomplete("token " + index + " arrived where token " + tokens + " was expected");
         }
+        begun = true;
         tokens++;
     }
 
--- a/entry/src/main/java/org/wagtailcart/entry/call/KeyedRunner.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/KeyedRunner.java
@@ -1,6 +1,8 @@
 package org.wagtailcart.entry.call;
 
 import java.io.ByteArrayOutputStream;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -10,6 +12,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
 import java.util.function.Function;
+import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.UpstreamKind;
@@ -38,6 +41,7 @@
  * for a repeat. All state belongs to the executor of the caller's connection.
  */
 final class KeyedRunner {
+    private static final Logger LOG = System.getLogger(KeyedRunner.class.getName());
     private static final long MIN_COMMIT_MILLIS = 1_000;
     private static final long MAX_COMMIT_MILLIS = 5_000;
     private static final long ASK_MILLIS = 2_000;
@@ -324,6 +328,11 @@
 
     private void refuse(KeyedAction.Refuse refuse) {
         context.counters().count(Stage.FINISH, refuse.code());
+        if (refuse.code() == ResultCode.OUTCOME_UNKNOWN) {
+            LOG.log(
+                    Level.WARNING,
+                    LogEvent.of("key-outcome-unknown", "workspace", request.workspace(), "service", request.pool()));
+        }
         response.refuse(new Refusal(refuse.code(), refuse.runState(), refuse.repeatSafe(), text(refuse.code())));
     }
 
--- a/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
@@ -1,5 +1,7 @@
 package org.wagtailcart.entry.call;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -8,6 +10,7 @@
 import java.util.concurrent.Future;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.UpstreamKind;
@@ -31,6 +34,8 @@
  * All state belongs to the executor of the caller's connection.
  */
 public final class RepeatableCall {
+    private static final Logger LOG = System.getLogger(RepeatableCall.class.getName());
+
     /** Attempts of one request that has not delivered anything. */
     private static final int MAX_ATTEMPTS = 3;
 
@@ -299,6 +304,20 @@
             return;
         }
         context.counters().count(Stage.ATTEMPT, error.code());
+        LOG.log(
+                Level.DEBUG,
+                LogEvent.of(
+                        "attempt-failed",
+                        "attempt",
+                        attemptId,
+                        "upstream",
+                        upstreamId,
+                        "code",
+                        error.code().number(),
+                        "run-state",
+                        error.runState(),
+                        "tokens",
+                        writer.tokens()));
         mayHaveRun |= error.runState() != RunState.NOT_RUN;
         release(CallContext.outcomeOf(error));
         if (error.code() == ResultCode.SETTINGS_REVISION_STALE && syncs++ < MAX_SYNCS) {
--- /dev/null
+++ b/entry/src/test/java/org/wagtailcart/entry/attempt/AnswerCheckTest.java
@@ -0,0 +1,24 @@
+package org.wagtailcart.entry.attempt;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.sidecar.message.AttemptChunk;
+import org.wagtailcart.sidecar.message.AttemptStarted;
+
+class AnswerCheckTest {
+    /** Guards against a part of a body that is passed on after a missing one. */
+    @Test
+    void aChunkAfterAGapIsRefusedAtOnce() {
+        AnswerCheck check = new AnswerCheck("a");
+        check.check(new AttemptStarted("a", 200, List.of()));
+        check.check(new AttemptChunk("a", 0, new byte[1]));
+        WagtailcartException error =
+                assertThrows(WagtailcartException.class, () -> check.check(new AttemptChunk("a", 2, new byte[1])));
+        assertThat(error.code()).isEqualTo(ResultCode.STREAM_INCOMPLETE);
+    }
+}
