Try waiting requests again every 50 ms

The router may take a request by time alone, for example when an ejected upstream returns or a release is paced. Waiting requests were tried only when an attempt finished or the fleet changed, so one could wait until its deadline. aWaitingRequestGoesWhenTheRouterOpens guards against it.

--- a/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
+++ b/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
@@ -5,6 +5,7 @@
 import io.undertow.UndertowOptions;
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +36,8 @@
     /** Time after which a connection without a request is closed; longer than load balancers keep theirs. */
     private static final int IDLE_MILLIS = 600_000;
 
+    private static final long PUMP_MILLIS = 50;
+
     private final EntryOptions options;
     private final ControlView view;
     private final ScheduledExecutorService timer;
@@ -47,6 +50,7 @@
     private volatile PoolDirectory pools;
     private volatile boolean draining;
     private volatile boolean refusing;
+    private Future<?> pumping = CompletableFuture.completedFuture(null);
     private @Nullable Undertow server;
 
     /**
@@ -118,6 +122,7 @@
                 .setHandler(new HttpContinueReadHandler(handler))
                 .build();
         listen(started);
+        pumping = timer.scheduleWithFixedDelay(dispatch::pumpAll, PUMP_MILLIS, PUMP_MILLIS, TimeUnit.MILLISECONDS);
         server = started;
     }
 
@@ -159,6 +164,7 @@
     @Override
     public synchronized void close() {
         refusing = true;
+        pumping.cancel(false);
         Undertow running = server;
         if (running != null) {
             running.stop();
--- a/entry/src/main/java/org/wagtailcart/entry/admission/Dispatch.java
+++ b/entry/src/main/java/org/wagtailcart/entry/admission/Dispatch.java
@@ -63,6 +63,11 @@
                 .collect(Collectors.groupingBy(
                         Dispatch::poolName, Collectors.mapping(UpstreamView::upstreamId, Collectors.toSet())));
         router.updateUpstreams(routable, clock.nowMillis());
+        pumpAll();
+    }
+
+    /** Tries the waiting requests again; the router may take them by time alone, as when an ejected upstream returns. */
+    public synchronized void pumpAll() {
         List.copyOf(queues.keySet()).forEach(this::pump);
     }
 
--- a/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
@@ -296,6 +296,16 @@
                 .inOrder();
     }
 
+    /** Guards against a request that waits for ever when the router takes it again by time alone. */
+    @Test
+    void aWaitingRequestGoesWhenTheRouterOpens() {
+        rig.router.closed = true;
+        CompletableFuture<HttpResponse<String>> waiting = rig.completeLater(false);
+        await(() -> rig.entry.dump().waitingRequests() == 1);
+        rig.router.closed = false;
+        assertThat(waiting.join().statusCode()).isEqualTo(200);
+    }
+
     private static void awaitLatch(CountDownLatch latch) {
         try {
             latch.await(30, TimeUnit.SECONDS);
--- a/entry/src/test/java/org/wagtailcart/entry/EntryRig.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryRig.java
@@ -34,6 +34,7 @@
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     final MetricRegistry registry = new MetricRegistry();
     final Address address = FakeSidecar.freeAddress();
+    final LeastInFlightRouter router = new LeastInFlightRouter();
     final EntryRole entry;
 
     EntryRig(FakeControl control, OnControlLoss policy) {
@@ -47,7 +48,7 @@
                 control,
                 view,
                 peers,
-                new LeastInFlightRouter(),
+                router,
                 new BoundedAdmission(),
                 new ShareRetryBudget(),
                 timer,
--- a/entry/src/test/java/org/wagtailcart/entry/LeastInFlightRouter.java
+++ b/entry/src/test/java/org/wagtailcart/entry/LeastInFlightRouter.java
@@ -17,6 +17,9 @@
     private final Map<String, Route> routes = new HashMap<>();
     private List<RoutableUpstream> upstreams = List.of();
 
+    /** Whether no upstream is chosen, as while a breaker is open. */
+    volatile boolean closed;
+
     @Override
     public void updateUpstreams(List<RoutableUpstream> latest, long nowMillis) {
         upstreams = latest;
@@ -25,6 +28,7 @@
     @Override
     public Optional<Route> choose(String attemptId, RoutingRequest request, long nowMillis) {
         Optional<Route> route = upstreams.stream()
+                .filter(upstream -> !closed)
                 .filter(upstream -> upstream.pool().equals(request.pool()))
                 .filter(upstream -> !request.excluded().contains(upstream.upstreamId()))
                 .filter(upstream -> upstream.role().takesOutput())
