--- a/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
+++ b/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
@@ -7,10 +7,13 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
@@ -29,12 +32,16 @@
 import org.wagtailcart.entry.request.HttpHead;
 import org.wagtailcart.entry.request.PoolDirectory;
 import org.wagtailcart.entry.request.RequestClassifier;
+import org.wagtailcart.entry.request.RequestKind;
 
 /** Receives the HTTP requests of callers and starts a call for each. */
 final class CallerHandler implements HttpHandler {
     /** Leaves room for the rest of an attempt in a frame of 4 MiB. */
     static final int MAX_BODY_BYTES = 3 << 20;
 
+    /** Time within which a body must arrive; a caller that never sends it would hold up a shutdown. */
+    private static final long MAX_BODY_MILLIS = 30_000;
+
     private static final Logger LOG = System.getLogger(CallerHandler.class.getName());
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -42,6 +49,7 @@
     private final WorkspaceLimits limits;
     private final State state;
     private final KeyedCalls keyedCalls;
+    private final BodyMemory bodies = new BodyMemory(Runtime.getRuntime().maxMemory() / 4);
     private final AtomicInteger open = new AtomicInteger();
 
     /** What the handler asks of its entry. */
@@ -125,36 +133,64 @@
             next.proceed();
         });
         if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
-            refuseUnread(exchange);
+            refuseUnread(exchange, bodyError());
+            return;
+        }
+        if (!bodies.tryHold(exchange)) {
+            refuseUnread(
+                    exchange,
+                    new WagtailcartException(
+                            ResultCode.QUEUE_FULL, "bodies of open requests fill the memory for them"));
             return;
         }
         exchange.setMaxEntitySize(MAX_BODY_BYTES);
+        Future<?> limit = context.timer()
+                .schedule(
+                        () -> exchange.getIoThread().execute(() -> closeConnection(exchange)),
+                        MAX_BODY_MILLIS,
+                        TimeUnit.MILLISECONDS);
         exchange.getRequestReceiver()
                 .receiveFullBytes(
-                        (received, body) ->
-                                received.dispatch(SameThreadExecutor.INSTANCE, () -> accept(received, body)),
-                        (failed, error) -> refuseUnread(failed));
+                        (received, body) -> {
+                            limit.cancel(false);
+                            received.dispatch(SameThreadExecutor.INSTANCE, () -> accept(received, body));
+                        },
+                        (failed, error) -> refuseUnread(failed, bodyError()));
+    }
+
+    private static void closeConnection(HttpServerExchange exchange) {
+        try {
+            exchange.getConnection().close();
+        } catch (IOException e) {
+            LOG.log(Level.DEBUG, LogEvent.of("close-failed", "reason", e.getMessage()));
+        }
+    }
+
+    private static WagtailcartException bodyError() {
+        return new WagtailcartException(
+                ResultCode.PAYLOAD_TOO_LARGE, "body is larger than " + MAX_BODY_BYTES + " bytes or was not sent whole");
     }
 
-    private void refuseUnread(HttpServerExchange exchange) {
+    private void refuseUnread(HttpServerExchange exchange, WagtailcartException error) {
         exchange.setPersistent(false);
         exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
                 () -> refuse(
-                        new CallerResponse(exchange),
+                        new CallerResponse(exchange, context.timer()),
                         Stage.ACCEPT,
-                        Refusal.of(new WagtailcartException(
-                                ResultCode.PAYLOAD_TOO_LARGE,
-                                "body is larger than " + MAX_BODY_BYTES + " bytes or was not sent whole"))));
+                        keyed(exchange, Refusal.of(error))));
     }
 
     private void accept(HttpServerExchange exchange, byte[] body) {
-        CallerResponse response = new CallerResponse(exchange);
+        CallerResponse response = new CallerResponse(exchange, context.timer());
         try {
             if (state.refusesNewWork()) {
                 exchange.setPersistent(false);
                 throw new WagtailcartException(ResultCode.SHUTTING_DOWN, "entry is stopping");
             }
+            if (!context.lease().allows(RequestKind.SERVICE_CALL)) {
+                throw leaseExpired();
+            }
             if (!RequestClassifier.handles(exchange.getRequestPath())) {
                 throw new WagtailcartException(
                         ResultCode.NOT_FOUND, "path " + exchange.getRequestPath() + " does not exist");
@@ -188,10 +224,10 @@
 
     private void admit(CallerRequest request) {
         if (!context.lease().allows(request.kind())) {
-            throw new WagtailcartException(ResultCode.SETTINGS_LEASE_EXPIRED, "settings are not confirmed");
+            throw leaseExpired();
         }
         PoolDirectory pools = state.pools();
-        long limit = pools.workspaceSetting(request.workspace(), "requests-per-second")
+        long limit = pools.workspaceEffective(request.workspace(), "requests-per-second")
                 .filter(text -> text.matches("[0-9]{1,7}"))
                 .map(Long::parseLong)
                 .orElse(0L);
@@ -204,6 +240,11 @@
         }
     }
 
+    private static WagtailcartException leaseExpired() {
+        return new WagtailcartException(
+                ResultCode.SETTINGS_LEASE_EXPIRED, "settings are not confirmed by the control group");
+    }
+
     private void start(HttpServerExchange exchange, CallerRequest request, CallerResponse response) {
         try {
             if (request.kind().repeatable()) {
--- a/entry/src/main/java/org/wagtailcart/entry/call/CallContext.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/CallContext.java
@@ -8,12 +8,15 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.control.client.ControlClient;
 import org.wagtailcart.control.client.ControlView;
 import org.wagtailcart.entry.admission.Dispatch;
 import org.wagtailcart.entry.admission.RetryBudget;
 import org.wagtailcart.entry.request.RequestKind;
 import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.policy.routing.Outcome;
 import org.wagtailcart.wire.PeerClient;
 
 /**
@@ -39,6 +42,9 @@
         ScheduledExecutorService timer,
         MillisClock clock,
         Lease lease) {
+    private static final long SYNC_CHECK_MILLIS = 50;
+    private static final int MAX_SYNC_CHECKS = 100;
+
     /** Tells whether new work is served. */
     @FunctionalInterface
     public interface Lease {
@@ -46,6 +52,15 @@
         boolean allows(RequestKind kind);
     }
 
+    /** Returns what a failed attempt says about its upstream. */
+    static Outcome outcomeOf(WagtailcartException error) {
+        return switch (error.code()) {
+            case SETTINGS_REVISION_STALE, CALLER_GONE -> Outcome.CANCELLED;
+            case CONNECT_FAILED -> Outcome.FAILURE;
+            default -> error.runState() == RunState.NOT_RUN ? Outcome.REFUSED : Outcome.FAILURE;
+        };
+    }
+
     /** Returns a random attempt id. */
     static String newAttemptId() {
         return UUID.randomUUID().toString();
@@ -61,6 +76,21 @@
         return timer.schedule(() -> tryExecute(executor, task), Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
     }
 
+    /** Asks for newer settings and runs a task when they are in force, or after five seconds without. */
+    void afterSync(long staleRevision, Executor executor, Runnable task) {
+        view.syncSoon();
+        awaitRevision(staleRevision, MAX_SYNC_CHECKS, executor, task);
+    }
+
+    private void awaitRevision(long staleRevision, int checks, Executor executor, Runnable task) {
+        if (view.settings().revision() != staleRevision || checks == 0) {
+            tryExecute(executor, task);
+        } else {
+            var unused =
+                    after(SYNC_CHECK_MILLIS, executor, () -> awaitRevision(staleRevision, checks - 1, executor, task));
+        }
+    }
+
     /** Runs a task on an executor that may have ended with the process. */
     static void tryExecute(Executor executor, Runnable task) {
         try {
--- a/entry/src/main/java/org/wagtailcart/entry/call/KeyedRunner.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/KeyedRunner.java
@@ -1,6 +1,8 @@
 package org.wagtailcart.entry.call;
 
 import java.io.ByteArrayOutputStream;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -10,6 +12,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
 import java.util.function.Function;
+import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.UpstreamKind;
@@ -38,6 +41,7 @@
  * for a repeat. All state belongs to the executor of the caller's connection.
  */
 final class KeyedRunner {
+    private static final Logger LOG = System.getLogger(KeyedRunner.class.getName());
     private static final long MIN_COMMIT_MILLIS = 1_000;
     private static final long MAX_COMMIT_MILLIS = 5_000;
     private static final long ASK_MILLIS = 2_000;
@@ -54,8 +58,11 @@
     private final KeyedCall call;
     private final Runnable onEnd;
     private Future<?> deadlineTimer = CompletableFuture.completedFuture(null);
+    private Future<?> lateAnswerTimer = CompletableFuture.completedFuture(null);
     private String routedAttempt = "";
     private String waitingAttempt = "";
+    private boolean syncWanted;
+    private long sentRevision;
 
     KeyedRunner(
             CallContext context,
@@ -110,7 +117,7 @@
             releaseRoute(Outcome.CANCELLED);
             var unused = context.after(pause.millis(), executor, () -> handle(new KeyedEvent.Resumed(pause.step())));
         } else if (action instanceof KeyedAction.SyncSettings) {
-            context.view().syncSoon();
+            syncWanted = true;
         } else if (action instanceof KeyedAction.Reply reply) {
             reply(reply);
         } else if (action instanceof KeyedAction.Refuse refuse) {
@@ -125,6 +132,18 @@
             later(new KeyedEvent.NotRouted(choose.step(), ResultCode.RETRY_BUDGET_EXHAUSTED));
             return;
         }
+        if (syncWanted) {
+            syncWanted = false;
+            context.afterSync(sentRevision, executor, () -> submitRoute(choose));
+        } else {
+            submitRoute(choose);
+        }
+    }
+
+    private void submitRoute(KeyedAction.ChooseRoute choose) {
+        if (call.over()) {
+            return;
+        }
         String attemptId = CallContext.newAttemptId();
         waitingAttempt = attemptId;
         RoutingRequest routing = new RoutingRequest(
@@ -144,7 +163,7 @@
         return new Waiting.Receiver() {
             @Override
             public void onRoute(Route route) {
-                if (!waitingAttempt.equals(attemptId)) {
+                if (!waitingAttempt.equals(attemptId) || call.over()) {
                     context.dispatch().finished(attemptId, Outcome.CANCELLED);
                     return;
                 }
@@ -224,12 +243,13 @@
             later(new KeyedEvent.AttemptFailed(send.step(), ResultCode.UPSTREAM_UNKNOWN, RunState.NOT_RUN));
             return;
         }
+        sentRevision = context.view().settings().revision();
         AttemptRequest message = new AttemptRequest(
                 send.attemptId(),
                 send.attemptNumber(),
                 send.epoch(),
                 send.upstreamId(),
-                context.view().settings().revision(),
+                sentRevision,
                 Math.max(1, remainingMillis()),
                 request.priority(),
                 request.method(),
@@ -243,7 +263,8 @@
                 sink(send),
                 executor,
                 end -> context.dispatch().loadReport(send.upstreamId(), end.running(), end.queued()));
-        var unused = context.after(
+        lateAnswerTimer.cancel(false);
+        lateAnswerTimer = context.after(
                 remainingMillis() + LATE_ANSWER_MILLIS,
                 executor,
                 () -> handle(
@@ -282,7 +303,7 @@
             @Override
             public void onFailed(WagtailcartException error) {
                 context.counters().count(Stage.ATTEMPT, error.code());
-                releaseRoute(error.runState() == RunState.NOT_RUN ? Outcome.REFUSED : Outcome.FAILURE);
+                releaseRoute(CallContext.outcomeOf(error));
                 handle(new KeyedEvent.AttemptFailed(send.step(), error.code(), error.runState()));
             }
         };
@@ -298,7 +319,7 @@
     private void reply(KeyedAction.Reply reply) {
         context.counters().count(Stage.FINISH, ResultCode.OK);
         context.counters().count(reply.replayed() ? "replayed" : "completed");
-        List<String> headers = new ArrayList<>(reply.answer().headers());
+        List<String> headers = new ArrayList<>(HttpHead.endToEnd(reply.answer().headers()));
         if (reply.replayed()) {
             headers.addAll(List.of("Wagtailcart-Replayed", "true"));
         }
@@ -307,6 +328,11 @@
 
     private void refuse(KeyedAction.Refuse refuse) {
         context.counters().count(Stage.FINISH, refuse.code());
+        if (refuse.code() == ResultCode.OUTCOME_UNKNOWN) {
+            LOG.log(
+                    Level.WARNING,
+                    LogEvent.of("key-outcome-unknown", "workspace", request.workspace(), "service", request.pool()));
+        }
         response.refuse(new Refusal(refuse.code(), refuse.runState(), refuse.repeatSafe(), text(refuse.code())));
     }
 
@@ -330,6 +356,7 @@
         }
         releaseRoute(Outcome.CANCELLED);
         deadlineTimer.cancel(false);
+        lateAnswerTimer.cancel(false);
         onEnd.run();
     }
 }
--- a/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
@@ -1,5 +1,7 @@
 package org.wagtailcart.entry.call;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -8,6 +10,7 @@
 import java.util.concurrent.Future;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.UpstreamKind;
@@ -31,6 +34,8 @@
  * All state belongs to the executor of the caller's connection.
  */
 public final class RepeatableCall {
+    private static final Logger LOG = System.getLogger(RepeatableCall.class.getName());
+
     /** Attempts of one request that has not delivered anything. */
     private static final int MAX_ATTEMPTS = 3;
 
@@ -40,7 +45,6 @@
     /** Times that one request waits for newer settings. */
     private static final int MAX_SYNCS = 20;
 
-    private static final long SYNC_WAIT_MILLIS = 100;
     private static final long RETRY_PAUSE_MILLIS = 50;
 
     private final CallContext context;
@@ -61,6 +65,7 @@
     private int attempts;
     private int resumes;
     private int syncs;
+    private long sentRevision;
 
     /**
      * Engine that holds the KV cache of the prompt.
@@ -185,6 +190,7 @@
 
             @Override
             public void onComplete() {
+                mayHaveRun = true;
                 prefilled = rejected ? null : new Prefilled(engine.address(), prefillId);
                 sendDecode();
             }
@@ -251,12 +257,13 @@
             onDeadline();
             return;
         }
+        sentRevision = context.view().settings().revision();
         AttemptRequest message = new AttemptRequest(
                 id,
                 0,
                 0,
                 upstream.upstreamId(),
-                context.view().settings().revision(),
+                sentRevision,
                 remainingMillis,
                 request.priority(),
                 request.method(),
@@ -297,12 +304,25 @@
             return;
         }
         context.counters().count(Stage.ATTEMPT, error.code());
+        LOG.log(
+                Level.DEBUG,
+                LogEvent.of(
+                        "attempt-failed",
+                        "attempt",
+                        attemptId,
+                        "upstream",
+                        upstreamId,
+                        "code",
+                        error.code().number(),
+                        "run-state",
+                        error.runState(),
+                        "tokens",
+                        writer.tokens()));
         mayHaveRun |= error.runState() != RunState.NOT_RUN;
-        release(error.runState() == RunState.NOT_RUN ? Outcome.REFUSED : Outcome.FAILURE);
+        release(CallContext.outcomeOf(error));
         if (error.code() == ResultCode.SETTINGS_REVISION_STALE && syncs++ < MAX_SYNCS) {
             excluded.remove(upstreamId);
-            context.view().syncSoon();
-            pause(SYNC_WAIT_MILLIS);
+            context.afterSync(sentRevision, executor, () -> route(false));
         } else if (!writer.resumable()) {
             refuse(error);
         } else if (response.started()) {
