Bound an entry's room by its share of the pool

Cause: room was the limit minus the requests of other entries in the newest report. Reports lag a second or two, so all entries saw the same room, filled it together (72 running and up to 74 waiting at one decode engine) and then all stopped, with prefill idle meanwhile. Change: an entry fills at most its own share of each upstream's limit; the share is averaged over ten reports per upstream and has a floor of 15%. Ruled out: smoothing the foreign count per upstream, in which an entry that fills up first starves the others.

--- a/policy/src/main/java/org/wagtailcart/policy/routing/LoadAwareRouter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/routing/LoadAwareRouter.java
@@ -185,7 +185,7 @@
         if (load != null) {
             load.foreignRequests = Math.max(0, running + queued - load.inFlight);
             load.reportMillis = nowMillis;
-            refresh(load, nowMillis);
+            pool(load).onReport(load, nowMillis);
         }
     }
 
@@ -194,6 +194,6 @@
     }
 
     private PoolUpstreams pool(UpstreamLoad load) {
-        return pools.computeIfAbsent(load.upstream.pool(), unused -> new PoolUpstreams(options.reportTrustMillis()));
+        return pools.computeIfAbsent(load.upstream.pool(), unused -> new PoolUpstreams());
     }
 }
--- a/policy/src/main/java/org/wagtailcart/policy/routing/PoolUpstreams.java
+++ b/policy/src/main/java/org/wagtailcart/policy/routing/PoolUpstreams.java
@@ -12,14 +12,27 @@
     /** Decode and mixed engines, and plain services. */
     final OpenSet output = new OpenSet(UpstreamLoad.OUTPUT_SLOT);
 
-    private final long trustMillis;
+    /** Reports per upstream over which the share is averaged: longer than the swing that a lag of seconds causes. */
+    private static final double SHARE_REPORTS = 10;
+
+    /** Part of each upstream's room that this entry may fill. */
+    private double share = 1;
+
+    /** An entry that was idle must be able to grow its share again. */
+    private static final double MIN_SHARE = 0.15;
+
     private final Set<UpstreamLoad> members = new HashSet<>();
     private final Set<UpstreamLoad> out = new HashSet<>();
     private final PriorityQueue<Reopening> reopenings =
             new PriorityQueue<>(Comparator.comparingLong(Reopening::atMillis));
 
-    PoolUpstreams(long trustMillis) {
-        this.trustMillis = trustMillis;
+    /** Takes a report of one upstream into this entry's share of the pool. */
+    void onReport(UpstreamLoad load, long nowMillis) {
+        double weight = 1 / (SHARE_REPORTS * Math.max(1, members.size()));
+        double all = load.inFlight + load.foreignRequests;
+        double seen = all == 0 ? share : load.inFlight / all;
+        share = Math.max(MIN_SHARE, share + weight * (seen - share));
+        refresh(load, nowMillis);
     }
 
     void add(UpstreamLoad load, long nowMillis) {
@@ -40,9 +53,8 @@
             return;
         }
         OpenSet set = load.role().takesOutput() ? output : prompt;
-        if (takenOut(load, nowMillis) || !load.hasRoom(nowMillis, trustMillis)) {
+        if (takenOut(load, nowMillis) || !load.hasRoom(share)) {
             set.remove(load);
-            schedule(load, load.reopensMillis(nowMillis, trustMillis));
         } else {
             set.add(load);
         }
--- a/policy/src/main/java/org/wagtailcart/policy/routing/UpstreamLoad.java
+++ b/policy/src/main/java/org/wagtailcart/policy/routing/UpstreamLoad.java
@@ -36,16 +36,9 @@
         Arrays.fill(positions, -1);
     }
 
-    /** Returns whether it takes one more request, counting those of other entries while their report is fresh. */
-    boolean hasRoom(long nowMillis, long trustMillis) {
-        boolean fresh = nowMillis < reportMillis + trustMillis;
-        return inFlight + (fresh ? foreignRequests : 0) < upstream.maxInFlight();
-    }
-
-    /** Returns the time from which this upstream may have room although nothing of this entry ends there. */
-    long reopensMillis(long nowMillis, long trustMillis) {
-        boolean fullByReport = inFlight < upstream.maxInFlight() && !hasRoom(nowMillis, trustMillis);
-        return fullByReport ? reportMillis + trustMillis : Long.MAX_VALUE;
+    /** Returns whether it takes one more request of this entry, given the entry's share of the pool. */
+    boolean hasRoom(double share) {
+        return inFlight < Math.max(1, Math.ceil(upstream.maxInFlight() * share));
     }
 
     /** Returns the time from which it may get requests again after failures or a refusal. */
