--- a/bench/src/main/java/org/wagtailcart/bench/Workload.java
+++ b/bench/src/main/java/org/wagtailcart/bench/Workload.java
@@ -75,7 +75,7 @@
     }
 
     private List<Long> hashes(RequestKind kind, int group, int prompt) {
-        int shared = kind.sharedTokens / CostModel.BLOCK_TOKENS;
+        int shared = kind.sharedBlocks();
         long own = random.nextLong();
         return LongStream.range(0, prompt / CostModel.BLOCK_TOKENS)
                 .mapToObj(block ->
