--- a/sidecar/src/main/java/org/wagtailcart/sidecar/SidecarRole.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/SidecarRole.java
@@ -185,15 +185,21 @@
             attempts.tick();
             own.forEach(this::tickUpstream);
             ticks++;
-            if (draining && attempts.inWork() == 0 && orders.values().stream().noneMatch(OrderRunner::busy)) {
-                drained.complete(null);
-            }
+            completeDrain();
         } catch (RuntimeException e) {
             // A fault in one tick must not end the following ones.
             LOG.log(Level.ERROR, LogEvent.of("tick-failed", "reason", e), e);
         }
     }
 
+    /** An order at hand is finished first, unless it now belongs to a process with a later epoch. */
+    private void completeDrain() {
+        boolean ordersDone = !epoch.valid() || orders.values().stream().noneMatch(OrderRunner::busy);
+        if (draining && ordersDone && attempts.inWork() == 0) {
+            drained.complete(null);
+        }
+    }
+
     private void tickUpstream(UpstreamView upstream) {
         UpstreamSlot slot = slot(upstream.upstreamId());
         attempts.adjust(slot, upstream);
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/order/OrderExecutor.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/order/OrderExecutor.java
@@ -21,7 +21,8 @@
     }
 
     private final OrderTiming timing;
-    private Phase phase = Phase.IDLE;
+    // Volatile, because a state dump reads it from another thread.
+    private volatile Phase phase = Phase.IDLE;
     private boolean resultDue;
     private long nextMillis = Long.MIN_VALUE;
     private long finishedNumber;
@@ -43,6 +44,11 @@
         return phase;
     }
 
+    /** Returns the number of the order at hand or, when idle, of the latest one; 0 for none. */
+    public long orderNumber() {
+        return orderNumber;
+    }
+
     /** Returns whether an order is at hand, so that the engine takes no new work. */
     public boolean busy() {
         return phase != Phase.IDLE;
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarFixture.java
@@ -6,14 +6,17 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.Priority;
 import org.wagtailcart.common.UpstreamKind;
+import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.sidecar.message.AttemptQuery;
 import org.wagtailcart.sidecar.message.AttemptRequest;
 import org.wagtailcart.sidecar.message.AttemptStatus;
@@ -32,7 +35,7 @@
 
     final TestControl control = new TestControl();
     final ExecutorService traffic = Executors.newCachedThreadPool();
-    final ScheduledExecutorService controlThread = Executors.newSingleThreadScheduledExecutor();
+    private final List<ScheduledExecutorService> controlThreads = new CopyOnWriteArrayList<>();
     final MetricRegistry registry = new MetricRegistry();
     final Address engineAddress = freeAddress();
     final Address serviceAddress = freeAddress();
@@ -42,7 +45,7 @@
     PeerDispatcher dispatcher;
     SidecarRole role;
 
-    SidecarFixture(java.util.function.UnaryOperator<EngineOptions> engineOptions) {
+    SidecarFixture(UnaryOperator<EngineOptions> engineOptions) {
         engine = new StandinEngine(engineOptions.apply(EngineOptions.forTest(engineAddress, "m")));
         engine.start();
         service.start();
@@ -56,6 +59,8 @@
     void startRole(long incarnation) {
         SidecarOptions options = new SidecarOptions(
                 "sc", new Address("127.0.0.1", 1), incarnation, 2, 500, 100, 1 << 20, 64 << 10, UPSTREAM, TIMING);
+        ScheduledExecutorService controlThread = Executors.newSingleThreadScheduledExecutor();
+        controlThreads.add(controlThread);
         dispatcher = new PeerDispatcher();
         role = new SidecarRole(
                 options, control, control, dispatcher, traffic, controlThread, registry, control.revision::get);
@@ -67,7 +72,7 @@
         role.close();
         engine.close();
         service.close();
-        controlThread.shutdownNow();
+        controlThreads.forEach(ScheduledExecutorService::shutdownNow);
         traffic.shutdownNow();
     }
 
@@ -127,7 +132,7 @@
         TestExchange exchange = new TestExchange();
         try {
             dispatcher.handle(exchange, request);
-        } catch (org.wagtailcart.common.WagtailcartException e) {
+        } catch (WagtailcartException e) {
             exchange.fail(e);
         }
         return exchange;
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarRoleTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarRoleTest.java
@@ -1,23 +1,39 @@
 package org.wagtailcart.sidecar;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.wagtailcart.common.Lifecycle;
+import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.sidecar.message.AttemptEnd;
 import org.wagtailcart.sidecar.message.AttemptRequest;
 import org.wagtailcart.sidecar.message.AttemptStatus;
+import org.wagtailcart.standin.CostModel;
+import org.wagtailcart.standin.Fault;
+import org.wagtailcart.standin.FaultKind;
 import org.wagtailcart.standin.Tokens;
 
 class SidecarRoleTest {
+    /** A step takes 20 ms, so that a long stream still runs while the test acts on it. */
+    private static final CostModel SLOW = new CostModel(1e6, 20, 0, 0, 1e6, 64, 24);
+
     private SidecarFixture fixture;
 
     @BeforeEach
     void start() {
-        fixture = new SidecarFixture(options -> options);
+        fixture = new SidecarFixture(options -> options.withCost(SLOW));
     }
 
     @AfterEach
@@ -45,7 +61,48 @@
         assertThat(exchange.body()).contains(Tokens.text("p", 0, 5));
     }
 
-    /** Guards against a non-idempotent call that runs again when its frame is repeated. */
+    /** Guards against a faulty answer of an engine that is passed on as complete, and against a wait without end (R4). */
+    @ParameterizedTest
+    @CsvSource({
+        "true, RESET_BEFORE, UPSTREAM_FAILED",
+        "true, TRUNCATE, STREAM_INCOMPLETE",
+        "true, CRASH, STREAM_INCOMPLETE",
+        "true, CROSS, ANSWER_MISMATCH",
+        "true, SILENT, UPSTREAM_TIMEOUT",
+        "true, STALL, UPSTREAM_TIMEOUT",
+        "false, RESET_AFTER, UPSTREAM_FAILED",
+        "false, TRUNCATE, STREAM_INCOMPLETE",
+        "false, CROSS, ANSWER_MISMATCH"
+    })
+    void faultyEngineAnswerFails(boolean streamed, FaultKind kind, ResultCode expected) throws Exception {
+        fixture.engine.fault(Fault.once(kind));
+        AttemptRequest request = streamed ? fixture.stream("f1", 20) : fixture.whole("f1", 20);
+        WagtailcartException failure = fixture.send(request).failure();
+        assertThat(failure.code()).isEqualTo(expected);
+        assertThat(failure.runState()).isEqualTo(RunState.MAY_HAVE_RUN);
+    }
+
+    /** Guards against the answers of two requests that are delivered to the wrong callers (R4). */
+    @Test
+    void crossedAnswersOfTwoRequestsBothFail() throws Exception {
+        fixture.engine.fault(new Fault(FaultKind.CROSS, 2, 0, 900));
+        TestExchange one = fixture.send(fixture.stream("x1", 5));
+        TestExchange other = fixture.send(fixture.stream("x2", 5));
+        assertThat(one.failure().code()).isEqualTo(ResultCode.ANSWER_MISMATCH);
+        assertThat(other.failure().code()).isEqualTo(ResultCode.ANSWER_MISMATCH);
+        assertThat(one.events()).isEmpty();
+    }
+
+    /** Guards against a repeated event that reaches the caller twice. */
+    @Test
+    void repeatedEventIsDropped() throws Exception {
+        fixture.engine.fault(Fault.once(FaultKind.DUPLICATE));
+        TestExchange exchange = fixture.send(fixture.stream("d1", 10));
+        exchange.answer();
+        assertThat(exchange.body().split("id: ", -1)).hasLength(11);
+    }
+
+    /** Guards against a non-idempotent call that runs again when its frame is repeated (R6). */
     @Test
     void repeatedFrameRunsOnce() throws Exception {
         AttemptRequest booking = fixture.booking("k1");
@@ -55,7 +112,228 @@
         assertThat(fixture.service.runs()).containsExactly("k1", 1L);
         AttemptStatus status = fixture.query(booking);
         assertThat(status.state()).isEqualTo(AttemptStatus.State.DONE);
-        assertThat(new String(status.answer().body(), java.nio.charset.StandardCharsets.UTF_8))
-                .contains("\"key\":\"k1\"");
+        assertThat(new String(status.answer().body(), UTF_8)).contains("\"key\":\"k1\"");
+    }
+
+    /** Guards against a second run, and against a claim of "not run", when the outcome of a call is lost (R5, R6). */
+    @ParameterizedTest
+    @EnumSource(
+            value = FaultKind.class,
+            names = {"RESET_BEFORE", "RESET_AFTER", "TRUNCATE", "CRASH", "SILENT"})
+    void lostOutcomeIsUnknownAndNeverRepeated(FaultKind kind) throws Exception {
+        fixture.service.fault(Fault.once(kind));
+        AttemptRequest booking = fixture.request("k2", 2_000, fixture.epoch(), "s", "/book", "wheel", 500);
+        assertThat(fixture.send(booking).failure().runState()).isEqualTo(RunState.MAY_HAVE_RUN);
+        assertThat(fixture.query(booking).state()).isEqualTo(AttemptStatus.State.UNKNOWN);
+        assertThat(fixture.send(booking).failure().runState()).isEqualTo(RunState.MAY_HAVE_RUN);
+        assertThat(fixture.service.runs().getOrDefault("k2", 0L)).isAtMost(1);
+    }
+
+    /** Guards against the HTTP client's own repeat of a request that was answered 503 with "Retry-After: 0" (R6). */
+    @Test
+    void serviceThatAsksForARetryRunsOnce() throws Exception {
+        fixture.service.fault(Fault.once(FaultKind.RETRY_AT_ONCE));
+        AttemptRequest booking = fixture.booking("k3");
+        AttemptRequest withoutBody = new AttemptRequest(
+                "k3",
+                booking.attemptNumber(),
+                booking.epoch(),
+                "s",
+                booking.revision(),
+                20_000,
+                booking.priority(),
+                "DELETE",
+                "/book",
+                booking.headers(),
+                new byte[0]);
+        TestExchange exchange = fixture.send(withoutBody);
+        exchange.answer();
+        assertThat(exchange.started().status()).isEqualTo(503);
+        assertThat(exchange.started().headers())
+                .containsAtLeast("Retry-After", "0")
+                .inOrder();
+        assertThat(fixture.service.runs()).containsExactly("k3", 1L);
+    }
+
+    /** Guards against "may have run" where a refused connect proves the opposite. */
+    @Test
+    void refusedConnectIsNotRun() throws Exception {
+        fixture.service.close();
+        AttemptRequest booking = fixture.booking("k4");
+        WagtailcartException failure = fixture.send(booking).failure();
+        assertThat(failure.code()).isEqualTo(ResultCode.UPSTREAM_REFUSED);
+        assertThat(failure.runState()).isEqualTo(RunState.NOT_RUN);
+        fixture.service.start();
+        assertThat(fixture.query(booking).state()).isEqualTo(AttemptStatus.State.NOT_SENT);
+        assertThat(fixture.send(booking).failure().runState()).isEqualTo(RunState.NOT_RUN);
+        assertThat(fixture.service.runs()).isEmpty();
+    }
+
+    /** Guards against a late frame that runs after its attempt was stated as not run. */
+    @Test
+    void queriedAttemptIsNotSentWhenItArrivesLate() throws Exception {
+        AttemptRequest booking = fixture.booking("k5");
+        assertThat(fixture.query(booking).state()).isEqualTo(AttemptStatus.State.NOT_SENT);
+        assertThat(fixture.send(booking).failure().runState()).isEqualTo(RunState.NOT_RUN);
+        assertThat(fixture.service.runs()).isEmpty();
+    }
+
+    /** Guards against a call whose outcome is lost because the entry that asked for it was killed. */
+    @Test
+    void outcomeIsKeptWhenTheEntryIsGone() throws Exception {
+        fixture.service.fault(new Fault(FaultKind.DELAY, 1, 0, 300));
+        AttemptRequest booking = fixture.booking("k6");
+        fixture.send(booking).cancel();
+        assertThat(fixture.query(booking).state()).isEqualTo(AttemptStatus.State.RUNNING);
+        SidecarFixture.await(() -> !fixture.service.runs().isEmpty());
+        TestExchange ended = fixture.send(fixture.stream("any", 1));
+        ended.answer();
+        SidecarFixture.await(() -> stateOf(booking) == AttemptStatus.State.DONE);
+    }
+
+    /** Guards against an engine that goes on with a stream whose caller is gone (section 8). */
+    @Test
+    void cancelReachesTheEngine() throws Exception {
+        TestExchange exchange = fixture.send(fixture.stream("c1", 5_000));
+        SidecarFixture.await(() -> exchange.events().size() > 3);
+        assertThat(fixture.engine.inFlight()).isEqualTo(1);
+        exchange.cancel();
+        assertThat(exchange.failure().code()).isEqualTo(ResultCode.CALLER_GONE);
+        SidecarFixture.await(() -> fixture.engine.inFlight() == 0);
+    }
+
+    /** Guards against work under settings that the entry or the sidecar does not have (R9). */
+    @ParameterizedTest
+    @CsvSource({"4", "6"})
+    void requestOfAnotherRevisionIsRefused(long revision) throws Exception {
+        fixture.control.revision.set(revision);
+        AttemptRequest booking = fixture.booking("r1");
+        fixture.control.revision.set(5);
+        WagtailcartException failure = fixture.send(booking).failure();
+        assertThat(failure.code()).isEqualTo(ResultCode.SETTINGS_REVISION_STALE);
+        assertThat(fixture.query(booking).state()).isEqualTo(AttemptStatus.State.NOT_SENT);
+        assertThat(fixture.control.syncs.get()).isEqualTo(revision == 6 ? 1 : 0);
+    }
+
+    /** Guards against a refusal where the missing settings arrive a moment later. */
+    @Test
+    void requestWaitsForTheSync() throws Exception {
+        fixture.control.revision.set(6);
+        AttemptRequest booking = fixture.booking("r2");
+        fixture.control.revision.set(5);
+        TestExchange exchange = fixture.send(booking);
+        assertThat(exchange.ended()).isFalse();
+        fixture.control.revision.set(6);
+        fixture.control.changed();
+        exchange.answer();
+    }
+
+    /** Guards against new work for a leaving upstream (R7), and against a refusal that is not recorded (R5). */
+    @ParameterizedTest
+    @EnumSource(
+            value = Lifecycle.class,
+            names = {"DRAINING", "DRAINED", "REPLACED", "WITHDRAWN"})
+    void leavingUpstreamIsRefused(Lifecycle lifecycle) throws Exception {
+        fixture.control.change("s", old -> TestControl.withLifecycle(old, lifecycle));
+        AttemptRequest booking = fixture.booking("l1");
+        WagtailcartException failure = fixture.send(booking).failure();
+        assertThat(failure.code()).isEqualTo(ResultCode.UPSTREAM_LEAVING);
+        assertThat(failure.runState()).isEqualTo(RunState.NOT_RUN);
+        assertThat(fixture.query(booking).state()).isEqualTo(AttemptStatus.State.NOT_SENT);
+    }
+
+    /** Guards against a limit that is exceeded and a queue without end: the limit is 4 and the queue holds 2. */
+    @Test
+    void queueIsBounded() throws Exception {
+        List<TestExchange> exchanges = IntStream.range(0, 7)
+                .mapToObj(i -> fixture.send(fixture.stream("q" + i, 60)))
+                .toList();
+        assertThat(exchanges.get(6).failure().code()).isEqualTo(ResultCode.QUEUE_FULL);
+        SidecarFixture.await(() -> fixture.engine.inFlight() == 4);
+        for (TestExchange exchange : exchanges.subList(0, 6)) {
+            exchange.answer();
+            assertThat(fixture.engine.inFlight()).isAtMost(4);
+        }
+    }
+
+    /** Guards against a request that is sent after its deadline has passed in the queue. */
+    @Test
+    void deadlinePassesInTheQueue() throws Exception {
+        IntStream.range(0, 4).forEach(i -> fixture.send(fixture.stream("w" + i, 200)));
+        String body = "{\"model\":\"m\",\"prompt\":\"p\",\"stream\":true}";
+        AttemptRequest late = fixture.request("w9", 0, 0, "e", "/v1/completions", body, 200);
+        WagtailcartException failure = fixture.send(late).failure();
+        assertThat(failure.code()).isEqualTo(ResultCode.DEADLINE_UNREACHABLE);
+        assertThat(failure.runState()).isEqualTo(RunState.NOT_RUN);
+    }
+
+    /** Guards against a limit that ignores a lost power grant. */
+    @ParameterizedTest
+    @CsvSource({"8, 2, true, 8", "8, 2, false, 2", "2, 8, false, 2"})
+    void softLimitHoldsWithoutGrant(int hard, int soft, boolean granted, int expected) {
+        assertThat(new Limits(hard, soft, granted).current()).isEqualTo(expected);
+    }
+
+    /** Guards against a sidecar that gives up when no quorum answers its registration. */
+    @Test
+    void registrationIsRetried() {
+        fixture.control.refusedRegistrations.set(2);
+        fixture.startRole(2);
+        assertThat(fixture.role.ready()).isFalse();
+        SidecarFixture.await(fixture.role::ready);
+    }
+
+    /** Guards against work by a process whose epoch was superseded, and against a false "not run" by its successor. */
+    @Test
+    void supersededEpochStopsWork() throws Exception {
+        AttemptRequest ofFirst = fixture.booking("s1");
+        fixture.control.supersede();
+        SidecarFixture.await(() -> !fixture.role.ready());
+        assertThat(fixture.send(fixture.stream("s2", 1)).failure().code()).isEqualTo(ResultCode.EPOCH_SUPERSEDED);
+        assertThat(fixture.send(ofFirst).failure().code()).isEqualTo(ResultCode.EPOCH_SUPERSEDED);
+        fixture.startRole(2);
+        SidecarFixture.await(fixture.role::ready);
+        assertThat(fixture.query(ofFirst).state()).isEqualTo(AttemptStatus.State.UNKNOWN);
+        assertThat(fixture.send(ofFirst).failure().runState()).isEqualTo(RunState.MAY_HAVE_RUN);
+        assertThat(fixture.service.runs()).isEmpty();
+    }
+
+    /** Guards against a shutdown that cuts a running stream (R8) or takes new work. */
+    @Test
+    void drainWaitsForRunningAndRefusesNew() throws Exception {
+        TestExchange running = fixture.send(fixture.stream("n1", 100));
+        SidecarFixture.await(() -> running.events().size() > 3);
+        CompletableFuture<Void> drained = fixture.role.drain();
+        WagtailcartException refusal = fixture.send(fixture.stream("n2", 1)).failure();
+        assertThat(refusal.code()).isEqualTo(ResultCode.SHUTTING_DOWN);
+        assertThat(refusal.runState()).isEqualTo(RunState.NOT_RUN);
+        assertThat(drained.isDone()).isFalse();
+        running.answer();
+        drained.get(60, TimeUnit.SECONDS);
+    }
+
+    /** Guards against load reports that miss running requests or name a dead upstream as reachable. */
+    @Test
+    void reportsTellLoadAndReachability() throws Exception {
+        TestExchange running = fixture.send(fixture.stream("p1", 100));
+        SidecarFixture.await(() -> running.events().size() > 3);
+        assertThat(fixture.role.reports().stream()
+                        .filter(report -> report.upstreamId().equals("e"))
+                        .findFirst()
+                        .orElseThrow()
+                        .running())
+                .isEqualTo(1);
+        running.answer();
+        fixture.engine.close();
+        SidecarFixture.await(() -> fixture.role.reports().stream()
+                .anyMatch(report -> report.upstreamId().equals("e") && !report.reachable()));
+    }
+
+    private AttemptStatus.State stateOf(AttemptRequest request) {
+        try {
+            return fixture.query(request).state();
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
     }
 }
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/TestExchange.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/TestExchange.java
@@ -1,5 +1,7 @@
 package org.wagtailcart.sidecar;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -67,8 +69,7 @@
         StringBuilder text = new StringBuilder();
         events.stream()
                 .filter(AttemptChunk.class::isInstance)
-                .forEach(chunk -> text.append(
-                        new String(((AttemptChunk) chunk).bytes(), java.nio.charset.StandardCharsets.UTF_8)));
+                .forEach(chunk -> text.append(new String(((AttemptChunk) chunk).bytes(), UTF_8)));
         return text.toString();
     }
 
--- a/standin/src/main/java/org/wagtailcart/standin/CompletionHandler.java
+++ b/standin/src/main/java/org/wagtailcart/standin/CompletionHandler.java
@@ -18,7 +18,6 @@
 
 /** Answers completion requests of an engine, with the faults that are switched on. */
 final class CompletionHandler {
-    private static final long CROSS_LIMIT_MILLIS = 2_000;
     private static final long STALL_LIMIT_MILLIS = 600_000;
     private static final long EVENT_POLL_MILLIS = 1_000;
 
@@ -43,7 +42,8 @@
         if (!exchange.getConnection().isOpen()) {
             return;
         }
-        Job answered = faults.take(FaultKind.CROSS).isPresent() ? cross(job) : job;
+        Optional<Fault> crossed = faults.take(FaultKind.CROSS);
+        Job answered = crossed.isPresent() ? cross(job, crossed.get().delayMillis()) : job;
         Sequence sequence = engine.begin(requestId, body);
         exchange.getResponseHeaders().put(HttpListener.REQUEST_ID, answered.requestId());
         try {
@@ -71,9 +71,9 @@
         }
     }
 
-    private Job cross(Job own) throws InterruptedException {
+    private Job cross(Job own, long limitMillis) throws InterruptedException {
         try {
-            return crossing.exchange(own, CROSS_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+            return crossing.exchange(own, limitMillis, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
             return new Job("unknown-" + own.requestId(), own.chat(), own.body(), "unknown prompt", own.model());
         }
--- a/standin/src/main/java/org/wagtailcart/standin/StandinEngine.java
+++ b/standin/src/main/java/org/wagtailcart/standin/StandinEngine.java
@@ -89,6 +89,11 @@
         }
     }
 
+    /** Returns whether the engine runs; a crash ends that. */
+    public boolean running() {
+        return running != null;
+    }
+
     /** Switches a fault on. */
     public void fault(Fault fault) {
         faults.set(fault);
