Move streams off a leaving engine and close the engine's own paths

Cause: a stream longer than the drain limit kept a leaving engine, or one with an order, waiting without end. A request with the path /engine/orders, or /v1/../engine/orders, which OkHttp normalises, would have reached the engine outside the order executor; a path that does not start with "/" could have named another host; and a path that the client changes could get past the entry's list of non-idempotent calls. Change: idempotent streams end with 6007 or 6010 after drain-limit-millis, so that the entry resumes them elsewhere. Requests to engines are limited to /v1/ and to GET below /engine/; a path that is not absolute and in normal form is refused with 1001, not run. Ruled out: normalising the path and going on; the entry has judged the path as the caller wrote it.

--- a/sidecar/src/main/java/org/wagtailcart/sidecar/AttemptHandler.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/AttemptHandler.java
@@ -102,18 +102,17 @@
         slot.adjust(Limits.of(upstream, view, clock)).forEach(this::runSoon);
     }
 
-    /** Moves the attempts of an engine elsewhere, so that its order can begin. */
-    void cutForOrder(UpstreamSlot slot) {
+    /**
+     * Refuses the attempts that wait for an engine and ends its idempotent streams, so that entries resume them elsewhere.
+     *
+     * @param code why
+     */
+    void moveElsewhere(UpstreamSlot slot, ResultCode code) {
         slot.removeQueued()
-                .forEach(attempt -> refuse(
-                        attempt,
-                        new WagtailcartException(
-                                ResultCode.ENGINE_BUSY_WITH_ORDER, "engine is about to carry out an order")));
+                .forEach(attempt -> refuse(attempt, new WagtailcartException(code, "engine is needed for a change")));
         slot.movable()
                 .forEach(attempt -> attempt.cut(new WagtailcartException(
-                        ResultCode.ENGINE_BUSY_WITH_ORDER,
-                        RunState.MAY_HAVE_RUN,
-                        "stream was ended for an order to its engine")));
+                        code, RunState.MAY_HAVE_RUN, "drain limit has passed; resume the stream elsewhere")));
     }
 
     private void checkRevision(Attempt attempt) {
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/Limits.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/Limits.java
@@ -16,7 +16,6 @@
 record Limits(int hard, int soft, boolean granted) {
     private static final String SOFT_MAX_IN_FLIGHT = "soft-max-in-flight";
     private static final String DRAIN_LIMIT = "drain-limit-millis";
-    private static final long DEFAULT_DRAIN_LIMIT_MILLIS = 30_000;
 
     int current() {
         return granted ? hard : Math.min(hard, soft);
@@ -31,9 +30,9 @@
         return new Limits(hard, Math.max(1, soft), granted);
     }
 
-    /** Returns the time that running requests get before an order moves them elsewhere. */
-    static long drainLimitMillis(SettingsTree settings, String upstreamId) {
-        return number(settings, upstreamId, DRAIN_LIMIT, DEFAULT_DRAIN_LIMIT_MILLIS);
+    /** Returns the time that running streams get before they are moved off a leaving engine or one with an order. */
+    static long drainLimitMillis(SettingsTree settings, String upstreamId, long otherwise) {
+        return number(settings, upstreamId, DRAIN_LIMIT, otherwise);
     }
 
     private static long number(SettingsTree settings, String upstreamId, String key, long otherwise) {
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/SidecarOptions.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/SidecarOptions.java
@@ -12,6 +12,7 @@
  * @param incarnation random number of the process
  * @param queueLimit requests that may wait for one upstream
  * @param revisionWaitMillis time that a request with a newer settings revision waits for a sync
+ * @param drainLimitMillis time that streams of a leaving engine get, where the settings tree states none
  * @param ledgerCapacity finished non-idempotent attempts remembered
  * @param ledgerBytes bytes of answers remembered
  * @param recordedAnswerBytes largest body of an answer that is remembered
@@ -24,6 +25,7 @@
         long incarnation,
         int queueLimit,
         long revisionWaitMillis,
+        long drainLimitMillis,
         int ledgerCapacity,
         long ledgerBytes,
         int recordedAnswerBytes,
@@ -38,6 +40,7 @@
                 incarnation,
                 32,
                 2_000,
+                30_000,
                 20_000,
                 4 << 20,
                 64 << 10,
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/SidecarRole.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/SidecarRole.java
@@ -203,6 +203,11 @@
     private void tickUpstream(UpstreamView upstream) {
         UpstreamSlot slot = slot(upstream.upstreamId());
         attempts.adjust(slot, upstream);
+        boolean leaving = !upstream.lifecycle().takesNewWork();
+        long leavingMillis = slot.leavingMillis(leaving, clock.nowMillis());
+        if (upstream.kind() == UpstreamKind.ENGINE && leaving && leavingMillis >= drainLimitMillis(upstream)) {
+            attempts.moveElsewhere(slot, ResultCode.UPSTREAM_LEAVING);
+        }
         if (upstream.kind() == UpstreamKind.ENGINE && epoch.valid()) {
             tickOrders(slot, upstream);
         }
@@ -216,11 +221,14 @@
         boolean ordered = upstream.orderState() == OrderState.ISSUED || upstream.startedOrderNumber() > 0;
         int inWork = slot.holdForOrder(ordered || runner.busy());
         if (!draining || runner.busy()) {
-            runner.step(
-                    upstream, epoch.number(), inWork, Limits.drainLimitMillis(view.settings(), upstream.upstreamId()));
+            runner.step(upstream, epoch.number(), inWork, drainLimitMillis(upstream));
         }
     }
 
+    private long drainLimitMillis(UpstreamView upstream) {
+        return Limits.drainLimitMillis(view.settings(), upstream.upstreamId(), options.drainLimitMillis());
+    }
+
     private OrderRunner newRunner(String upstreamId) {
         return new OrderRunner(
                 upstreamId,
@@ -230,7 +238,7 @@
                 traffic,
                 controlThread,
                 clock,
-                () -> attempts.cutForOrder(slot(upstreamId)));
+                () -> attempts.moveElsewhere(slot(upstreamId), ResultCode.ENGINE_BUSY_WITH_ORDER));
     }
 
     private void poll(UpstreamSlot slot, UpstreamView upstream) {
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/UpstreamSlot.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/UpstreamSlot.java
@@ -20,6 +20,7 @@
     private final LongAdder outputTokens = new LongAdder();
     private final AtomicBoolean polling = new AtomicBoolean();
     private boolean heldForOrder;
+    private long leavingSinceMillis = Long.MAX_VALUE;
     private int limit;
     private boolean aboveSoftLimit;
     private volatile boolean reachable = true;
@@ -100,6 +101,12 @@
         return gate.running() + gate.queued();
     }
 
+    /** Notes whether the upstream is leaving and returns for how long it has been. */
+    synchronized long leavingMillis(boolean leaving, long nowMillis) {
+        leavingSinceMillis = leaving ? Math.min(leavingSinceMillis, nowMillis) : Long.MAX_VALUE;
+        return leaving ? nowMillis - leavingSinceMillis : 0;
+    }
+
     synchronized int running() {
         return gate.running();
     }
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamClient.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import okhttp3.ConnectionPool;
+import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
 import okhttp3.Protocol;
 import okhttp3.Request;
@@ -16,6 +17,7 @@
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.Priority;
 import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.UpstreamKind;
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.fleet.UpstreamView;
 import org.wagtailcart.sidecar.message.AttemptRequest;
@@ -105,10 +107,34 @@
         return priority == Priority.BATCH ? options.batchHeadLimitMillis() : options.headLimitMillis();
     }
 
+    /**
+     * Returns the URL of a request. Only paths in normal form are taken: a path that the client would change could get
+     * past the entry's list of non-idempotent calls, or reach an engine's orders.
+     */
+    private static HttpUrl url(UpstreamView upstream, AttemptRequest attempt) {
+        String path = attempt.path();
+        String[] parts = path.split("\\?", 2);
+        HttpUrl url = path.startsWith("/") ? HttpUrl.parse("http://" + upstream.address() + path) : null;
+        if (url == null || !url.encodedPath().equals(parts[0])) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT, "path \"" + path + "\" is not an absolute path in normal form");
+        }
+        if (upstream.kind() == UpstreamKind.ENGINE && !mayReachEngine(attempt.method(), parts[0])) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT, attempt.method() + " " + parts[0] + " is not open to requests");
+        }
+        return url;
+    }
+
+    /** Orders go through the order executor only. */
+    private static boolean mayReachEngine(String method, String path) {
+        return path.startsWith("/v1/") || (method.equals("GET") && path.startsWith("/engine/"));
+    }
+
     private static Request request(UpstreamView upstream, AttemptRequest attempt, SendGuard guard) {
         try {
             Request.Builder builder = new Request.Builder()
-                    .url("http://" + upstream.address() + attempt.path())
+                    .url(url(upstream, attempt))
                     .tag(SendGuard.class, guard)
                     // Without this header OkHttp would ask for a compressed answer and change what the caller gets.
                     .header("Accept-Encoding", "identity");
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarFixture.java
@@ -58,7 +58,17 @@
     /** Starts another sidecar process; the previous one is left as it is. */
     void startRole(long incarnation) {
         SidecarOptions options = new SidecarOptions(
-                "sc", new Address("127.0.0.1", 1), incarnation, 2, 500, 100, 1 << 20, 64 << 10, UPSTREAM, TIMING);
+                "sc",
+                new Address("127.0.0.1", 1),
+                incarnation,
+                2,
+                500,
+                3_000,
+                100,
+                1 << 20,
+                64 << 10,
+                UPSTREAM,
+                TIMING);
         ScheduledExecutorService controlThread = Executors.newSingleThreadScheduledExecutor();
         controlThreads.add(controlThread);
         dispatcher = new PeerDispatcher();
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarOrderTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarOrderTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.EngineTarget;
+import org.wagtailcart.common.Lifecycle;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.fleet.OrderState;
 import org.wagtailcart.fleet.UpstreamView;
@@ -78,6 +79,23 @@
         assertThat(fixture.engine.counters().cutByOrder()).isEqualTo(0);
     }
 
+    /** Guards against a long stream that keeps an order or a drain waiting for ever. */
+    @ParameterizedTest
+    @CsvSource({"true, ENGINE_BUSY_WITH_ORDER", "false, UPSTREAM_LEAVING"})
+    void longStreamIsMovedAfterTheDrainLimit(boolean byOrder, ResultCode expected) throws Exception {
+        start(true);
+        TestExchange running = fixture.send(fixture.stream("a3", 5_000));
+        SidecarFixture.await(() -> running.events().size() > 3);
+        if (byOrder) {
+            fixture.control.issue("e", DECODE);
+        } else {
+            fixture.control.change("e", old -> TestControl.withLifecycle(old, Lifecycle.DRAINING));
+        }
+        assertThat(running.failure().code()).isEqualTo(expected);
+        SidecarFixture.await(() -> fixture.engine.inFlight() == 0);
+        assertThat(fixture.engine.counters().cutByOrder()).isEqualTo(0);
+    }
+
     /** Guards against orders that overlap at an engine which ignores fencing tokens. */
     @Test
     void ordersAreCarriedOutOneAfterAnother() {
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarRoleTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarRoleTest.java
@@ -242,6 +242,26 @@
         assertThat(fixture.query(booking).state()).isEqualTo(AttemptStatus.State.NOT_SENT);
     }
 
+    /** Guards against orders that get around the order executor, and against requests to other hosts. */
+    @ParameterizedTest
+    @CsvSource({
+        "e, /engine/orders",
+        "e, /v1/../engine/orders",
+        "e, /v1/%2e%2e/engine/orders",
+        "e, /standin/faults",
+        "s, /a/../book",
+        "s, @127.0.0.1:1/book",
+        "s, book"
+    })
+    void pathThatIsNotOpenIsRefused(String upstream, String path) throws Exception {
+        AttemptRequest request = fixture.request("o1", 3_000, fixture.epoch(), upstream, path, "{}", 20_000);
+        WagtailcartException failure = fixture.send(request).failure();
+        assertThat(failure.code()).isEqualTo(ResultCode.INVALID_ARGUMENT);
+        assertThat(failure.runState()).isEqualTo(RunState.NOT_RUN);
+        assertThat(fixture.engine.orders()).isEmpty();
+        assertThat(fixture.service.runs()).isEmpty();
+    }
+
     /** Guards against a limit that is exceeded and a queue without end: the limit is 4 and the queue holds 2. */
     @Test
     void queueIsBounded() throws Exception {
