--- a/sidecar/src/main/java/org/wagtailcart/sidecar/order/OrderExecutor.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/order/OrderExecutor.java
@@ -21,7 +21,8 @@
     }
 
     private final OrderTiming timing;
-    private Phase phase = Phase.IDLE;
+    // Volatile, because a state dump reads it from another thread.
+    private volatile Phase phase = Phase.IDLE;
     private boolean resultDue;
     private long nextMillis = Long.MIN_VALUE;
     private long finishedNumber;
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/ledger/AttemptLedgerTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/ledger/AttemptLedgerTest.java
@@ -33,6 +33,8 @@
     enum Event {
         RESERVE,
         REQUEST,
+        /** The request reaches the process of the previous epoch, which was paused and is still alive. */
+        REQUEST_TO_PREVIOUS,
         ANSWER,
         CONNECT_REFUSED,
         LOSE,
@@ -53,12 +55,14 @@
         private final List<Reserved> sending = new ArrayList<>();
         private long index = 10;
         private long epoch = 10;
+        private AttemptLedger previous = new AttemptLedger(0, CAPACITY, CAPACITY_BYTES);
         private AttemptLedger ledger = new AttemptLedger(10, CAPACITY, CAPACITY_BYTES);
 
         void run(Step step) {
             switch (step.event()) {
                 case RESERVE -> reserve();
                 case REQUEST -> pick(reserved, step).forEach(this::request);
+                case REQUEST_TO_PREVIOUS -> pick(reserved, step).forEach(this::requestToPrevious);
                 case ANSWER -> pickSending(step).forEach(this::answer);
                 case CONNECT_REFUSED -> pickSending(step).forEach(this::connectRefused);
                 case LOSE -> pickSending(step).forEach(one -> ledger.lost(one.id()));
@@ -87,6 +91,16 @@
             }
         }
 
+        private void requestToPrevious(Reserved one) {
+            try {
+                previous.claim(one.id(), one.number(), one.epoch());
+                sends.merge(one.id(), 1, Integer::sum);
+                previous.lost(one.id());
+            } catch (WagtailcartException e) {
+                state(one, e.runState() == RunState.NOT_RUN);
+            }
+        }
+
         private void answer(Reserved one) {
             ledger.done(one.id(), new RecordedAnswer(200, List.of(), new byte[ANSWER_BYTES], true));
             answered.add(one.id());
@@ -116,6 +130,7 @@
         private void restart() {
             epoch = ++index;
             sending.clear();
+            previous = ledger;
             ledger = new AttemptLedger(epoch, CAPACITY, CAPACITY_BYTES);
         }
 
@@ -135,6 +150,7 @@
         Arbitrary<Event> events = Arbitraries.frequency(
                 Tuple.of(6, Event.RESERVE),
                 Tuple.of(12, Event.REQUEST),
+                Tuple.of(3, Event.REQUEST_TO_PREVIOUS),
                 Tuple.of(6, Event.ANSWER),
                 Tuple.of(2, Event.CONNECT_REFUSED),
                 Tuple.of(2, Event.LOSE),
