--- a/entry/src/test/java/org/wagtailcart/entry/FakeControl.java
+++ b/entry/src/test/java/org/wagtailcart/entry/FakeControl.java
@@ -22,8 +22,10 @@
 import org.wagtailcart.control.client.ControlView;
 import org.wagtailcart.fleet.OrderState;
 import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.once.KeyId;
 import org.wagtailcart.once.KeyRegistry;
 import org.wagtailcart.once.LookupKey;
+import org.wagtailcart.once.ReserveKey;
 import org.wagtailcart.settings.SettingsEdit;
 import org.wagtailcart.settings.SettingsTree;
 
@@ -33,6 +35,7 @@
     private final List<Runnable> actions = new CopyOnWriteArrayList<>();
     private final SortedMap<String, Map<String, String>> branches = new TreeMap<>();
     private final KeyRegistry keys = new KeyRegistry();
+    final Map<KeyId, String> fingerprints = new ConcurrentHashMap<>();
     private long index;
     final AtomicInteger syncs = new AtomicInteger();
     volatile long leaseDeadlineMillis = Long.MAX_VALUE;
@@ -115,6 +118,9 @@
         if (!reachable) {
             return CompletableFuture.failedFuture(new WagtailcartException(ResultCode.NO_QUORUM, "no quorum"));
         }
+        if (command instanceof ReserveKey reserve) {
+            fingerprints.put(reserve.keyId(), reserve.fingerprint());
+        }
         synchronized (keys) {
             Object result = command instanceof LookupKey query
                     ? keys.lookup(query)
