--- a/daemon/src/main/java/org/wagtailcart/daemon/Main.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/Main.java
@@ -16,6 +16,10 @@
 
 /** Program {@code wagtailcartd}. */
 public final class Main {
+    static {
+        ShutdownLogManager.install();
+    }
+
     private static final Logger LOG = System.getLogger(Main.class.getName());
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
@@ -61,6 +65,7 @@
         }
         LogSetup.install(
                 settings.logLevel(), LogFormat.valueOf(settings.logFormat().name()));
+        ShutdownLogManager.keepHandlers();
         if (check) {
             LOG.log(Level.INFO, LogEvent.of("settings-valid", "file", settingsFile));
             return 0;
--- a/daemon/src/main/java/org/wagtailcart/daemon/OperatorListener.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/OperatorListener.java
@@ -28,8 +28,8 @@
         HttpHandler routes = Handlers.path()
                 .addExactPath("/livez", exchange -> exchange.getResponseSender().send("ok"))
                 .addExactPath("/readyz", exchange -> answerReady(exchange, roles))
-                .addExactPath("/metrics", exchange -> answerJson(exchange, MetricsDump.of(registry)))
-                .addExactPath("/dump", exchange -> answerDump(exchange, token, dump));
+                .addExactPath("/v1/metrics", exchange -> answerJson(exchange, MetricsDump.of(registry)))
+                .addExactPath("/v1/dump", exchange -> answerDump(exchange, token, dump));
         server = Undertow.builder()
                 .addHttpListener(address.port(), address.ip())
                 .setIoThreads(1)
