Install the log manager before the JDK initialises its own

Cause: events of a shutdown were cut off at random; the property was set by a method of the subclass, whose initialisation initialises the JDK's LogManager first (seen with a hook that printed the class). Change: Main sets the property itself. Ruled out: JVM options (the loss did not depend on them, only on timing).

--- a/daemon/src/main/java/org/wagtailcart/daemon/Main.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/Main.java
@@ -17,7 +17,8 @@
 /** Program {@code wagtailcartd}. */
 public final class Main {
     static {
-        ShutdownLogManager.install();
+        // Calling a method of the class would initialise the JDK's log manager before the property is set.
+        System.setProperty("java.util.logging.manager", "org.wagtailcart.daemon.ShutdownLogManager");
     }
 
     private static final Logger LOG = System.getLogger(Main.class.getName());
--- a/daemon/src/main/java/org/wagtailcart/daemon/ShutdownLogManager.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/ShutdownLogManager.java
@@ -12,11 +12,6 @@
     /** Created by the JDK. */
     public ShutdownLogManager() {}
 
-    /** Makes the JDK use this class; must run before the first logger is created. */
-    static void install() {
-        System.setProperty("java.util.logging.manager", ShutdownLogManager.class.getName());
-    }
-
     /** Keeps the handlers from now on. */
     static void keepHandlers() {
         shuttingDown = true;
