Add tests of the files, the driver and single rules of the log

Cause: the fuzz checks the pure state machine only; files, driver and rare rules need their own proof.

LogBenchmark measures the log.

--- /dev/null
+++ b/coordination/src/test/java/org/wagtailcart/coordination/LogBenchmark.java
@@ -0,0 +1,131 @@
+package org.wagtailcart.coordination;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.IntStream;
+import org.wagtailcart.common.Address;
+
+/** Measures proposals per second, latency, CPU and bytes over loopback; see docs/measurements/coordination.md. */
+public final class LogBenchmark {
+    private static final int COMMAND_BYTES = 256;
+
+    private LogBenchmark() {}
+
+    /** Arguments: data folder, seconds for each case. */
+    public static void main(String[] arguments) throws Exception {
+        Path folder = Path.of(arguments[0]);
+        long seconds = Long.parseLong(arguments[1]);
+        System.out.println("| members | pressure | proposals/s | p50 ms | p99 ms | CPU us/proposal | proposals/sync |");
+        System.out.println("|---|---|---|---|---|---|---|");
+        for (int members : new int[] {1, 3, 5}) {
+            runCase(folder.resolve("g" + members), members, new int[] {1, 16, 256}, seconds);
+        }
+    }
+
+    private static void runCase(Path folder, int count, int[] pressures, long seconds) throws Exception {
+        List<InitialMember> initial = IntStream.rangeClosed(1, count)
+                .mapToObj(i -> new InitialMember("m" + i, freeAddress()))
+                .toList();
+        List<LoopbackMember> members = new ArrayList<>();
+        for (InitialMember member : initial) {
+            Path own = folder.resolve(member.memberId());
+            Files.createDirectories(own);
+            members.add(new LoopbackMember(member, own, initial, RaftTiming.standard(), new CountingStateMachine()));
+        }
+        LoopbackMember leader = awaitLeader(members);
+        for (int pressure : pressures) {
+            run(leader, pressure, 2);
+            System.out.println("| " + count + " | " + pressure + " | " + run(leader, pressure, seconds) + " |");
+        }
+        members.forEach(LoopbackMember::close);
+    }
+
+    private static String run(LoopbackMember leader, int pressure, long seconds) throws Exception {
+        Semaphore slots = new Semaphore(pressure);
+        long[] latencies = new long[2_000_000];
+        AtomicInteger done = new AtomicInteger();
+        AtomicInteger failed = new AtomicInteger();
+        long syncsBefore = leader.registry().timer("coordination.store").getCount();
+        long cpuBefore = cpuNanos();
+        long start = System.nanoTime();
+        long end = start + TimeUnit.SECONDS.toNanos(seconds);
+        while (System.nanoTime() < end) {
+            slots.acquire();
+            long proposed = System.nanoTime();
+            leader.log.propose(new byte[COMMAND_BYTES]).whenComplete((result, error) -> {
+                int index = error == null ? done.getAndIncrement() : failed.getAndIncrement();
+                latencies[error == null ? index : latencies.length - 1] = System.nanoTime() - proposed;
+                slots.release();
+            });
+        }
+        slots.acquire(pressure);
+        double elapsed = (System.nanoTime() - start) / 1e9;
+        long cpu = cpuNanos() - cpuBefore;
+        long syncs = leader.registry().timer("coordination.store").getCount() - syncsBefore;
+        long[] sorted = Arrays.copyOf(latencies, done.get());
+        Arrays.sort(sorted);
+        String failures = failed.get() == 0 ? "" : " (" + failed.get() + " failed)";
+        return String.format(
+                "%.0f%s | %.2f | %.2f | %.0f | %.1f",
+                done.get() / elapsed,
+                failures,
+                sorted[sorted.length / 2] / 1e6,
+                sorted[(int) (sorted.length * 0.99)] / 1e6,
+                cpu / 1e3 / done.get(),
+                (double) done.get() / syncs);
+    }
+
+    private static long cpuNanos() {
+        return ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+                .getProcessCpuTime();
+    }
+
+    private static LoopbackMember awaitLeader(List<LoopbackMember> members) {
+        while (true) {
+            for (LoopbackMember member : members) {
+                if (member.log.status().role() == LogStatus.Role.LEADER) {
+                    return member;
+                }
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
+        }
+    }
+
+    private static Address freeAddress() {
+        try (ServerSocket free = new ServerSocket(0)) {
+            return new Address("127.0.0.1", free.getLocalPort());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static final class CountingStateMachine implements StateMachine {
+        private long count;
+
+        @Override
+        public Object apply(long index, long timeMillis, byte[] command) {
+            count++;
+            return count;
+        }
+
+        @Override
+        public byte[] snapshot() {
+            return java.nio.ByteBuffer.allocate(Long.BYTES).putLong(count).array();
+        }
+
+        @Override
+        public void restore(byte[] snapshot) {
+            count = java.nio.ByteBuffer.wrap(snapshot).getLong();
+        }
+    }
+}
--- a/coordination/src/test/java/org/wagtailcart/coordination/RaftLogTest.java
+++ b/coordination/src/test/java/org/wagtailcart/coordination/RaftLogTest.java
@@ -1,26 +1,33 @@
 package org.wagtailcart.coordination;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
 
 class RaftLogTest {
     private static final RaftTiming FAST = new RaftTiming(20, 300, 600, 1 << 20, 16, 64, 50, 1 << 20, 5, 20_000);
@@ -52,6 +59,96 @@
                 members.values().stream().allMatch(member -> commandsOf(member).equals(expected)));
     }
 
+    /** Guards against changes lost over many restarts with snapshots, and a state that snapshots do not carry. */
+    @Test
+    void survivesRestartsAfterHundredsOfChangesWithSnapshots() throws Exception {
+        startInitial(1);
+        for (int round = 0; round < 5; round++) {
+            proposeAll(round * 130, (round + 1) * 130);
+            members.values().forEach(LoopbackMember::close);
+            initial.forEach(this::start);
+        }
+        proposeAll(650, 651);
+        assertThat(awaitLeader().log.status().snapshotIndex()).isGreaterThan(0);
+        assertThat(commandsOf(awaitLeader())).isEqualTo(commands(0, 651));
+    }
+
+    /** Guards against a host with a lost disk that votes or that cannot come back as a learner and be promoted. */
+    @Test
+    void replacesAMemberThatLostItsDisk() throws Exception {
+        startInitial(3);
+        proposeAll(0, 100);
+        LoopbackMember leader = awaitLeader();
+        InitialMember lost = initial.stream()
+                .filter(member -> members.get(member.memberId()) != leader)
+                .findFirst()
+                .orElseThrow();
+        Member old = members.get(lost.memberId()).log.status().self();
+        members.get(lost.memberId()).close();
+        deleteFolder(folder.resolve(lost.memberId()));
+        LoopbackMember emptied = start(lost);
+        proposeAll(100, 200);
+        assertThat(emptied.log.status().role()).isEqualTo(LogStatus.Role.LEARNER);
+        assertThat(emptied.log.status().commitIndex()).isEqualTo(0);
+        Member renewed = emptied.log.status().self();
+        assertThat(renewed.incarnation()).isNotEqualTo(old.incarnation());
+
+        change(leader, MemberChange.Kind.ADD_LEARNER, renewed);
+        awaitTrue(() -> commandsOf(emptied).equals(commands(0, 200)));
+        ExecutionException refused =
+                assertThrows(ExecutionException.class, () -> change(leader, MemberChange.Kind.PROMOTE, renewed));
+        assertThat(((WagtailcartException) refused.getCause()).code()).isEqualTo(ResultCode.MEMBERSHIP_CHANGE_INVALID);
+        change(leader, MemberChange.Kind.REMOVE, old);
+        // The leader refuses until the learner has reported that it has stored the snapshot.
+        awaitTrue(() -> isAccepted(leader, new MemberChange(MemberChange.Kind.PROMOTE, renewed)));
+        awaitTrue(() -> emptied.log.status().role() == LogStatus.Role.FOLLOWER);
+        awaitTrue(() -> isConfirmedAfter(emptied, MillisClock.monotonic().nowMillis() - 1_000));
+    }
+
+    /** Guards against a follower that accepts work, and a leader that hands over without another taking its place. */
+    @Test
+    void followerNamesTheLeaderAndLeadershipMoves() throws Exception {
+        startInitial(3);
+        LoopbackMember leader = awaitLeader();
+        proposeAll(0, 1);
+        LoopbackMember follower = members.values().stream()
+                .filter(member -> member != leader)
+                .findFirst()
+                .orElseThrow();
+        awaitTrue(() -> follower.log.status().leader().isPresent());
+        ExecutionException refused = assertThrows(
+                ExecutionException.class, () -> follower.log.propose(bytes("x")).get(LIMIT_SECONDS, TimeUnit.SECONDS));
+        assertThat(((WagtailcartException) refused.getCause()).code()).isEqualTo(ResultCode.NOT_LEADER);
+        assertThat(refused).hasMessageThat().contains(leader.log.status().self().memberId() + "@127.0.0.1:");
+        assertThat(leader.log.confirmLeadership().get(LIMIT_SECONDS, TimeUnit.SECONDS))
+                .isAtLeast(1L);
+        leader.log.transferLeadership().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        awaitTrue(() -> leaders().anyMatch(member -> member != leader));
+    }
+
+    private static boolean isConfirmedAfter(LoopbackMember member, long millis) {
+        return member.log.status().confirmedAtMillis() > millis;
+    }
+
+    private static boolean isAccepted(LoopbackMember leader, MemberChange change) {
+        return leader.log
+                .changeMembers(change)
+                .handle((members, error) -> error == null)
+                .join();
+    }
+
+    private static void change(LoopbackMember leader, MemberChange.Kind kind, Member member) throws Exception {
+        leader.log.changeMembers(new MemberChange(kind, member)).get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private static void deleteFolder(Path path) throws IOException {
+        try (Stream<Path> files = Files.list(path)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
     private void startInitial(int count) {
         initial = IntStream.rangeClosed(1, count)
                 .mapToObj(i -> new InitialMember("m" + i, freeAddress()))
@@ -112,7 +209,7 @@
             if (MillisClock.monotonic().nowMillis() > deadlineMillis) {
                 throw new AssertionError("condition not reached in time");
             }
-            java.util.concurrent.locks.LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
         }
     }
 }
--- /dev/null
+++ b/coordination/src/test/java/org/wagtailcart/coordination/RaftNodeTest.java
@@ -0,0 +1,113 @@
+package org.wagtailcart.coordination;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+
+class RaftNodeTest {
+    private static final Address ADDRESS = new Address("127.0.0.1", 1);
+    private static final MemberKey SELF = new MemberKey("m1", 11);
+    private static final MemberKey OTHER = new MemberKey("m2", 22);
+    private static final List<Member> VOTERS = Stream.of(SELF, OTHER, new MemberKey("m3", 33))
+            .map(key -> new Member(key.memberId(), key.incarnation(), ADDRESS, true))
+            .toList();
+    private static final long START = 1_000;
+    private static final long ELECTION = START + 2_001;
+
+    private final RaftNode node =
+            new RaftNode(SELF, ADDRESS, RaftTiming.standard(), new HardState(2, null), logWithEntryOfTerm(2), 1, START);
+
+    /** Guards against an entry of an older term that counts as committed and that another leader may still replace. */
+    @Test
+    void entryOfAnOlderTermIsNotCommittedByCounting() {
+        lead();
+        assertThat(acknowledge(2).apply()).isEmpty();
+        assertThat(commitIndex()).isEqualTo(0);
+        assertThat(acknowledge(3).apply()).hasSize(3);
+        assertThat(commitIndex()).isEqualTo(3);
+    }
+
+    /** Guards against a proposal that counts before the leader's own sync. */
+    @Test
+    void leaderAppliesNothingBeforeItsOwnSync() {
+        lead();
+        acknowledge(3);
+        NodeOutput proposed = node.propose(ELECTION, 0, List.of(new Proposal(1, new byte[] {1})));
+        assertThat(acknowledge(4).apply()).isEmpty();
+        assertThat(node.stored(ELECTION, numberOf(proposed)).apply()).hasSize(1);
+    }
+
+    /** Guards against two membership changes at a time and a change before the leader knows what is committed. */
+    @Test
+    void oneMembershipChangeAtATime() {
+        lead();
+        Member learner = new Member("m4", 44, ADDRESS, false);
+        MemberChange change = new MemberChange(MemberChange.Kind.ADD_LEARNER, learner);
+        assertThat(refusal(change)).isEqualTo(ResultCode.MEMBERSHIP_CHANGE_IN_PROGRESS);
+        acknowledge(3);
+        node.changeMembers(ELECTION, 0, 1, change);
+        Member next = new Member("m5", 55, ADDRESS, false);
+        assertThat(refusal(new MemberChange(MemberChange.Kind.ADD_LEARNER, next)))
+                .isEqualTo(ResultCode.MEMBERSHIP_CHANGE_IN_PROGRESS);
+    }
+
+    /** Guards against a vote that leaves the member before it is durable, which a restart would forget. */
+    @Test
+    void voteIsSentOnlyAfterItsStore() {
+        NodeOutput output = node.step(
+                START, new RaftMessage.VoteRequest(new RaftMessage.Route(OTHER, ADDRESS, SELF), 3, 9, 2, false, false));
+        assertThat(output.messages()).isEmpty();
+        assertThat(output.messagesAfterStore()).hasSize(1);
+        assertThat(output.store().hardState()).isEqualTo(new HardState(3, OTHER));
+    }
+
+    private ResultCode refusal(MemberChange change) {
+        return assertThrows(WagtailcartException.class, () -> node.changeMembers(ELECTION, 0, 9, change))
+                .code();
+    }
+
+    private void lead() {
+        node.tick(ELECTION);
+        NodeOutput candidate = node.step(ELECTION, vote(3, true));
+        node.stored(ELECTION, numberOf(candidate));
+        NodeOutput leader = node.step(ELECTION, vote(3, false));
+        node.stored(ELECTION, numberOf(leader));
+        assertThat(node.status(ADDRESS).role()).isEqualTo(LogStatus.Role.LEADER);
+    }
+
+    private static long numberOf(NodeOutput output) {
+        return output.store().number();
+    }
+
+    private NodeOutput acknowledge(long index) {
+        return node.step(
+                ELECTION,
+                new RaftMessage.AppendReply(
+                        new RaftMessage.Route(OTHER, ADDRESS, SELF), 3, true, index, 0, 0, RaftMessage.Stamp.NONE));
+    }
+
+    private long commitIndex() {
+        return node.status(ADDRESS).commitIndex();
+    }
+
+    private static RaftMessage vote(long term, boolean preVote) {
+        return new RaftMessage.VoteReply(new RaftMessage.Route(OTHER, ADDRESS, SELF), term, preVote, true);
+    }
+
+    private static NodeLog logWithEntryOfTerm(long term) {
+        byte[] members = MembersCodec.encode(new Members(1, VOTERS));
+        return new NodeLog(
+                null,
+                0,
+                0,
+                List.of(
+                        new LogEntry(1, 1, 0, LogEntry.Kind.MEMBERS, members),
+                        new LogEntry(2, term, 0, LogEntry.Kind.COMMAND, new byte[] {1})));
+    }
+}
