Flush every frame that is queued while another thread sends

Cause: PeerConnection.send scheduled a flush only when it found the output queue at 0 bytes. Of two threads the second one could add its bytes to the count before, and its frame to the queue after, the flush of the first; the count then never returned to 0 and the connection sent nothing more until it was closed as silent (2005). Change: a mark says that a flush is scheduled and is cleared before the queue is read. Ruled out: adding the frame before its bytes are counted, because the count can then go below 0 and skip the flush too. Seen red: PeerTest.concurrentSendersDoNotStallTheConnection without the change fails with code 2005.

--- a/wire/src/main/java/org/wagtailcart/wire/PeerConnection.java
+++ b/wire/src/main/java/org/wagtailcart/wire/PeerConnection.java
@@ -11,6 +11,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -45,6 +46,7 @@
     private final Owner owner;
     private final Queue<ByteBuffer> outbound = new ConcurrentLinkedQueue<>();
     private final AtomicLong queuedBytes = new AtomicLong();
+    private final AtomicBoolean flushScheduled = new AtomicBoolean();
     private final Map<Long, Object> exchanges = new ConcurrentHashMap<>();
 
     private ByteBuffer inbound = ByteBuffer.allocate(INITIAL_READ_BYTES);
@@ -114,11 +116,11 @@
         if (isClosed()) {
             return;
         }
-        boolean wasEmpty = queuedBytes.getAndAdd(bytes.remaining()) == 0;
+        queuedBytes.addAndGet(bytes.remaining());
         outbound.add(bytes);
         metrics.framesOut().mark();
-        if (wasEmpty) {
-            loop.submit(this::flush);
+        if (flushScheduled.compareAndSet(false, true)) {
+            loop.submit(this::scheduledFlush);
         }
         if (queuedBytes.get() > options.maxQueuedBytes()) {
             closeLater(new WagtailcartException(
@@ -253,6 +255,12 @@
         }
     }
 
+    /** Clears the mark before the queue is read, so that a frame added during the flush schedules another one. */
+    private void scheduledFlush() {
+        flushScheduled.set(false);
+        flush();
+    }
+
     private void flush() {
         if (isClosed() || key == null || !channel.isConnected()) {
             return;
--- a/wire/src/test/java/org/wagtailcart/wire/PeerTest.java
+++ b/wire/src/test/java/org/wagtailcart/wire/PeerTest.java
@@ -144,6 +144,20 @@
         }
     }
 
+    /** Guards against a frame that stays in the output queue when several threads send at the same moment. */
+    @Test
+    void concurrentSendersDoNotStallTheConnection() {
+        List<CompletableFuture<Void>> senders = IntStream.range(0, 8)
+                .mapToObj(sender -> CompletableFuture.runAsync(
+                        () -> IntStream.range(0, 3_000)
+                                .forEach(i -> client.call(address, new Ping("x", 0), Pong.class, 60_000)
+                                        .join()),
+                        executor))
+                .toList();
+        senders.forEach(CompletableFuture::join);
+        assertThat(registry.meter("wire.connections-silent").getCount()).isEqualTo(0);
+    }
+
     static Stream<Arguments> badInput() {
         return Stream.of(
                 Arguments.of("negative length", new byte[] {-1, -1, -1, -1}),
