--- a/control/src/test/java/org/wagtailcart/control/measure/ControlCost.java
+++ b/control/src/test/java/org/wagtailcart/control/measure/ControlCost.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Objects;
 import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -65,10 +66,14 @@
         double firstWhole =
                 nanosEach(WHOLE, i -> new SyncAnswersAccess(Samples.CODEC).answer(fresh, state.published()));
         double install = nanosEach(WHOLE, i -> install(whole));
+        long beforeBytes = usedBytes();
+        Object installed = install(whole);
+        long installedBytes = usedBytes() - beforeBytes;
+        Objects.requireNonNull(installed);
         double wholeTree = nanosEach(WHOLE, i -> state.snapshot());
         String inflated = whole instanceof DeflatedSyncReply deflated ? String.valueOf(deflated.sizeBytes()) : "-";
         lines.add(String.format(
-                "| %d | %d | %.0f | %.0f | %d | %.0f | %d | %.0f | %d | %d | %s | %.1f | %.1f | %.1f | %.1f |",
+                "| %d | %d | %.0f | %.0f | %d | %.0f | %d | %.0f | %d | %d | %s | %.1f | %.1f | %.1f | %.1f | %.1f |",
                 upstreams,
                 workspaces,
                 workspaceChange / 1e3,
@@ -83,7 +88,8 @@
                 firstWhole / 1e6,
                 install / 1e6,
                 wholeTree / 1e6,
-                stateBytes / 1e6));
+                stateBytes / 1e6,
+                installedBytes / 1e6));
     }
 
     private void fill() {
--- a/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.EngineRole;
@@ -46,14 +47,14 @@
 
     private final String accepts;
     private final Form form;
-    private final String pattern;
+    private final Pattern pattern;
     private final int min;
     private final int max;
 
     SettingsKey(String accepts, Form form, String pattern, int min, int max) {
         this.accepts = accepts;
         this.form = form;
-        this.pattern = pattern;
+        this.pattern = Pattern.compile(pattern);
         this.min = min;
         this.max = max;
     }
@@ -117,8 +118,9 @@
     /** Returns whether a value is accepted. */
     public boolean accepts(String value) {
         return switch (form) {
-            case PATTERN -> value.matches(pattern);
-            case NUMBER -> value.matches(pattern) && Integer.parseInt(value) >= min && Integer.parseInt(value) <= max;
+            case PATTERN -> pattern.matcher(value).matches();
+            case NUMBER ->
+                pattern.matcher(value).matches() && Integer.parseInt(value) >= min && Integer.parseInt(value) <= max;
             case ADDRESS -> isAddress(value);
         };
     }
@@ -133,8 +135,7 @@
     }
 
     private static boolean isLiteral(String ip) {
-        String octet = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])";
-        return ip.startsWith("[") || ip.matches(octet + "(\\." + octet + "){3}");
+        return ip.startsWith("[") || Accepted.IPV4.matcher(ip).matches();
     }
 
     private static String names(Enum<?>... constants) {
@@ -158,6 +159,9 @@
         static final String CALLS = "(" + CALL + "(, *+" + CALL + ")*+)?";
         static final String IDENTIFIER_TEXT = "1 to 64 letters, digits, '.', '_' or '-'";
 
+        static final String OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])";
+        static final Pattern IPV4 = Pattern.compile(OCTET + "(\\." + OCTET + "){3}");
+
         private Accepted() {}
     }
 }
