Test a follower's operators and processes, and a wait with lagging ones

Cause: the path through a member that is not the leader had no proof. Change: OperatorServerTest runs a second member over a follower log; a process with an older revision must keep a wait from succeeding. The look-up of a process in a list is by name, since other tests add processes.

--- a/control/src/test/java/org/wagtailcart/control/http/ControlFixture.java
+++ b/control/src/test/java/org/wagtailcart/control/http/ControlFixture.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.control.ControlOptions;
 import org.wagtailcart.control.ControlRole;
@@ -15,6 +16,7 @@
 import org.wagtailcart.control.Samples;
 import org.wagtailcart.coordination.LocalLog;
 import org.wagtailcart.coordination.Member;
+import org.wagtailcart.coordination.ReplicatedLog;
 import org.wagtailcart.wire.IoLoop;
 import org.wagtailcart.wire.PeerClient;
 import org.wagtailcart.wire.PeerDispatcher;
@@ -29,16 +31,28 @@
     public final Address operatorAddress = freeAddress();
     public final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(2);
     public final PeerClient peers;
-    public final ControlState state = new ControlState(Samples.CODEC, new NoKeys());
+    public final ControlState state;
 
     private final ExecutorService executor = Executors.newCachedThreadPool();
     private final IoLoop loop = new IoLoop("fixture-io");
     private final MetricRegistry registry = new MetricRegistry();
-    private final LocalLog log = new LocalLog(new Member("c1", 1, peerAddress, true), state);
+    private final ReplicatedLog log;
     private final PeerServer server;
     private final ControlRole role;
 
+    /** Starts the leader. */
     public ControlFixture(FleetPlanner planner) {
+        this(planner, null);
+    }
+
+    /** Starts a follower of another fixture, which shows the leader's state as if it had just applied it. */
+    ControlFixture(FleetPlanner planner, @Nullable ControlFixture leader) {
+        state = leader == null ? new ControlState(Samples.CODEC, new NoKeys()) : leader.state;
+        Member self = new Member(leader == null ? "c1" : "c2", 1, peerAddress, true);
+        LocalLog local = new LocalLog(self, state);
+        log = leader == null
+                ? local
+                : new FollowerLog(local, self, leader.log.status().self());
         PeerDispatcher dispatcher = new PeerDispatcher();
         peers = new PeerClient(loop, Samples.CODEC, executor, WireOptions.standard(), registry);
         server = new PeerServer(
--- /dev/null
+++ b/control/src/test/java/org/wagtailcart/control/http/FollowerLog.java
@@ -0,0 +1,65 @@
+package org.wagtailcart.control.http;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.coordination.LogStatus;
+import org.wagtailcart.coordination.Member;
+import org.wagtailcart.coordination.MemberChange;
+import org.wagtailcart.coordination.Members;
+import org.wagtailcart.coordination.ReplicatedLog;
+
+/** Log of a member that follows another one. */
+record FollowerLog(ReplicatedLog local, Member self, Member leader) implements ReplicatedLog {
+    private static <T> CompletableFuture<T> notLeader() {
+        return CompletableFuture.failedFuture(new WagtailcartException(ResultCode.NOT_LEADER, "follower"));
+    }
+
+    @Override
+    public CompletableFuture<Object> propose(byte[] command) {
+        return notLeader();
+    }
+
+    @Override
+    public CompletableFuture<Long> confirmLeadership() {
+        return notLeader();
+    }
+
+    @Override
+    public CompletableFuture<Members> changeMembers(MemberChange change) {
+        return notLeader();
+    }
+
+    @Override
+    public CompletableFuture<Void> transferLeadership() {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public LogStatus status() {
+        LogStatus status = local.status();
+        return new LogStatus(
+                self,
+                LogStatus.Role.FOLLOWER,
+                1,
+                Optional.of(leader),
+                status.commitIndex(),
+                status.appliedIndex(),
+                0,
+                status.confirmedAtMillis(),
+                new Members(0, List.of(self, leader)));
+    }
+
+    @Override
+    public <T> CompletableFuture<T> read(Supplier<T> task) {
+        return local.read(task);
+    }
+
+    @Override
+    public void close() {
+        local.close();
+    }
+}
--- a/control/src/test/java/org/wagtailcart/control/http/OperatorServerTest.java
+++ b/control/src/test/java/org/wagtailcart/control/http/OperatorServerTest.java
@@ -11,7 +11,9 @@
 import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -21,12 +23,16 @@
 import org.wagtailcart.common.Lifecycle;
 import org.wagtailcart.control.FleetObservation;
 import org.wagtailcart.control.FleetPlanner;
+import org.wagtailcart.control.ObservedLoad;
 import org.wagtailcart.control.Samples;
 import org.wagtailcart.control.client.ControlClientImpl;
 import org.wagtailcart.control.client.LoadReport;
 import org.wagtailcart.control.client.PowerGrant;
 import org.wagtailcart.control.client.ProcessIdentity;
+import org.wagtailcart.control.client.ProcessesReply;
+import org.wagtailcart.control.client.ProcessesRequest;
 import org.wagtailcart.control.client.SyncLoop;
+import org.wagtailcart.control.client.SyncRequest;
 import org.wagtailcart.fleet.RegisterSidecar;
 import org.wagtailcart.fleet.RegisterSidecarResult;
 import org.wagtailcart.settings.ApplySettings;
@@ -38,6 +44,7 @@
     private static final FleetPlanner GRANTS = new FleetPlanner() {
         @Override
         public List<Object> plan(FleetObservation observation, long nowMillis) {
+            observation.loads().forEach(load -> seenLoad.accept(load));
             return List.of();
         }
 
@@ -47,11 +54,14 @@
         }
     };
 
+    private static volatile Consumer<ObservedLoad> seenLoad = load -> {};
     private static ControlFixture fixture;
+    private static ControlFixture follower;
 
     @BeforeAll
     static void start() {
         fixture = new ControlFixture(GRANTS);
+        follower = new ControlFixture(FleetPlanner.NONE, fixture);
         ApplySettingsResult result = client().submit(
                         new ApplySettings("c1", "test", 0, Samples.engines(3)), ApplySettingsResult.class, 30_000)
                 .join();
@@ -60,6 +70,7 @@
 
     @AfterAll
     static void stop() {
+        follower.close();
         fixture.close();
     }
 
@@ -69,8 +80,14 @@
 
     private static HttpResponse<String> call(String method, String path, String body, String token)
             throws IOException, InterruptedException {
+        return call(fixture, method, path, body, token);
+    }
+
+    private static HttpResponse<String> call(
+            ControlFixture member, String method, String path, String body, String token)
+            throws IOException, InterruptedException {
         return HTTP.send(
-                HttpRequest.newBuilder(URI.create("http://" + fixture.operatorAddress + path))
+                HttpRequest.newBuilder(URI.create("http://" + member.operatorAddress + path))
                         .header("Authorization", "Bearer " + token)
                         .method(method, HttpRequest.BodyPublishers.ofString(body))
                         .build(),
@@ -176,7 +193,7 @@
                     .filter(view -> view.lifecycle() == Lifecycle.DRAINED)
                     .ifPresent(view -> drained.complete(null)));
             loop.start();
-            fixture.scheduler.scheduleWithFixedDelay(
+            ScheduledFuture<?> polling = fixture.scheduler.scheduleWithFixedDelay(
                     () -> {
                         if (loop.powerGrantDeadlineMillis("e1") > 0) {
                             granted.complete(null);
@@ -186,6 +203,7 @@
                     10,
                     TimeUnit.MILLISECONDS);
             granted.get(60, TimeUnit.SECONDS);
+            polling.cancel(false);
             assertThat(loop.powerGrantDeadlineMillis("e9")).isEqualTo(0);
             ok(
                     "POST",
@@ -199,13 +217,80 @@
             assertThat(wait.path("in_force").asBoolean()).isTrue();
             JsonNode early = ok("GET", "/v1/wait?revision=2&limit_millis=0", "");
             assertThat(early.path("in_force").asBoolean()).isFalse();
-            assertThat(early.path("lagging").get(0).path("process_id").asText()).isEqualTo("s1");
-            assertThat(ok("GET", "/v1/status", "")
-                            .path("processes")
-                            .get(0)
-                            .path("revision")
-                            .asLong())
+            assertThat(revisionOf(early.path("lagging"), "s1")).isEqualTo(1);
+            assertThat(revisionOf(ok("GET", "/v1/status", "").path("processes"), "s1"))
                     .isEqualTo(1);
         }
     }
+
+    /**
+     * Guards against a follower that leaves its operators and processes without the leader: changes, status, load and
+     * grants must pass through it, and membership changes must name the leader's office.
+     */
+    @Test
+    void followerPassesOnToTheLeader() throws Exception {
+        LoadReport busy = new LoadReport("e2", true, 3, 0, 0, 0, 0, 0, false);
+        CompletableFuture<Void> planned = new CompletableFuture<>();
+        seenLoad = load -> {
+            if (load.report().equals(busy) && load.processId().equals("s2")) {
+                planned.complete(null);
+            }
+        };
+        try (SyncLoop loop = new SyncLoop(
+                new ProcessIdentity("s2", 8, "sidecar", "h", "d"),
+                List.of(follower.peerAddress),
+                fixture.peers,
+                Samples.CODEC,
+                fixture.scheduler,
+                () -> List.of(busy))) {
+            loop.start();
+            planned.get(60, TimeUnit.SECONDS);
+            HttpResponse<String> status = call(follower, "GET", "/v1/status", "", ControlFixture.TOKEN);
+            assertThat(status.body()).contains("\"process_id\":\"s2\"");
+            assertThat(status.body()).contains("\"role\":\"follower\"");
+            String order = "{\"change_id\":\"f1\",\"role\":\"decode\",\"expected_order_number\":0}";
+            HttpResponse<String> ordered =
+                    call(follower, "POST", "/v1/upstreams/e2/order", order, ControlFixture.TOKEN);
+            assertThat(ordered.body()).contains("\"order_number\":");
+            HttpResponse<String> again = call(fixture, "POST", "/v1/upstreams/e2/order", order, ControlFixture.TOKEN);
+            assertThat(again.body()).isEqualTo(ordered.body());
+        }
+        HttpResponse<String> member = call(
+                follower, "POST", "/v1/members", "{\"kind\":\"promote\",\"member_id\":\"c2\"}", ControlFixture.TOKEN);
+        assertThat(member.body()).contains("\"code\":3004");
+    }
+
+    /** Guards against "in force everywhere" while a process that may still serve has an older revision. */
+    @Test
+    void waitCountsProcessesThatLag() throws Exception {
+        SyncRequest old = new SyncRequest("old", 1, "entry", "h", "d", 0, 0, List.of());
+        boolean seen = false;
+        while (!seen) {
+            fixture.peers.call(fixture.peerAddress, old, Record.class, 30_000).get(30, TimeUnit.SECONDS);
+            long observedMillis = fixtureObservedMillis();
+            JsonNode answer = ok("GET", "/v1/wait?revision=1&limit_millis=0", "");
+            // The time is read before the answer, so that the last answer was given by a leader that knows all.
+            seen = observedMillis >= 2_000 && answer.path("lagging").toString().contains("\"process_id\":\"old\"");
+            assertThat(answer.path("in_force").asBoolean()
+                            && !answer.path("lagging").isEmpty())
+                    .isFalse();
+        }
+    }
+
+    /** Returns the revision of one process in a list of processes, -1 when it is not there. */
+    private static long revisionOf(JsonNode processes, String processId) {
+        for (JsonNode process : processes) {
+            if (process.path("process_id").asText().equals(processId)) {
+                return process.path("revision").asLong();
+            }
+        }
+        return -1;
+    }
+
+    private static long fixtureObservedMillis() throws Exception {
+        return fixture.peers
+                .call(fixture.peerAddress, new ProcessesRequest("test"), ProcessesReply.class, 30_000)
+                .get(30, TimeUnit.SECONDS)
+                .observedMillis();
+    }
 }
