Refuse incomplete syncs and digests, stop tasks on close

Cause: a sync without a process name would have broken the leader's list of processes at every later use; tasks kept their slots after close; an IPv6 operator listener was passed with brackets.

--- a/control/src/main/java/org/wagtailcart/control/Commands.java
+++ b/control/src/main/java/org/wagtailcart/control/Commands.java
@@ -96,8 +96,12 @@
                 || (typeNumber >= 402 && typeNumber <= 405);
     }
 
-    /** Checks that no field is missing, since a committed command must not fail on any member. */
-    private static void checkComplete(String path, @Nullable Object value) {
+    /**
+     * Checks that no field is missing, since a committed command must not fail on any member.
+     *
+     * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT}; the message names the field
+     */
+    static void checkComplete(String path, @Nullable Object value) {
         if (value == null) {
             throw new WagtailcartException(ResultCode.INVALID_ARGUMENT, "field " + path + " is missing");
         }
--- a/control/src/main/java/org/wagtailcart/control/ControlRole.java
+++ b/control/src/main/java/org/wagtailcart/control/ControlRole.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -65,6 +66,7 @@
     private final Map<String, Long> grantDeadlinesMillis = new HashMap<>();
     // Earlier than any monotonic time, so that an unconfirmed member grants no lease.
     private volatile long confirmedAtMillis = Long.MIN_VALUE / 4;
+    private final List<ScheduledFuture<?>> tasks = new ArrayList<>();
     private volatile boolean started;
     private @Nullable OperatorServer operatorServer;
 
@@ -136,6 +138,7 @@
     @Override
     public void close() {
         started = false;
+        tasks.forEach(task -> task.cancel(false));
         if (operatorServer != null) {
             operatorServer.close();
         }
@@ -189,8 +192,8 @@
     }
 
     private void repeat(Runnable task, long periodMillis) {
-        ScheduledFuture<?> unused = scheduler.scheduleWithFixedDelay(
-                () -> runSafely(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+        tasks.add(scheduler.scheduleWithFixedDelay(
+                () -> runSafely(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS));
     }
 
     private void runSafely(Runnable task) {
@@ -206,6 +209,7 @@
     private void sync(Exchange exchange, Object message) {
         syncs.mark();
         SyncRequest request = (SyncRequest) message;
+        Commands.checkComplete("sync", request);
         // The age is read before the state, so that a confirmation never covers more than the state that is answered.
         long ageMillis = confirmationAgeMillis();
         PublishedState published = state.published();
@@ -226,6 +230,7 @@
 
     private void digest(Exchange exchange, Object message) {
         LoadDigest digest = (LoadDigest) message;
+        Commands.checkComplete("digest", digest);
         boolean leading = commands.isLeader();
         if (leading) {
             book.digest(digest.requests(), clock.nowMillis());
--- a/control/src/main/java/org/wagtailcart/control/http/OperatorServer.java
+++ b/control/src/main/java/org/wagtailcart/control/http/OperatorServer.java
@@ -49,7 +49,7 @@
             Address listen, String token, OperatorBackend backend, MetricRegistry registry, Executor executor) {
         this.expectedAuthorization = ("Bearer " + token).getBytes(StandardCharsets.UTF_8);
         this.server = Undertow.builder()
-                .addHttpListener(listen.port(), listen.ip())
+                .addHttpListener(listen.port(), listen.ip().replaceAll("[\\[\\]]", ""))
                 .setIoThreads(1)
                 .setWorkerThreads(1)
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
--- a/control/src/test/java/org/wagtailcart/control/http/OperatorServerTest.java
+++ b/control/src/test/java/org/wagtailcart/control/http/OperatorServerTest.java
@@ -1,6 +1,7 @@
 package org.wagtailcart.control.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -11,21 +12,29 @@
 import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.wagtailcart.common.Lifecycle;
+import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.control.FleetObservation;
 import org.wagtailcart.control.FleetPlanner;
 import org.wagtailcart.control.ObservedLoad;
 import org.wagtailcart.control.Samples;
+import org.wagtailcart.control.client.CommandRequest;
 import org.wagtailcart.control.client.ControlClientImpl;
+import org.wagtailcart.control.client.LoadDigest;
 import org.wagtailcart.control.client.LoadReport;
 import org.wagtailcart.control.client.PowerGrant;
 import org.wagtailcart.control.client.ProcessIdentity;
@@ -35,6 +44,7 @@
 import org.wagtailcart.control.client.SyncRequest;
 import org.wagtailcart.fleet.RegisterSidecar;
 import org.wagtailcart.fleet.RegisterSidecarResult;
+import org.wagtailcart.fleet.SetLifecycle;
 import org.wagtailcart.settings.ApplySettings;
 import org.wagtailcart.settings.ApplySettingsResult;
 
@@ -277,6 +287,35 @@
         }
     }
 
+    /** Guards against a sync or command with missing fields that breaks the leader's later work. */
+    @ParameterizedTest
+    @MethodSource("incompleteRequests")
+    void refusesIncompleteRequests(Record request, String field) {
+        CompletableFuture<Record> answer = fixture.peers.call(fixture.peerAddress, request, Record.class, 30_000);
+        ExecutionException failed = assertThrows(ExecutionException.class, () -> answer.get(60, TimeUnit.SECONDS));
+        WagtailcartException cause = (WagtailcartException) failed.getCause();
+        assertThat(cause.code().number() / 1000).isEqualTo(1);
+        assertThat(cause.runState()).isEqualTo(RunState.NOT_RUN);
+        assertThat(cause).hasMessageThat().contains(field);
+    }
+
+    static Stream<Arguments> incompleteRequests() {
+        SyncRequest nameless = new SyncRequest(null, 1, "entry", "h", "d", 0, 0, List.of());
+        return Stream.of(
+                Arguments.of(nameless, "sync.processId"),
+                Arguments.of(new SyncRequest("p", 1, "entry", "h", "d", 0, 0, null), "sync.reports"),
+                Arguments.of(new LoadDigest("c2", List.of(nameless)), "digest.requests[].processId"),
+                Arguments.of(command(new ApplySettings("c9", "o", 1, null)), "command.edits"),
+                Arguments.of(command(new SetLifecycle("c9", "o", "e1", null, "")), "command.lifecycle"),
+                Arguments.of(new CommandRequest(500, new byte[0]), "message type 500 is not a command"),
+                Arguments.of(new CommandRequest(200, new byte[] {1}), "cannot be decoded"),
+                Arguments.of(new CommandRequest(200, new byte[(3 << 20) + 1]), "accepted are up to"));
+    }
+
+    private static CommandRequest command(Record command) {
+        return new CommandRequest(Samples.CODEC.typeNumber(command), Samples.CODEC.encode(command));
+    }
+
     /** Returns the revision of one process in a list of processes, -1 when it is not there. */
     private static long revisionOf(JsonNode processes, String processId) {
         for (JsonNode process : processes) {
