Forget callers that leave before their response begins

A response that is created after its connection has closed now counts as gone. aCallerThatLeavesWithinItsBodyIsForgotten and the disconnect tests wait until no request is open, so that a drain cannot hang on them.

--- a/entry/src/main/java/org/wagtailcart/entry/answer/CallerResponse.java
+++ b/entry/src/main/java/org/wagtailcart/entry/answer/CallerResponse.java
@@ -54,6 +54,7 @@
     public CallerResponse(HttpServerExchange exchange, ScheduledExecutorService timer) {
         this.exchange = exchange;
         this.timer = timer;
+        this.gone = exchange.isComplete() || !exchange.getConnection().isOpen();
         CallerWatch.watch(exchange, this::abort);
     }
 
--- a/entry/src/main/java/org/wagtailcart/entry/answer/Refusal.java
+++ b/entry/src/main/java/org/wagtailcart/entry/answer/Refusal.java
@@ -15,9 +15,9 @@
 public record Refusal(ResultCode code, RunState runState, boolean repeatSafe, String message) {
     /** Returns the refusal that an error stands for. */
     public static Refusal of(WagtailcartException error) {
-        boolean repeatSafe = error.runState() == RunState.NOT_RUN
-                ? error.code().runState() != RunState.NOT_RUN || error.code().repeatSafe()
-                : error.code().repeatSafe() && error.code().runState() != RunState.NOT_RUN;
+        boolean codeSaysNotRun = error.code().runState() == RunState.NOT_RUN;
+        boolean notRun = error.runState() == RunState.NOT_RUN;
+        boolean repeatSafe = codeSaysNotRun == notRun ? error.code().repeatSafe() : notRun;
         return new Refusal(error.code(), error.runState(), repeatSafe, String.valueOf(error.getMessage()));
     }
 
--- a/entry/src/main/java/org/wagtailcart/entry/keyed/KeyedAction.java
+++ b/entry/src/main/java/org/wagtailcart/entry/keyed/KeyedAction.java
@@ -13,7 +13,7 @@
      *
      * @param step step of this action
      * @param excluded upstreams that did not take the call
-     * @param reason why a new attempt is wanted; empty text for the first
+     * @param reason why a route is wanted
      */
     record ChooseRoute(int step, Set<String> excluded, RouteReason reason) implements KeyedAction {}
 
--- a/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
@@ -333,6 +333,18 @@
         }
         assertThat(first.cancelled.await(30, TimeUnit.SECONDS)).isTrue();
         await(() -> rig.entry.dump().routedAttempts() == 0);
+        await(() -> rig.entry.dump().openRequests() == 0);
+    }
+
+    /** Guards against a request that stays open, and holds up a shutdown, after its caller left within the body. */
+    @Test
+    void aCallerThatLeavesWithinItsBodyIsForgotten() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", rig.address.port())) {
+            String head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            await(() -> rig.entry.dump().openRequests() == 1);
+        }
+        await(() -> rig.entry.dump().openRequests() == 0);
     }
 
     /** Guards against a deadline that is not kept, and against a claim that the work did not run. */
--- a/once/src/main/java/org/wagtailcart/once/KeyRegistry.java
+++ b/once/src/main/java/org/wagtailcart/once/KeyRegistry.java
@@ -59,7 +59,7 @@
     private long expiredCount;
     private long timedOutCount;
 
-    /** Returns whether a command or query belongs to this registry. */
+    /** Returns whether a command belongs to this registry; {@link LookupKey} is no command. */
     public static boolean handles(Object command) {
         return command instanceof ReserveKey
                 || command instanceof CompleteKey
