--- a/bench/src/main/java/org/wagtailcart/bench/SimControl.java
+++ b/bench/src/main/java/org/wagtailcart/bench/SimControl.java
@@ -80,7 +80,7 @@
                         yield power.grants(now);
                     }
                     case FIXED -> givenGrants.grants(known, limitAt(0), now);
-                    case KNOWN -> givenGrants.grants(known, Math.min(limitAt(now), limitAt(now + 4_000)), now);
+                    case KNOWN -> givenGrants.grants(known, Math.min(limitAt(now), limitAt(now + 6_000)), now);
                 };
         grants = given.stream().collect(Collectors.toMap(EngineGrant::upstreamId, grant -> grant));
     }
--- a/policy/src/main/java/org/wagtailcart/policy/power/PowerController.java
+++ b/policy/src/main/java/org/wagtailcart/policy/power/PowerController.java
@@ -11,6 +11,12 @@
     /** Share kept when strain appears without a step up just before it: the limit itself has fallen. */
     private static final double BACKOFF = 0.75;
 
+    /** Share of the allowance in use at which waiting requests justify a step up. */
+    private static final double MOSTLY_USED = 0.75;
+
+    /** Settle times after which a step that load does not use no longer holds up the next one. */
+    private static final int IDLE_SETTLES = 4;
+
     private final PowerOptions options;
     private final StrainDetector detector;
     private final GrantBook grants;
@@ -54,13 +60,15 @@
     }
 
     private void backOff(long nowMillis) {
-        boolean probeFailed = provenBeforeProbe > 0;
-        ceiling = Math.max(1, probeFailed ? allowance : Math.min(allowance, Math.max(1, hardCount())));
-        allowance = probeFailed ? provenBeforeProbe : (int) (ceiling * BACKOFF);
-        if (probeFailed) {
-            ceilingRetryAtMillis = nowMillis + ceilingRetryMillis;
+        if (provenBeforeProbe > 0) {
+            ceiling = allowance;
+            allowance = provenBeforeProbe;
             ceilingRetryMillis = Math.min(options.lastCeilingRetryMillis(), 2 * ceilingRetryMillis);
+            ceilingRetryAtMillis = nowMillis + ceilingRetryMillis;
         } else {
+            // The reports may describe more engines than the allowance, from before the step down.
+            ceiling = Math.max(allowance, hardCount());
+            allowance = Math.max(1, Math.min(allowance - 1, (int) (hardCount() * BACKOFF)));
             ceilingRetryMillis = options.firstCeilingRetryMillis();
             ceilingRetryAtMillis = nowMillis + ceilingRetryMillis;
         }
@@ -70,20 +78,22 @@
     }
 
     private void confirmProbe(long nowMillis) {
-        if (provenBeforeProbe > 0 && nowMillis >= probeProvenAtMillis && hardCount() >= allowance) {
+        boolean used = hardCount() >= allowance;
+        boolean idle = nowMillis >= probeProvenAtMillis + IDLE_SETTLES * options.settleMillis();
+        if (provenBeforeProbe > 0 && nowMillis >= probeProvenAtMillis && (used || idle)) {
             provenBeforeProbe = 0;
-            if (allowance >= ceiling) {
-                ceiling = Integer.MAX_VALUE;
-                ceilingRetryMillis = options.firstCeilingRetryMillis();
-            }
+        }
+        boolean settled = nowMillis >= settledMillis && provenBeforeProbe == 0;
+        if (settled && allowance >= ceiling && hardCount() >= ceiling) {
+            ceiling = Integer.MAX_VALUE;
+            ceilingRetryMillis = options.firstCeilingRetryMillis();
         }
     }
 
     private void probe(long nowMillis) {
-        boolean used = hardCount() >= allowance;
         boolean allowed = allowance + 1 < ceiling || nowMillis >= ceilingRetryAtMillis;
         boolean possible = allowance < engines.size();
-        if (provenBeforeProbe == 0 && nowMillis >= nextProbeMillis && used && allowed && possible) {
+        if (provenBeforeProbe == 0 && nowMillis >= nextProbeMillis && wanted() && allowed && possible) {
             provenBeforeProbe = Math.max(1, allowance);
             allowance++;
             // A step proves itself once reports from after it have arrived.
@@ -92,6 +102,13 @@
         }
     }
 
+    /** Returns whether another grant would be used: nearly all are, or requests wait at engines without one. */
+    private boolean wanted() {
+        boolean waiting =
+                engines.stream().anyMatch(engine -> engine.inService() && !engine.hard() && engine.queued() > 0);
+        return hardCount() >= allowance - 1 || (waiting && hardCount() >= MOSTLY_USED * allowance);
+    }
+
     private int hardCount() {
         return (int) engines.stream()
                 .filter(engine -> engine.inService() && engine.hard())
