--- a/policy/src/main/java/org/wagtailcart/policy/role/RolePlanner.java
+++ b/policy/src/main/java/org/wagtailcart/policy/role/RolePlanner.java
@@ -22,7 +22,7 @@
     private static final double SLOW_AVERAGE_MILLIS = 30_000;
 
     /** Share of the demand that must be won; less is within the error of the rates. */
-    private static final double MIN_GAIN = 0.02;
+    private static final double MIN_GAIN = 0.03;
 
     /** Goodput seconds of the whole fleet that one role change is worth at equal weights. */
     private static final double CHANGE_COST_SECONDS = 2;
