--- a/bench/src/main/java/org/wagtailcart/bench/SimControl.java
+++ b/bench/src/main/java/org/wagtailcart/bench/SimControl.java
@@ -54,10 +54,6 @@
         return roleChanges;
     }
 
-    int allowance() {
-        return power.allowance();
-    }
-
     void onReport(EngineObservation observation) {
         EngineObservation known = observations.get(observation.upstreamId());
         if (known == null || known.measuredMillis() < observation.measuredMillis()) {
--- a/bench/src/main/java/org/wagtailcart/bench/Simulation.java
+++ b/bench/src/main/java/org/wagtailcart/bench/Simulation.java
@@ -5,7 +5,6 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
@@ -244,11 +243,4 @@
     long seed() {
         return seed;
     }
-
-    /** Returns a summary of the roles, for the state dump of a run. */
-    String roles() {
-        return engines.values().stream()
-                .map(engine -> engine.role.settingName())
-                .collect(Collectors.joining(","));
-    }
 }
--- a/bench/src/main/java/org/wagtailcart/bench/Suite.java
+++ b/bench/src/main/java/org/wagtailcart/bench/Suite.java
@@ -2,22 +2,31 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.ForkJoinPool;
 import java.util.stream.Stream;
 
 /** Runs all contenders of scenarios and deployments. */
 final class Suite {
     static final long DEFAULT_SEED = 20261204;
 
+    /** Each run holds some 50 MB of requests; four fit the heap of the tests. */
+    private static final int THREADS = 4;
+
     private Suite() {}
 
     static List<Result> run(List<Scenario> scenarios, List<Deployment> deployments, long seed) {
-        return scenarios.stream()
+        List<Simulation> simulations = scenarios.stream()
                 .flatMap(
                         scenario -> deployments.stream().flatMap(deployment -> simulations(scenario, deployment, seed)))
-                .toList()
-                .parallelStream()
-                .map(Simulation::run)
                 .toList();
+        ForkJoinPool pool = new ForkJoinPool(THREADS);
+        try {
+            return pool.submit(() ->
+                            simulations.parallelStream().map(Simulation::run).toList())
+                    .join();
+        } finally {
+            pool.shutdown();
+        }
     }
 
     private static Stream<Simulation> simulations(Scenario scenario, Deployment deployment, long seed) {
