--- a/standin/src/main/java/org/wagtailcart/standin/Standin.java
+++ b/standin/src/main/java/org/wagtailcart/standin/Standin.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.ParameterException;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import org.wagtailcart.common.WagtailcartException;
 
 /** Main program of the stand-ins and the load generator. */
 public final class Standin {
@@ -19,7 +20,7 @@
         JCommander parser = builder.build();
         try {
             parser.parse(arguments);
-        } catch (ParameterException e) {
+        } catch (ParameterException | WagtailcartException e) {
             Console.error(String.valueOf(e.getMessage()));
             System.exit(USAGE_STATUS);
         }
