Look up the branches of upstreams once for each settings tree

Cause: every request and tick scanned all branches of the tree, which has 30,000 workspaces at target size. Not measured.

--- a/sidecar/src/main/java/org/wagtailcart/sidecar/AttemptHandler.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/AttemptHandler.java
@@ -36,6 +36,7 @@
     private final ControlView view;
     private final Epoch epoch;
     private final RevisionGate revisions;
+    private final UpstreamSettings settings;
     private final UpstreamClient client;
     private final EngineClient engines;
     private final Executor traffic;
@@ -49,6 +50,7 @@
             ControlView view,
             Epoch epoch,
             RevisionGate revisions,
+            UpstreamSettings settings,
             UpstreamClient client,
             EngineClient engines,
             Executor traffic,
@@ -59,6 +61,7 @@
         this.view = view;
         this.epoch = epoch;
         this.revisions = revisions;
+        this.settings = settings;
         this.client = client;
         this.engines = engines;
         this.traffic = traffic;
@@ -99,7 +102,7 @@
     /** Applies the limits of an upstream to its queue. */
     void adjust(UpstreamSlot slot, UpstreamView upstream) {
         slot.expire(clock.nowMillis()).forEach(attempt -> refuse(attempt, expired()));
-        slot.adjust(Limits.of(upstream, view, clock)).forEach(this::runSoon);
+        slot.adjust(settings.limits(upstream)).forEach(this::runSoon);
     }
 
     /**
@@ -135,7 +138,7 @@
         try {
             UpstreamView upstream = checkedUpstream(attempt.request());
             UpstreamSlot slot = role.slot(upstream.upstreamId());
-            PriorityGate.Offer<Attempt> offer = slot.offer(attempt, Limits.of(upstream, view, clock));
+            PriorityGate.Offer<Attempt> offer = slot.offer(attempt, settings.limits(upstream));
             offer.refused()
                     .forEach(refused -> refuse(
                             refused, new WagtailcartException(ResultCode.QUEUE_FULL, "queue of the upstream is full")));
@@ -277,7 +280,7 @@
     private void release(Attempt attempt) {
         UpstreamSlot slot = role.slot(attempt.request().upstreamId());
         List<Attempt> next = view.upstream(attempt.request().upstreamId())
-                .map(upstream -> slot.release(attempt, Limits.of(upstream, view, clock)))
+                .map(upstream -> slot.release(attempt, settings.limits(upstream)))
                 .orElseGet(() -> slot.release(attempt, new Limits(0, 0, false)));
         next.forEach(this::runSoon);
     }
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/SidecarRole.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/SidecarRole.java
@@ -50,6 +50,7 @@
     private final Registration registration;
     private final AttemptHandler attempts;
     private final EngineClient engines;
+    private final UpstreamSettings settings;
     private final Map<String, UpstreamSlot> slots = new ConcurrentHashMap<>();
     private final Map<String, OrderRunner> orders = new ConcurrentHashMap<>();
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -93,8 +94,10 @@
         registration = new Registration(options, control, controlThread, epoch);
         UpstreamClient client = new UpstreamClient(options.upstream(), clock);
         engines = new EngineClient(client);
+        settings = new UpstreamSettings(view, clock, options.drainLimitMillis());
         RevisionGate revisions = new RevisionGate(revision, clock, options.revisionWaitMillis());
-        attempts = new AttemptHandler(options, view, epoch, revisions, client, engines, traffic, clock, registry, this);
+        attempts = new AttemptHandler(
+                options, view, epoch, revisions, settings, client, engines, traffic, clock, registry, this);
         dispatcher.register(
                 AttemptRequest.class, (exchange, request) -> attempts.handle(exchange, (AttemptRequest) request));
         dispatcher.register(
@@ -205,7 +208,7 @@
         attempts.adjust(slot, upstream);
         boolean leaving = !upstream.lifecycle().takesNewWork();
         long leavingMillis = slot.leavingMillis(leaving, clock.nowMillis());
-        if (upstream.kind() == UpstreamKind.ENGINE && leaving && leavingMillis >= drainLimitMillis(upstream)) {
+        if (upstream.kind() == UpstreamKind.ENGINE && leaving && leavingMillis >= settings.drainLimitMillis(upstream)) {
             attempts.moveElsewhere(slot, ResultCode.UPSTREAM_LEAVING);
         }
         if (upstream.kind() == UpstreamKind.ENGINE && epoch.valid()) {
@@ -221,14 +224,10 @@
         boolean ordered = upstream.orderState() == OrderState.ISSUED || upstream.startedOrderNumber() > 0;
         int inWork = slot.holdForOrder(ordered || runner.busy());
         if (!draining || runner.busy()) {
-            runner.step(upstream, epoch.number(), inWork, drainLimitMillis(upstream));
+            runner.step(upstream, epoch.number(), inWork, settings.drainLimitMillis(upstream));
         }
     }
 
-    private long drainLimitMillis(UpstreamView upstream) {
-        return Limits.drainLimitMillis(view.settings(), upstream.upstreamId(), options.drainLimitMillis());
-    }
-
     private OrderRunner newRunner(String upstreamId) {
         return new OrderRunner(
                 upstreamId,
