Test the sidecar over the wire, late answers and the transfer of KV

Cause: the messages had not passed a real connection, an answer after the caller's deadline was not covered, and neither was the hand-over of a KV cache between two stand-in engines. Change: SidecarWireTest, lateAnswerIsRecorded and heldKvIsImportedByAnotherEngine; cancelReachesTheEngine also waits for the cancellation that the engine counts.

--- a/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarRoleTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarRoleTest.java
@@ -178,6 +178,16 @@
         assertThat(fixture.service.runs()).isEmpty();
     }
 
+    /** Guards against an outcome that is given up because the answer came after the caller's deadline. */
+    @Test
+    void lateAnswerIsRecorded() throws Exception {
+        fixture.service.fault(new Fault(FaultKind.DELAY, 1, 0, 700));
+        AttemptRequest booking = fixture.request("k7", 2_000, fixture.epoch(), "s", "/book", "wheel", 200);
+        fixture.send(booking).answer();
+        assertThat(fixture.query(booking).state()).isEqualTo(AttemptStatus.State.DONE);
+        assertThat(fixture.service.runs()).containsExactly("k7", 1L);
+    }
+
     /** Guards against a call whose outcome is lost because the entry that asked for it was killed. */
     @Test
     void outcomeIsKeptWhenTheEntryIsGone() throws Exception {
@@ -185,9 +195,6 @@
         AttemptRequest booking = fixture.booking("k6");
         fixture.send(booking).cancel();
         assertThat(fixture.query(booking).state()).isEqualTo(AttemptStatus.State.RUNNING);
-        SidecarFixture.await(() -> !fixture.service.runs().isEmpty());
-        TestExchange ended = fixture.send(fixture.stream("any", 1));
-        ended.answer();
         SidecarFixture.await(() -> stateOf(booking) == AttemptStatus.State.DONE);
     }
 
@@ -200,6 +207,7 @@
         exchange.cancel();
         assertThat(exchange.failure().code()).isEqualTo(ResultCode.CALLER_GONE);
         SidecarFixture.await(() -> fixture.engine.inFlight() == 0);
+        SidecarFixture.await(() -> fixture.engine.counters().cancelled() == 1);
     }
 
     /** Guards against work under settings that the entry or the sidecar does not have (R9). */
--- /dev/null
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarWireTest.java
@@ -0,0 +1,92 @@
+package org.wagtailcart.sidecar;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.sidecar.message.AttemptEnd;
+import org.wagtailcart.sidecar.message.AttemptQuery;
+import org.wagtailcart.sidecar.message.AttemptRequest;
+import org.wagtailcart.sidecar.message.AttemptStatus;
+import org.wagtailcart.sidecar.message.SidecarMessages;
+import org.wagtailcart.wire.Call;
+import org.wagtailcart.wire.IoLoop;
+import org.wagtailcart.wire.MessageCodec;
+import org.wagtailcart.wire.PeerClient;
+import org.wagtailcart.wire.PeerServer;
+import org.wagtailcart.wire.StreamListener;
+import org.wagtailcart.wire.WireOptions;
+
+/** A sidecar behind real peer connections. */
+class SidecarWireTest {
+    private final SidecarFixture fixture = new SidecarFixture(options -> options);
+    private final MessageCodec codec = new MessageCodec(List.of(SidecarMessages.TYPES));
+    private final IoLoop loop = new IoLoop("test-io");
+    private final Address address = SidecarFixture.freeAddress();
+    private final PeerServer server = new PeerServer(
+            loop, address, codec, fixture.dispatcher, fixture.traffic, WireOptions.standard(), fixture.registry);
+    private final PeerClient client =
+            new PeerClient(loop, codec, fixture.traffic, WireOptions.standard(), fixture.registry);
+
+    @AfterEach
+    void stop() {
+        client.close();
+        server.close();
+        loop.close();
+        fixture.close();
+    }
+
+    private static final class Listener implements StreamListener {
+        private final Queue<Object> events = new ConcurrentLinkedQueue<>();
+        private final CompletableFuture<AttemptEnd> end = new CompletableFuture<>();
+
+        @Override
+        public void onEvent(Object event) {
+            events.add(event);
+        }
+
+        @Override
+        public void onEnd(Object answer) {
+            end.complete((AttemptEnd) answer);
+        }
+
+        @Override
+        public void onFailure(WagtailcartException error) {
+            end.completeExceptionally(error);
+        }
+    }
+
+    /** Guards against messages that cannot be encoded, and against counts that do not match what an entry receives. */
+    @Test
+    void streamAndQueryPassTheWire() throws Exception {
+        Listener listener = new Listener();
+        Call unused = client.open(address, fixture.stream("w1", 200), listener);
+        AttemptEnd end = listener.end.get(60, TimeUnit.SECONDS);
+        assertThat(end.chunks()).isEqualTo(listener.events.size() - 1);
+        AttemptRequest booking = fixture.booking("w2");
+        AttemptQuery query = new AttemptQuery("w2", booking.attemptNumber(), booking.epoch(), "s");
+        AttemptStatus status =
+                client.call(address, query, AttemptStatus.class, 60_000).get(60, TimeUnit.SECONDS);
+        assertThat(status.state()).isEqualTo(AttemptStatus.State.NOT_SENT);
+        assertThat(status.answer()).isNull();
+    }
+
+    /** Guards against a stream that goes on at the engine after its entry was killed. */
+    @Test
+    void lostEntryCancelsItsStreams() throws Exception {
+        Listener listener = new Listener();
+        Call unused = client.open(address, fixture.stream("w3", 1_000_000), listener);
+        SidecarFixture.await(() -> listener.events.size() > 3);
+        client.close();
+        SidecarFixture.await(() -> fixture.engine.inFlight() == 0);
+        SidecarFixture.await(
+                () -> fixture.registry.counter("sidecar.attempt.caller-gone").getCount() == 1);
+    }
+}
--- a/standin/src/test/java/org/wagtailcart/standin/StandinEngineTest.java
+++ b/standin/src/test/java/org/wagtailcart/standin/StandinEngineTest.java
@@ -41,9 +41,7 @@
     @CsvSource({"0, 20", "7, 20", "20, 20"})
     void resumedStreamContinuesTheSameTokens(int from, int to) throws Exception {
         String answer = post("/v1/completions", stream(from, to)).body();
-        StringBuilder expected = new StringBuilder();
         for (int index = from; index < to; index++) {
-            expected.append("id: ").append(index).append("\n");
             assertThat(answer).contains("id: " + index + "\n");
             assertThat(answer).contains(Tokens.token("hello", index));
         }
@@ -86,6 +84,24 @@
         assertThat(answer.headers().firstValue("X-Request-Id")).hasValue("unknown-r1");
     }
 
+    /** Guards against a KV cache that cannot be handed from a prefill engine to a decode engine. */
+    @Test
+    void heldKvIsImportedByAnotherEngine() throws Exception {
+        try (ServerSocket free = new ServerSocket(0)) {
+            Address other = new Address("127.0.0.1", free.getLocalPort());
+            free.close();
+            try (StandinEngine decode = new StandinEngine(EngineOptions.forTest(other, "m"))) {
+                decode.start();
+                String held = "{\"model\":\"m\",\"prompt\":\"hello\",\"max_tokens\":0,\"hold_kv\":true}";
+                assertThat(post("/v1/completions", held).statusCode()).isEqualTo(200);
+                String source = "{\"address\":\"" + address + "\",\"request_id\":\"r1\"}";
+                String body = "{\"model\":\"m\",\"prompt\":\"hello\",\"max_tokens\":3,\"kv_source\":" + source + "}";
+                assertThat(post(other, "/v1/completions", body).body()).contains(Tokens.text("hello", 0, 3));
+                assertThat(decode.counters().kvImports()).isEqualTo(1);
+            }
+        }
+    }
+
     private void awaitState(String part) throws Exception {
         List<String> seen = new ArrayList<>();
         long deadline = System.nanoTime() + 20_000_000_000L;
@@ -116,7 +132,11 @@
     }
 
     private HttpResponse<String> post(String path, String body) throws Exception {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + path))
+        return post(address, path, body);
+    }
+
+    private HttpResponse<String> post(Address to, String path, String body) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + to + path))
                 .header("X-Request-Id", "r1")
                 .POST(HttpRequest.BodyPublishers.ofString(body))
                 .build();
