Insert a branch once for all its consecutive edits

Cause: a whole tree cost one insertion and one copy for each key. Change: SettingsEditor collects consecutive edits of one branch. Proof: SettingsStateFuzzTest and SettingsTreeTest green.

--- a/settings/src/main/java/org/wagtailcart/settings/SettingsEditor.java
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsEditor.java
@@ -23,6 +23,9 @@
     private final SettingsTree before;
     private final Set<String> touched = new LinkedHashSet<>();
     private TreePMap<String, Map<String, String>> branches;
+    // Consecutive edits of one branch are collected here, so that a whole tree costs one insertion for each branch.
+    private String pendingBranch = "";
+    private Map<String, String> pendingOwn = new TreeMap<>();
 
     SettingsEditor(SettingsTree before) {
         this.before = before;
@@ -35,13 +38,17 @@
     }
 
     SettingsTree finish(long revision) {
+        flush();
         SettingsTree tree = new SettingsTree(revision, branches, before.upstreams());
         PSortedMap<String, UpstreamSettings> upstreams = upstreamsOf(tree);
         return new SettingsTree(revision, branches, upstreams);
     }
 
     private void apply(SettingsEdit edit) {
-        checkPath(edit.branch());
+        if (!edit.branch().equals(pendingBranch) || edit.kind() != SettingsEdit.Kind.SET) {
+            checkPath(edit.branch());
+            flush();
+        }
         switch (edit.kind()) {
             case SET -> set(edit);
             case UNSET -> unset(edit);
@@ -52,13 +59,23 @@
 
     private void set(SettingsEdit edit) {
         if (edit.key().isEmpty()) {
+            flush();
             branches = branches.plus(edit.branch(), own(edit.branch()));
             return;
         }
         SettingsKey.check(edit.branch(), edit.key(), edit.value());
-        Map<String, String> changed = new TreeMap<>(own(edit.branch()));
-        changed.put(edit.key(), edit.value());
-        put(edit.branch(), changed);
+        if (pendingBranch.isEmpty()) {
+            pendingBranch = edit.branch();
+            pendingOwn = new TreeMap<>(own(edit.branch()));
+        }
+        pendingOwn.put(edit.key(), edit.value());
+    }
+
+    private void flush() {
+        if (!pendingBranch.isEmpty()) {
+            put(pendingBranch, pendingOwn);
+            pendingBranch = "";
+        }
     }
 
     private void unset(SettingsEdit edit) {
