--- a/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -70,7 +71,7 @@
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
         while (!condition.getAsBoolean()) {
             assertThat(System.nanoTime()).isLessThan(end);
-            Thread.onSpinWait();
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
         }
     }
 
