Make the drain test see a drain that does not wait

Cause: with the wait for running attempts taken out the test stayed green: it looked before the sidecar's next tick. Change: the test lets 20 more events pass (400 ms, four ticks) before it looks. With the wait taken out it is now red, with it green (mvn -pl sidecar -am -Dtest=SidecarRoleTest#drainWaitsForRunningAndRefusesNew).

--- a/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarRoleTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarRoleTest.java
@@ -335,6 +335,9 @@
         WagtailcartException refusal = fixture.send(fixture.stream("n2", 1)).failure();
         assertThat(refusal.code()).isEqualTo(ResultCode.SHUTTING_DOWN);
         assertThat(refusal.runState()).isEqualTo(RunState.NOT_RUN);
+        // 20 more events take 400 ms, in which the sidecar looks several times whether it is done.
+        int received = running.events().size();
+        SidecarFixture.await(() -> running.events().size() > received + 20);
         assertThat(drained.isDone()).isFalse();
         running.answer();
         drained.get(60, TimeUnit.SECONDS);
