Run the policies for power and roles on the control leader

Cause: the leader's planner hook had only the no-op planner. Ruled out: demand from served tokens, which hides work that was refused. Conclusion: built and wired; the measurement through processes follows.

--- a/control/src/test/java/org/wagtailcart/control/http/ControlFixture.java
+++ b/control/src/test/java/org/wagtailcart/control/http/ControlFixture.java
@@ -62,6 +62,7 @@
         role = new ControlRole(
                 options, log, state, Samples.CODEC, dispatcher, peers, planner, registry, executor, scheduler);
         role.start();
+        server.start();
     }
 
     private static Address freeAddress() {
--- a/daemon/src/main/java/org/wagtailcart/daemon/Daemon.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/Daemon.java
@@ -158,7 +158,7 @@
         return switch (role) {
             case CONTROL -> control.get();
             case SIDECAR -> createSidecar();
-            case ENTRY -> entry.get();
+            case ENTRY -> createEntry();
         };
     }
 
@@ -168,6 +168,12 @@
         return created;
     }
 
+    private RoleService createEntry() {
+        EntryRole created = entry.get();
+        reports.add(created::reports);
+        return created;
+    }
+
     private boolean needsSync() {
         return settings.roles().stream().anyMatch(role -> role != ProcessRole.CONTROL);
     }
--- a/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -18,7 +18,7 @@
 import org.wagtailcart.control.ControlOptions;
 import org.wagtailcart.control.ControlRole;
 import org.wagtailcart.control.ControlState;
-import org.wagtailcart.control.FleetPlanner;
+import org.wagtailcart.control.PolicyPlanner;
 import org.wagtailcart.control.client.ControlClient;
 import org.wagtailcart.control.client.ControlClientImpl;
 import org.wagtailcart.control.client.ProcessIdentity;
@@ -113,7 +113,7 @@
         Address operator = required(settings.operatorListener(), "listen", "operator");
         ControlOptions options = ControlOptions.standard(operator, token.text());
         return new ControlRole(
-                options, log, state, codec, dispatcher, peers, FleetPlanner.NONE, registry, traffic, timer);
+                options, log, state, codec, dispatcher, peers, new PolicyPlanner(), registry, traffic, timer);
     }
 
     @Provides
--- a/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
+++ b/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
@@ -21,6 +21,7 @@
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.entry.admission.DemandMeter;
 import org.wagtailcart.entry.admission.WorkspaceLimits;
 import org.wagtailcart.entry.answer.CallerResponse;
 import org.wagtailcart.entry.answer.Refusal;
@@ -47,6 +48,7 @@
 
     private final CallContext context;
     private final WorkspaceLimits limits;
+    private final DemandMeter demand;
     private final State state;
     private final KeyedCalls keyedCalls;
     private final BodyMemory bodies = new BodyMemory(Runtime.getRuntime().maxMemory() / 4);
@@ -84,7 +86,8 @@
      */
     private record Model(String id, String object, String owned_by) {}
 
-    CallerHandler(CallContext context, WorkspaceLimits limits, State state) {
+    CallerHandler(CallContext context, WorkspaceLimits limits, DemandMeter demand, State state) {
+        this.demand = demand;
         this.context = context;
         this.limits = limits;
         this.state = state;
@@ -209,6 +212,7 @@
             request = RequestClassifier.classify(
                     head(exchange), body, state.pools(), context.clock().nowMillis());
             context.counters().count(Stage.CLASSIFY, ResultCode.OK);
+            request.completion().ifPresent(demand::onRequest);
         } catch (WagtailcartException e) {
             refuse(response, Stage.CLASSIFY, Refusal.of(e));
             return;
--- a/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
+++ b/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
@@ -4,6 +4,7 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.handlers.HttpContinueReadHandler;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -17,7 +18,9 @@
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.control.client.ControlClient;
 import org.wagtailcart.control.client.ControlView;
+import org.wagtailcart.control.client.LoadReport;
 import org.wagtailcart.entry.admission.Admission;
+import org.wagtailcart.entry.admission.DemandMeter;
 import org.wagtailcart.entry.admission.Dispatch;
 import org.wagtailcart.entry.admission.RetryBudget;
 import org.wagtailcart.entry.admission.WorkspaceLimits;
@@ -44,6 +47,7 @@
     private final MillisClock clock;
     private final Dispatch dispatch;
     private final WorkspaceLimits limits = new WorkspaceLimits();
+    private final DemandMeter demand;
     private final CallerHandler handler;
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
     private final AtomicBoolean installing = new AtomicBoolean();
@@ -82,7 +86,8 @@
         this.dispatch = new Dispatch(router, admission, clock, pools);
         CallContext context = new CallContext(
                 view, control, peers, dispatch, budget, new StageCounters(registry), timer, clock, this::allows);
-        this.handler = new CallerHandler(context, limits, new HandlerState());
+        this.demand = new DemandMeter(clock.nowMillis());
+        this.handler = new CallerHandler(context, limits, demand, new HandlerState());
     }
 
     private final class HandlerState implements CallerHandler.State {
@@ -135,6 +140,11 @@
         }
     }
 
+    /** Returns the demand of each model since the previous call, for the sync. */
+    public List<LoadReport> reports() {
+        return demand.reports(clock.nowMillis());
+    }
+
     @Override
     public boolean ready() {
         return !draining && allows(RequestKind.COMPLETION);
--- a/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
@@ -38,7 +38,9 @@
     REQUESTS_PER_SECOND(0, 1_000_000),
     NON_IDEMPOTENT("a comma-separated list of METHOD /path-prefix", Accepted.CALLS),
     GOODPUT_WEIGHT(0, 1000),
-    ROLE_CHANGE_WEIGHT(0, 1000);
+    ROLE_CHANGE_WEIGHT(0, 1000),
+    PREFILL_TOKENS_PER_SECOND(1, 10_000_000),
+    DECODE_TOKENS_PER_SECOND(1, 10_000_000);
 
     // A value travels in every whole tree; the longest legitimate one is a list of call prefixes.
     private static final int MAX_VALUE_CHARS = 4096;
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarWireTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarWireTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.WagtailcartException;
@@ -35,6 +36,11 @@
     private final PeerClient client =
             new PeerClient(loop, codec, fixture.traffic, WireOptions.standard(), fixture.registry);
 
+    @BeforeEach
+    void start() {
+        server.start();
+    }
+
     @AfterEach
     void stop() {
         client.close();
