Prove keyed calls under process faults and planned changes under streams

Change: KeyedCallFaultTest strikes services, sidecars, entries and the control leader while a booking runs; PlannedChangeTest drains, orders, changes settings and stops each kind of process under 12 streams.

--- /dev/null
+++ b/daemon/src/test/java/org/wagtailcart/daemon/KeyedCallFaultTest.java
@@ -0,0 +1,131 @@
+package org.wagtailcart.daemon;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.UncheckedIOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** A booking under faults of real processes: it runs at most once, and "not run" is true. */
+class KeyedCallFaultTest {
+    private static final List<String> SIDECARS = List.of("sidecar-1", "sidecar-2");
+    private static final List<String> SERVICES = List.of("stock-1", "stock-2");
+    private static ProcessFleet fleet;
+
+    /** What happens while the booking runs, and how it is repaired. */
+    enum Fault {
+        SERVICE_RESETS_AFTER_RUN((fleet, key) -> {}, "{\"kind\":\"reset-after\",\"count\":1}", (fleet, key) -> {}),
+        SERVICE_RESETS_BEFORE_RUN((fleet, key) -> {}, "{\"kind\":\"reset-before\",\"count\":1}", (fleet, key) -> {}),
+        SERVICE_IS_SILENT((fleet, key) -> {}, "{\"kind\":\"silent\",\"count\":1}", (fleet, key) -> {}),
+        SIDECARS_KILLED(
+                (fleet, key) -> SIDECARS.forEach(name -> fleet.process(name).kill()),
+                "",
+                (fleet, key) -> SIDECARS.forEach(name -> fleet.startDaemon(name, "sidecar"))),
+        SIDECARS_PAUSED(
+                (fleet, key) -> SIDECARS.forEach(name -> fleet.process(name).pause()),
+                "",
+                (fleet, key) -> SIDECARS.forEach(name -> fleet.process(name).resume())),
+        ENTRY_KILLED(
+                (fleet, key) -> fleet.process("entry-1").kill(),
+                "",
+                (fleet, key) -> fleet.startDaemon("entry-1", "entry")),
+        ENTRY_PAUSED((fleet, key) -> fleet.process("entry-1").pause(), "", (fleet, key) -> fleet.process("entry-1")
+                .resume()),
+        LEADER_KILLED(
+                (fleet, key) -> {
+                    String leader = fleet.leader();
+                    fleet.process(leader).kill();
+                    fleet.startDaemon(leader, "control");
+                },
+                "",
+                (fleet, key) -> {}),
+        LEADER_PAUSED((fleet, key) -> fleet.process(fleet.leader()).pause(), "", (fleet, key) -> fleet.controls()
+                .forEach(name -> fleet.process(name).resume()));
+
+        private final BiConsumer<ProcessFleet, String> strike;
+        private final String serviceFault;
+        private final BiConsumer<ProcessFleet, String> repair;
+
+        Fault(BiConsumer<ProcessFleet, String> strike, String serviceFault, BiConsumer<ProcessFleet, String> repair) {
+            this.strike = strike;
+            this.serviceFault = serviceFault;
+            this.repair = repair;
+        }
+    }
+
+    @BeforeAll
+    static void start(@TempDir Path folder) {
+        fleet = new ProcessFleet(folder, 3);
+        fleet.startAll(SIDECARS, "--work-millis", "500");
+    }
+
+    @AfterAll
+    static void stop() {
+        fleet.close();
+    }
+
+    /** Guards against a second run through a retry, another entry or a restarted process. */
+    @ParameterizedTest
+    @EnumSource
+    void runsAtMostOnce(Fault fault) {
+        String key = "key-" + fault;
+        if (!fault.serviceFault.isEmpty()) {
+            SERVICES.forEach(name -> fleet.fault(name, fault.serviceFault));
+        }
+        CompletableFuture<Optional<HttpResponse<String>>> first =
+                CompletableFuture.supplyAsync(() -> tryBook("entry-1", key));
+        CompletableFuture.runAsync(
+                        () -> fault.strike.accept(fleet, key),
+                        CompletableFuture.delayedExecutor(250, TimeUnit.MILLISECONDS))
+                .join();
+        Optional<HttpResponse<String>> duringFault = tryBook("entry-2", key);
+        fault.repair.accept(fleet, key);
+        Optional<HttpResponse<String>> answer = first.join();
+        SERVICES.forEach(name -> fleet.fault(name, "{\"kind\":\"silent\",\"count\":0}"));
+        SERVICES.forEach(name -> fleet.fault(name, "{\"kind\":\"reset-after\",\"count\":0}"));
+        SERVICES.forEach(name -> fleet.fault(name, "{\"kind\":\"reset-before\",\"count\":0}"));
+
+        fleet.await("a settled outcome of " + key, () -> settled(fleet.book("entry-2", key, "canopy")));
+        HttpResponse<String> last = fleet.book("entry-2", key, "canopy");
+        int runs = fleet.runs(key, SERVICES);
+        String what = "first " + text(answer) + ", during " + text(duringFault) + ", last " + last.statusCode() + " "
+                + last.body() + "\n" + fleet.logs();
+        assertWithMessage(what).that(runs).isAtMost(1);
+        if (last.statusCode() < 300) {
+            assertWithMessage(what).that(runs).isEqualTo(1);
+        }
+        answer.filter(response -> response.statusCode() < 300)
+                .ifPresent(response -> assertWithMessage(what).that(last.body()).isEqualTo(response.body()));
+    }
+
+    /** Answered, or unknown for good. */
+    private static boolean settled(HttpResponse<String> response) {
+        return response.statusCode() < 300
+                || response.headers()
+                        .firstValue("Wagtailcart-Result-Code")
+                        .orElse("")
+                        .equals("5004");
+    }
+
+    private static Optional<HttpResponse<String>> tryBook(String entry, String key) {
+        try {
+            return Optional.of(fleet.book(entry, key, "canopy"));
+        } catch (UncheckedIOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static String text(Optional<HttpResponse<String>> response) {
+        return response.map(answer -> answer.statusCode() + " " + answer.body()).orElse("connection broke");
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/wagtailcart/daemon/PlannedChangeTest.java
@@ -0,0 +1,128 @@
+package org.wagtailcart.daemon;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.common.EngineTarget;
+import org.wagtailcart.common.Lifecycle;
+import org.wagtailcart.fleet.FleetResult;
+import org.wagtailcart.fleet.IssueOrder;
+import org.wagtailcart.fleet.SetLifecycle;
+
+/** Streams under load while a planned change happens: each is answered whole. */
+class PlannedChangeTest {
+    private static final List<String> SIDECARS = List.of("sidecar-1", "sidecar-2", "sidecar-3");
+    private static final int STREAMS = 12;
+    private static final int TOKENS = 300;
+    private static final ExecutorService CALLERS = Executors.newCachedThreadPool();
+    private static ProcessFleet fleet;
+
+    /** A planned change and what restores the fleet after it. */
+    enum Change {
+        DRAIN(
+                fleet -> lifecycle(fleet, "drain", Lifecycle.DRAINING),
+                fleet -> lifecycle(fleet, "resume", Lifecycle.ACTIVE)),
+        ROLE_CHANGE(
+                fleet -> {
+                    EngineTarget target = new EngineTarget(EngineRole.MIXED, ProcessFleet.MODEL, "", "2");
+                    FleetResult result =
+                            fleet.submit(new IssueOrder("order-1", "engine-2", target, 0), FleetResult.class);
+                    assertWithMessage(result.toString())
+                            .that(result.codeNumber())
+                            .isEqualTo(0);
+                },
+                fleet -> {}),
+        SETTINGS(
+                fleet -> {
+                    long unused = fleet.apply("[/upstreams]\nmax-in-flight = 12\n", 1);
+                },
+                fleet -> {}),
+        SIDECAR_SHUTDOWN(fleet -> fleet.process("sidecar-3").terminate(), fleet -> {
+            fleet.process("sidecar-3").await();
+            fleet.startDaemon("sidecar-3", "sidecar");
+        }),
+        ENTRY_SHUTDOWN(fleet -> fleet.process("entry-1").terminate(), fleet -> {
+            fleet.process("entry-1").await();
+            fleet.startDaemon("entry-1", "entry");
+            fleet.awaitServing("entry-1");
+        }),
+        CONTROL_LEADER_SHUTDOWN(
+                fleet -> {
+                    String leader = fleet.leader();
+                    fleet.process(leader).terminate();
+                    fleet.process(leader).await();
+                    fleet.startDaemon(leader, "control");
+                },
+                fleet -> {});
+
+        private final Consumer<ProcessFleet> make;
+        private final Consumer<ProcessFleet> restore;
+
+        Change(Consumer<ProcessFleet> make, Consumer<ProcessFleet> restore) {
+            this.make = make;
+            this.restore = restore;
+        }
+
+        private static void lifecycle(ProcessFleet fleet, String changeId, Lifecycle lifecycle) {
+            FleetResult result =
+                    fleet.submit(new SetLifecycle(changeId, "test", "engine-1", lifecycle, ""), FleetResult.class);
+            assertWithMessage(result.toString()).that(result.codeNumber()).isEqualTo(0);
+        }
+    }
+
+    @BeforeAll
+    static void start(@TempDir Path folder) {
+        fleet = new ProcessFleet(folder, 3);
+        fleet.startAll(SIDECARS);
+    }
+
+    @AfterAll
+    static void stop() {
+        CALLERS.shutdownNow();
+        fleet.close();
+    }
+
+    /** Guards against a planned change that cuts a stream, repeats a token or leaves one out. */
+    @ParameterizedTest
+    @EnumSource
+    void everyStreamIsWhole(Change change) {
+        List<CompletableFuture<HttpResponse<String>>> streams = IntStream.range(0, STREAMS)
+                .mapToObj(i -> CompletableFuture.supplyAsync(
+                        () -> fleet.complete("entry-" + (1 + i % 2), change + " prompt " + i, TOKENS, true), CALLERS))
+                .toList();
+        CompletableFuture.runAsync(
+                        () -> change.make.accept(fleet), CompletableFuture.delayedExecutor(400, TimeUnit.MILLISECONDS))
+                .join();
+        streams.forEach(stream -> assertWhole(stream.join()));
+        change.restore.accept(fleet);
+    }
+
+    private static void assertWhole(HttpResponse<String> response) {
+        String body = response.body();
+        String what = response.statusCode() + " " + body.substring(Math.max(0, body.length() - 400)) + fleet.logs();
+        assertWithMessage(what).that(response.statusCode()).isEqualTo(200);
+        assertWithMessage(what).that(body).contains("data: [DONE]");
+        List<Integer> tokens = body.lines()
+                .filter(line -> line.startsWith("id: "))
+                .map(line -> Integer.valueOf(line.substring(4)))
+                .toList();
+        assertWithMessage(what)
+                .that(tokens)
+                .containsExactlyElementsIn(IntStream.range(0, TOKENS).boxed().toList())
+                .inOrder();
+    }
+}
--- a/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
@@ -88,26 +88,73 @@
         return start(name, "org.wagtailcart.standin.Standin", all);
     }
 
-    /** Starts a stand-in service. */
-    ChildProcess startService(String name) {
-        return start(
-                name,
-                "org.wagtailcart.standin.Standin",
-                List.of("service", "--listen", address(name).toString()));
+    /** Starts a stand-in service; more arguments follow its listener. */
+    ChildProcess startService(String name, String... arguments) {
+        List<String> all =
+                new ArrayList<>(List.of("service", "--listen", address(name).toString()));
+        all.addAll(List.of(arguments));
+        return start(name, "org.wagtailcart.standin.Standin", all);
     }
 
-    /** Applies a text in the form of the operators' INI file and returns the new revision. */
-    long apply(String ini, long expectedRevision) {
+    /** Starts the usual fleet: engines and sidecars, two services and two entries, and waits until it serves. */
+    void startAll(List<String> sidecars, String... serviceArguments) {
+        sidecars.forEach(sidecar -> startEngine("engine-" + suffix(sidecar)));
+        sidecars.stream().limit(2).forEach(sidecar -> startService("stock-" + suffix(sidecar), serviceArguments));
+        apply(tree(sidecars), 0);
+        sidecars.forEach(name -> startDaemon(name, "sidecar"));
+        startDaemon("entry-1", "entry");
+        startDaemon("entry-2", "entry");
+        awaitServing("entry-1");
+        awaitServing("entry-2");
+        await("a service", () -> book("entry-1", "warm-up", "wheel").statusCode() < 300);
+    }
+
+    /** Sends a command to the control group. */
+    <T> T submit(Object command, Class<T> resultType) {
         List<Address> members =
                 controls.stream().map(name -> address(name + ".peer")).toList();
-        ControlClientImpl client = new ControlClientImpl(peers, ProcessModule.codec(), members, timer);
+        return new ControlClientImpl(peers, ProcessModule.codec(), members, timer)
+                .submit(command, resultType, 60_000)
+                .join();
+    }
+
+    /** Returns the control member that leads, as its own dump says. */
+    String leader() {
+        String[] found = new String[1];
+        await("a leader", () -> {
+            found[0] = controls.stream()
+                    .filter(name -> processes.get(name).alive() && leads(name))
+                    .findFirst()
+                    .orElseThrow();
+            return true;
+        });
+        return found[0];
+    }
+
+    List<String> controls() {
+        return controls;
+    }
+
+    private boolean leads(String control) {
+        try {
+            HttpRequest status = HttpRequest.newBuilder(uri(address(control + ".operator"), "/v1/status"))
+                    .timeout(Duration.ofSeconds(5))
+                    .header("Authorization", "Bearer test-token")
+                    .build();
+            return json(send(status).body()).path("role").asText().equals("leader");
+        } catch (UncheckedIOException e) {
+            return false;
+        }
+    }
+
+    /** Applies a text in the form of the operators' INI file and returns the new revision. */
+    long apply(String ini, long expectedRevision) {
         ApplySettings change = new ApplySettings(
                 UUID.randomUUID().toString(),
                 "test",
                 expectedRevision,
                 SettingsIni.edits(SettingsTree.EMPTY, ini, false));
-        ApplySettingsResult result =
-                client.submit(change, ApplySettingsResult.class, 60_000).join();
+        ApplySettingsResult result = submit(change, ApplySettingsResult.class);
         if (result.codeNumber() != 0) {
             throw new AssertionError(result.toString());
         }
