--- a/coordination/src/test/java/org/wagtailcart/coordination/LogBenchmark.java
+++ b/coordination/src/test/java/org/wagtailcart/coordination/LogBenchmark.java
@@ -13,7 +13,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.wire.MessageCodec;
 
 /** Measures proposals per second, latency, CPU and bytes over loopback; see docs/measurements/coordination.md. */
 public final class LogBenchmark {
@@ -30,6 +32,51 @@
         for (int members : new int[] {1, 3, 5}) {
             runCase(folder.resolve("g" + members), members, new int[] {1, 16, 256}, seconds);
         }
+        System.out.println("| entries in a batch | append request bytes | log file bytes |");
+        System.out.println("|---|---|---|");
+        for (int entries : new int[] {1, 16, 256}) {
+            System.out.println("| " + entries + " | " + requestBytes(entries) + " | "
+                    + fileBytes(folder.resolve("size" + entries), entries) + " |");
+        }
+    }
+
+    private static List<LogEntry> entries(int count) {
+        return IntStream.rangeClosed(1, count)
+                .mapToObj(i ->
+                        new LogEntry(i, 3, System.currentTimeMillis(), LogEntry.Kind.COMMAND, new byte[COMMAND_BYTES]))
+                .toList();
+    }
+
+    private static int requestBytes(int count) {
+        MemberKey key = new MemberKey("m1", Long.MAX_VALUE);
+        Address address = new Address("127.0.0.1", 7_000);
+        return new MessageCodec(List.of(RaftMessages.TYPES))
+                .encode(new RaftMessage.AppendRequest(
+                        new RaftMessage.Route(key, address, key),
+                        3,
+                        1_000_000,
+                        3,
+                        entries(count),
+                        1_000_000,
+                        1_000_000,
+                        new RaftMessage.Confirmation(new RaftMessage.Stamp(Long.MAX_VALUE, 1_000_000), 1_000_000)))
+                .length;
+    }
+
+    private static long fileBytes(Path folder, int count) throws IOException {
+        try (RaftStorage storage = new RaftStorage(folder, "m1")) {
+            long before = logBytes(folder);
+            storage.store(List.of(new NodeOutput.Store(1, null, null, entries(count))));
+            return logBytes(folder) - before;
+        }
+    }
+
+    private static long logBytes(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(file -> file.getFileName().toString().startsWith("log-"))
+                    .mapToLong(file -> file.toFile().length())
+                    .sum();
+        }
     }
 
     private static void runCase(Path folder, int count, int[] pressures, long seconds) throws Exception {
@@ -44,7 +91,7 @@
         }
         LoopbackMember leader = awaitLeader(members);
         for (int pressure : pressures) {
-            run(leader, pressure, 2);
+            run(leader, pressure, seconds); // Warm-up; the first cases are otherwise charged for compilation.
             System.out.println("| " + count + " | " + pressure + " | " + run(leader, pressure, seconds) + " |");
         }
         members.forEach(LoopbackMember::close);
--- a/coordination/src/test/java/org/wagtailcart/coordination/RaftNodeTest.java
+++ b/coordination/src/test/java/org/wagtailcart/coordination/RaftNodeTest.java
@@ -14,7 +14,8 @@
     private static final Address ADDRESS = new Address("127.0.0.1", 1);
     private static final MemberKey SELF = new MemberKey("m1", 11);
     private static final MemberKey OTHER = new MemberKey("m2", 22);
-    private static final List<Member> VOTERS = Stream.of(SELF, OTHER, new MemberKey("m3", 33))
+    private static final MemberKey THIRD = new MemberKey("m3", 33);
+    private static final List<Member> VOTERS = Stream.of(SELF, OTHER, THIRD)
             .map(key -> new Member(key.memberId(), key.incarnation(), ADDRESS, true))
             .toList();
     private static final long START = 1_000;
@@ -33,16 +34,35 @@
         assertThat(commitIndex()).isEqualTo(3);
     }
 
-    /** Guards against a proposal that counts before the leader's own sync. */
+    /** Guards against a leader that counts or applies a proposal before its own sync. */
     @Test
-    void leaderAppliesNothingBeforeItsOwnSync() {
+    void leaderNeitherCountsNorAppliesBeforeItsOwnSync() {
         lead();
         acknowledge(3);
         NodeOutput proposed = node.propose(ELECTION, 0, List.of(new Proposal(1, new byte[] {1})));
         assertThat(acknowledge(4).apply()).isEmpty();
+        assertThat(commitIndex()).isEqualTo(3);
+        assertThat(acknowledge(THIRD, 4).apply()).isEmpty();
+        assertThat(commitIndex()).isEqualTo(4);
         assertThat(node.stored(ELECTION, numberOf(proposed)).apply()).hasSize(1);
     }
 
+    /** Guards against a stale read that a reply from before the question confirms. */
+    @Test
+    void readIsConfirmedOnlyByARoundThatStartedAfterIt() {
+        lead();
+        acknowledge(3);
+        NodeOutput asked = node.read(ELECTION, List.of(7L));
+        long round = asked.messages().stream()
+                .map(RaftMessage.AppendRequest.class::cast)
+                .mapToLong(RaftMessage.AppendRequest::round)
+                .max()
+                .orElseThrow();
+        assertThat(asked.events()).isEmpty();
+        assertThat(acknowledge(OTHER, 3, round - 1).events()).isEmpty();
+        assertThat(acknowledge(OTHER, 3, round).events()).containsExactly(new NodeEvent.ReadConfirmed(7, 3));
+    }
+
     /** Guards against two membership changes at a time and a change before the leader knows what is committed. */
     @Test
     void oneMembershipChangeAtATime() {
@@ -86,10 +106,18 @@
     }
 
     private NodeOutput acknowledge(long index) {
+        return acknowledge(OTHER, index);
+    }
+
+    private NodeOutput acknowledge(MemberKey from, long index) {
+        return acknowledge(from, index, 0);
+    }
+
+    private NodeOutput acknowledge(MemberKey from, long index, long round) {
         return node.step(
                 ELECTION,
                 new RaftMessage.AppendReply(
-                        new RaftMessage.Route(OTHER, ADDRESS, SELF), 3, true, index, 0, 0, RaftMessage.Stamp.NONE));
+                        new RaftMessage.Route(from, ADDRESS, SELF), 3, true, index, 0, round, RaftMessage.Stamp.NONE));
     }
 
     private long commitIndex() {
