--- a/coordination/src/test/java/org/wagtailcart/coordination/RaftLogTest.java
+++ b/coordination/src/test/java/org/wagtailcart/coordination/RaftLogTest.java
@@ -73,20 +73,18 @@
         assertThat(commandsOf(awaitLeader())).isEqualTo(commands(0, 651));
     }
 
-    /** Guards against a host with a lost disk that votes or that cannot come back as a learner and be promoted. */
-    @Test
-    void replacesAMemberThatLostItsDisk() throws Exception {
+    /** Guards against a host with a lost disk, the founder or another, that votes, founds again or cannot come back. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void replacesAMemberThatLostItsDisk(int position) throws Exception {
         startInitial(3);
         proposeAll(0, 100);
-        LoopbackMember leader = awaitLeader();
-        InitialMember lost = initial.stream()
-                .filter(member -> members.get(member.memberId()) != leader)
-                .findFirst()
-                .orElseThrow();
+        InitialMember lost = initial.get(position);
         Member old = members.get(lost.memberId()).log.status().self();
         members.get(lost.memberId()).close();
         deleteFolder(folder.resolve(lost.memberId()));
         LoopbackMember emptied = start(lost);
+        LoopbackMember leader = awaitLeader();
         proposeAll(100, 200);
         assertThat(emptied.log.status().role()).isEqualTo(LogStatus.Role.LEARNER);
         assertThat(emptied.log.status().commitIndex()).isEqualTo(0);
