--- a/entry/src/test/java/org/wagtailcart/entry/FakeControl.java
+++ b/entry/src/test/java/org/wagtailcart/entry/FakeControl.java
@@ -92,7 +92,7 @@
                 lifecycle,
                 target,
                 0,
-                OrderState.values()[0],
+                OrderState.NONE,
                 0,
                 true,
                 maxInFlight);
