Keep failed upstreams out across fleet updates

Cause: every fleet update, once a second, put the upstreams back one by one, and the bound of half of the pool was judged on the members added so far, so failed ones could return to routing. Change: all are added before any is judged; the bound rounds up but never takes out the last.

fleetUpdateKeepsFailedUpstreamsOut was seen red without the refresh after the update, with the bound removed, and with the bound rounded up for a single upstream.

--- a/policy/src/main/java/org/wagtailcart/policy/routing/LoadAwareRouter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/routing/LoadAwareRouter.java
@@ -40,13 +40,14 @@
                         Collectors.toMap(RoutableUpstream::upstreamId, Function.identity(), (first, second) -> second));
         upstreams.values().forEach(load -> pool(load).remove(load));
         upstreams.keySet().retainAll(byId.keySet());
-        byId.values().forEach(upstream -> install(upstream, nowMillis));
+        byId.values().forEach(this::install);
+        upstreams.values().forEach(load -> refresh(load, nowMillis));
     }
 
-    private void install(RoutableUpstream upstream, long nowMillis) {
+    private void install(RoutableUpstream upstream) {
         UpstreamLoad load = upstreams.computeIfAbsent(upstream.upstreamId(), id -> newLoad(upstream));
         load.upstream = upstream;
-        pool(load).add(load, nowMillis);
+        pool(load).add(load);
     }
 
     private UpstreamLoad newLoad(RoutableUpstream upstream) {
--- a/policy/src/main/java/org/wagtailcart/policy/routing/PoolUpstreams.java
+++ b/policy/src/main/java/org/wagtailcart/policy/routing/PoolUpstreams.java
@@ -35,9 +35,9 @@
         refresh(load, nowMillis);
     }
 
-    void add(UpstreamLoad load, long nowMillis) {
+    /** Adds an upstream; the caller refreshes it once all are added, because the share that may be out depends on all. */
+    void add(UpstreamLoad load) {
         members.add(load);
-        refresh(load, nowMillis);
     }
 
     void remove(UpstreamLoad load) {
@@ -67,14 +67,14 @@
         }
     }
 
-    /** At most half of a pool is out for failures: beyond that the cause is elsewhere and more load would fall on the rest. */
+    /** At most half of a pool, rounded up, is out for failures: beyond that the cause is elsewhere and more load would fall on the rest. */
     private boolean takenOut(UpstreamLoad load, long nowMillis) {
         long from = load.admitsFromMillis(nowMillis);
         if (from <= nowMillis) {
             out.remove(load);
             return false;
         }
-        if (!out.contains(load) && out.size() >= members.size() / 2) {
+        if (!out.contains(load) && out.size() >= mostOut()) {
             return false;
         }
         out.add(load);
@@ -82,6 +82,10 @@
         return true;
     }
 
+    private int mostOut() {
+        return Math.min(members.size() - 1, (members.size() + 1) / 2);
+    }
+
     private void schedule(UpstreamLoad load, long atMillis) {
         if (atMillis < Long.MAX_VALUE && load.scheduledMillis != atMillis) {
             load.scheduledMillis = atMillis;
--- a/policy/src/test/java/org/wagtailcart/policy/power/PowerControllerTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/power/PowerControllerTest.java
@@ -93,7 +93,7 @@
         now += 1_000;
         List<EngineObservation> engines = IntStream.range(0, ENGINES)
                 .mapToObj(i -> {
-                    double batch = 30 + (i * 7 + now / 1_000 * 3) % 30;
+                    double batch = 30 + (i * 7L + now / 1_000 * 3) % 30;
                     double interval = (18 + 0.35 * batch) * (slow.test(i) ? SLOWED : 1);
                     return observation(i, batch, interval, i >= failed, granted.contains("e" + i), now);
                 })
--- a/policy/src/test/java/org/wagtailcart/policy/routing/LoadAwareRouterTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/routing/LoadAwareRouterTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +12,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.Priority;
@@ -89,8 +91,28 @@
         assertThat(choose(4, 60_000).orElseThrow().upstreamId()).isEqualTo("MIXED-0");
     }
 
+    /** Guards against a fleet update that puts failed upstreams back, and against too many out at once. */
+    @ParameterizedTest
+    @CsvSource({"4, 1, 1", "4, 2, 2", "4, 3, 2", "3, 3, 2", "1, 1, 0"})
+    void fleetUpdateKeepsFailedUpstreamsOut(int size, int failing, int out) {
+        router.updateUpstreams(engines(EngineRole.MIXED, size), 0);
+        Set<String> failed = Set.copyOf(IntStream.range(size - failing, size)
+                .mapToObj(i -> "MIXED-" + i)
+                .toList());
+        for (int i = 0; i < 200; i++) {
+            String chosen = choose(i, Set.of()).orElseThrow().upstreamId();
+            router.onFinished("" + i, failed.contains(chosen) ? Outcome.FAILURE : Outcome.SUCCESS, 0);
+        }
+        router.updateUpstreams(engines(EngineRole.MIXED, size), 1);
+        Set<String> open = new HashSet<>();
+        for (int i = 1_000;
+                choose(i, open).map(route -> open.add(route.upstreamId())).isPresent();
+                i++) {}
+        assertThat(open).hasSize(size - out);
+    }
+
     private Optional<Route> choose(int id, Set<String> excluded) {
-        return router.choose("" + id, request(excluded), 0);
+        return router.choose("" + id, request(Set.copyOf(excluded)), 0);
     }
 
     private Optional<Route> choose(int id, long nowMillis) {
