--- a/bench/src/main/java/org/wagtailcart/bench/Bench.java
+++ b/bench/src/main/java/org/wagtailcart/bench/Bench.java
@@ -67,9 +67,9 @@
         if (markdown || !(json || svg)) {
             Console.print(Report.markdown(results));
         }
-        List<String> missed = Targets.missed(results);
+        List<Targets.Miss> missed = Targets.misses(results);
         if (check) {
-            missed.forEach(Console::error);
+            missed.forEach(miss -> Console.error(miss.text()));
         }
         return check && !missed.isEmpty() ? 1 : 0;
     }
