Prove the silence limit of a body apart from the limit of its start

Cause: with the silence limit taken out, faultyEngineAnswerFails stayed green: OkHttp's read timeout, which is the limit of the start of an answer, still ended the body. Change: silentBodyOfBatchFails lets a batch wait longer for its start than the test waits, so that only the silence limit can end it. Streams of the tests get a deadline later than any wait, for the same reason.

--- a/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarFixture.java
@@ -31,7 +31,7 @@
 /** A sidecar with an embedded engine {@code e} and service {@code s} beside it. */
 final class SidecarFixture implements AutoCloseable {
     static final OrderTiming TIMING = new OrderTiming(1_000, 1_500, 50, 50);
-    private static final UpstreamOptions UPSTREAM = new UpstreamOptions(500, 1_000, 5_000, 1_000, 2_000, 1_000);
+    private static final UpstreamOptions UPSTREAM = new UpstreamOptions(500, 1_000, 600_000, 1_000, 2_000, 1_000);
 
     final TestControl control = new TestControl();
     final ExecutorService traffic = Executors.newCachedThreadPool();
@@ -98,16 +98,16 @@
         return ((SidecarDump) role.dump()).epoch();
     }
 
-    /** Returns a streamed completion of the given length. */
+    /** Returns a streamed completion of the given length; its deadline is later than any wait of a test. */
     AttemptRequest stream(String attemptId, int tokens) {
         String body = "{\"model\":\"m\",\"prompt\":\"p\",\"stream\":true,\"max_tokens\":" + tokens + "}";
-        return request(attemptId, 0, 0, "e", "/v1/completions", body, 20_000);
+        return request(attemptId, 0, 0, "e", "/v1/completions", body, 600_000);
     }
 
     /** Returns a whole completion of the given length. */
     AttemptRequest whole(String attemptId, int tokens) {
         String body = "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":" + tokens + "}";
-        return request(attemptId, 0, 0, "e", "/v1/completions", body, 20_000);
+        return request(attemptId, 0, 0, "e", "/v1/completions", body, 600_000);
     }
 
     /** Returns a non-idempotent call whose key is its attempt id. */
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarRoleTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarRoleTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.wagtailcart.common.Lifecycle;
+import org.wagtailcart.common.Priority;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
@@ -82,6 +83,28 @@
         assertThat(failure.runState()).isEqualTo(RunState.MAY_HAVE_RUN);
     }
 
+    /** Guards against a body that goes silent and is noticed only after the time that a batch may wait for its start. */
+    @Test
+    void silentBodyOfBatchFails() throws Exception {
+        fixture.engine.fault(Fault.once(FaultKind.STALL));
+        AttemptRequest normal = fixture.stream("b1", 20);
+        AttemptRequest batch = new AttemptRequest(
+                "b1",
+                0,
+                0,
+                "e",
+                normal.revision(),
+                600_000,
+                Priority.BATCH,
+                "POST",
+                normal.path(),
+                normal.headers(),
+                normal.body());
+        TestExchange exchange = fixture.send(batch);
+        assertThat(exchange.failure().code()).isEqualTo(ResultCode.UPSTREAM_TIMEOUT);
+        assertThat(exchange.events()).isNotEmpty();
+    }
+
     /** Guards against the answers of two requests that are delivered to the wrong callers (R4). */
     @Test
     void crossedAnswersOfTwoRequestsBothFail() throws Exception {
