Keep an upstream's address while an order is started

EngineStatus gains carriesOutOrder. Ruled out: remembering addresses of removed upstreams in the fleet state. Run: mvn -pl settings,control -am test -Dtest='ControlStateTest,SettingsStateFuzzTest'.

--- a/control/src/test/java/org/wagtailcart/control/ControlStateTest.java
+++ b/control/src/test/java/org/wagtailcart/control/ControlStateTest.java
@@ -8,13 +8,19 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.common.EngineTarget;
 import org.wagtailcart.common.Lifecycle;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.control.client.CommandRefused;
 import org.wagtailcart.control.client.CommandRequest;
 import org.wagtailcart.coordination.LocalLog;
 import org.wagtailcart.coordination.Member;
+import org.wagtailcart.fleet.BeginOrder;
+import org.wagtailcart.fleet.FinishOrder;
 import org.wagtailcart.fleet.FleetResult;
+import org.wagtailcart.fleet.IssueOrder;
+import org.wagtailcart.fleet.RegisterSidecar;
 import org.wagtailcart.fleet.SetLifecycle;
 import org.wagtailcart.settings.ApplySettings;
 import org.wagtailcart.settings.ApplySettingsResult;
@@ -80,6 +86,31 @@
         assertThat(apply(7, removal)).isEqualTo(ResultCode.MODEL_WITHOUT_ENGINE.number());
     }
 
+    /**
+     * Guards against an engine that receives conflicting orders because its upstream is renamed while an order is
+     * started.
+     */
+    @Test
+    void upstreamKeepsItsAddressWhileAnOrderIsStarted() {
+        assertThat(apply(1, new ApplySettings("c1", "op", 0, Samples.engines(2))))
+                .isEqualTo(0);
+        Address sidecar = state.published().fleet().upstreams().get("e0").sidecarAddress();
+        state.apply(2, 1, Samples.encode(new RegisterSidecar("s0", 9, sidecar)));
+        EngineTarget target = new EngineTarget(EngineRole.DECODE, "assistant", "", "1");
+        assertThat(apply(3, new IssueOrder("c3", "e0", target, 0))).isEqualTo(0);
+        assertThat(apply(4, new BeginOrder("e0", 3, 2))).isEqualTo(0);
+        List<SettingsEdit> removal = List.of(SettingsEdit.remove("/upstreams/assistant/e0"));
+        List<SettingsEdit> readdress = List.of(SettingsEdit.set("/upstreams/assistant/e0", "address", "10.9.9.9:8000"));
+        int busy = ResultCode.ENGINE_BUSY_WITH_ORDER.number();
+        assertThat(apply(5, new ApplySettings("c5", "op", 1, removal))).isEqualTo(busy);
+        assertThat(apply(6, new ApplySettings("c6", "op", 1, readdress))).isEqualTo(busy);
+        List<SettingsEdit> otherSidecar =
+                List.of(SettingsEdit.set("/upstreams/assistant/e0", "sidecar-address", "10.9.9.9:7000"));
+        assertThat(apply(7, new ApplySettings("c7", "op", 1, otherSidecar))).isEqualTo(busy);
+        assertThat(apply(8, new FinishOrder("e0", 3, 2, true, target, ""))).isEqualTo(0);
+        assertThat(apply(9, new ApplySettings("c9", "op", 1, removal))).isEqualTo(0);
+    }
+
     /** Guards against a damaged command that stops every member of the group. */
     @Test
     void damagedCommandIsRefused() {
--- a/fleet/src/main/java/org/wagtailcart/fleet/FleetState.java
+++ b/fleet/src/main/java/org/wagtailcart/fleet/FleetState.java
@@ -152,6 +152,12 @@
         return Optional.ofNullable(entry(upstreamId).target()).map(EngineTarget::model);
     }
 
+    @Override
+    public boolean carriesOutOrder(String upstreamId) {
+        FleetEntry entry = entry(upstreamId);
+        return entry.startedOrderNumber() != 0 && !entry.lifecycle().isFinal();
+    }
+
     /** Returns the whole state in encoded form. */
     public byte[] snapshot() {
         List<Removal> removals = view.removed().entrySet().stream()
--- a/settings/src/main/java/org/wagtailcart/settings/EngineStatus.java
+++ b/settings/src/main/java/org/wagtailcart/settings/EngineStatus.java
@@ -15,6 +15,11 @@
         public Optional<String> orderedModel(String upstreamId) {
             return Optional.empty();
         }
+
+        @Override
+        public boolean carriesOutOrder(String upstreamId) {
+            return false;
+        }
     };
 
     /** Returns whether the upstream takes no new work for good or until it is resumed. */
@@ -22,4 +27,7 @@
 
     /** Returns the model of the latest order, empty when none was issued. */
     Optional<String> orderedModel(String upstreamId);
+
+    /** Returns whether an order of the upstream is started and not finished, and the upstream is not out for good. */
+    boolean carriesOutOrder(String upstreamId);
 }
--- a/settings/src/main/java/org/wagtailcart/settings/SettingsState.java
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsState.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.EngineTarget;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
@@ -79,6 +80,7 @@
         }
         SettingsTree next = tree.replay(tree.revision() + 1, edits);
         checkModels(tree, next, engines);
+        checkOrders(tree, next, engines);
         return next;
     }
 
@@ -147,6 +149,31 @@
         }
     }
 
+    /**
+     * An engine that returns under another upstream id or gets another sidecar could receive an order while the started
+     * one is still on its way.
+     */
+    private static void checkOrders(SettingsTree before, SettingsTree after, EngineStatus engines) {
+        before.upstreams().values().stream()
+                .filter(upstream -> engines.carriesOutOrder(upstream.upstreamId()))
+                .filter(upstream -> !keepsAddresses(upstream, after.upstreams().get(upstream.upstreamId())))
+                .findFirst()
+                .ifPresent(upstream -> {
+                    throw new WagtailcartException(
+                            ResultCode.ENGINE_BUSY_WITH_ORDER,
+                            "branch " + upstream.branch() + ": the upstream is carrying out an order; it can be"
+                                    + " removed or get another address or sidecar when the order is finished or the"
+                                    + " upstream is withdrawn");
+                });
+    }
+
+    private static boolean keepsAddresses(UpstreamSettings before, @Nullable UpstreamSettings after) {
+        return after != null
+                && after.address().equals(before.address())
+                && after.sidecarId().equals(before.sidecarId())
+                && after.sidecarAddress().equals(before.sidecarAddress());
+    }
+
     private static Set<String> servedModels(SettingsTree tree, EngineStatus engines) {
         return tree.upstreams().values().stream()
                 .filter(upstream -> !engines.leaving(upstream.upstreamId()))
--- a/settings/src/test/java/org/wagtailcart/settings/SettingsOracle.java
+++ b/settings/src/test/java/org/wagtailcart/settings/SettingsOracle.java
@@ -163,6 +163,11 @@
             public Optional<String> orderedModel(String upstreamId) {
                 return Optional.empty();
             }
+
+            @Override
+            public boolean carriesOutOrder(String upstreamId) {
+                return false;
+            }
         };
     }
 }
