Choose lifecycle states in the fleet fuzz test without ordinals

Cause: Error Prone warned of an index into the constants of an enum. Change: the constants are read as a list; the cases stay the same.

--- a/fleet/src/test/java/org/wagtailcart/fleet/FleetStateFuzzTest.java
+++ b/fleet/src/test/java/org/wagtailcart/fleet/FleetStateFuzzTest.java
@@ -104,7 +104,7 @@
     }
 
     private void lifecycle(Step step) {
-        Lifecycle next = Lifecycle.values()[step.number() % (step.wrong() ? 5 : 3)];
+        Lifecycle next = List.of(Lifecycle.values()).get(step.number() % (step.wrong() ? 5 : 3));
         remember(new SetLifecycle("c" + sent.size(), "op", step.upstream(), next, "e" + (1 + step.number() % 3)));
     }
 
