--- a/bench/src/main/java/org/wagtailcart/bench/Contender.java
+++ b/bench/src/main/java/org/wagtailcart/bench/Contender.java
@@ -33,12 +33,6 @@
             return simulation.informedRouter();
         }
     },
-    BREAKER(PowerMode.LEARNED, RoleMode.PLANNED) {
-        @Override
-        Router router(Simulation simulation, int entry) {
-            return loadAware(simulation, entry, HealthPolicy.BREAKER);
-        }
-    },
     EJECTION(PowerMode.LEARNED, RoleMode.PLANNED) {
         @Override
         Router router(Simulation simulation, int entry) {
@@ -69,14 +63,14 @@
     boolean baseline() {
         return switch (this) {
             case ROUND_ROBIN, LEAST_IN_FLIGHT, FIXED_ROLES, FIXED_POWER -> true;
-            case WAGTAILCART, INFORMED, BREAKER, EJECTION, NO_HEALTH -> false;
+            case WAGTAILCART, INFORMED, EJECTION, NO_HEALTH -> false;
         };
     }
 
     /** Returns whether the contender is run only where services fail. */
     boolean healthOnly() {
         return switch (this) {
-            case BREAKER, EJECTION, NO_HEALTH -> true;
+            case EJECTION, NO_HEALTH -> true;
             case WAGTAILCART, ROUND_ROBIN, LEAST_IN_FLIGHT, FIXED_ROLES, FIXED_POWER, INFORMED -> false;
         };
     }
--- a/policy/src/main/java/org/wagtailcart/policy/health/HealthPolicy.java
+++ b/policy/src/main/java/org/wagtailcart/policy/health/HealthPolicy.java
@@ -23,13 +23,6 @@
         public HealthTracker tracker(HealthOptions options) {
             return new Ejection(options);
         }
-    },
-    /** Circuit breaker with one probe and paced release. */
-    BREAKER {
-        @Override
-        public HealthTracker tracker(HealthOptions options) {
-            return new CircuitBreaker(options);
-        }
     };
 
     /** Creates the state of one upstream. */
--- a/policy/src/main/java/org/wagtailcart/policy/health/HealthTracker.java
+++ b/policy/src/main/java/org/wagtailcart/policy/health/HealthTracker.java
@@ -5,9 +5,6 @@
     /** Notes the end of a request. */
     void onOutcome(boolean success, long nowMillis);
 
-    /** Notes that a request was sent. */
-    default void onSent(long nowMillis) {}
-
     /** Returns the time from which the upstream may get requests; at most now when it may get one now. */
     long admitsFromMillis(long nowMillis);
 }
--- a/policy/src/main/java/org/wagtailcart/policy/routing/LoadAwareRouter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/routing/LoadAwareRouter.java
@@ -85,10 +85,6 @@
                 new AttemptLoad(prefill, output, promptWork(promptUpstream, request), request.outputTokens());
         attempts.put(attemptId, attempt);
         hints.note(request.prefixHashes(), promptUpstream.id);
-        promptUpstream.health.onSent(nowMillis);
-        if (output != promptUpstream) {
-            output.health.onSent(nowMillis);
-        }
         refresh(promptUpstream, nowMillis);
         refresh(output, nowMillis);
         return new Route(Optional.ofNullable(prefill).map(load -> load.id), output.id);
--- a/policy/src/test/java/org/wagtailcart/policy/health/HealthPolicyTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/health/HealthPolicyTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.stream.IntStream;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -13,7 +12,7 @@
 
     /** Guards against a dead upstream that stays in routing, and against one that never gets a second chance. */
     @ParameterizedTest
-    @CsvSource({"NONE, 0", "EJECTION, 2000", "BREAKER, 2000"})
+    @CsvSource({"NONE, 0", "EJECTION, 2000"})
     void failuresInRowTakeOutForTheCooldown(HealthPolicy policy, long cooldownMillis) {
         HealthTracker tracker = policy.tracker(OPTIONS);
         fail(tracker, OPTIONS.consecutiveFailures() - 1, 1_000);
@@ -33,13 +32,12 @@
 
     /** Guards against a cooldown that does not grow and against one that grows without bound. */
     @ParameterizedTest
-    @EnumSource(names = {"EJECTION", "BREAKER"})
+    @EnumSource(names = "EJECTION")
     void cooldownDoublesUpToItsBound(HealthPolicy policy) {
         HealthTracker tracker = policy.tracker(OPTIONS);
         long now = 0;
         long last = 0;
         for (int round = 0; round < 10; round++) {
-            tracker.onSent(now);
             fail(tracker, OPTIONS.consecutiveFailures(), now);
             last = tracker.admitsFromMillis(now) - now;
             assertThat(last).isEqualTo(Math.min(OPTIONS.lastCooldownMillis(), 2_000L << round));
@@ -48,17 +46,6 @@
         assertThat(last).isEqualTo(OPTIONS.lastCooldownMillis());
     }
 
-    /** Guards against a half-open breaker that lets more than one probe through. */
-    @Test
-    void breakerSendsOneProbe() {
-        HealthTracker tracker = HealthPolicy.BREAKER.tracker(OPTIONS);
-        fail(tracker, OPTIONS.consecutiveFailures(), 0);
-        tracker.onSent(2_000);
-        assertThat(tracker.admitsFromMillis(2_001)).isGreaterThan(2_001);
-        tracker.onOutcome(true, 2_100);
-        assertThat(tracker.admitsFromMillis(2_100)).isAtMost(2_100);
-    }
-
     private static void fail(HealthTracker tracker, int times, long nowMillis) {
         IntStream.range(0, times).forEach(i -> tracker.onOutcome(false, nowMillis));
     }
