Tell each entry how many entries share the limits of workspaces; add process tests of streams and settings under faults

Cause: every entry granted a workspace its whole limit, because ControlView.entryCount() was never learned. Change: the leader counts the entries it hears of, members and processes learn the count with the digest and the sync. StreamFaultTest and SettingsFaultTest strike processes, a relay and the control group. Ruled out: a limit kept by the leader for each request, which would put it on the request path.

--- a/control/src/main/java/org/wagtailcart/control/ControlRole.java
+++ b/control/src/main/java/org/wagtailcart/control/ControlRole.java
@@ -67,6 +67,7 @@
     // Earlier than any monotonic time, so that an unconfirmed member grants no lease.
     private volatile long confirmedAtMillis = Long.MIN_VALUE / 4;
     private final List<ScheduledFuture<?>> tasks = new ArrayList<>();
+    private volatile int entryCount;
     private volatile boolean started;
     private @Nullable OperatorServer operatorServer;
 
@@ -213,7 +214,8 @@
         // The age is read before the state, so that a confirmation never covers more than the state that is answered.
         long ageMillis = confirmationAgeMillis();
         PublishedState published = state.published();
-        exchange.finish(answers.answer(request, published, ageMillis, grantsFor(request), commands.leaderAddress()));
+        exchange.finish(answers.answer(
+                request, published, ageMillis, grantsFor(request), commands.leaderAddress(), entryCount));
         book.heard(request);
     }
 
@@ -235,8 +237,10 @@
         if (leading) {
             book.digest(digest.requests(), clock.nowMillis());
         }
-        exchange.finish(
-                new LoadDigestReply(leading, leading ? duties.grantsFor(digest.requests()) : List.<PowerGrant>of()));
+        exchange.finish(new LoadDigestReply(
+                leading,
+                leading ? duties.grantsFor(digest.requests()) : List.<PowerGrant>of(),
+                leading ? book.entries(clock.nowMillis(), options.leaseMillis()) : 0));
     }
 
     private void processes(Exchange exchange, Object message) {
@@ -259,6 +263,7 @@
         if (status.role() == LogStatus.Role.LEADER) {
             book.digest(requests, sentAtMillis);
             keepGrants(duties.grantsFor(requests), sentAtMillis);
+            entryCount = book.entries(sentAtMillis, options.leaseMillis());
             return;
         }
         Address leader = status.leader().get().address();
@@ -270,6 +275,7 @@
     private void receiveGrants(@Nullable LoadDigestReply reply, long sentAtMillis) {
         if (reply != null) {
             keepGrants(reply.grants(), sentAtMillis);
+            entryCount = reply.entryCount();
         }
     }
 
--- a/control/src/main/java/org/wagtailcart/control/LoadBook.java
+++ b/control/src/main/java/org/wagtailcart/control/LoadBook.java
@@ -50,6 +50,14 @@
                 .toList();
     }
 
+    /** Returns the number of entries heard within a time. */
+    synchronized int entries(long nowMillis, long withinMillis) {
+        return (int) latest.values().stream()
+                .filter(heard -> heard.request().role().contains("entry"))
+                .filter(heard -> nowMillis - heard.atMillis() < withinMillis)
+                .count();
+    }
+
     /** Returns the processes by name. */
     synchronized List<ProcessStatus> processes(long nowMillis) {
         return latest.values().stream()
--- a/control/src/main/java/org/wagtailcart/control/SyncAnswers.java
+++ b/control/src/main/java/org/wagtailcart/control/SyncAnswers.java
@@ -35,7 +35,8 @@
             PublishedState state,
             long confirmationAgeMillis,
             List<PowerGrant> grants,
-            String leaderAddress) {
+            String leaderAddress,
+            int entryCount) {
         SettingsHistory settings = state.settings();
         boolean behind = request.revision() > settings.current().revision()
                 || request.fleetVersion() > state.fleet().version();
@@ -44,7 +45,7 @@
                 : settings.since(request.revision()).filter(list -> list.size() <= MAX_DELTA_EDITS);
         boolean delta = behind || (edits.isPresent() && coversFleet(request, state));
         if (!delta) {
-            return header(wholeReply(state), confirmationAgeMillis, grants, leaderAddress);
+            return header(wholeReply(state), confirmationAgeMillis, grants, leaderAddress, entryCount);
         }
         SyncReply reply = new SyncReply(
                 settings.current().revision(),
@@ -55,7 +56,8 @@
                 behind ? List.of() : state.fleet().removedSince(request.fleetVersion()),
                 confirmationAgeMillis,
                 grants,
-                leaderAddress);
+                leaderAddress,
+                entryCount);
         int items = reply.edits().size() + reply.upstreams().size();
         return items <= PLAIN_ITEMS ? reply : SyncReplies.pack(codec, reply);
     }
@@ -81,14 +83,19 @@
                 List.of(),
                 0,
                 List.of(),
-                "");
+                "",
+                0);
         DeflatedSyncReply deflated = SyncReplies.pack(codec, reply);
         whole.set(new Packed(revision, fleetVersion, deflated));
         return deflated;
     }
 
     private static DeflatedSyncReply header(
-            DeflatedSyncReply whole, long confirmationAgeMillis, List<PowerGrant> grants, String leaderAddress) {
+            DeflatedSyncReply whole,
+            long confirmationAgeMillis,
+            List<PowerGrant> grants,
+            String leaderAddress,
+            int entryCount) {
         SyncReply header = whole.header();
         return new DeflatedSyncReply(
                 new SyncReply(
@@ -100,7 +107,8 @@
                         header.removedUpstreamIds(),
                         confirmationAgeMillis,
                         grants,
-                        leaderAddress),
+                        leaderAddress,
+                        entryCount),
                 whole.sizeBytes(),
                 whole.deflatedBody());
     }
--- a/control/src/main/java/org/wagtailcart/control/client/LoadDigestReply.java
+++ b/control/src/main/java/org/wagtailcart/control/client/LoadDigestReply.java
@@ -7,5 +7,6 @@
  *
  * @param leading whether the receiver is the leader and took the digest
  * @param grants power grants for the upstreams in the digest
+ * @param entryCount entries that sync with any member
  */
-public record LoadDigestReply(boolean leading, List<PowerGrant> grants) {}
+public record LoadDigestReply(boolean leading, List<PowerGrant> grants, int entryCount) {}
--- a/control/src/main/java/org/wagtailcart/control/client/SyncLoop.java
+++ b/control/src/main/java/org/wagtailcart/control/client/SyncLoop.java
@@ -135,6 +135,11 @@
         return state.grantDeadlinesMillis().getOrDefault(upstreamId, 0L);
     }
 
+    @Override
+    public int entryCount() {
+        return state.entryCount();
+    }
+
     @Override
     public synchronized void syncSoon() {
         if (!started || closed) {
--- a/control/src/main/java/org/wagtailcart/control/client/SyncReplies.java
+++ b/control/src/main/java/org/wagtailcart/control/client/SyncReplies.java
@@ -48,6 +48,7 @@
                 reply.removedUpstreamIds(),
                 reply.confirmationAgeMillis(),
                 reply.grants(),
-                reply.leaderAddress());
+                reply.leaderAddress(),
+                reply.entryCount());
     }
 }
--- a/control/src/main/java/org/wagtailcart/control/client/SyncReply.java
+++ b/control/src/main/java/org/wagtailcart/control/client/SyncReply.java
@@ -17,6 +17,7 @@
  * @param confirmationAgeMillis time since a leader with a quorum confirmed the answering member
  * @param grants power grants for the requester's upstreams
  * @param leaderAddress peer address of the leader, empty when unknown
+ * @param entryCount entries that sync, 0 when the member does not know; they share the limits of workspaces
  */
 public record SyncReply(
         long revision,
@@ -27,4 +28,5 @@
         List<String> removedUpstreamIds,
         long confirmationAgeMillis,
         List<PowerGrant> grants,
-        String leaderAddress) {}
+        String leaderAddress,
+        int entryCount) {}
--- a/control/src/main/java/org/wagtailcart/control/client/SyncedState.java
+++ b/control/src/main/java/org/wagtailcart/control/client/SyncedState.java
@@ -15,20 +15,23 @@
  * @param upstreams upstreams by id
  * @param leaseDeadlineMillis monotonic time until which the settings count as confirmed
  * @param grantDeadlinesMillis monotonic times until which engines may run hard
+ * @param entryCount entries that share the limits of workspaces, at least 1
  */
 record SyncedState(
         SettingsTree settings,
         long fleetVersion,
         TreePMap<String, UpstreamView> upstreams,
         long leaseDeadlineMillis,
-        Map<String, Long> grantDeadlinesMillis) {
+        Map<String, Long> grantDeadlinesMillis,
+        int entryCount) {
     /** Time without confirmation after which a process refuses new work. */
     static final long LEASE_MILLIS = 12_000;
 
     // Earlier than any monotonic time, yet far from the overflow of a difference.
     private static final long NEVER_MILLIS = Long.MIN_VALUE / 4;
 
-    static final SyncedState INITIAL = new SyncedState(SettingsTree.EMPTY, 0, TreePMap.empty(), NEVER_MILLIS, Map.of());
+    static final SyncedState INITIAL =
+            new SyncedState(SettingsTree.EMPTY, 0, TreePMap.empty(), NEVER_MILLIS, Map.of(), 1);
 
     /**
      * Returns the state after a reply, or this state when the reply is older than what is in force.
@@ -45,7 +48,8 @@
                 reply.fleetVersion(),
                 upstreamsAfter(reply),
                 Math.max(leaseDeadlineMillis, confirmedUntilMillis),
-                grantsAfter(reply.grants(), sentAtMillis));
+                grantsAfter(reply.grants(), sentAtMillis),
+                reply.entryCount() > 0 ? reply.entryCount() : entryCount);
     }
 
     boolean differsFrom(SyncedState other) {
--- a/control/src/test/java/org/wagtailcart/control/SyncAnswersAccess.java
+++ b/control/src/test/java/org/wagtailcart/control/SyncAnswersAccess.java
@@ -13,6 +13,6 @@
     }
 
     public Record answer(SyncRequest request, PublishedState state) {
-        return answers.answer(request, state, 0, List.of(), "");
+        return answers.answer(request, state, 0, List.of(), "", 1);
     }
 }
--- a/control/src/test/java/org/wagtailcart/control/client/SyncLoopTest.java
+++ b/control/src/test/java/org/wagtailcart/control/client/SyncLoopTest.java
@@ -59,7 +59,8 @@
                 List.of(),
                 ageMillis,
                 grants,
-                "");
+                "",
+                1);
     }
 
     /**
--- a/daemon/src/test/java/org/wagtailcart/daemon/PlannedChangeTest.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/PlannedChangeTest.java
@@ -107,22 +107,7 @@
         CompletableFuture.runAsync(
                         () -> change.make.accept(fleet), CompletableFuture.delayedExecutor(400, TimeUnit.MILLISECONDS))
                 .join();
-        streams.forEach(stream -> assertWhole(stream.join()));
+        streams.forEach(stream -> fleet.assertWhole(stream.join(), TOKENS));
         change.restore.accept(fleet);
     }
-
-    private static void assertWhole(HttpResponse<String> response) {
-        String body = response.body();
-        String what = response.statusCode() + " " + body.substring(Math.max(0, body.length() - 400)) + fleet.logs();
-        assertWithMessage(what).that(response.statusCode()).isEqualTo(200);
-        assertWithMessage(what).that(body).contains("data: [DONE]");
-        List<Integer> tokens = body.lines()
-                .filter(line -> line.startsWith("id: "))
-                .map(line -> Integer.valueOf(line.substring(4)))
-                .toList();
-        assertWithMessage(what)
-                .that(tokens)
-                .containsExactlyElementsIn(IntStream.range(0, TOKENS).boxed().toList())
-                .inOrder();
-    }
 }
--- a/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
@@ -1,5 +1,7 @@
 package org.wagtailcart.daemon;
 
+import static com.google.common.truth.Truth.assertWithMessage;
+
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -17,6 +19,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -96,10 +99,58 @@
         return start(name, "org.wagtailcart.standin.Standin", all);
     }
 
+    /** Starts a relay in front of a stand-in; the settings tree then names the relay under the name of the upstream. */
+    ChildProcess startRelay(String name, String target) {
+        return start(
+                name + ".relay",
+                "org.wagtailcart.standin.Standin",
+                List.of(
+                        "relay",
+                        "--listen",
+                        address(name).toString(),
+                        "--target",
+                        address(target).toString(),
+                        "--control",
+                        address(name + ".relay-control").toString()));
+    }
+
+    /** Sets what a relay drops. */
+    void relay(String name, String mode) {
+        send(HttpRequest.newBuilder(uri(address(name + ".relay-control"), "/"))
+                .POST(HttpRequest.BodyPublishers.ofString(mode))
+                .build());
+    }
+
+    /** Sends a request with the operators' token to a process. */
+    HttpResponse<String> operate(String process, String path, Optional<String> body) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(uri(address(process + ".operator"), path))
+                .timeout(Duration.ofSeconds(10))
+                .header("Authorization", "Bearer test-token");
+        return send(body.map(text -> request.POST(HttpRequest.BodyPublishers.ofString(text)))
+                .orElse(request.GET())
+                .build());
+    }
+
+    /** Returns the settings revision that a process has in force, as its dump says. */
+    long revisionOf(String process) {
+        return json(operate(process, "/v1/dump", Optional.empty()).body())
+                .findPath("revision")
+                .asLong(-1);
+    }
+
+    Path folder() {
+        return folder;
+    }
+
     /** Starts the usual fleet: engines and sidecars, two services and two entries, and waits until it serves. */
     void startAll(List<String> sidecars, String... serviceArguments) {
         sidecars.forEach(sidecar -> startEngine("engine-" + suffix(sidecar)));
         sidecars.stream().limit(2).forEach(sidecar -> startService("stock-" + suffix(sidecar), serviceArguments));
+        startBeside(sidecars);
+    }
+
+    /** Starts sidecars and entries for upstreams that run, applies the tree and waits until all serve. */
+    void startBeside(List<String> sidecars) {
         apply(tree(sidecars), 0);
         sidecars.forEach(name -> startDaemon(name, "sidecar"));
         startDaemon("entry-1", "entry");
@@ -109,6 +160,22 @@
         await("a service", () -> book("entry-1", "warm-up", "wheel").statusCode() < 300);
     }
 
+    /** Checks that a stream has its end marker and every token exactly once, in order. */
+    void assertWhole(HttpResponse<String> response, int tokens) {
+        String body = response.body();
+        String what = response.statusCode() + " " + body.substring(Math.max(0, body.length() - 400)) + logs();
+        assertWithMessage(what).that(response.statusCode()).isEqualTo(200);
+        assertWithMessage(what).that(body).contains("data: [DONE]");
+        List<Integer> indices = body.lines()
+                .filter(line -> line.startsWith("id: "))
+                .map(line -> Integer.valueOf(line.substring(4)))
+                .toList();
+        assertWithMessage(what)
+                .that(indices)
+                .containsExactlyElementsIn(IntStream.range(0, tokens).boxed().toList())
+                .inOrder();
+    }
+
     /** Sends a command to the control group. */
     <T> T submit(Object command, Class<T> resultType) {
         List<Address> members =
@@ -137,11 +204,10 @@
 
     private boolean leads(String control) {
         try {
-            HttpRequest status = HttpRequest.newBuilder(uri(address(control + ".operator"), "/v1/status"))
-                    .timeout(Duration.ofSeconds(5))
-                    .header("Authorization", "Bearer test-token")
-                    .build();
-            return json(send(status).body()).path("role").asText().equals("leader");
+            return json(operate(control, "/v1/status", Optional.empty()).body())
+                    .path("role")
+                    .asText()
+                    .equals("leader");
         } catch (UncheckedIOException e) {
             return false;
         }
--- /dev/null
+++ b/daemon/src/test/java/org/wagtailcart/daemon/SettingsFaultTest.java
@@ -0,0 +1,178 @@
+package org.wagtailcart.daemon;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.wagtailcart.settings.ApplySettings;
+import org.wagtailcart.settings.ApplySettingsResult;
+import org.wagtailcart.settings.SettingsEdit;
+
+/** Accepted settings under faults of the control group: in force on every process, never an older revision again. */
+class SettingsFaultTest {
+    private static final List<String> SIDECARS = List.of("sidecar-1");
+    private static final List<String> WATCHED = List.of("entry-1", "entry-2");
+    private static ProcessFleet fleet;
+
+    /** What happens to the control group around a change. */
+    enum Fault {
+        NONE(fleet -> {}, fleet -> {}),
+        LEADER_KILLED(fleet -> fleet.process(fleet.leader()).kill(), fleet -> fleet.controls().stream()
+                .filter(name -> !fleet.process(name).alive())
+                .forEach(name -> fleet.startDaemon(name, "control"))),
+        LEADER_PAUSED(fleet -> fleet.process(fleet.leader()).pause(), fleet -> fleet.controls()
+                .forEach(name -> fleet.process(name).resume())),
+        ALL_RESTARTED(
+                fleet -> {
+                    fleet.controls().forEach(name -> fleet.process(name).kill());
+                    fleet.controls().forEach(name -> fleet.startDaemon(name, "control"));
+                },
+                fleet -> {}),
+        DISK_LOST_THEN_SECOND_MEMBER_LOST(SettingsFaultTest::replaceDisk, fleet -> {
+            fleet.controls().stream()
+                    .filter(name -> !fleet.process(name).alive())
+                    .forEach(name -> fleet.startDaemon(name, "control"));
+        });
+
+        private final Consumer<ProcessFleet> strike;
+        private final Consumer<ProcessFleet> repair;
+
+        Fault(Consumer<ProcessFleet> strike, Consumer<ProcessFleet> repair) {
+            this.strike = strike;
+            this.repair = repair;
+        }
+    }
+
+    @BeforeAll
+    static void start(@TempDir Path folder) {
+        fleet = new ProcessFleet(folder, 3);
+        fleet.startAll(SIDECARS);
+    }
+
+    @AfterAll
+    static void stop() {
+        fleet.close();
+    }
+
+    /** Guards against a lost or reverted change, two winners of a race, and a resent change that is applied twice. */
+    @ParameterizedTest
+    @EnumSource
+    void acceptedChangesHold(Fault fault) {
+        long before = fleet.revisionOf("entry-1");
+        AtomicReference<String> wentBack = new AtomicReference<>("");
+        AtomicLong highest = new AtomicLong(before);
+        Thread watcher = new Thread(() -> watch(highest, wentBack), "watcher");
+        watcher.start();
+
+        fault.strike.accept(fleet);
+        CompletableFuture<ApplySettingsResult> first = apply("a-" + fault, before, "41");
+        CompletableFuture<ApplySettingsResult> second = apply("b-" + fault, before, "42");
+        List<ApplySettingsResult> results = List.of(first.join(), second.join());
+        long accepted =
+                results.stream().filter(result -> result.codeNumber() == 0).count();
+        assertWithMessage(results.toString()).that(accepted).isEqualTo(1);
+        long revision = results.get(0).revision();
+        fault.repair.accept(fleet);
+
+        WATCHED.forEach(
+                name -> fleet.await("revision " + revision + " at " + name, () -> fleet.revisionOf(name) >= revision));
+        ApplySettingsResult resent = apply("a-" + fault, before, "41").join();
+        assertWithMessage("a resent change gets its first result").that(resent).isEqualTo(results.get(0));
+        watcher.interrupt();
+        assertWithMessage("revisions that went back").that(wentBack.get()).isEmpty();
+        fleet.awaitServing("entry-1");
+    }
+
+    private static CompletableFuture<ApplySettingsResult> apply(String changeId, long expected, String value) {
+        ApplySettings change = new ApplySettings(
+                changeId,
+                "test",
+                expected,
+                List.of(new SettingsEdit(SettingsEdit.Kind.SET, "/workspaces/w", "requests-per-second", value)));
+        return CompletableFuture.supplyAsync(() -> fleet.submit(change, ApplySettingsResult.class));
+    }
+
+    private static void watch(AtomicLong highest, AtomicReference<String> wentBack) {
+        while (!Thread.currentThread().isInterrupted()) {
+            try {
+                long revision = fleet.revisionOf("entry-1");
+                if (revision < highest.get()) {
+                    wentBack.set(highest.get() + " to " + revision);
+                }
+                highest.set(Math.max(revision, highest.get()));
+                Thread.sleep(20);
+            } catch (UncheckedIOException | InterruptedException | IllegalStateException e) {
+                return;
+            }
+        }
+    }
+
+    /** Loses the disk of a follower, replaces the member by its new incarnation, then loses a second member. */
+    private static void replaceDisk(ProcessFleet fleet) {
+        String leader = fleet.leader();
+        String lost = fleet.controls().stream()
+                .filter(name -> !name.equals(leader))
+                .findFirst()
+                .orElseThrow();
+        fleet.process(lost).kill();
+        long oldIncarnation = incarnation(fleet, lost);
+        delete(fleet.folder().resolve("data-" + lost));
+        fleet.startDaemon(lost, "control");
+        fleet.await("a new incarnation", () -> incarnation(fleet, lost) != oldIncarnation);
+        long newIncarnation = incarnation(fleet, lost);
+        change(fleet, "add-learner", lost, newIncarnation);
+        change(fleet, "remove", lost, oldIncarnation);
+        change(fleet, "promote", lost, newIncarnation);
+        String second = fleet.controls().stream()
+                .filter(name -> !name.equals(lost) && !name.equals(fleet.leader()))
+                .findFirst()
+                .orElseThrow();
+        fleet.process(second).kill();
+    }
+
+    private static void change(ProcessFleet fleet, String kind, String member, long incarnation) {
+        String body = "{\"kind\":\"%s\",\"member_id\":\"%s\",\"incarnation\":%d,\"address\":\"%s\"}"
+                .formatted(kind, member, incarnation, fleet.address(member + ".peer"));
+        fleet.await(
+                kind + " " + member,
+                () -> fleet.operate(fleet.leader(), "/v1/members", Optional.of(body))
+                                .statusCode()
+                        < 300);
+    }
+
+    private static long incarnation(ProcessFleet fleet, String member) {
+        return Pattern.compile("member-(?:blank|opened) member=" + member + " incarnation=(\\d+)")
+                .matcher(fleet.process(member).log())
+                .results()
+                .map(MatchResult::group)
+                .map(line -> Long.valueOf(line.substring(line.lastIndexOf('=') + 1)))
+                .reduce((first, last) -> last)
+                .orElseThrow();
+    }
+
+    private static void delete(Path folder) {
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/wagtailcart/daemon/StreamFaultTest.java
@@ -0,0 +1,102 @@
+package org.wagtailcart.daemon;
+
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Streams while a process dies, stops or a connection goes silent: each is resumed elsewhere and answered whole. */
+class StreamFaultTest {
+    private static final List<String> SIDECARS = List.of("sidecar-1", "sidecar-2", "sidecar-3");
+    private static final String PASS = "{\"drop_to_target\":false,\"drop_to_client\":false,\"existing_only\":false}";
+    private static final int STREAMS = 9;
+    private static final int TOKENS = 300;
+    private static final ExecutorService CALLERS = Executors.newCachedThreadPool();
+    private static ProcessFleet fleet;
+
+    /** What happens while streams run, and how it is repaired. */
+    enum Fault {
+        SIDECAR_KILLED(fleet -> fleet.process("sidecar-2").kill(), fleet -> fleet.startDaemon("sidecar-2", "sidecar")),
+        SIDECAR_PAUSED(fleet -> fleet.process("sidecar-2").pause(), fleet -> fleet.process("sidecar-2")
+                .resume()),
+        ENGINE_KILLED(fleet -> fleet.process("engine-2").kill(), fleet -> fleet.startEngine("engine-2")),
+        ENGINE_TRUNCATES(
+                fleet -> fleet.fault("engine-2", "{\"kind\":\"truncate\",\"count\":2,\"after_tokens\":20}"),
+                fleet -> {}),
+        UPSTREAM_SILENT(
+                fleet -> fleet.relay(
+                        "engine-1", "{\"drop_to_target\":true,\"drop_to_client\":true,\"existing_only\":true}"),
+                fleet -> fleet.relay("engine-1", PASS)),
+        UPSTREAM_SILENT_ONE_WAY(
+                fleet -> fleet.relay(
+                        "engine-1", "{\"drop_to_target\":false,\"drop_to_client\":true,\"existing_only\":true}"),
+                fleet -> fleet.relay("engine-1", PASS)),
+        CONTROL_LEADER_KILLED(
+                fleet -> {
+                    String leader = fleet.leader();
+                    fleet.process(leader).kill();
+                    fleet.startDaemon(leader, "control");
+                },
+                fleet -> {}),
+        SIDECAR_KILLED_AND_LEADER_PAUSED(
+                fleet -> {
+                    fleet.process(fleet.leader()).pause();
+                    fleet.process("sidecar-3").kill();
+                },
+                fleet -> {
+                    fleet.controls().forEach(name -> fleet.process(name).resume());
+                    fleet.startDaemon("sidecar-3", "sidecar");
+                });
+
+        private final Consumer<ProcessFleet> strike;
+        private final Consumer<ProcessFleet> repair;
+
+        Fault(Consumer<ProcessFleet> strike, Consumer<ProcessFleet> repair) {
+            this.strike = strike;
+            this.repair = repair;
+        }
+    }
+
+    @BeforeAll
+    static void start(@TempDir Path folder) {
+        fleet = new ProcessFleet(folder, 3);
+        fleet.startEngine("engine-1-target");
+        fleet.startRelay("engine-1", "engine-1-target");
+        fleet.startEngine("engine-2");
+        fleet.startEngine("engine-3");
+        List.of("stock-1", "stock-2").forEach(fleet::startService);
+        fleet.startBeside(SIDECARS);
+    }
+
+    @AfterAll
+    static void stop() {
+        CALLERS.shutdownNow();
+        fleet.close();
+    }
+
+    /** Guards against a stream that looks complete and is not, and against one that is lost with its upstream. */
+    @ParameterizedTest
+    @EnumSource
+    void everyStreamIsWhole(Fault fault) {
+        List<CompletableFuture<HttpResponse<String>>> streams = IntStream.range(0, STREAMS)
+                .mapToObj(i -> CompletableFuture.supplyAsync(
+                        () -> fleet.complete("entry-" + (1 + i % 2), fault + " prompt " + i, TOKENS, true), CALLERS))
+                .toList();
+        CompletableFuture.runAsync(
+                        () -> fault.strike.accept(fleet), CompletableFuture.delayedExecutor(400, TimeUnit.MILLISECONDS))
+                .join();
+        streams.forEach(stream -> fleet.assertWhole(stream.join(), TOKENS));
+        fault.repair.accept(fleet);
+        fleet.awaitServing("entry-1");
+    }
+}
