Prove streams and settings under faults of real processes

Found on the way: the harness sent GET instead of POST for membership changes, so the group had no quorum after the second loss; the members' logs showed no change. Ruled out: a fault of the replicated log (term and members were as they should be).

--- a/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -127,7 +128,7 @@
                 .timeout(Duration.ofSeconds(10))
                 .header("Authorization", "Bearer test-token");
         return send(body.map(text -> request.POST(HttpRequest.BodyPublishers.ofString(text)))
-                .orElse(request.GET())
+                .orElseGet(request::GET)
                 .build());
     }
 
@@ -180,9 +181,13 @@
     <T> T submit(Object command, Class<T> resultType) {
         List<Address> members =
                 controls.stream().map(name -> address(name + ".peer")).toList();
-        return new ControlClientImpl(peers, ProcessModule.codec(), members, timer)
-                .submit(command, resultType, 60_000)
-                .join();
+        try {
+            return new ControlClientImpl(peers, ProcessModule.codec(), members, timer)
+                    .submit(command, resultType, 60_000)
+                    .join();
+        } catch (CompletionException e) {
+            throw new AssertionError(command + " failed\n" + logs(), e);
+        }
     }
 
     /** Returns the control member that leads, as its own dump says. */
--- a/daemon/src/test/java/org/wagtailcart/daemon/StreamFaultTest.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/StreamFaultTest.java
@@ -29,7 +29,13 @@
         SIDECAR_KILLED(fleet -> fleet.process("sidecar-2").kill(), fleet -> fleet.startDaemon("sidecar-2", "sidecar")),
         SIDECAR_PAUSED(fleet -> fleet.process("sidecar-2").pause(), fleet -> fleet.process("sidecar-2")
                 .resume()),
-        ENGINE_KILLED(fleet -> fleet.process("engine-2").kill(), fleet -> fleet.startEngine("engine-2")),
+        ENGINE_KILLED(fleet -> fleet.process("engine-2").kill(), fleet -> {
+            fleet.startEngine("engine-2");
+            fleet.await("engine-2 to listen", () -> {
+                fleet.fault("engine-2", "{\"kind\":\"truncate\",\"count\":0}");
+                return true;
+            });
+        }),
         ENGINE_TRUNCATES(
                 fleet -> fleet.fault("engine-2", "{\"kind\":\"truncate\",\"count\":2,\"after_tokens\":20}"),
                 fleet -> {}),
