--- a/bin/lib/fleet.sh
+++ b/bin/lib/fleet.sh
@@ -44,7 +44,7 @@
     rm -rf "$run"
     mkdir -p "$run"
     for i in 1 2 3; do
-        start "engine-$i" standin engine --listen "127.0.0.1:1730$i" --model repair-assistant
+        start "engine-$i" standin engine --listen "127.0.0.1:1730$i" --model repair-assistant ${ENGINE_OPTIONS:-}
     done
     for i in 1 2; do
         start "stock-$i" standin service --listen "127.0.0.1:1731$i"
--- /dev/null
+++ b/once/src/test/java/org/wagtailcart/once/KeyMemory.java
@@ -0,0 +1,42 @@
+package org.wagtailcart.once;
+
+import java.util.List;
+import java.util.logging.Logger;
+import java.util.stream.IntStream;
+
+/** Measures the heap and the snapshot of completed keys at several counts; run by hand, see docs/CAPACITY.md. */
+public final class KeyMemory {
+    private static final Logger LOG = Logger.getLogger(KeyMemory.class.getName());
+    private static final int ANSWER_BYTES = 128;
+
+    private KeyMemory() {}
+
+    /** Fills registries of growing size and logs the bytes of each. */
+    public static void main(String[] arguments) {
+        IntStream.of(10_000, 50_000, 100_000, 200_000).forEach(KeyMemory::measure);
+    }
+
+    private static void measure(int count) {
+        long before = usedBytes();
+        KeyRegistry registry = new KeyRegistry();
+        long startedNanos = System.nanoTime();
+        IntStream.range(0, count).forEach(i -> {
+            KeyId id = new KeyId("workspace-" + i % 1_000, "key-" + i);
+            registry.apply(2L * i + 1, i, new ReserveKey(id, "fingerprint-" + i, "attempt-" + i, "stock-1", 1));
+            RecordedAnswer answer =
+                    new RecordedAnswer(200, List.of("Content-Type", "application/json"), new byte[ANSWER_BYTES], true);
+            registry.apply(2L * i + 2, i, new CompleteKey(id, "attempt-" + i, answer));
+        });
+        long nanos = System.nanoTime() - startedNanos;
+        long used = usedBytes() - before;
+        long snapshot = registry.snapshot().length;
+        LOG.warning(() -> "keys " + count + ", heap bytes each " + used / count + ", snapshot bytes each "
+                + snapshot / count + ", ns each command " + nanos / (2L * count));
+    }
+
+    private static long usedBytes() {
+        IntStream.range(0, 4).forEach(i -> System.gc());
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
