--- a/daemon/src/main/java/org/wagtailcart/daemon/LogFormat.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/LogFormat.java
@@ -2,13 +2,15 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.PrintWriter;
-import java.io.StringWriter;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** Form of a log line; one event a line in each. */
 enum LogFormat {
@@ -72,9 +74,15 @@
         if (thrown == null) {
             return "";
         }
-        StringWriter text = new StringWriter();
-        thrown.printStackTrace(new PrintWriter(text, true));
-        return text.toString();
+        return Stream.iterate(thrown, Objects::nonNull, Throwable::getCause)
+                .map(cause -> cause + frames(cause))
+                .collect(Collectors.joining("\ncaused by "));
+    }
+
+    private static String frames(Throwable thrown) {
+        return Arrays.stream(thrown.getStackTrace())
+                .map(frame -> "\n  at " + frame)
+                .collect(Collectors.joining());
     }
 
     private static String escape(String text) {
--- a/daemon/src/test/java/org/wagtailcart/daemon/PlannedChangeTest.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/PlannedChangeTest.java
@@ -2,15 +2,9 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.io.TempDir;
@@ -28,7 +22,6 @@
     private static final List<String> SIDECARS = List.of("sidecar-1", "sidecar-2", "sidecar-3");
     private static final int STREAMS = 12;
     private static final int TOKENS = 300;
-    private static final ExecutorService CALLERS = Executors.newCachedThreadPool();
     private static ProcessFleet fleet;
 
     /** A planned change and what restores the fleet after it. */
@@ -92,7 +85,6 @@
 
     @AfterAll
     static void stop() {
-        CALLERS.shutdownNow();
         fleet.close();
     }
 
@@ -100,14 +92,7 @@
     @ParameterizedTest
     @EnumSource
     void everyStreamIsWhole(Change change) {
-        List<CompletableFuture<HttpResponse<String>>> streams = IntStream.range(0, STREAMS)
-                .mapToObj(i -> CompletableFuture.supplyAsync(
-                        () -> fleet.complete("entry-" + (1 + i % 2), change + " prompt " + i, TOKENS, true), CALLERS))
-                .toList();
-        CompletableFuture.runAsync(
-                        () -> change.make.accept(fleet), CompletableFuture.delayedExecutor(400, TimeUnit.MILLISECONDS))
-                .join();
-        streams.forEach(stream -> fleet.assertWhole(stream.join(), TOKENS));
+        fleet.assertStreamsWhole(change.name(), STREAMS, TOKENS, () -> change.make.accept(fleet));
         change.restore.accept(fleet);
     }
 }
--- a/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
@@ -21,7 +21,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -161,8 +163,24 @@
         await("a service", () -> book("entry-1", "warm-up", "wheel").statusCode() < 300);
     }
 
+    /** Runs streams through both entries, does something while they run, and checks that each is whole. */
+    void assertStreamsWhole(String name, int streams, int tokens, Runnable change) {
+        ExecutorService callers = Executors.newFixedThreadPool(streams);
+        try {
+            List<CompletableFuture<HttpResponse<String>>> responses = IntStream.range(0, streams)
+                    .mapToObj(i -> CompletableFuture.supplyAsync(
+                            () -> complete("entry-" + (1 + i % 2), name + " prompt " + i, tokens, true), callers))
+                    .toList();
+            CompletableFuture.runAsync(change, CompletableFuture.delayedExecutor(400, TimeUnit.MILLISECONDS))
+                    .join();
+            responses.forEach(response -> assertWhole(response.join(), tokens));
+        } finally {
+            callers.shutdownNow();
+        }
+    }
+
     /** Checks that a stream has its end marker and every token exactly once, in order. */
-    void assertWhole(HttpResponse<String> response, int tokens) {
+    private void assertWhole(HttpResponse<String> response, int tokens) {
         String body = response.body();
         String what = response.statusCode() + " " + body.substring(Math.max(0, body.length() - 400)) + logs();
         assertWithMessage(what).that(response.statusCode()).isEqualTo(200);
--- a/daemon/src/test/java/org/wagtailcart/daemon/StreamFaultTest.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/StreamFaultTest.java
@@ -1,14 +1,8 @@
 package org.wagtailcart.daemon;
 
-import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.io.TempDir;
@@ -21,7 +15,6 @@
     private static final String PASS = "{\"drop_to_target\":false,\"drop_to_client\":false,\"existing_only\":false}";
     private static final int STREAMS = 9;
     private static final int TOKENS = 300;
-    private static final ExecutorService CALLERS = Executors.newCachedThreadPool();
     private static ProcessFleet fleet;
 
     /** What happens while streams run, and how it is repaired. */
@@ -86,7 +79,6 @@
 
     @AfterAll
     static void stop() {
-        CALLERS.shutdownNow();
         fleet.close();
     }
 
@@ -94,14 +86,7 @@
     @ParameterizedTest
     @EnumSource
     void everyStreamIsWhole(Fault fault) {
-        List<CompletableFuture<HttpResponse<String>>> streams = IntStream.range(0, STREAMS)
-                .mapToObj(i -> CompletableFuture.supplyAsync(
-                        () -> fleet.complete("entry-" + (1 + i % 2), fault + " prompt " + i, TOKENS, true), CALLERS))
-                .toList();
-        CompletableFuture.runAsync(
-                        () -> fault.strike.accept(fleet), CompletableFuture.delayedExecutor(400, TimeUnit.MILLISECONDS))
-                .join();
-        streams.forEach(stream -> fleet.assertWhole(stream.join(), TOKENS));
+        fleet.assertStreamsWhole(fault.name(), STREAMS, TOKENS, () -> fault.strike.accept(fleet));
         fault.repair.accept(fleet);
         fleet.awaitServing("entry-1");
     }
