Revert the sustain time of role moves to 30 s

Ruled out with it: a longer sustain time as the remedy for changes in a swinging mix. Conclusion: the planner needs to recognise a mix that swings back, not to wait longer.

--- a/policy/src/main/java/org/wagtailcart/policy/role/RoleOptions.java
+++ b/policy/src/main/java/org/wagtailcart/policy/role/RoleOptions.java
@@ -23,7 +23,7 @@
         long horizonMillis) {
     /** Returns defaults for engines of the given rates with equal weights. */
     public static RoleOptions defaults(double prefillTokensPerSecond, double decodeTokensPerSecond) {
-        return new RoleOptions(1, 1, prefillTokensPerSecond, decodeTokensPerSecond, 0.75, 0.95, 60_000, 300_000);
+        return new RoleOptions(1, 1, prefillTokensPerSecond, decodeTokensPerSecond, 0.75, 0.95, 30_000, 300_000);
     }
 
     /** Returns these options with the users' weights. */
