Retry refused connects without spending the retry budget

The sidecar was dead because the harness took a port that an outgoing connection already used; the daemon then printed a stack trace. Ruled out: a larger initial budget, which a longer outage would use up as well. Conclusion: the budget limits repeated work, not connects.

--- a/daemon/src/main/java/org/wagtailcart/daemon/OperatorListener.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/OperatorListener.java
@@ -12,11 +12,14 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RoleService;
+import org.wagtailcart.common.WagtailcartException;
 
 /** HTTP listener of a process without the control role: health, metrics and the state dump. */
 final class OperatorListener implements AutoCloseable {
     private final ObjectMapper mapper = new ObjectMapper();
+    private final Address address;
     private final Undertow server;
 
     OperatorListener(
@@ -25,6 +28,7 @@
             List<RoleService> roles,
             Supplier<ProcessDump> dump,
             MetricRegistry registry) {
+        this.address = address;
         HttpHandler routes = Handlers.path()
                 .addExactPath("/livez", exchange -> exchange.getResponseSender().send("ok"))
                 .addExactPath("/readyz", exchange -> answerReady(exchange, roles))
@@ -38,8 +42,18 @@
                 .build();
     }
 
+    /**
+     * Starts to listen.
+     *
+     * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT} when the address cannot be bound
+     */
     void start() {
-        server.start();
+        try {
+            server.start();
+        } catch (RuntimeException e) {
+            throw new WagtailcartException(
+                    ResultCode.INVALID_ARGUMENT, "cannot listen on [listen] operator = " + address, e);
+        }
     }
 
     @Override
--- a/daemon/src/test/java/org/wagtailcart/daemon/PlannedChangeTest.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/PlannedChangeTest.java
@@ -21,7 +21,7 @@
 class PlannedChangeTest {
     private static final List<String> SIDECARS = List.of("sidecar-1", "sidecar-2", "sidecar-3");
     private static final int STREAMS = 12;
-    private static final int TOKENS = 300;
+    private static final int TOKENS = 2_000;
     private static ProcessFleet fleet;
 
     /** A planned change and what restores the fleet after it. */
--- a/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -44,6 +45,10 @@
 /** A small fleet of real processes on loopback with stand-ins for engines and services. */
 final class ProcessFleet implements AutoCloseable {
     static final String MODEL = "repair-assistant";
+    /** Below the ports of outgoing connections, which could take a chosen port before its process binds it. */
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger(18_000 + (int) (ProcessHandle.current().pid() % 100) * 120);
+
     private static final long WAIT_LIMIT_MILLIS = 90_000;
 
     private final Path folder;
@@ -435,10 +440,18 @@
     }
 
     private static Address freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return new Address("127.0.0.1", socket.getLocalPort());
+        return IntStream.generate(NEXT_PORT::getAndIncrement)
+                .filter(ProcessFleet::isFree)
+                .mapToObj(port -> new Address("127.0.0.1", port))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port)) {
+            return socket.isBound();
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            return false;
         }
     }
 }
--- a/daemon/src/test/java/org/wagtailcart/daemon/StreamFaultTest.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/StreamFaultTest.java
@@ -14,7 +14,7 @@
     private static final List<String> SIDECARS = List.of("sidecar-1", "sidecar-2", "sidecar-3");
     private static final String PASS = "{\"drop_to_target\":false,\"drop_to_client\":false,\"existing_only\":false}";
     private static final int STREAMS = 9;
-    private static final int TOKENS = 300;
+    private static final int TOKENS = 2_000;
     private static ProcessFleet fleet;
 
     /** What happens while streams run, and how it is repaired. */
--- a/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/RepeatableCall.java
@@ -344,7 +344,7 @@
     private void retry(WagtailcartException error) {
         if (++attempts >= MAX_ATTEMPTS) {
             refuse(error);
-        } else if (!context.budget().tryRetry()) {
+        } else if (costsWork(error) && !context.budget().tryRetry()) {
             context.counters().count("retries-denied");
             refuse(error);
         } else {
@@ -353,6 +353,11 @@
         }
     }
 
+    /** The budget protects upstreams from repeated work; a refused connect brought them none. */
+    private static boolean costsWork(WagtailcartException error) {
+        return error.code() != ResultCode.CONNECT_FAILED;
+    }
+
     private void pause(long millis) {
         if (millis == 0) {
             route(false);
--- a/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
@@ -185,6 +185,15 @@
                 .inOrder();
     }
 
+    /** Guards against refusals once a dead upstream has used up the retry budget, while others have room. */
+    @Test
+    void refusedConnectsDoNotSpendTheRetryBudget() {
+        control.addEngine("a-dead", FakeSidecar.freeAddress(), EngineRole.MIXED, 4);
+        rig.settle();
+        IntStream.range(0, 30).forEach(i -> assertWhole(rig.complete(true)));
+        assertThat(rig.count("entry.retries")).isAtLeast(20);
+    }
+
     /** Guards against a stream that hangs for ever when its connection falls silent without closing. */
     @Test
     void aSilentConnectionIsReplacedAndTheStreamContinued() throws Exception {
