Use the policy's retry budget in the entry and one base for commands with a change id

Change: ShareRetryBudget is a synchronized policy RetryBudget with the same share, cap and reserve (10 of 100); ChangeCommand and CliCommand.checkCount serve both groups; OnControlLoss.parse is gone. Ruled out: the entry's BoundedAdmission in the same way, whose refusals differ from the policy's queue; a base class over the parameters of the stand-ins' commands, which share their shape only.

--- a/cli/src/main/java/org/wagtailcart/cli/CliCommand.java
+++ b/cli/src/main/java/org/wagtailcart/cli/CliCommand.java
@@ -1,6 +1,7 @@
 package org.wagtailcart.cli;
 
 import com.beust.jcommander.Parameter;
+import java.util.List;
 
 /** A sub-command. */
 abstract class CliCommand {
@@ -15,4 +16,15 @@
     abstract String name();
 
     abstract ExitCode run(Session session);
+
+    /**
+     * Checks the number of arguments.
+     *
+     * @throws CliException with {@link ExitCode#USAGE} when it is another one
+     */
+    void checkCount(List<String> arguments, int count) {
+        if (arguments.size() != count) {
+            throw new CliException(ExitCode.USAGE, name() + " needs " + count + " arguments, not " + arguments.size());
+        }
+    }
 }
--- a/cli/src/main/java/org/wagtailcart/cli/FleetCommands.java
+++ b/cli/src/main/java/org/wagtailcart/cli/FleetCommands.java
@@ -45,13 +45,6 @@
                 new Wait());
     }
 
-    private static String argument(List<String> arguments, String command, int count, int index) {
-        if (arguments.size() != count) {
-            throw new CliException(ExitCode.USAGE, command + " needs " + count + " arguments, not " + arguments.size());
-        }
-        return arguments.get(index);
-    }
-
     @Parameters(commandDescription = "Shows the upstreams, members, status, dump or metrics of a control member")
     private static final class Show extends CliCommand {
         private final String name;
@@ -74,7 +67,7 @@
     @Parameters(
             commandDescription = "Changes the lifecycle of an upstream: drain ID, resume ID, withdraw ID,"
                     + " replace ID REPLACEMENT-ID")
-    private static final class LifecycleCommand extends CliCommand {
+    private static final class LifecycleCommand extends ChangeCommand {
         private final String name;
         private final String lifecycle;
         private final int argumentCount;
@@ -82,11 +75,6 @@
         @Parameter(description = "ID [REPLACEMENT-ID]", required = true)
         private List<String> arguments = new ArrayList<>();
 
-        @Parameter(
-                names = "--change-id",
-                description = "Id of the change; repeat a change with the id of its first try")
-        private String changeId = "";
-
         LifecycleCommand(String name, String lifecycle, int argumentCount) {
             this.name = name;
             this.lifecycle = lifecycle;
@@ -100,10 +88,10 @@
 
         @Override
         ExitCode run(Session session) {
-            String id = argument(arguments, name, argumentCount, 0);
+            checkCount(arguments, argumentCount);
+            String id = arguments.get(0);
             String replacement = argumentCount > 1 ? arguments.get(1) : "";
-            ChangeLifecycle body =
-                    new ChangeLifecycle(session.changeId(changeId), session.operator(), lifecycle, replacement);
+            ChangeLifecycle body = new ChangeLifecycle(changeId(session), session.operator(), lifecycle, replacement);
             return session.print(client -> client.post("/v1/upstreams/" + id + "/lifecycle", body));
         }
     }
@@ -176,7 +164,8 @@
 
         @Override
         ExitCode run(Session session) {
-            String id = argument(arguments, name, argumentCount, 0);
+            checkCount(arguments, argumentCount);
+            String id = arguments.get(0);
             ChangeMember body = argumentCount == 1
                     ? new ChangeMember(kind, id, null, null)
                     : new ChangeMember(kind, id, incarnation(arguments.get(1)), arguments.get(2));
--- a/cli/src/main/java/org/wagtailcart/cli/TreeCommands.java
+++ b/cli/src/main/java/org/wagtailcart/cli/TreeCommands.java
@@ -68,25 +68,16 @@
     }
 
     /** Options of commands that change the tree. */
-    private abstract static class Change extends CliCommand {
+    private abstract static class Change extends ChangeCommand {
         @Parameter(
                 names = "--expected-revision",
                 description =
                         "Revision you saw; the change is refused when another one is in force. Default: the current")
         private long expectedRevision = -1;
 
-        @Parameter(
-                names = "--change-id",
-                description = "Id of the change; repeat a change with the id of its first try")
-        private String changeId = "";
-
         long expectedRevision(Session session) {
             return session.revision(expectedRevision);
         }
-
-        String changeId(Session session) {
-            return session.changeId(changeId);
-        }
     }
 
     @Parameters(commandDescription = "Brings an INI file into force")
@@ -138,10 +129,7 @@
 
         @Override
         ExitCode run(Session session) {
-            if (arguments.size() != argumentCount) {
-                throw new CliException(
-                        ExitCode.USAGE, name + " needs " + argumentCount + " arguments, not " + arguments.size());
-            }
+            checkCount(arguments, argumentCount);
             boolean move = kind.equals("move-branch");
             String key = argumentCount > 1 && !move ? arguments.get(1) : "";
             String value = argumentCount > 2 || move ? arguments.get(argumentCount - 1) : "";
--- a/entry/src/main/java/org/wagtailcart/entry/OnControlLoss.java
+++ b/entry/src/main/java/org/wagtailcart/entry/OnControlLoss.java
@@ -1,6 +1,5 @@
 package org.wagtailcart.entry;
 
-import org.wagtailcart.common.SettingNames;
 import org.wagtailcart.entry.request.RequestKind;
 
 /** What an entry does with new work while its settings are not confirmed by the control group. */
@@ -22,9 +21,4 @@
 
     /** Returns whether new work of a kind is served without confirmed settings. */
     public abstract boolean serves(RequestKind kind);
-
-    /** Parses the name used in settings. */
-    public static OnControlLoss parse(String name) {
-        return SettingNames.parse(values(), name, "on-control-loss");
-    }
 }
--- a/entry/src/main/java/org/wagtailcart/entry/admission/ShareRetryBudget.java
+++ b/entry/src/main/java/org/wagtailcart/entry/admission/ShareRetryBudget.java
@@ -1,22 +1,20 @@
 package org.wagtailcart.entry.admission;
 
-import java.util.concurrent.atomic.AtomicInteger;
-
-/** One retry for every ten requests, with a small reserve for quiet times. */
+/** The policy's retry budget for several threads, with a reserve for quiet times. */
 public final class ShareRetryBudget implements RetryBudget {
-    private static final int COST = 10;
-    private static final int MAX_CREDIT = 1_000;
-    private static final int INITIAL_CREDIT = 100;
+    private static final int BURST = 100;
+    private static final int INITIAL = 10;
 
-    private final AtomicInteger credit = new AtomicInteger(INITIAL_CREDIT);
+    private final org.wagtailcart.policy.retry.RetryBudget budget = new org.wagtailcart.policy.retry.RetryBudget(
+            org.wagtailcart.policy.retry.RetryBudget.DEFAULT_RATIO, BURST, INITIAL);
 
     @Override
-    public void onRequest() {
-        credit.updateAndGet(value -> Math.min(MAX_CREDIT, value + 1));
+    public synchronized void onRequest() {
+        budget.onFirstAttempt();
     }
 
     @Override
-    public boolean tryRetry() {
-        return credit.getAndUpdate(value -> value >= COST ? value - COST : value) >= COST;
+    public synchronized boolean tryRetry() {
+        return budget.tryRetry();
     }
 }
--- a/policy/src/main/java/org/wagtailcart/policy/retry/RetryBudget.java
+++ b/policy/src/main/java/org/wagtailcart/policy/retry/RetryBudget.java
@@ -28,14 +28,30 @@
      * @throws IllegalArgumentException when an argument is out of range
      */
     public RetryBudget(double ratio, int burst) {
+        this(ratio, burst, 0);
+    }
+
+    /**
+     * Creates a budget that starts with a reserve for quiet times.
+     *
+     * @param ratio retries earned by one first attempt, 0 to 1
+     * @param burst greatest number of retries saved up, at least 1
+     * @param initial retries saved up at the start, 0 to {@code burst}
+     * @throws IllegalArgumentException when an argument is out of range
+     */
+    public RetryBudget(double ratio, int burst, int initial) {
         if (!(ratio >= 0 && ratio <= 1)) {
             throw new IllegalArgumentException("ratio " + ratio + " is not between 0 and 1");
         }
         if (burst < 1) {
             throw new IllegalArgumentException("burst " + burst + " is below 1");
         }
+        if (initial < 0 || initial > burst) {
+            throw new IllegalArgumentException("initial " + initial + " is not between 0 and " + burst);
+        }
         this.ratio = ratio;
         this.burst = burst;
+        this.balance = initial;
     }
 
     /** Notes a first attempt. */
