Let members join their group by themselves and add the routing table and upstream directory types

Cause: on the users' platform a control host is told three seed addresses only, and must form and join a group without an operator. A full disk ended a member until it was restarted. Change: module routes (typed table, rules, index, replicated part), module directory (host list and engine port), Joining and MembershipPlanner in coordination, retried writes in StorageThread, hand-over by a leader whose disk does not answer. Ruled out: one list of all members in the settings (the platform does not tell it).

--- a/coordination/src/main/java/org/wagtailcart/coordination/Leadership.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/Leadership.java
@@ -89,6 +89,12 @@
         return quorumValue(progress -> progress.heardMillis, nowMillis) > nowMillis - timing.electionMinMillis();
     }
 
+    /** Returns for how long a member was not heard. */
+    long silentMillis(MemberKey key, long nowMillis) {
+        Progress progress = others.get(key);
+        return progress == null ? 0 : nowMillis - progress.heardMillis;
+    }
+
     /** Sends new entries to every member that can take them. */
     void replicate(long nowMillis) {
         others.forEach((key, progress) -> sendEntries(nowMillis, key, progress));
--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftLog.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftLog.java
@@ -14,11 +14,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.wire.Exchange;
 import org.wagtailcart.wire.PeerClient;
 import org.wagtailcart.wire.PeerDispatcher;
 
@@ -32,7 +34,15 @@
 
     private static final Logger LOG = System.getLogger(RaftLog.class.getName());
     private static final int MAX_BATCH = 4_096;
-    private static final long FOUNDING_INTERVAL_MILLIS = 500;
+    private static final long FOUNDING_INTERVAL_MILLIS = 300;
+    /** Longer than an election, so that a group that elects a leader is not asked. */
+    private static final long JOIN_AFTER_SILENCE_MILLIS = 2_500;
+
+    private static final long MEMBERS_INTERVAL_MILLIS = 100;
+    /** A sync that takes longer keeps operators waiting for their acknowledgement. */
+    private static final long SLOW_DISK_MILLIS = 700;
+
+    private static final long HAND_OVER_INTERVAL_MILLIS = 1_000;
 
     private final RaftOptions options;
     private final StateMachine stateMachine;
@@ -42,6 +52,7 @@
     private final RaftTransport transport;
     private final StorageThread storageThread;
     private final Founding founding;
+    private final Joining joining;
     private final PendingCalls calls = new PendingCalls();
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final ExecutorService controlThread = Executors.newSingleThreadExecutor(Threads.named("control"));
@@ -53,6 +64,8 @@
     private long stateTimeMillis;
     private long nextTickMillis;
     private long nextFoundingMillis;
+    private long nextMembersCheckMillis;
+    private long nextHandOverMillis;
     private boolean foundingRuns;
     private boolean snapshotRuns;
     private @Nullable WagtailcartException failure;
@@ -82,11 +95,14 @@
         long seed = incarnation ^ System.nanoTime();
         node = new RaftNode(self, options.address(), options.timing(), storage.hardState(), log, seed, nowMillis);
         founding = new Founding(options, incarnation, client);
+        joining = new Joining(
+                new Member(options.memberId(), incarnation, options.address(), false), options.joinContacts(), client);
         transport = new RaftTransport(self, client);
         storageThread = new StorageThread(storage, this, registry);
         status = node.status(options.address());
         logOpened();
         transport.register(dispatcher, this::receive, this::submit, this::identity);
+        dispatcher.register(RaftMessages.JoinRequest.class, this::receiveJoin);
     }
 
     /**
@@ -288,6 +304,9 @@
             nextTickMillis = nowMillis + tickMillis;
             perform(node.tick(nowMillis));
             foundIfDue(nowMillis);
+            joinIfDue(nowMillis);
+            changeMembersIfDue(nowMillis);
+            handOverIfDiskIsSlow(nowMillis);
         }
         calls.completeReads(node.appliedIndex());
         snapshotIfDue();
@@ -413,6 +432,57 @@
         }));
     }
 
+    /** A member that no leader speaks to may have been removed, or its group may not know it yet. */
+    private void joinIfDue(long nowMillis) {
+        boolean alone = node.isBlank() || node.leaderSilentMillis(nowMillis) > JOIN_AFTER_SILENCE_MILLIS;
+        if (alone && !options.joinContacts().isEmpty()) {
+            joining.askIfDue(nowMillis, node.log().members());
+        }
+    }
+
+    private void receiveJoin(Exchange exchange, Object request) {
+        submit(() -> {
+            joining.asked(clock.nowMillis(), ((RaftMessages.JoinRequest) request).member());
+            List<Address> known =
+                    node.log().members().members().stream().map(Member::address).toList();
+            exchange.finish(new RaftMessages.JoinReply(known));
+        });
+    }
+
+    private void changeMembersIfDue(long nowMillis) {
+        if (options.joinContacts().isEmpty() || nowMillis < nextMembersCheckMillis) {
+            return;
+        }
+        nextMembersCheckMillis = nowMillis + MEMBERS_INTERVAL_MILLIS;
+        node.plannedChange(nowMillis, joining.joiners(nowMillis)).ifPresent(change -> {
+            LOG.log(Level.INFO, LogEvent.of("members-planned", "kind", change.kind(), "member", change.member()));
+            CompletableFuture<Object> future = new CompletableFuture<>();
+            long id = calls.addProposal(future);
+            try {
+                perform(node.changeMembers(nowMillis, wallClock.nowMillis(), id, change));
+            } catch (WagtailcartException e) {
+                calls.failProposal(id, e);
+                LOG.log(Level.INFO, LogEvent.of("members-refused", "reason", e.getMessage()));
+            }
+        });
+    }
+
+    /** A leader whose disk does not answer can acknowledge nothing; another member can. */
+    private void handOverIfDiskIsSlow(long nowMillis) {
+        if (status.role() == LogStatus.Role.LEADER
+                && storageThread.waitingMillis(nowMillis) > SLOW_DISK_MILLIS
+                && nowMillis >= nextHandOverMillis
+                && MembersCodec.voters(status.members()).size() > 1) {
+            nextHandOverMillis = nowMillis + HAND_OVER_INTERVAL_MILLIS;
+            LOG.log(Level.WARNING, LogEvent.of("disk-slow", "member", options.memberId()));
+            try {
+                perform(node.transfer(nowMillis));
+            } catch (WagtailcartException e) {
+                LOG.log(Level.INFO, LogEvent.of("hand-over-refused", "reason", e.getMessage()));
+            }
+        }
+    }
+
     private void found(List<Member> voters) {
         LOG.log(Level.INFO, LogEvent.of("group-founded", "members", voters));
         perform(node.found(clock.nowMillis(), wallClock.nowMillis(), voters));
--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftMessages.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftMessages.java
@@ -1,6 +1,7 @@
 package org.wagtailcart.coordination;
 
 import java.util.List;
+import org.wagtailcart.common.Address;
 import org.wagtailcart.wire.MessageType;
 
 /** Type numbers of the messages between control members, 100 to 199. */
@@ -16,7 +17,9 @@
             new MessageType(107, Received.class),
             new MessageType(108, IdentityRequest.class),
             new MessageType(109, IdentityReply.class),
-            new MessageType(110, Members.class));
+            new MessageType(110, Members.class),
+            new MessageType(111, JoinRequest.class),
+            new MessageType(112, JoinReply.class));
 
     private RaftMessages() {}
 
@@ -38,4 +41,18 @@
      * @param initialMembers its list of initial members
      */
     record IdentityReply(Member member, boolean blank, List<InitialMember> initialMembers) {}
+
+    /**
+     * Asks to take part in the group.
+     *
+     * @param member who asks
+     */
+    record JoinRequest(Member member) {}
+
+    /**
+     * Answer to {@link JoinRequest}; a leader takes the member in later, if it is not in the group already.
+     *
+     * @param members addresses of the members that the answering one knows
+     */
+    record JoinReply(List<Address> members) {}
 }
--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftNode.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftNode.java
@@ -1,5 +1,6 @@
 package org.wagtailcart.coordination;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -56,6 +57,7 @@
         this.out = new Outbox(self, address, hardState);
         this.replica = new Replica(log, out, new Confirmations(random.nextLong(1, Long.MAX_VALUE), nowMillis));
         resetElectionDeadline(nowMillis);
+        leaderHeardMillis = nowMillis;
     }
 
     /** Returns whether the member has never voted nor stored an entry. */
@@ -158,6 +160,34 @@
         return finish();
     }
 
+    /** Returns the membership change that a leader should make by itself now. */
+    Optional<MemberChange> plannedChange(long nowMillis, Collection<Member> joiners) {
+        Leadership leading = leadership;
+        if (leading == null
+                || leading.transferTarget() != null
+                || !leading.isEstablished()
+                || log.members().index() > replica.commitIndex()) {
+            return Optional.empty();
+        }
+        return MembershipPlanner.next(log.members(), self, joiners, new MembershipPlanner.Contacts() {
+            @Override
+            public boolean isCaughtUp(MemberKey member) {
+                OptionalLong lag = leading.lagOf(member, nowMillis);
+                return lag.isPresent() && lag.getAsLong() <= MembershipRules.MAX_PROMOTION_LAG;
+            }
+
+            @Override
+            public long silentMillis(MemberKey member) {
+                return leading.silentMillis(member, nowMillis);
+            }
+        });
+    }
+
+    /** Returns for how long no leader was heard; 0 on the leader itself. */
+    long leaderSilentMillis(long nowMillis) {
+        return role == Role.LEADER ? 0 : nowMillis - leaderHeardMillis;
+    }
+
     /**
      * Starts to hand leadership over.
      *
--- a/coordination/src/main/java/org/wagtailcart/coordination/StorageThread.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/StorageThread.java
@@ -2,6 +2,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -11,9 +13,17 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
 
 /** The one thread that waits for the disk. Everything queued while a sync runs shares the next sync. */
 final class StorageThread implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(StorageThread.class.getName());
+    private static final long IDLE = Long.MAX_VALUE;
+    private static final long RETRY_MILLIS = 100;
+
     /** Work of the thread. */
     private sealed interface Job {}
 
@@ -51,6 +61,9 @@
     private final BlockingQueue<Job> jobs = new LinkedBlockingQueue<>();
     private final ExecutorService executor;
     private final Timer syncTimer;
+    private final MillisClock clock = MillisClock.monotonic();
+    private volatile long busySinceMillis = IDLE;
+    private volatile boolean stopping;
     private long storedNumber;
 
     StorageThread(RaftStorage storage, Listener listener, MetricRegistry registry) {
@@ -72,9 +85,16 @@
         jobs.add(job);
     }
 
+    /** Returns for how long the jobs that wait for the disk have waited, 0 when none does. */
+    long waitingMillis(long nowMillis) {
+        long since = busySinceMillis;
+        return since == IDLE ? 0 : nowMillis - since;
+    }
+
     /** Finishes the queued jobs and closes the files. */
     @Override
     public void close() {
+        stopping = true;
         jobs.add(new StopJob());
         executor.shutdown();
         try {
@@ -92,7 +112,9 @@
                 batch.clear();
                 batch.add(jobs.take());
                 jobs.drainTo(batch);
+                busySinceMillis = clock.nowMillis();
                 perform(batch);
+                busySinceMillis = IDLE;
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -102,7 +124,7 @@
         }
     }
 
-    private void perform(List<Job> batch) {
+    private void perform(List<Job> batch) throws InterruptedException {
         List<StoreJob> stores = new ArrayList<>();
         for (Job job : batch) {
             if (job instanceof StoreJob store) {
@@ -110,14 +132,40 @@
             } else if (job instanceof SnapshotJob taken) {
                 flush(stores);
                 stores = new ArrayList<>();
-                storage.saveSnapshot(taken.snapshot(), taken.baseIndex(), taken.baseTerm(), taken.entries());
+                retryUntilStored(() ->
+                        storage.saveSnapshot(taken.snapshot(), taken.baseIndex(), taken.baseTerm(), taken.entries()));
                 listener.onSnapshotStored(taken.snapshot());
             }
         }
         flush(stores);
     }
 
-    private void flush(List<StoreJob> jobsToStore) {
+    /** Repeats a write that failed, as on a full disk; nothing is acknowledged before it has succeeded. */
+    private void retryUntilStored(Runnable write) throws InterruptedException {
+        boolean failing = false;
+        while (true) {
+            try {
+                write.run();
+                if (failing) {
+                    LOG.log(Level.INFO, LogEvent.of("disk-regained"));
+                }
+                return;
+            } catch (WagtailcartException e) {
+                if (e.code() != ResultCode.STORAGE_FAILED || stopping) {
+                    throw e;
+                }
+                if (!failing) {
+                    failing = true;
+                    LOG.log(
+                            Level.ERROR,
+                            LogEvent.of("disk-lost", "code", e.code().number(), "reason", e.getMessage()));
+                }
+                TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+            }
+        }
+    }
+
+    private void flush(List<StoreJob> jobsToStore) throws InterruptedException {
         if (jobsToStore.isEmpty()) {
             return;
         }
@@ -127,7 +175,7 @@
                 .filter(Objects::nonNull)
                 .forEach(store -> stores.add(Objects.requireNonNull(store)));
         if (!stores.isEmpty()) {
-            syncTimer.time(() -> storage.store(stores));
+            retryUntilStored(() -> syncTimer.time(() -> storage.store(stores)));
             storedNumber = stores.get(stores.size() - 1).number();
         }
         List<RaftMessage> messages =
--- /dev/null
+++ b/directory/src/main/java/org/wagtailcart/directory/EnginePort.java
@@ -0,0 +1,23 @@
+package org.wagtailcart.directory;
+
+import org.wagtailcart.common.EngineRole;
+
+/** Orders and questions to engines. Methods block within a short limit. */
+public interface EnginePort {
+    /**
+     * Asks an engine for its state.
+     *
+     * @throws org.wagtailcart.common.WagtailcartException when it gives no understandable answer
+     */
+    EngineReport report(ListedUpstream engine);
+
+    /**
+     * Orders an engine to take a role.
+     *
+     * @param holder process that gives the order
+     * @param fencingToken token of the lease under which it is given
+     * @param expectedOrderCount number of orders after which alone the engine may take it
+     */
+    OrderOutcome orderRole(
+            ListedUpstream engine, EngineRole role, String holder, long fencingToken, long expectedOrderCount);
+}
--- /dev/null
+++ b/routes/src/main/java/org/wagtailcart/routes/ReadRoutes.java
@@ -0,0 +1,8 @@
+package org.wagtailcart.routes;
+
+/**
+ * Query for the newest table; answered by a leader that a quorum has just confirmed.
+ *
+ * @param reader process that asks, for logs
+ */
+public record ReadRoutes(String reader) {}
--- /dev/null
+++ b/routes/src/main/java/org/wagtailcart/routes/RequestLimits.java
@@ -0,0 +1,14 @@
+package org.wagtailcart.routes;
+
+/**
+ * Limits on what a caller may send.
+ *
+ * @param maxHeaderBytes size of a request head
+ * @param maxBodyBytes size of a request body
+ * @param headerMillis time within which a request head must arrive
+ * @param idleMillis time after which an idle connection may be closed
+ */
+public record RequestLimits(int maxHeaderBytes, long maxBodyBytes, long headerMillis, long idleMillis) {
+    /** Limits in force until the first table arrives. */
+    public static final RequestLimits DEFAULT = new RequestLimits(16_384, 4L << 20, 3_000, 15_000);
+}
--- /dev/null
+++ b/routes/src/main/java/org/wagtailcart/routes/RoutesState.java
@@ -0,0 +1,43 @@
+package org.wagtailcart.routes;
+
+import java.util.List;
+import org.wagtailcart.wire.MessageCodec;
+
+/** Replicated part that holds the routing table in force. */
+public final class RoutesState {
+    private static final int SNAPSHOT_TYPE = 600;
+    private static final MessageCodec SNAPSHOT_CODEC = new MessageCodec(List.of(RoutesMessages.TYPES));
+
+    private ReplaceRoutes current = new ReplaceRoutes(RouteTable.NONE, new byte[0]);
+
+    /** Applies a command; only a higher version replaces the table. */
+    public RoutesReplaced apply(ReplaceRoutes command) {
+        boolean higher = command.table().version() > current.table().version();
+        if (higher) {
+            current = command;
+        }
+        return new RoutesReplaced(current.table().version(), higher);
+    }
+
+    /** Returns the table in force. */
+    public RouteTable table() {
+        return current.table();
+    }
+
+    /** Returns the operator's text of the table in force. */
+    public RoutesDocument document() {
+        return new RoutesDocument(current.table().version(), current.document());
+    }
+
+    /** Returns the state in encoded form. */
+    public byte[] snapshot() {
+        return SNAPSHOT_CODEC.encode(current);
+    }
+
+    /** Replaces the state; an empty array stands for no table. */
+    public void restore(byte[] snapshot) {
+        current = snapshot.length == 0
+                ? new ReplaceRoutes(RouteTable.NONE, new byte[0])
+                : (ReplaceRoutes) SNAPSHOT_CODEC.decode(SNAPSHOT_TYPE, snapshot);
+    }
+}
--- a/storage/src/main/java/org/wagtailcart/storage/RecordLog.java
+++ b/storage/src/main/java/org/wagtailcart/storage/RecordLog.java
@@ -51,16 +51,27 @@
             if (validBytes < fileBytes) {
                 log.cut(fileBytes);
             }
+            // What a killed process wrote can be read before it is durable.
+            log.sync();
             return log;
         } catch (IOException e) {
             throw failed("open", path, e);
         }
     }
 
-    /** Appends a record and syncs it; the record is durable when the method returns. */
+    /**
+     * Appends a record and syncs it; the record is durable when the method returns. After a failure the same record may
+     * be appended again; it is written to the same place.
+     */
     public void append(byte[] payload) {
-        write(payload);
-        sync();
+        long startBytes = sizeBytes;
+        try {
+            write(payload);
+            sync();
+        } catch (WagtailcartException e) {
+            sizeBytes = startBytes;
+            throw e;
+        }
     }
 
     /** Writes a record without a sync; only for a file that is not yet in use. */
