--- a/control/src/main/java/org/wagtailcart/control/Commands.java
+++ b/control/src/main/java/org/wagtailcart/control/Commands.java
@@ -93,8 +93,8 @@
     private static boolean isCommand(int typeNumber) {
         return typeNumber == 200
                 || typeNumber == 520
-                || typeNumber == 600
-                || typeNumber == 602
+                || typeNumber == 800
+                || typeNumber == 802
                 || (typeNumber >= 300 && typeNumber <= 304)
                 || typeNumber == 400
                 || (typeNumber >= 402 && typeNumber <= 405);
--- a/routes/src/main/java/org/wagtailcart/routes/RoutesState.java
+++ b/routes/src/main/java/org/wagtailcart/routes/RoutesState.java
@@ -5,7 +5,7 @@
 
 /** Replicated part that holds the routing table in force. */
 public final class RoutesState {
-    private static final int SNAPSHOT_TYPE = 600;
+    private static final int SNAPSHOT_TYPE = 800;
     private static final MessageCodec SNAPSHOT_CODEC = new MessageCodec(List.of(RoutesMessages.TYPES));
 
     private ReplaceRoutes current = new ReplaceRoutes(RouteTable.NONE, new byte[0]);
