--- a/common/src/main/java/org/wagtailcart/common/EventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/EventKind.java
@@ -22,7 +22,7 @@
             "estimate-millis",
             "in-flight",
             "queued-tokens",
-            "cached-tokens",
+            "unread-tokens",
             "table-version",
             "table-age-millis",
             "list-age-millis"),
--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftNode.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftNode.java
@@ -72,6 +72,8 @@
         }
         hardState = new HardState(1, null);
         appendMembers(wallMillis, voters);
+        // The founder alone has the entry, so no other can be elected; waiting would only delay the group.
+        electionDeadlineMillis = nowMillis;
         return finish();
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -142,7 +142,7 @@
 
     /** Logs the choice of an upstream. */
     final void logSent(
-            String step, Upstream upstream, double estimateMillis, int inFlight, long queuedTokens, int cachedTokens) {
+            String step, Upstream upstream, double estimateMillis, int inFlight, long queuedTokens, int unreadTokens) {
         EventKind.REQUEST_SENT.log(
                 LOG,
                 Level.INFO,
@@ -155,7 +155,7 @@
                 Math.round(estimateMillis),
                 inFlight,
                 queuedTokens,
-                cachedTokens,
+                unreadTokens,
                 context.watch().routes().table().version(),
                 context.watch().ageMillis(),
                 context.book().listAgeMillis());
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -119,8 +119,8 @@
                 placement.firstTokenMillis(),
                 0,
                 placement.queuedTokens(),
-                placement.cachedTokens());
-        Use use = context().book().useForPrompt(engine, prompt);
+                placement.unreadTokens());
+        Use use = context().book().useForPrompt(engine, prompt, placement.unreadTokens());
         try {
             long limitMillis =
                     Math.min(leftMillis(), 2 * Math.round(placement.firstTokenMillis()) + PROMPT_SLACK_MILLIS);
@@ -165,10 +165,16 @@
         }
         boolean ranBefore = mayHaveRun();
         long sentMillis = nowMillis();
-        logSent(STEP_STREAM, engine, placement.firstTokenMillis(), 0, placement.queuedTokens(), 0);
+        logSent(
+                STEP_STREAM,
+                engine,
+                placement.firstTokenMillis(),
+                0,
+                placement.queuedTokens(),
+                source == null ? placement.unreadTokens() : 0);
         Use use = prompt == null || source != null
                 ? context().book().use(engine)
-                : context().book().useForPrompt(engine, prompt);
+                : context().book().useForPrompt(engine, prompt, placement.unreadTokens());
         SendInstructions plain = instructions(engine);
         SendInstructions all =
                 new SendInstructions(engine.id(), plain.leftMillis(), plain.rank(), false, source, resumeAfter());
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -53,6 +53,10 @@
         listed = latest;
     }
 
+    void memoryTokens(long tokens) {
+        cache.capacity(tokens);
+    }
+
     void othersWork(UpstreamWork work) {
         others = work;
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -18,6 +19,7 @@
 import org.wagtailcart.control.client.UpstreamWork;
 import org.wagtailcart.directory.ListedUpstream;
 import org.wagtailcart.gateway.protocol.Prompt;
+import org.wagtailcart.gateway.protocol.PromptPart;
 import org.wagtailcart.policy.placement.EngineView;
 import org.wagtailcart.policy.placement.PrefixCache;
 import org.wagtailcart.policy.placement.PromptPlacement;
@@ -38,9 +40,21 @@
     /** Part of an engine's memory that shared prompt parts may take; running requests need the rest. */
     private static final double CACHE_PART = 0.8;
 
+    private static final int MAX_SEEN_AFFINITIES = 50_000;
+
     private final String failureDomain;
     private final MillisClock clock;
     private final Map<String, Upstream> upstreamsById = new HashMap<>();
+    /** Last shared prompt parts that were sent lately; the least recently used leave first. */
+    private final Map<String, Boolean> seenAffinities = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MAX_SEEN_AFFINITIES;
+        }
+    };
+
     private Map<String, ServiceSpec> services = Map.of();
     private long listedAtMillis = Long.MIN_VALUE / 4;
 
@@ -57,18 +71,19 @@
      * @param decode engine that generates
      * @param firstTokenMillis estimated time to the first token
      * @param queuedTokens prompt tokens that wait at the engine that reads
-     * @param cachedTokens tokens of the prompt that it is believed to hold
+     * @param unreadTokens tokens of the prompt that it does not hold, as far as is known
      */
     public record Placement(
             Optional<Upstream> prefill,
             Upstream decode,
             double firstTokenMillis,
             long queuedTokens,
-            int cachedTokens) {}
+            int unreadTokens) {}
 
     /** Takes the services of a routing table. */
     public synchronized void services(Collection<ServiceSpec> specs) {
         services = specs.stream().collect(Collectors.toMap(ServiceSpec::name, Function.identity()));
+        upstreamsById.values().forEach(upstream -> upstream.memoryTokens(memoryTokens(upstream.listed())));
     }
 
     /** Takes a list that was read at a time; an older one than the one in force has no effect. */
@@ -105,10 +120,13 @@
     }
 
     private Upstream create(ListedUpstream listed) {
+        return new Upstream(listed, memoryTokens(listed), FIRST_LATENCY_MILLIS, clock.nowMillis());
+    }
+
+    private long memoryTokens(ListedUpstream listed) {
         ServiceSpec spec = services.get(listed.service());
         EngineSpec engine = spec == null ? null : spec.engine();
-        long memoryTokens = engine == null ? 0 : (long) (CACHE_PART * engine.memoryTokens());
-        return new Upstream(listed, memoryTokens, FIRST_LATENCY_MILLIS, clock.nowMillis());
+        return engine == null ? 0 : (long) (CACHE_PART * engine.memoryTokens());
     }
 
     /** Notes that the list in force was confirmed without a change. */
@@ -169,12 +187,15 @@
     /** Places a request for generated text; empty when no engine can generate. */
     public synchronized Optional<Placement> place(String service, Prompt prompt, Set<String> excluded) {
         List<PrefixCache.Part> parts = parts(prompt);
-        List<Upstream> usable = usable(service, excluded, clock.nowMillis());
-        List<EngineView> views =
-                usable.stream().map(upstream -> view(upstream, parts)).toList();
-        List<org.wagtailcart.gateway.protocol.PromptPart> shared = prompt.sharedParts();
+        List<EngineView> views = usable(service, excluded, clock.nowMillis()).stream()
+                .map(upstream -> view(upstream, parts))
+                .toList();
+        List<PromptPart> shared = prompt.sharedParts();
         String affinity = shared.isEmpty() ? "" : shared.get(shared.size() - 1).id();
-        return PromptPlacement.choose(views, prompt.promptTokens(), affinity, TOKENS_PER_MILLI, failureDomain)
+        int sharedTokens = shared.stream().mapToInt(PromptPart::tokens).sum();
+        PromptPlacement.Size size = new PromptPlacement.Size(
+                prompt.promptTokens(), sharedTokens, affinity, seenAffinities.containsKey(affinity));
+        return PromptPlacement.choose(views, size, TOKENS_PER_MILLI, failureDomain)
                 .map(choice -> {
                     EngineView reader = choice.prefill() == null ? choice.decode() : choice.prefill();
                     return new Placement(
@@ -182,15 +203,21 @@
                             known(choice.decode().id()),
                             choice.firstTokenMillis(),
                             reader.queuedTokens(),
-                            reader.cachedTokens());
+                            choice.unreadTokens());
                 });
     }
 
-    /** Starts to use an engine that reads a prompt. */
-    public synchronized Use useForPrompt(Upstream engine, Prompt prompt) {
-        List<PrefixCache.Part> parts = parts(prompt);
-        int unread = Math.max(0, prompt.promptTokens() - engine.cachedTokens(parts));
-        return use(engine, unread, parts);
+    /**
+     * Starts to use an engine that reads a prompt.
+     *
+     * @param unreadTokens tokens that it still has to read
+     */
+    public synchronized Use useForPrompt(Upstream engine, Prompt prompt, int unreadTokens) {
+        List<PromptPart> shared = prompt.sharedParts();
+        if (!shared.isEmpty()) {
+            seenAffinities.put(shared.get(shared.size() - 1).id(), true);
+        }
+        return use(engine, unreadTokens, parts(prompt));
     }
 
     /** Starts to use an upstream that has no prompt to read. */
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PrefixCache.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PrefixCache.java
@@ -13,7 +13,7 @@
     /** Part of a prompt. */
     public record Part(String id, int tokens) {}
 
-    private final long capacityTokens;
+    private long capacityTokens;
     private final Map<String, Integer> tokensById = new LinkedHashMap<>(16, 0.75f, true);
     private long heldTokens;
 
@@ -22,6 +22,12 @@
         this.capacityTokens = capacityTokens;
     }
 
+    /** Sets the tokens that the engine can hold. */
+    public void capacity(long tokens) {
+        capacityTokens = tokens;
+        shrink();
+    }
+
     /** Returns the tokens at the start of a prompt that the engine holds; a part counts only after all before it. */
     public int cachedTokens(List<Part> parts) {
         int cached = 0;
@@ -40,6 +46,10 @@
             Integer before = tokensById.put(part.id(), part.tokens());
             heldTokens += part.tokens() - (before == null ? 0 : before);
         });
+        shrink();
+    }
+
+    private void shrink() {
         Iterator<Integer> oldest = tokensById.values().iterator();
         while (heldTokens > capacityTokens && oldest.hasNext()) {
             heldTokens -= oldest.next();
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -13,11 +13,11 @@
  * Pure.
  */
 public final class PromptPlacement {
-    /** Share of the reading time by which the preferred engine may be worse and is still taken. */
+    /** Share of the time to read the shared parts by which the preferred engine may be worse and is still taken. */
     static final double PREFERENCE = 0.4;
 
     /** Time of a prompt's transfer and of the first step of its output. */
-    static final double TRANSFER_MILLIS = 40;
+    static final double TRANSFER_MILLIS = 25;
 
     /** Share of an engine's slots by which another failure domain must be better. */
     static final double DOMAIN_PREFERENCE = 0.25;
@@ -25,50 +25,100 @@
     /** An engine that generates reads prompts at this share of the speed of one in the prefill role. */
     static final double DECODE_READ_SPEED = 0.5;
 
+    /** Share of the time of the split way above which a prompt is not read by the engine that generates. */
+    static final double LOCAL_PART = 0.8;
+
+    /** A longer rest of a prompt would hold up the output of the requests that the engine generates for. */
+    static final int MAX_LOCAL_TOKENS = 3_000;
+
     private PromptPlacement() {}
 
+    /**
+     * Size of a prompt.
+     *
+     * @param promptTokens all its tokens
+     * @param sharedTokens tokens of the parts that other requests have in common with it
+     * @param affinity identity of its last shared part, empty for none
+     * @param seen whether this gateway has sent a request with that part before
+     */
+    public record Size(int promptTokens, int sharedTokens, String affinity, boolean seen) {}
+
     /**
      * A choice.
      *
      * @param prefill engine that reads the prompt, null when the other one does it itself
      * @param decode engine that generates
+     * @param unreadTokens tokens that are still to be read
      * @param firstTokenMillis estimated time to the first token
      */
-    public record Choice(@Nullable EngineView prefill, EngineView decode, double firstTokenMillis) {}
+    public record Choice(@Nullable EngineView prefill, EngineView decode, int unreadTokens, double firstTokenMillis) {}
 
     /**
      * Places a prompt, empty when no engine can generate.
      *
-     * @param affinity identity of its last shared part, empty for none
      * @param tokensPerMilli speed at which an engine in the prefill role reads
      */
     public static Optional<Choice> choose(
-            List<EngineView> engines, int promptTokens, String affinity, double tokensPerMilli, String ownDomain) {
-        Optional<EngineView> prefill = choosePrefill(engines, promptTokens, affinity, tokensPerMilli);
-        String near = prefill.map(EngineView::failureDomain).orElse(ownDomain);
-        return chooseDecode(engines, near).map(decode -> {
-            double readMillis = prefill.map(
-                            engine -> readMillis(engine, promptTokens, tokensPerMilli) + TRANSFER_MILLIS)
-                    .orElseGet(() -> readMillis(decode, promptTokens, tokensPerMilli * DECODE_READ_SPEED));
-            return new Choice(prefill.orElse(null), decode, readMillis);
-        });
+            List<EngineView> engines, Size size, double tokensPerMilli, String ownDomain) {
+        Optional<Choice> split = split(engines, size, tokensPerMilli);
+        Optional<Choice> local = local(engines, size, tokensPerMilli, ownDomain);
+        if (split.isEmpty() || local.isEmpty()) {
+            return split.or(() -> local);
+        }
+        boolean better = local.get().unreadTokens() <= MAX_LOCAL_TOKENS
+                && local.get().firstTokenMillis() < LOCAL_PART * split.get().firstTokenMillis();
+        return better ? local : split;
     }
 
-    private static Optional<EngineView> choosePrefill(
-            List<EngineView> engines, int promptTokens, String affinity, double tokensPerMilli) {
+    private static Optional<Choice> split(List<EngineView> engines, Size size, double tokensPerMilli) {
         List<EngineView> candidates =
                 engines.stream().filter(EngineView::prefill).toList();
-        Optional<EngineView> owner = candidates.stream()
-                .max(Comparator.comparing((EngineView engine) -> weight(affinity, engine.id()))
-                        .thenComparing(EngineView::id));
-        double preferenceMillis = PREFERENCE * promptTokens / tokensPerMilli;
-        return candidates.stream()
+        Optional<EngineView> owner = owner(candidates, size.affinity());
+        double preferenceMillis = PREFERENCE * size.sharedTokens() / tokensPerMilli;
+        Optional<EngineView> reader = candidates.stream()
                 .min(Comparator.comparing((EngineView engine) -> {
-                            boolean preferred = owner.filter(engine::equals).isPresent() && !affinity.isEmpty();
-                            return readMillis(engine, promptTokens, tokensPerMilli)
-                                    - (preferred ? preferenceMillis : 0);
+                            boolean owned = owner.filter(engine::equals).isPresent();
+                            double readMillis = readMillis(engine, unread(engine, size, owned), tokensPerMilli);
+                            return owned ? readMillis - preferenceMillis : readMillis;
                         })
                         .thenComparing(EngineView::id));
+        return reader.flatMap(
+                prefill -> chooseDecode(engines, prefill.failureDomain()).map(decode -> {
+                    int unread =
+                            unread(prefill, size, owner.filter(prefill::equals).isPresent());
+                    return new Choice(
+                            prefill, decode, unread, readMillis(prefill, unread, tokensPerMilli) + TRANSFER_MILLIS);
+                }));
+    }
+
+    private static Optional<Choice> local(
+            List<EngineView> engines, Size size, double tokensPerMilli, String ownDomain) {
+        double speed = tokensPerMilli * DECODE_READ_SPEED;
+        return engines.stream()
+                .filter(engine -> !engine.prefill())
+                .min(Comparator.comparing((EngineView engine) -> readMillis(engine, unread(engine, size, false), speed)
+                                + (engine.failureDomain().equals(ownDomain) ? 0 : DOMAIN_PREFERENCE))
+                        .thenComparing(EngineView::id))
+                .map(engine -> {
+                    int unread = unread(engine, size, false);
+                    return new Choice(null, engine, unread, readMillis(engine, unread, speed));
+                });
+    }
+
+    /** All gateways find the same owner without telling each other. */
+    private static Optional<EngineView> owner(List<EngineView> candidates, String affinity) {
+        return affinity.isEmpty()
+                ? Optional.empty()
+                : candidates.stream()
+                        .max(Comparator.comparing((EngineView engine) -> weight(affinity, engine.id()))
+                                .thenComparing(EngineView::id));
+    }
+
+    /** The owner of a part that is in use is taken to hold it, whichever gateway sent it there. */
+    private static int unread(EngineView engine, Size size, boolean owned) {
+        int cached =
+                owned && size.seen() ? Math.max(engine.cachedTokens(), size.sharedTokens()) : engine.cachedTokens();
+        return Math.max(0, size.promptTokens() - cached);
     }
 
     private static Optional<EngineView> chooseDecode(List<EngineView> engines, String near) {
@@ -81,9 +131,8 @@
                         .thenComparing(EngineView::id));
     }
 
-    private static double readMillis(EngineView engine, int promptTokens, double tokensPerMilli) {
-        int unread = Math.max(0, promptTokens - engine.cachedTokens());
-        return engine.slowness() * (engine.queuedTokens() + unread) / tokensPerMilli;
+    private static double readMillis(EngineView engine, int unreadTokens, double tokensPerMilli) {
+        return engine.slowness() * (engine.queuedTokens() + unreadTokens) / tokensPerMilli;
     }
 
     private static long weight(String affinity, String engineId) {
