--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -128,7 +128,7 @@
     final SendInstructions instructions(Upstream upstream) {
         // An upstream stops at the time it is given; the caller's own time lets it finish what may not be repeated.
         long allowedMillis = request.callerDeadlineMillis() - nowMillis();
-        return new SendInstructions(upstream.id(), Math.max(1, allowedMillis), rank(), false, null, "");
+        return new SendInstructions(upstream.id(), Math.max(1, allowedMillis), rank(), false, null, null, "");
     }
 
     final int rank() {
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
@@ -82,7 +83,7 @@
         }
         return context().book().useReplica(request().service(), excluded).map(use -> {
             use.end();
-            return new UpstreamBook.Placement(Optional.empty(), use.upstream(), 0, 0, 0);
+            return new UpstreamBook.Placement(Optional.empty(), use.upstream(), Optional.empty(), 0, 0, 0);
         });
     }
 
@@ -125,8 +126,8 @@
             long limitMillis =
                     Math.min(leftMillis(), 2 * Math.round(placement.firstTokenMillis()) + PROMPT_SLACK_MILLIS);
             SendInstructions plain = instructions(engine);
-            SendInstructions promptOnly =
-                    new SendInstructions(engine.id(), plain.leftMillis(), plain.rank(), true, null, "");
+            SendInstructions promptOnly = new SendInstructions(
+                    engine.id(), plain.leftMillis(), plain.rank(), true, null, holderOf(placement), "");
             UpstreamSend send = prepare(engine, promptOnly, new SendLimits(limitMillis, limitMillis), false);
             try (UpstreamAnswer answer = send.execute()) {
                 byte[] body = answer.readAll();
@@ -176,8 +177,14 @@
                 ? context().book().use(engine)
                 : context().book().useForPrompt(engine, prompt, placement.unreadTokens());
         SendInstructions plain = instructions(engine);
-        SendInstructions all =
-                new SendInstructions(engine.id(), plain.leftMillis(), plain.rank(), false, source, resumeAfter());
+        SendInstructions all = new SendInstructions(
+                engine.id(),
+                plain.leftMillis(),
+                plain.rank(),
+                false,
+                source,
+                source == null ? holderOf(placement) : null,
+                resumeAfter());
         try {
             long leftMillis = Math.max(1, leftMillis());
             UpstreamSend send = prepare(engine, all, new SendLimits(leftMillis, SILENCE_MILLIS), true);
@@ -192,6 +199,10 @@
         }
     }
 
+    private static @Nullable Address holderOf(UpstreamBook.Placement placement) {
+        return placement.holder().map(Upstream::address).orElse(null);
+    }
+
     private String resumeAfter() {
         return isResponseStarted() ? events.lastEventId() : "";
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -40,6 +40,9 @@
     /** Part of an engine's memory that shared prompt parts may take; running requests need the rest. */
     private static final double CACHE_PART = 0.8;
 
+    /** Bits in a millisecond at one megabit per second. */
+    private static final double BITS_PER_MEGABIT_AND_MILLI = 1_000;
+
     private static final int MAX_SEEN_AFFINITIES = 50_000;
 
     private final String failureDomain;
@@ -69,6 +72,7 @@
      *
      * @param prefill engine that reads the prompt, empty when the other one does it
      * @param decode engine that generates
+     * @param holder engine from which the reader fetches the KV cache of shared parts, empty when it reads them
      * @param firstTokenMillis estimated time to the first token
      * @param queuedTokens prompt tokens that wait at the engine that reads
      * @param unreadTokens tokens of the prompt that it does not hold, as far as is known
@@ -76,6 +80,7 @@
     public record Placement(
             Optional<Upstream> prefill,
             Upstream decode,
+            Optional<Upstream> holder,
             double firstTokenMillis,
             long queuedTokens,
             int unreadTokens) {}
@@ -195,12 +200,13 @@
         int sharedTokens = shared.stream().mapToInt(PromptPart::tokens).sum();
         PromptPlacement.Size size = new PromptPlacement.Size(
                 prompt.promptTokens(), sharedTokens, affinity, seenAffinities.containsKey(affinity));
-        return PromptPlacement.choose(views, size, TOKENS_PER_MILLI, failureDomain)
+        return PromptPlacement.choose(views, size, speeds(service), failureDomain)
                 .map(choice -> {
                     EngineView reader = choice.prefill() == null ? choice.decode() : choice.prefill();
                     return new Placement(
                             Optional.ofNullable(choice.prefill()).map(view -> known(view.id())),
                             known(choice.decode().id()),
+                            Optional.ofNullable(choice.holder()).map(view -> known(view.id())),
                             choice.firstTokenMillis(),
                             reader.queuedTokens(),
                             choice.unreadTokens());
@@ -237,6 +243,17 @@
         }
     }
 
+    private PromptPlacement.Speeds speeds(String service) {
+        ServiceSpec spec = services.get(service);
+        EngineSpec engine = spec == null ? null : spec.engine();
+        if (engine == null || engine.linkMegabitsPerSecond() <= 0 || engine.tokenCacheBytes() <= 0) {
+            return new PromptPlacement.Speeds(TOKENS_PER_MILLI, Double.MIN_VALUE);
+        }
+        double fetched =
+                engine.linkMegabitsPerSecond() * BITS_PER_MEGABIT_AND_MILLI / (engine.tokenCacheBytes() * Byte.SIZE);
+        return new PromptPlacement.Speeds(TOKENS_PER_MILLI, fetched);
+    }
+
     private Upstream known(String id) {
         return Objects.requireNonNull(upstreamsById.get(id));
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/protocol/SendInstructions.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/protocol/SendInstructions.java
@@ -1,6 +1,7 @@
 package org.wagtailcart.gateway.protocol;
 
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
 
 /**
  * What a gateway tells an upstream beside the caller's own request.
@@ -10,6 +11,7 @@
  * @param rank urgency from 0, the highest, to 9; negative when it has none
  * @param promptOnly whether the engine only reads the prompt and keeps its KV cache
  * @param source KV cache to continue from, null for none
+ * @param fetchFrom engine from which the upstream fetches KV cache of the prompt's shared parts first, null for none
  * @param lastEventId event after which a stream continues, empty for the whole stream
  */
 public record SendInstructions(
@@ -18,4 +20,5 @@
         int rank,
         boolean promptOnly,
         @Nullable CacheSource source,
+        @Nullable Address fetchFrom,
         String lastEventId) {}
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -19,6 +19,12 @@
     /** Time of a prompt's transfer and of the first step of its output. */
     static final double TRANSFER_MILLIS = 25;
 
+    /** Time that a fetch of KV cache takes beside its bytes. */
+    static final double FETCH_MILLIS = 15;
+
+    /** A fetch must save at least this time, as it loads the links of two engines. */
+    static final double FETCH_GAIN_MILLIS = 15;
+
     /** Share of an engine's slots by which another failure domain must be better. */
     static final double DOMAIN_PREFERENCE = 0.25;
 
@@ -43,82 +49,114 @@
      */
     public record Size(int promptTokens, int sharedTokens, String affinity, boolean seen) {}
 
+    /**
+     * Speeds of the engines.
+     *
+     * @param tokensPerMilli prompt tokens that an engine in the prefill role reads in a millisecond
+     * @param fetchedTokensPerMilli tokens of KV cache that an engine fetches from another in a millisecond
+     */
+    public record Speeds(double tokensPerMilli, double fetchedTokensPerMilli) {}
+
     /**
      * A choice.
      *
      * @param prefill engine that reads the prompt, null when the other one does it itself
      * @param decode engine that generates
+     * @param holder engine from which the reader fetches the KV cache of shared parts, null when it reads them
      * @param unreadTokens tokens that are still to be read
      * @param firstTokenMillis estimated time to the first token
      */
-    public record Choice(@Nullable EngineView prefill, EngineView decode, int unreadTokens, double firstTokenMillis) {}
-
-    /**
-     * Places a prompt, empty when no engine can generate.
-     *
-     * @param tokensPerMilli speed at which an engine in the prefill role reads
-     */
-    public static Optional<Choice> choose(
-            List<EngineView> engines, Size size, double tokensPerMilli, String ownDomain) {
-        Optional<Choice> split = split(engines, size, tokensPerMilli);
-        Optional<Choice> local = local(engines, size, tokensPerMilli, ownDomain);
+    public record Choice(
+            @Nullable EngineView prefill,
+            EngineView decode,
+            @Nullable EngineView holder,
+            int unreadTokens,
+            double firstTokenMillis) {}
+
+    /** What it takes an engine to have the whole prompt in its memory. */
+    private record Reading(EngineView engine, @Nullable EngineView holder, int unreadTokens, double millis) {}
+
+    /** Places a prompt, empty when no engine can generate. */
+    public static Optional<Choice> choose(List<EngineView> engines, Size size, Speeds speeds, String ownDomain) {
+        Optional<EngineView> owner = owner(engines, size.affinity());
+        Optional<EngineView> holder = holder(engines, size, owner);
+        Optional<Choice> split = engines.stream()
+                .filter(EngineView::prefill)
+                .map(engine -> reading(engine, holder, owner, size, speeds))
+                .min(Comparator.comparing((Reading reading) -> cost(reading, owner, size, speeds))
+                        .thenComparing(reading -> reading.engine().id()))
+                .flatMap(reading -> chooseDecode(engines, reading.engine().failureDomain())
+                        .map(decode -> new Choice(
+                                reading.engine(),
+                                decode,
+                                reading.holder(),
+                                reading.unreadTokens(),
+                                reading.millis() + TRANSFER_MILLIS)));
+        Optional<Choice> local = engines.stream()
+                .filter(engine -> !engine.prefill())
+                .map(engine -> reading(engine, holder, owner, size, speeds))
+                .min(Comparator.comparing((Reading reading) ->
+                                reading.millis() + distance(reading.engine(), ownDomain) * TRANSFER_MILLIS)
+                        .thenComparing(reading -> reading.engine().id()))
+                .map(reading ->
+                        new Choice(null, reading.engine(), reading.holder(), reading.unreadTokens(), reading.millis()));
         if (split.isEmpty() || local.isEmpty()) {
             return split.or(() -> local);
         }
-        boolean better = local.get().unreadTokens() <= MAX_LOCAL_TOKENS
+        boolean localIsBetter = local.get().unreadTokens() <= MAX_LOCAL_TOKENS
                 && local.get().firstTokenMillis() < LOCAL_PART * split.get().firstTokenMillis();
-        return better ? local : split;
-    }
-
-    private static Optional<Choice> split(List<EngineView> engines, Size size, double tokensPerMilli) {
-        List<EngineView> candidates =
-                engines.stream().filter(EngineView::prefill).toList();
-        Optional<EngineView> owner = owner(candidates, size.affinity());
-        double preferenceMillis = PREFERENCE * size.sharedTokens() / tokensPerMilli;
-        Optional<EngineView> reader = candidates.stream()
-                .min(Comparator.comparing((EngineView engine) -> {
-                            boolean owned = owner.filter(engine::equals).isPresent();
-                            double readMillis = readMillis(engine, unread(engine, size, owned), tokensPerMilli);
-                            return owned ? readMillis - preferenceMillis : readMillis;
-                        })
-                        .thenComparing(EngineView::id));
-        return reader.flatMap(
-                prefill -> chooseDecode(engines, prefill.failureDomain()).map(decode -> {
-                    int unread =
-                            unread(prefill, size, owner.filter(prefill::equals).isPresent());
-                    return new Choice(
-                            prefill, decode, unread, readMillis(prefill, unread, tokensPerMilli) + TRANSFER_MILLIS);
-                }));
+        return localIsBetter ? local : split;
     }
 
-    private static Optional<Choice> local(
-            List<EngineView> engines, Size size, double tokensPerMilli, String ownDomain) {
-        double speed = tokensPerMilli * DECODE_READ_SPEED;
-        return engines.stream()
-                .filter(engine -> !engine.prefill())
-                .min(Comparator.comparing((EngineView engine) -> readMillis(engine, unread(engine, size, false), speed)
-                                + (engine.failureDomain().equals(ownDomain) ? 0 : DOMAIN_PREFERENCE))
-                        .thenComparing(EngineView::id))
-                .map(engine -> {
-                    int unread = unread(engine, size, false);
-                    return new Choice(null, engine, unread, readMillis(engine, unread, speed));
-                });
-    }
-
-    /** All gateways find the same owner without telling each other. */
-    private static Optional<EngineView> owner(List<EngineView> candidates, String affinity) {
+    /** All gateways find the same owner of a part without telling each other. */
+    private static Optional<EngineView> owner(List<EngineView> engines, String affinity) {
         return affinity.isEmpty()
                 ? Optional.empty()
-                : candidates.stream()
+                : engines.stream()
+                        .filter(EngineView::prefill)
                         .max(Comparator.comparing((EngineView engine) -> weight(affinity, engine.id()))
                                 .thenComparing(EngineView::id));
     }
 
+    /** The engine that holds most of the shared parts. */
+    private static Optional<EngineView> holder(List<EngineView> engines, Size size, Optional<EngineView> owner) {
+        return engines.stream()
+                .max(Comparator.comparing((EngineView engine) -> cached(engine, owner, size))
+                        .thenComparing(engine -> owner.filter(engine::equals).isPresent())
+                        .thenComparing(EngineView::id));
+    }
+
     /** The owner of a part that is in use is taken to hold it, whichever gateway sent it there. */
-    private static int unread(EngineView engine, Size size, boolean owned) {
-        int cached =
-                owned && size.seen() ? Math.max(engine.cachedTokens(), size.sharedTokens()) : engine.cachedTokens();
-        return Math.max(0, size.promptTokens() - cached);
+    private static int cached(EngineView engine, Optional<EngineView> owner, Size size) {
+        boolean assumed = size.seen() && owner.filter(engine::equals).isPresent();
+        return assumed ? Math.max(engine.cachedTokens(), size.sharedTokens()) : engine.cachedTokens();
+    }
+
+    private static Reading reading(
+            EngineView engine, Optional<EngineView> holder, Optional<EngineView> owner, Size size, Speeds speeds) {
+        double tokensPerMilli = speeds.tokensPerMilli() * (engine.prefill() ? 1 : DECODE_READ_SPEED);
+        int cached = cached(engine, owner, size);
+        int unread = Math.max(0, size.promptTokens() - cached);
+        double waitMillis = engine.queuedTokens() / tokensPerMilli;
+        Reading alone = new Reading(engine, null, unread, engine.slowness() * (waitMillis + unread / tokensPerMilli));
+        if (holder.isEmpty() || holder.get().equals(engine)) {
+            return alone;
+        }
+        int fetched = Math.max(0, Math.min(size.sharedTokens(), cached(holder.get(), owner, size)) - cached);
+        double fetchMillis = FETCH_MILLIS + fetched / speeds.fetchedTokensPerMilli();
+        int rest = unread - fetched;
+        double millis = engine.slowness() * (waitMillis + rest / tokensPerMilli) + fetchMillis;
+        return millis + FETCH_GAIN_MILLIS < alone.millis() ? new Reading(engine, holder.get(), rest, millis) : alone;
+    }
+
+    /** Time to read, and a preference for the owner that keeps a part in one place. */
+    private static double cost(Reading reading, Optional<EngineView> owner, Size size, Speeds speeds) {
+        boolean owned = owner.filter(reading.engine()::equals).isPresent();
+        return reading.millis() - (owned ? PREFERENCE * size.sharedTokens() / speeds.tokensPerMilli() : 0);
+    }
+
+    private static int distance(EngineView engine, String domain) {
+        return engine.failureDomain().equals(domain) ? 0 : 1;
     }
 
     private static Optional<EngineView> chooseDecode(List<EngineView> engines, String near) {
@@ -131,10 +169,6 @@
                         .thenComparing(EngineView::id));
     }
 
-    private static double readMillis(EngineView engine, int unreadTokens, double tokensPerMilli) {
-        return engine.slowness() * (engine.queuedTokens() + unreadTokens) / tokensPerMilli;
-    }
-
     private static long weight(String affinity, String engineId) {
         CRC32C sum = new CRC32C();
         sum.update((affinity + "@" + engineId).getBytes(StandardCharsets.UTF_8));
