Let gateways tell each other which engine read which shared prompt parts

Change: notes about new parts travel with the route watch over the leader; the model of each engine's cache is common to all.

--- a/control/src/main/java/org/wagtailcart/control/watch/RouteWatches.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/RouteWatches.java
@@ -25,6 +25,7 @@
     private final DirectoryFeed feed;
     private final MillisClock clock;
     private final GatewayBook book = new GatewayBook();
+    private final NoteBoard notes = new NoteBoard();
     private List<Waiting> waiting = new ArrayList<>();
 
     /**
@@ -51,6 +52,7 @@
         long nowMillis = clock.nowMillis();
         synchronized (this) {
             book.heard(request, nowMillis);
+            notes.add(request.processId(), request.notes());
             if (!isNewer(request, nowMillis)) {
                 waiting.add(new Waiting(exchange, request, nowMillis + HOLD_MILLIS));
                 return;
@@ -88,6 +90,7 @@
         DirectoryFeed.Listing listing = feed.listing();
         boolean fresh = listing.isFresh(nowMillis);
         synchronized (this) {
+            NoteBoard.Page page = notes.after(request.noteCursor(), request.processId());
             return new WatchReply(
                     current.version() > request.knownVersion() ? current : null,
                     current.version(),
@@ -98,6 +101,8 @@
                             .toList(),
                     book.count(nowMillis),
                     book.workOfOthers(request.processId()),
+                    page.notes(),
+                    page.cursor(),
                     fresh ? listing.version() : 0,
                     fresh && listing.version() != request.knownDirectory() ? listing.upstreams() : null,
                     nowMillis - listing.readAtMillis());
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -81,6 +81,10 @@
         return latencyAtMillis;
     }
 
+    void readForOther(List<PrefixCache.Part> parts) {
+        cache.read(parts);
+    }
+
     int cachedTokens(List<PrefixCache.Part> parts) {
         return cache.cachedTokens(parts);
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -13,9 +12,11 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.EventKind;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.control.client.PrefixNote;
 import org.wagtailcart.control.client.UpstreamWork;
 import org.wagtailcart.directory.ListedUpstream;
 import org.wagtailcart.gateway.protocol.Prompt;
@@ -43,21 +44,13 @@
     /** Bits in a millisecond at one megabit per second. */
     private static final double BITS_PER_MEGABIT_AND_MILLI = 1_000;
 
-    private static final int MAX_SEEN_AFFINITIES = 50_000;
+    /** Notes that wait for a control member; without one they are of little use. */
+    private static final int MAX_NOTES = 1_000;
 
     private final String failureDomain;
     private final MillisClock clock;
     private final Map<String, Upstream> upstreamsById = new HashMap<>();
-    /** Last shared prompt parts that were sent lately; the least recently used leave first. */
-    private final Map<String, Boolean> seenAffinities = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MAX_SEEN_AFFINITIES;
-        }
-    };
-
+    private List<PrefixNote> notes = new ArrayList<>();
     private Map<String, ServiceSpec> services = Map.of();
     private long listedAtMillis = Long.MIN_VALUE / 4;
 
@@ -198,8 +191,7 @@
         List<PromptPart> shared = prompt.sharedParts();
         String affinity = shared.isEmpty() ? "" : shared.get(shared.size() - 1).id();
         int sharedTokens = shared.stream().mapToInt(PromptPart::tokens).sum();
-        PromptPlacement.Size size = new PromptPlacement.Size(
-                prompt.promptTokens(), sharedTokens, affinity, seenAffinities.containsKey(affinity));
+        PromptPlacement.Size size = new PromptPlacement.Size(prompt.promptTokens(), sharedTokens, affinity);
         return PromptPlacement.choose(views, size, speeds(service), failureDomain)
                 .map(choice -> {
                     EngineView reader = choice.prefill() == null ? choice.decode() : choice.prefill();
@@ -219,13 +211,39 @@
      * @param unreadTokens tokens that it still has to read
      */
     public synchronized Use useForPrompt(Upstream engine, Prompt prompt, int unreadTokens) {
-        List<PromptPart> shared = prompt.sharedParts();
-        if (!shared.isEmpty()) {
-            seenAffinities.put(shared.get(shared.size() - 1).id(), true);
-        }
+        note(engine, sharedParts(prompt));
         return use(engine, unreadTokens, parts(prompt));
     }
 
+    private void note(Upstream engine, List<PrefixCache.Part> shared) {
+        int tokens = shared.stream().mapToInt(PrefixCache.Part::tokens).sum();
+        if (engine.cachedTokens(shared) < tokens && notes.size() < MAX_NOTES) {
+            notes.add(new PrefixNote(
+                    engine.id(),
+                    shared.stream().map(PrefixCache.Part::id).toList(),
+                    shared.stream().map(PrefixCache.Part::tokens).toList()));
+        }
+    }
+
+    /** Takes the notes for the other gateways. */
+    public synchronized List<PrefixNote> takeNotes() {
+        List<PrefixNote> taken = notes;
+        notes = new ArrayList<>();
+        return taken;
+    }
+
+    /** Learns which prompt parts engines read for the other gateways. */
+    public synchronized void othersNotes(List<PrefixNote> news) {
+        news.forEach(note -> Optional.ofNullable(upstreamsById.get(note.instanceId()))
+                .ifPresent(upstream -> upstream.readForOther(IntStream.range(
+                                0,
+                                Math.min(
+                                        note.partIds().size(), note.partTokens().size()))
+                        .mapToObj(i -> new PrefixCache.Part(
+                                note.partIds().get(i), note.partTokens().get(i)))
+                        .toList())));
+    }
+
     /** Starts to use an upstream that has no prompt to read. */
     public synchronized Use use(Upstream upstream) {
         return use(upstream, 0, List.of());
@@ -293,8 +311,16 @@
         return outdated ? Math.min(meanMillis, upstream.latencyMillis()) : upstream.latencyMillis();
     }
 
+    private static List<PrefixCache.Part> sharedParts(Prompt prompt) {
+        return toParts(prompt.sharedParts());
+    }
+
     private static List<PrefixCache.Part> parts(Prompt prompt) {
-        return prompt.parts().stream()
+        return toParts(prompt.parts());
+    }
+
+    private static List<PrefixCache.Part> toParts(List<PromptPart> parts) {
+        return parts.stream()
                 .map(part -> new PrefixCache.Part(part.id(), part.tokens()))
                 .toList();
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteWatch.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteWatch.java
@@ -62,6 +62,7 @@
     private volatile boolean closed;
     private Address current;
     private long directory;
+    private long noteCursor;
 
     /**
      * Creates a watch that has not started.
@@ -134,7 +135,8 @@
     private void ask() {
         Address member = current();
         long sentAtMillis = clock.nowMillis();
-        WatchRequest request = new WatchRequest(processId, routes.table().version(), knownDirectory(), book.ownWork());
+        WatchRequest request = new WatchRequest(
+                processId, routes.table().version(), knownDirectory(), book.ownWork(), book.takeNotes(), noteCursor());
         CompletableFuture<?> unused = transport
                 .call(member, request, CALL_LIMIT_MILLIS)
                 .whenComplete((reply, error) -> answered(member, sentAtMillis, reply, error));
@@ -163,6 +165,10 @@
         return directory;
     }
 
+    private synchronized long noteCursor() {
+        return noteCursor;
+    }
+
     private synchronized void failed(Address member, String reason) {
         if (!avoidUntilMillis.containsKey(member)) {
             EventKind.CONTROL_LOST.log(LOG, Level.WARNING, member, reason);
@@ -175,6 +181,7 @@
         List<Address> all = List.copyOf(members);
         current = all.get((all.indexOf(current) + 1) % all.size());
         directory = 0;
+        noteCursor = 0;
     }
 
     private synchronized void install(Address member, long sentAtMillis, WatchReply reply) {
@@ -191,6 +198,8 @@
             confirmedUntilMillis =
                     Math.max(confirmedUntilMillis, sentAtMillis - reply.confirmationAgeMillis() + CONFIRMED_MILLIS);
         }
+        book.othersNotes(reply.othersNotes());
+        noteCursor = reply.noteCursor();
         takeDirectory(sentAtMillis, reply);
         followLeader(member, reply, confirmed);
     }
@@ -233,6 +242,7 @@
         if (leader != null && !avoided && !leader.equals(member)) {
             current = leader;
             directory = 0;
+            noteCursor = 0;
         } else if (!confirmed) {
             moveOn();
         }
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -14,7 +14,10 @@
  */
 public final class PromptPlacement {
     /** Share of the time to read the shared parts by which the preferred engine may be worse and is still taken. */
-    static final double PREFERENCE = 0.4;
+    static final double PREFERENCE = 0.2;
+
+    /** The same for parts that no engine holds yet. */
+    static final double NEW_PREFERENCE = 1.5;
 
     /** Time of a prompt's transfer and of the first step of its output. */
     static final double TRANSFER_MILLIS = 25;
@@ -45,9 +48,8 @@
      * @param promptTokens all its tokens
      * @param sharedTokens tokens of the parts that other requests have in common with it
      * @param affinity identity of its last shared part, empty for none
-     * @param seen whether this gateway has sent a request with that part before
      */
-    public record Size(int promptTokens, int sharedTokens, String affinity, boolean seen) {}
+    public record Size(int promptTokens, int sharedTokens, String affinity) {}
 
     /**
      * Speeds of the engines.
@@ -79,10 +81,10 @@
     /** Places a prompt, empty when no engine can generate. */
     public static Optional<Choice> choose(List<EngineView> engines, Size size, Speeds speeds, String ownDomain) {
         Optional<EngineView> owner = owner(engines, size.affinity());
-        Optional<EngineView> holder = holder(engines, size, owner);
+        Optional<EngineView> holder = holder(engines, owner);
         Optional<Choice> split = engines.stream()
                 .filter(EngineView::prefill)
-                .map(engine -> reading(engine, holder, owner, size, speeds))
+                .map(engine -> reading(engine, holder, size, speeds))
                 .min(Comparator.comparing((Reading reading) -> cost(reading, owner, size, speeds))
                         .thenComparing(reading -> reading.engine().id()))
                 .flatMap(reading -> chooseDecode(engines, reading.engine().failureDomain())
@@ -94,7 +96,7 @@
                                 reading.millis() + TRANSFER_MILLIS)));
         Optional<Choice> local = engines.stream()
                 .filter(engine -> !engine.prefill())
-                .map(engine -> reading(engine, holder, owner, size, speeds))
+                .map(engine -> reading(engine, holder, size, speeds))
                 .min(Comparator.comparing((Reading reading) ->
                                 reading.millis() + distance(reading.engine(), ownDomain) * TRANSFER_MILLIS)
                         .thenComparing(reading -> reading.engine().id()))
@@ -119,30 +121,23 @@
     }
 
     /** The engine that holds most of the shared parts. */
-    private static Optional<EngineView> holder(List<EngineView> engines, Size size, Optional<EngineView> owner) {
+    private static Optional<EngineView> holder(List<EngineView> engines, Optional<EngineView> owner) {
         return engines.stream()
-                .max(Comparator.comparing((EngineView engine) -> cached(engine, owner, size))
+                .max(Comparator.comparing(EngineView::cachedTokens)
                         .thenComparing(engine -> owner.filter(engine::equals).isPresent())
                         .thenComparing(EngineView::id));
     }
 
-    /** The owner of a part that is in use is taken to hold it, whichever gateway sent it there. */
-    private static int cached(EngineView engine, Optional<EngineView> owner, Size size) {
-        boolean assumed = size.seen() && owner.filter(engine::equals).isPresent();
-        return assumed ? Math.max(engine.cachedTokens(), size.sharedTokens()) : engine.cachedTokens();
-    }
-
-    private static Reading reading(
-            EngineView engine, Optional<EngineView> holder, Optional<EngineView> owner, Size size, Speeds speeds) {
+    private static Reading reading(EngineView engine, Optional<EngineView> holder, Size size, Speeds speeds) {
         double tokensPerMilli = speeds.tokensPerMilli() * (engine.prefill() ? 1 : DECODE_READ_SPEED);
-        int cached = cached(engine, owner, size);
+        int cached = engine.cachedTokens();
         int unread = Math.max(0, size.promptTokens() - cached);
         double waitMillis = engine.queuedTokens() / tokensPerMilli;
         Reading alone = new Reading(engine, null, unread, engine.slowness() * (waitMillis + unread / tokensPerMilli));
         if (holder.isEmpty() || holder.get().equals(engine)) {
             return alone;
         }
-        int fetched = Math.max(0, Math.min(size.sharedTokens(), cached(holder.get(), owner, size)) - cached);
+        int fetched = Math.max(0, Math.min(size.sharedTokens(), holder.get().cachedTokens()) - cached);
         double fetchMillis = FETCH_MILLIS + fetched / speeds.fetchedTokensPerMilli();
         int rest = unread - fetched;
         double millis = engine.slowness() * (waitMillis + rest / tokensPerMilli) + fetchMillis;
@@ -152,7 +147,10 @@
     /** Time to read, and a preference for the owner that keeps a part in one place. */
     private static double cost(Reading reading, Optional<EngineView> owner, Size size, Speeds speeds) {
         boolean owned = owner.filter(reading.engine()::equals).isPresent();
-        return reading.millis() - (owned ? PREFERENCE * size.sharedTokens() / speeds.tokensPerMilli() : 0);
+        // A part that nobody holds is read where all gateways will look for it.
+        double preference =
+                reading.unreadTokens() > size.promptTokens() - size.sharedTokens() ? NEW_PREFERENCE : PREFERENCE;
+        return reading.millis() - (owned ? preference * size.sharedTokens() / speeds.tokensPerMilli() : 0);
     }
 
     private static int distance(EngineView engine, String domain) {
