Count arrivals at engines as the retry budget does, and leave an engine alone that answers 421

Change: each send beyond the first arrival and the first prompt read takes from the budget; an upstream that answers 421 gets nothing for 1.5 s, in which the list is read anew.

--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -95,6 +95,9 @@
         if (facts.notRun()) {
             notRun(ranBefore);
             use.end();
+            if (facts.otherInstance()) {
+                context().book().misdirected(use.upstream());
+            }
             logFailed(
                     STEP,
                     use.upstream(),
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -29,8 +29,8 @@
     private static final String STEP_STREAM = "stream";
     /** Sends of each step before the request is given up. */
     private static final int MAX_SENDS = 4;
-    /** Time for which a prompt may be read beyond its estimate before another engine is tried. */
-    private static final long PROMPT_SLACK_MILLIS = 1_500;
+    /** Time for which a prompt may be read beyond twice its estimate before another engine is tried. */
+    private static final long PROMPT_SLACK_MILLIS = 700;
     /** Longest pause in a stream; the usual caller gives up after two seconds or more. */
     private static final long SILENCE_MILLIS = 2_000;
     /** Part of the remaining time that the estimate may take. */
@@ -41,6 +41,9 @@
     private final Set<String> excluded = new HashSet<>();
     private final EventSplitter events = new EventSplitter();
     private int sends;
+    /** Sends that reached an engine, other than the first prompt that one read. */
+    private int arrivals;
+
     private int runs;
 
     /** How one send to an engine that generates ended. */
@@ -57,10 +60,6 @@
     @Override
     void serve() {
         while (!isEnded()) {
-            if (sends > 0 && !mayRetry()) {
-                giveUp(ResultCode.RETRY_BUDGET_EXHAUSTED, "no retry is left in the budget");
-                return;
-            }
             if (sends >= MAX_SENDS) {
                 giveUp(ResultCode.QUEUE_FULL, "all engines refused the request");
                 return;
@@ -111,7 +110,19 @@
         };
     }
 
+    /**
+     * Returns whether the next send is within the retry budget. The first arrival of a request is free, and so is the first
+     * prompt that an engine reads for it.
+     */
+    private boolean mayArrive(boolean free) {
+        return free || mayRetry();
+    }
+
     private @Nullable CacheSource readPrompt(Upstream engine, Prompt prompt, UpstreamBook.Placement placement) {
+        if (!mayArrive(sends == 0)) {
+            giveUp(ResultCode.RETRY_BUDGET_EXHAUSTED, "no retry is left in the budget");
+            return null;
+        }
         sends++;
         long sentMillis = nowMillis();
         logSent(
@@ -136,8 +147,9 @@
                     use.end(true, nowMillis());
                     return context().protocol().readCacheSource(engine.address(), body);
                 }
-                use.end(!facts.otherInstance() && facts.notRun(), nowMillis());
-                excluded.add(engine.id());
+                use.end();
+                refused(engine, facts);
+                arrivals++;
                 logFailed(
                         STEP_PROMPT,
                         engine,
@@ -151,6 +163,7 @@
             if (!isEnded()) {
                 use.end(false, nowMillis());
                 excluded.add(engine.id());
+                arrivals += e.runState() == RunState.NOT_RUN ? 0 : 1;
                 logFailed(STEP_PROMPT, engine, e.code(), 0, e.runState(), sentMillis, String.valueOf(e.getMessage()));
             }
         } finally {
@@ -161,9 +174,14 @@
 
     private StreamEnd stream(UpstreamBook.Placement placement, @Nullable Prompt prompt, @Nullable CacheSource source) {
         Upstream engine = placement.decode();
+        if (!mayArrive(arrivals == 0)) {
+            giveUp(ResultCode.RETRY_BUDGET_EXHAUSTED, "no retry is left in the budget");
+            return StreamEnd.DONE;
+        }
         if (source == null) {
             sends++;
         }
+        arrivals++;
         boolean ranBefore = mayHaveRun();
         long sentMillis = nowMillis();
         logSent(
@@ -199,6 +217,14 @@
         }
     }
 
+    /** An engine that does not do what the list says of it is left alone until the list is read again. */
+    private void refused(Upstream engine, AnswerFacts facts) {
+        excluded.add(engine.id());
+        if (facts.otherInstance()) {
+            context().book().misdirected(engine);
+        }
+    }
+
     private static @Nullable Address holderOf(UpstreamBook.Placement placement) {
         return placement.holder().map(Upstream::address).orElse(null);
     }
@@ -220,7 +246,7 @@
         if (facts.notRun()) {
             notRun(ranBefore);
             use.end();
-            excluded.add(use.upstream().id());
+            refused(use.upstream(), facts);
             logFailed(
                     STEP_STREAM,
                     use.upstream(),
@@ -297,6 +323,7 @@
                 String.valueOf(error.getMessage()));
         if (error.runState() == RunState.NOT_RUN) {
             notRun(ranBefore);
+            arrivals--;
             return StreamEnd.NOT_RUN;
         }
         runs++;
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -24,6 +24,7 @@
     private long queuedTokens;
     private double latencyMillis;
     private long latencyAtMillis;
+    private long avoidUntilMillis = Long.MIN_VALUE;
     private boolean lost;
 
     Upstream(ListedUpstream listed, long memoryTokens, double latencyMillis, long nowMillis) {
@@ -90,7 +91,11 @@
     }
 
     boolean admits(long nowMillis) {
-        return !listed.leaving() && health.admitsFromMillis(nowMillis) <= nowMillis;
+        return !listed.leaving() && nowMillis >= avoidUntilMillis && health.admitsFromMillis(nowMillis) <= nowMillis;
+    }
+
+    void avoidUntil(long untilMillis) {
+        avoidUntilMillis = untilMillis;
     }
 
     void started(long tokens, List<PrefixCache.Part> parts) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -38,6 +38,8 @@
     private static final double FIRST_LATENCY_MILLIS = 20;
     /** A latency that was not renewed for longer says nothing any more. */
     private static final long LATENCY_KEEP_MILLIS = 5_000;
+    /** Time in which the list shows what an upstream has become. */
+    private static final long MISDIRECTED_MILLIS = 1_500;
     /** Part of an engine's memory that shared prompt parts may take; running requests need the rest. */
     private static final double CACHE_PART = 0.8;
 
@@ -249,6 +251,11 @@
         return use(upstream, 0, List.of());
     }
 
+    /** Notes that an upstream is not what the list says; it gets nothing until the list is read anew. */
+    public synchronized void misdirected(Upstream upstream) {
+        upstream.avoidUntil(clock.nowMillis() + MISDIRECTED_MILLIS);
+    }
+
     synchronized void outcome(Upstream upstream, boolean success, double millis, long nowMillis) {
         if (!upstream.outcome(success, millis, nowMillis)) {
             return;
