Tell gateways of a change of role before it is ordered, move new engines at once, replace leaders sooner; tests of the decisions

Change: the leader passes the list on without the role of a changing engine before it sends the order; PrefillShare moves an engine that has just appeared at once; election timeout 0.5 to 1 s where members find each other. Ruled out: too little memory at the engine (the refusals were at one engine only, from the order on).

--- a/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
@@ -40,11 +40,18 @@
     private static final long INTERVAL_MILLIS = 700;
 
     private static final long CONFIRM_LIMIT_MILLIS = 500;
+    /** Time within which gateways learn of a change before the order is sent. */
+    private static final long ANNOUNCE_MILLIS = 60;
+    /** A change of role takes seconds, and the list shows it a little later. */
+    private static final long CHANGE_MILLIS = 6_000;
     /** An order may be on its way for this long after a former holder had confirmed its leadership. */
     private static final long ORDER_LIMIT_MILLIS = 1_500;
     /** An order without an answer may be carried out this much later; the engine is left alone until then. */
     private static final long UNKNOWN_ORDER_MILLIS = 15_000;
 
+    /** A change of role that was ordered. */
+    private record Change(EngineRole role, long untilMillis) {}
+
     /** Receives host lists. */
     @FunctionalInterface
     public interface ListListener {
@@ -83,6 +90,9 @@
     });
     private final Map<String, PrefillShare> sharesByService = new HashMap<>();
     private final Map<String, Long> leaveAloneUntilMillis = new HashMap<>();
+    private final Map<String, Change> changes = new HashMap<>();
+    private List<ListedUpstream> latest = List.of();
+    private long latestReadAtMillis;
     private long orderFromMillis = Long.MAX_VALUE;
     private long heldToken;
 
@@ -143,13 +153,30 @@
         }
         long readAtMillis = clock.nowMillis();
         List<ListedUpstream> upstreams = hosts.read();
-        listener.accept(upstreams, readAtMillis);
+        latest = upstreams;
+        latestReadAtMillis = readAtMillis;
+        changes.values().removeIf(change -> change.untilMillis() <= readAtMillis);
+        upstreams.forEach(upstream -> changes.remove(upstream.instanceId(), changeDone(upstream)));
+        listener.accept(withoutChanging(upstreams), readAtMillis);
         Map<String, List<ListedUpstream>> listed = upstreams.stream()
                 .filter(upstream -> services.contains(upstream.service()))
                 .collect(Collectors.groupingBy(ListedUpstream::service));
         listed.forEach(this::plan);
     }
 
+    /** Returns the change of an engine that the list already shows, null for none. */
+    private @Nullable Change changeDone(ListedUpstream upstream) {
+        Change change = changes.get(upstream.instanceId());
+        return change != null && change.role() == upstream.role() ? change : null;
+    }
+
+    /** Engines that carry out an order take no requests, so gateways see them without a role. */
+    private List<ListedUpstream> withoutChanging(List<ListedUpstream> upstreams) {
+        return upstreams.stream()
+                .map(upstream -> changes.containsKey(upstream.instanceId()) ? upstream.withoutRole() : upstream)
+                .toList();
+    }
+
     private void plan(String service, List<ListedUpstream> upstreams) {
         long nowMillis = clock.nowMillis();
         leaveAloneUntilMillis.values().removeIf(until -> until <= nowMillis);
@@ -204,6 +231,7 @@
             leaveAloneUntilMillis.put(engine.instanceId(), clock.nowMillis() + leaseMillis);
             return;
         }
+        announce(engine, role);
         long confirmedByMillis = clock.nowMillis() + CONFIRM_LIMIT_MILLIS;
         if (await(authority.confirm(), CONFIRM_LIMIT_MILLIS).isEmpty()
                 || clock.nowMillis() > confirmedByMillis
@@ -233,6 +261,20 @@
         }
     }
 
+    /** Tells the gateways to send the engine nothing more, and gives them a moment to learn it. */
+    private void announce(ListedUpstream engine, EngineRole role) {
+        changes.put(engine.instanceId(), new Change(role, clock.nowMillis() + CHANGE_MILLIS));
+        listener.accept(withoutChanging(latest), latestReadAtMillis);
+        if (!traffic.get()) {
+            return;
+        }
+        try {
+            TimeUnit.MILLISECONDS.sleep(ANNOUNCE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static <T> Optional<T> await(CompletableFuture<T> future, long limitMillis) {
         try {
             @Nullable T value = future.get(limitMillis, TimeUnit.MILLISECONDS);
--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftTiming.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftTiming.java
@@ -30,4 +30,9 @@
     public static RaftTiming standard() {
         return new RaftTiming(150, 1_000, 2_000, 1 << 20, 16, 1 << 20, 10_000, 16 << 20, 1_000, 20_000);
     }
+
+    /** Returns values for hosts a few milliseconds apart, where a failed leader is replaced within a second. */
+    public static RaftTiming quick() {
+        return new RaftTiming(100, 500, 1_000, 1 << 20, 16, 1 << 20, 10_000, 16 << 20, 1_000, 20_000);
+    }
 }
--- a/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -108,7 +108,7 @@
                 folder,
                 initialMembers(settings),
                 settings.discovery().seeds(),
-                RaftTiming.standard());
+                settings.discovery().enabled() ? RaftTiming.quick() : RaftTiming.standard());
         return RaftLog.open(options, state, peers, dispatcher, registry);
     }
 
--- a/directory/src/main/java/org/wagtailcart/directory/ListedUpstream.java
+++ b/directory/src/main/java/org/wagtailcart/directory/ListedUpstream.java
@@ -13,7 +13,7 @@
  * @param failureDomain failure domain it runs in
  * @param slots requests that it runs at once
  * @param leaving whether it is about to stop and may get no new request
- * @param role role of an engine, null for a plain service
+ * @param role role of an engine, null for a plain service or while the engine changes its role
  */
 public record ListedUpstream(
         String instanceId,
@@ -22,4 +22,9 @@
         String failureDomain,
         int slots,
         boolean leaving,
-        @Nullable EngineRole role) {}
+        @Nullable EngineRole role) {
+    /** Returns this upstream while it changes its role and takes no requests. */
+    public ListedUpstream withoutRole() {
+        return new ListedUpstream(instanceId, service, address, failureDomain, slots, leaving, null);
+    }
+}
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -222,6 +222,8 @@
         excluded.add(engine.id());
         if (facts.otherInstance()) {
             context().book().misdirected(engine);
+        } else {
+            context().book().full(engine);
         }
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -40,6 +40,8 @@
     private static final long LATENCY_KEEP_MILLIS = 5_000;
     /** Time in which the list shows what an upstream has become. */
     private static final long MISDIRECTED_MILLIS = 1_500;
+    /** Time in which an engine that refused a request may find room. */
+    private static final long FULL_MILLIS = 200;
     /** Part of an engine's memory that shared prompt parts may take; running requests need the rest. */
     private static final double CACHE_PART = 0.8;
 
@@ -256,6 +258,11 @@
         upstream.avoidUntil(clock.nowMillis() + MISDIRECTED_MILLIS);
     }
 
+    /** Notes that an upstream has no room, or takes no requests for a while. */
+    public synchronized void full(Upstream upstream) {
+        upstream.avoidUntil(clock.nowMillis() + FULL_MILLIS);
+    }
+
     synchronized void outcome(Upstream upstream, boolean success, double millis, long nowMillis) {
         if (!upstream.outcome(success, millis, nowMillis)) {
             return;
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -35,10 +35,10 @@
     static final double DECODE_READ_SPEED = 0.5;
 
     /** Share of the time of the split way above which a prompt is not read by the engine that generates. */
-    static final double LOCAL_PART = 0.8;
+    static final double LOCAL_PART = 1.0;
 
     /** A longer rest of a prompt would hold up the output of the requests that the engine generates for. */
-    static final int MAX_LOCAL_TOKENS = 3_000;
+    static final int MAX_LOCAL_TOKENS = 6_000;
 
     private PromptPlacement() {}
 
--- a/policy/src/main/java/org/wagtailcart/policy/role/PrefillShare.java
+++ b/policy/src/main/java/org/wagtailcart/policy/role/PrefillShare.java
@@ -1,15 +1,19 @@
 package org.wagtailcart.policy.role;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.wagtailcart.common.EngineRole;
 
 /**
  * Decides how many engines of a service read prompts for the others. Before traffic all engines may change at once;
- * afterwards one at a time, and only when the share has been wrong for long.
+ * afterwards one at a time, and only when the share has been wrong for long. An engine that has just appeared, or was
+ * started anew, holds nothing yet and may change at once.
  */
 public final class PrefillShare {
     /** Share of the engines in the prefill role; prompts dominate the work while outputs are short. */
@@ -21,8 +25,16 @@
     /** A share must be wrong for this long before an engine is moved under traffic. */
     static final long SUSTAIN_MILLIS = 5_000;
 
+    /** Time for which an engine counts as new. */
+    static final long NEW_MILLIS = 3_000;
+
     private static final long RIGHT = Long.MAX_VALUE;
 
+    /** Engine as it was seen first in its present role. */
+    private record FirstSeen(boolean prefill, long atMillis) {}
+
+    private final Map<String, FirstSeen> firstSeenById = new HashMap<>();
+
     private long wrongSinceMillis = RIGHT;
 
     /**
@@ -31,7 +43,7 @@
      * @param id identity
      * @param failureDomain where it runs
      * @param prefill whether it reads prompts for others
-     * @param changing whether an order is on its way to it
+     * @param changing whether an order to take the other role is on its way to it
      */
     public record Engine(String id, String failureDomain, boolean prefill, boolean changing) {}
 
@@ -57,23 +69,54 @@
      * @param traffic whether callers are being served
      */
     public List<Move> plan(List<Engine> engines, boolean traffic, long nowMillis) {
-        long prefill = engines.stream().filter(Engine::prefill).count();
-        int missing = target(engines.size()) - (int) prefill;
+        note(engines, nowMillis);
+        int missing = target(engines.size()) - prefillWhenDone(engines);
         boolean wrong = missing != 0 && (!traffic || Math.abs(missing) >= TOLERATED_ENGINES);
+        wrongSinceMillis = wrong ? Math.min(wrongSinceMillis, nowMillis) : RIGHT;
+        Optional<Move> fresh = traffic && missing != 0 ? freshMove(engines, missing > 0, nowMillis) : Optional.empty();
+        if (fresh.isPresent()) {
+            return List.of(fresh.get());
+        }
         if (!wrong) {
-            wrongSinceMillis = RIGHT;
             return List.of();
         }
-        wrongSinceMillis = Math.min(wrongSinceMillis, nowMillis);
         boolean oneIsChanging = engines.stream().anyMatch(Engine::changing);
         if (traffic && (oneIsChanging || nowMillis - wrongSinceMillis < SUSTAIN_MILLIS)) {
             return List.of();
         }
-        int pending = (int) engines.stream()
-                .filter(engine -> engine.changing() && engine.prefill() == missing < 0)
+        int count = traffic ? 1 : Math.abs(missing);
+        return candidates(engines, missing > 0).limit(count).toList();
+    }
+
+    /** Engines in the prefill role once the orders on their way are carried out; an order turns the role around. */
+    private static int prefillWhenDone(List<Engine> engines) {
+        return (int) engines.stream()
+                .filter(engine -> engine.prefill() != engine.changing())
                 .count();
-        int count = traffic ? 1 : Math.abs(missing) - pending;
-        return candidates(engines, missing > 0).limit(Math.max(0, count)).toList();
+    }
+
+    private void note(List<Engine> engines, long nowMillis) {
+        Set<String> ids = engines.stream().map(Engine::id).collect(Collectors.toSet());
+        firstSeenById.keySet().retainAll(ids);
+        engines.forEach(engine -> {
+            FirstSeen seen = firstSeenById.get(engine.id());
+            if (seen == null || seen.prefill() != engine.prefill()) {
+                firstSeenById.put(engine.id(), new FirstSeen(engine.prefill(), nowMillis));
+            }
+        });
+    }
+
+    private Optional<Move> freshMove(List<Engine> engines, boolean toPrefill, long nowMillis) {
+        return engines.stream()
+                .filter(engine -> engine.prefill() != toPrefill && !engine.changing())
+                .filter(engine -> isNew(engine, nowMillis))
+                .min(Comparator.comparing(Engine::id))
+                .map(engine -> new Move(engine.id(), toPrefill ? EngineRole.PREFILL : EngineRole.DECODE));
+    }
+
+    private boolean isNew(Engine engine, long nowMillis) {
+        FirstSeen seen = firstSeenById.get(engine.id());
+        return seen != null && nowMillis - seen.atMillis() <= NEW_MILLIS;
     }
 
     /** Engines to move, those first whose failure domain has most engines in the role that they leave. */
--- /dev/null
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
@@ -0,0 +1,101 @@
+package org.wagtailcart.policy.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Shared prefixes, queues and roles of engines under the loads that they must be placed for. */
+class PromptPlacementTest {
+    private static final PromptPlacement.Speeds SPEEDS = new PromptPlacement.Speeds(50, 1_000);
+    private static final PromptPlacement.Size MANUAL = new PromptPlacement.Size(17_000, 13_300, "manual-7");
+
+    private static EngineView engine(String id, boolean prefill, long queuedTokens, int cachedTokens) {
+        return new EngineView(id, "fes", prefill, 64, 0, queuedTokens, cachedTokens, 1);
+    }
+
+    private static PromptPlacement.Choice choose(List<EngineView> engines, PromptPlacement.Size size) {
+        return PromptPlacement.choose(engines, size, SPEEDS, "fes").orElseThrow();
+    }
+
+    private static String reader(PromptPlacement.Choice choice) {
+        EngineView prefill = choice.prefill();
+        return prefill == null ? choice.decode().id() : prefill.id();
+    }
+
+    /** Guards against gateways that read a new part at different engines. */
+    @Test
+    void aPartThatNobodyHoldsIsReadAtTheSameEngineWhateverTheOrderOfTheList() {
+        List<EngineView> engines =
+                IntStream.range(0, 9).mapToObj(i -> engine("e" + i, true, 0, 0)).collect(Collectors.toList());
+        engines.add(engine("d", false, 0, 0));
+        String first = reader(choose(engines, MANUAL));
+        java.util.Collections.reverse(engines);
+        assertThat(reader(choose(engines, MANUAL))).isEqualTo(first);
+    }
+
+    /** Guards against a hash that gives most parts to few engines. */
+    @Test
+    void newPartsAreSpreadOverTheEngines() {
+        List<EngineView> engines = IntStream.range(0, 10)
+                .mapToObj(i -> engine("e" + i, i < 9, 0, 0))
+                .toList();
+        Map<String, Long> parts = IntStream.range(0, 900)
+                .mapToObj(i -> reader(choose(engines, new PromptPlacement.Size(17_000, 13_300, "part-" + i))))
+                .collect(Collectors.groupingBy(id -> id, Collectors.counting()));
+        assertThat(parts.values().stream().mapToLong(Long::longValue).max().orElse(0))
+                .isLessThan(160);
+        assertThat(parts).hasSize(9);
+    }
+
+    /** A queue at the engine that holds the shared parts must not keep a request waiting while another is free. */
+    @ParameterizedTest
+    @CsvSource({"0, holder, false", "1000, holder, false", "60000, free, true"})
+    void aLongQueueMovesTheRequestToAFreeEngineThatFetchesTheParts(long queuedTokens, String reader, boolean fetches) {
+        PromptPlacement.Choice choice = choose(
+                List.of(
+                        engine("holder", true, queuedTokens, 13_300),
+                        engine("free", true, 0, 0),
+                        engine("decode", false, 100_000, 0)),
+                MANUAL);
+        assertThat(reader(choice)).isEqualTo(reader);
+        assertThat(choice.holder() != null).isEqualTo(fetches);
+        assertThat(choice.unreadTokens()).isEqualTo(3_700);
+    }
+
+    /** A counter question must not queue behind long manuals. */
+    @ParameterizedTest
+    @CsvSource({"1460, 0, true", "1460, 200000, false", "17000, 0, false"})
+    void aShortPromptIsReadByTheEngineThatGeneratesWhenThatIsFaster(
+            int promptTokens, long decodeQueueTokens, boolean local) {
+        PromptPlacement.Choice choice = choose(
+                List.of(engine("prefill", true, 20_000, 0), engine("decode", false, decodeQueueTokens, 0)),
+                new PromptPlacement.Size(promptTokens, 0, ""));
+        assertThat(choice.prefill() == null).isEqualTo(local);
+    }
+
+    @Test
+    void withoutAnEngineThatGeneratesThereIsNoChoice() {
+        assertThat(PromptPlacement.choose(List.of(engine("p", true, 0, 0)), MANUAL, SPEEDS, "fes"))
+                .isEmpty();
+    }
+
+    @Test
+    void withoutAPrefillEngineTheOtherOneReads() {
+        assertThat(choose(List.of(engine("d", false, 0, 0)), MANUAL).prefill()).isNull();
+    }
+
+    /** A transfer within a failure domain takes half the time. */
+    @Test
+    void theGeneratingEngineIsInTheFailureDomainOfTheReader() {
+        EngineView near = new EngineView("near", "fes", false, 64, 8, 0, 0, 1);
+        EngineView far = new EngineView("far", "rabat", false, 64, 0, 0, 0, 1);
+        PromptPlacement.Choice choice = choose(List.of(engine("p", true, 0, 0), near, far), MANUAL);
+        assertThat(choice.decode()).isEqualTo(near);
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/org/wagtailcart/policy/role/PrefillShareTest.java
@@ -0,0 +1,54 @@
+package org.wagtailcart.policy.role;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtailcart.common.EngineRole;
+
+class PrefillShareTest {
+    private final PrefillShare share = new PrefillShare();
+
+    private static List<PrefillShare.Engine> engines(int count, int prefill) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> new PrefillShare.Engine("e" + i, "z" + i % 4, i < prefill, false))
+                .toList();
+    }
+
+    /** Never all engines in one role. */
+    @ParameterizedTest
+    @CsvSource({"0, 0", "1, 0", "2, 1", "3, 2", "13, 9", "27, 19", "2100, 1449"})
+    void theTargetLeavesBothRolesAnEngine(int count, int prefill) {
+        assertThat(PrefillShare.target(count)).isEqualTo(prefill);
+    }
+
+    @Test
+    void allEnginesMoveAtOnceBeforeTraffic() {
+        List<PrefillShare.Move> moves = share.plan(engines(13, 5), false, 0);
+        assertThat(moves).hasSize(4);
+        assertThat(moves.stream().map(PrefillShare.Move::role).distinct()).containsExactly(EngineRole.PREFILL);
+    }
+
+    /** A share that is off by one, or for a moment, costs no engine under traffic. */
+    @ParameterizedTest
+    @CsvSource({"8, 60000, 0", "7, 4000, 0", "7, 6000, 1", "5, 6000, 1", "13, 6000, 1"})
+    void underTrafficOneEngineMovesAfterTheShareWasWrongForLong(int prefill, long afterMillis, int moves) {
+        share.plan(engines(13, prefill), true, 0);
+        assertThat(share.plan(engines(13, prefill), true, afterMillis)).hasSize(moves);
+    }
+
+    /** A replacement that comes in the other role holds nothing yet. */
+    @Test
+    void anEngineThatHasJustAppearedMovesAtOnce() {
+        share.plan(engines(13, 9), true, 0);
+        share.plan(engines(13, 9), true, 20_000);
+        List<PrefillShare.Engine> replaced = new ArrayList<>(engines(13, 9).subList(1, 13));
+        replaced.add(new PrefillShare.Engine("new", "z0", false, false));
+        assertThat(share.plan(replaced, true, 21_000))
+                .containsExactly(new PrefillShare.Move("new", EngineRole.PREFILL));
+    }
+}
--- /dev/null
+++ b/routes/src/test/java/org/wagtailcart/routes/RouteIndexTest.java
@@ -0,0 +1,34 @@
+package org.wagtailcart.routes;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RouteIndexTest {
+    private final RouteIndex index = new RouteIndex(Tables.table(
+            1,
+            Tables.route("short", "h.example", "/a/", 100, new Split("stock", 1)),
+            Tables.route("long", "h.example", "/a/b/", 100, new Split("stock", 90), new Split("desk", 10)),
+            Tables.route("other", "k.example", "/", 100, new Split("stock", 1))));
+
+    @ParameterizedTest
+    @CsvSource({
+        "h.example, /a/x, short",
+        "h.example, /a/b/x, long",
+        "H.Example:8080, /a/b/, long",
+        "h.example, /ab/x, none",
+        "k.example, /anything, other",
+        "unknown, /a/x, none",
+    })
+    void theLongestPrefixOfTheHostWins(String host, String path, String name) {
+        assertThat(index.find(host, path).map(Route::name).orElse("none")).isEqualTo(name);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.0, stock", "0.89, stock", "0.90, desk", "0.999, desk"})
+    void weightsDivideTheRequests(double point, String service) {
+        Route route = index.find("h.example", "/a/b/x").orElseThrow();
+        assertThat(RouteIndex.pickService(route, point)).isEqualTo(service);
+    }
+}
