Let the group be founded when a seed restarted during the first start; empty a data folder that cannot be read

Change: the right to found is kept on the disk; a blank member without a list no longer stops the founding, and if it has the smallest id the next one founds. A folder that is damaged, or whose first start did not finish, is emptied where members join by themselves.

--- a/coordination/src/main/java/org/wagtailcart/coordination/Founding.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/Founding.java
@@ -14,35 +14,34 @@
 /**
  * Founds a group. The initial member with the smallest id asks all others for their incarnations and founds the group
  * only when every one of them answers that it is blank. A founder that lost its disk therefore never founds a second
- * group while any initial member remembers the first.
+ * group while any initial member remembers the first. A blank member without a list of initial members, because its disk
+ * was lost before the group existed, never founds one; then the next larger id may.
  */
 final class Founding {
     private static final Logger LOG = System.getLogger(Founding.class.getName());
     private static final long CALL_LIMIT_MILLIS = 2_000;
 
     private final RaftOptions options;
+    private final List<InitialMember> initialMembers;
     private final Member self;
     private final PeerClient client;
     private boolean refusalLogged;
 
-    Founding(RaftOptions options, long incarnation, PeerClient client) {
+    Founding(RaftOptions options, List<InitialMember> initialMembers, long incarnation, PeerClient client) {
         this.options = options;
+        this.initialMembers = initialMembers;
         this.self = new Member(options.memberId(), incarnation, options.address(), true);
         this.client = client;
     }
 
-    /** Returns whether this member founds the group. */
-    boolean isFounder() {
-        return options.initialMembers().stream()
-                .map(InitialMember::memberId)
-                .min(Comparator.naturalOrder())
-                .map(options.memberId()::equals)
-                .orElse(false);
+    /** Returns whether this member may found the group, if the answers of the others allow it. */
+    boolean mayFound() {
+        return initialMembers.stream().map(InitialMember::memberId).anyMatch(options.memberId()::equals);
     }
 
     /** Asks all other initial members; passes the founding voters on, or empty when the group must not be founded. */
     void ask(Consumer<Optional<List<Member>>> whenAnswered) {
-        List<CompletableFuture<RaftMessages.IdentityReply>> replies = options.initialMembers().stream()
+        List<CompletableFuture<RaftMessages.IdentityReply>> replies = initialMembers.stream()
                 .filter(member -> !member.memberId().equals(options.memberId()))
                 .map(member -> client.call(
                         member.address(),
@@ -60,7 +59,7 @@
     }
 
     private Optional<List<Member>> voters(List<RaftMessages.IdentityReply> replies) {
-        Optional<String> refusal = options.initialMembers().stream()
+        Optional<String> refusal = initialMembers.stream()
                 .filter(member -> !member.memberId().equals(options.memberId()))
                 .flatMap(member -> refusal(member, replies).stream())
                 .findFirst();
@@ -88,7 +87,13 @@
             return Optional.of("member " + expected.memberId()
                     + " belongs to an existing group; add this member to it as a learner");
         }
-        return found.get().initialMembers().equals(options.initialMembers())
+        if (found.get().initialMembers().isEmpty()) {
+            return Optional.empty();
+        }
+        if (expected.memberId().compareTo(self.memberId()) < 0) {
+            return Optional.of("member " + expected.memberId() + " has the smaller id and founds the group");
+        }
+        return found.get().initialMembers().equals(initialMembers)
                 ? Optional.empty()
                 : Optional.of("member " + expected.memberId() + " has another list of initial members: "
                         + found.get().initialMembers());
--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftLog.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftLog.java
@@ -51,6 +51,7 @@
     private final RaftNode node;
     private final RaftTransport transport;
     private final StorageThread storageThread;
+    private final List<InitialMember> initialMembers;
     private final Founding founding;
     private final Joining joining;
     private final PendingCalls calls = new PendingCalls();
@@ -82,7 +83,7 @@
         this.stateMachine = stateMachine;
         this.proposalMeter = registry.meter("coordination.proposals");
         this.tickMillis = Math.max(1, options.timing().heartbeatMillis() / 6);
-        RaftStorage storage = new RaftStorage(options.dataFolder(), options.memberId());
+        RaftStorage storage = RaftStorage.open(options);
         long incarnation = storage.incarnation();
         MemberKey self = new MemberKey(options.memberId(), incarnation);
         NodeLog log = storage.takeLog();
@@ -94,7 +95,8 @@
         long nowMillis = clock.nowMillis();
         long seed = incarnation ^ System.nanoTime();
         node = new RaftNode(self, options.address(), options.timing(), storage.hardState(), log, seed, nowMillis);
-        founding = new Founding(options, incarnation, client);
+        initialMembers = storage.initialMembers();
+        founding = new Founding(options, initialMembers, incarnation, client);
         joining = new Joining(
                 new Member(options.memberId(), incarnation, options.address(), false), options.joinContacts(), client);
         transport = new RaftTransport(self, client);
@@ -421,7 +423,7 @@
     }
 
     private void foundIfDue(long nowMillis) {
-        if (foundingRuns || nowMillis < nextFoundingMillis || !node.isBlank() || !founding.isFounder()) {
+        if (foundingRuns || nowMillis < nextFoundingMillis || !node.isBlank() || !founding.mayFound()) {
             return;
         }
         foundingRuns = true;
@@ -490,7 +492,7 @@
 
     private RaftMessages.IdentityReply identity() {
         Member self = new Member(options.memberId(), node.self().incarnation(), options.address(), false);
-        return new RaftMessages.IdentityReply(self, node.isBlank(), options.initialMembers());
+        return new RaftMessages.IdentityReply(self, node.isBlank(), initialMembers);
     }
 
     private void fail(RuntimeException cause) {
--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftStorage.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftStorage.java
@@ -6,10 +6,16 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.storage.DataFolder;
@@ -20,6 +26,8 @@
  * by a new log file, so that old entries go away. Used by one thread at a time.
  */
 final class RaftStorage implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(RaftStorage.class.getName());
+    private static final String FOUNDERS = "founders";
     private static final String LOG_PREFIX = "log-";
     private static final String SNAPSHOT_PREFIX = "snapshot-";
     private static final int HARD_STATE = 1;
@@ -27,6 +35,7 @@
     private static final int BASE = 3;
 
     private final DataFolder folder;
+    private final List<InitialMember> initialMembers;
     private final List<LogEntry> entries = new ArrayList<>();
     private HardState hardState = new HardState(0, null);
     private @Nullable Snapshot snapshot;
@@ -42,16 +51,51 @@
      *     was acknowledged cannot be read
      */
     RaftStorage(Path path, String memberId) {
+        this(path, memberId, List.of());
+    }
+
+    private RaftStorage(Path path, String memberId, List<InitialMember> founders) {
         boolean fresh = DataFolder.isEmpty(path);
         folder = DataFolder.open(path, memberId);
         try {
+            if (fresh) {
+                folder.write(FOUNDERS, encodeFounders(founders));
+            }
             log = fresh ? createLog(0, 0, List.of()) : load();
+            initialMembers = founders.isEmpty() ? decodeFounders() : founders;
         } catch (RuntimeException e) {
             folder.close();
             throw e;
         }
     }
 
+    /**
+     * Opens the data folder of a member. Where members join their group by themselves, a folder that cannot be read, or
+     * whose first start did not finish, is emptied: the member then joins under another incarnation.
+     */
+    static RaftStorage open(RaftOptions options) {
+        Path path = options.dataFolder();
+        boolean selfRepair = !options.joinContacts().isEmpty();
+        try {
+            return new RaftStorage(path, options.memberId(), options.initialMembers());
+        } catch (WagtailcartException e) {
+            boolean damaged = e.code() == ResultCode.LOG_DAMAGED || e.code() == ResultCode.SNAPSHOT_DAMAGED;
+            if (!selfRepair || !damaged) {
+                throw e;
+            }
+            LOG.log(
+                    Level.ERROR,
+                    LogEvent.of("data-folder-emptied", "code", e.code().number(), "reason", e.getMessage()));
+            DataFolder.clear(path);
+            return new RaftStorage(path, options.memberId(), List.of());
+        }
+    }
+
+    /** Returns the members that found the group, as they were given at the first start with this folder. */
+    List<InitialMember> initialMembers() {
+        return initialMembers;
+    }
+
     long incarnation() {
         return folder.incarnation();
     }
@@ -192,6 +236,24 @@
         }
     }
 
+    private static byte[] encodeFounders(List<InitialMember> founders) {
+        return founders.stream()
+                .map(founder -> founder.memberId() + "@" + founder.address())
+                .collect(Collectors.joining("\n"))
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private List<InitialMember> decodeFounders() {
+        if (!folder.names(FOUNDERS).contains(FOUNDERS)) {
+            return List.of();
+        }
+        String text = new String(folder.read(FOUNDERS, ResultCode.LOG_DAMAGED), StandardCharsets.UTF_8);
+        return text.lines()
+                .map(line -> line.split("@", 2))
+                .map(parts -> new InitialMember(parts[0], Address.parse(parts[1])))
+                .toList();
+    }
+
     private static HardState readHardState(DataInputStream in) throws IOException {
         long term = in.readLong();
         MemberKey vote = in.readBoolean() ? new MemberKey(in.readUTF(), in.readLong()) : null;
--- a/storage/src/main/java/org/wagtailcart/storage/DataFolder.java
+++ b/storage/src/main/java/org/wagtailcart/storage/DataFolder.java
@@ -69,6 +69,18 @@
         }
     }
 
+    /** Deletes all files of a folder that no process has open; the next member that opens it has another identity. */
+    public static void clear(Path folder) {
+        try {
+            for (String name : names(folder)) {
+                Files.delete(folder.resolve(name));
+            }
+            syncFolder(folder);
+        } catch (IOException e) {
+            throw failed("empty", folder, e);
+        }
+    }
+
     /** Returns the incarnation of the member; never 0. */
     public long incarnation() {
         return incarnation;
