Pass only answers on that repeat the request's id, and count engines on their way to a role once

Now only a refusal on a fresh connection may lack it. Tests: PrefillShareTest.enginesOnTheirWayToTheOtherRoleCountThere was red before.

--- a/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
@@ -187,7 +187,7 @@
                         upstream.instanceId(),
                         upstream.failureDomain(),
                         upstream.role() == EngineRole.PREFILL,
-                        leaveAloneUntilMillis.containsKey(upstream.instanceId())))
+                        changes.containsKey(upstream.instanceId())))
                 .toList();
         List<PrefillShare.Move> moves = share.plan(seen, traffic.get(), nowMillis);
         moves.stream().takeWhile(move -> mayOrder()).forEach(move -> upstreams.stream()
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -12,9 +12,11 @@
 import org.wagtailcart.common.SettingNames;
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.gateway.list.Upstream;
+import org.wagtailcart.gateway.protocol.AnswerFacts;
 import org.wagtailcart.gateway.protocol.EndToEndHeaders;
 import org.wagtailcart.gateway.protocol.SendInstructions;
 import org.wagtailcart.gateway.send.SendLimits;
+import org.wagtailcart.gateway.send.UpstreamAnswer;
 import org.wagtailcart.gateway.send.UpstreamSend;
 
 /**
@@ -124,6 +126,23 @@
         return mayHaveRun;
     }
 
+    /**
+     * Checks that an answer belongs to this request. Upstreams repeat its id; only a refusal on a connection that has carried
+     * no other request may lack it.
+     *
+     * @throws WagtailcartException with {@link ResultCode#ANSWER_MISMATCH} when it may belong to another one
+     */
+    final void checkOwn(AnswerFacts facts, UpstreamAnswer answer) {
+        boolean own = facts.requestId().equals(request.facts().requestId());
+        boolean bareRefusal = facts.requestId().isEmpty() && facts.notRun() && !answer.reusedConnection();
+        if (!own && !bareRefusal) {
+            throw new WagtailcartException(
+                    ResultCode.ANSWER_MISMATCH,
+                    RunState.MAY_HAVE_RUN,
+                    "answer with status " + facts.status() + " belongs to request \"" + facts.requestId() + "\"");
+        }
+    }
+
     /** Returns the instructions of a plain send. */
     final SendInstructions instructions(Upstream upstream) {
         // An upstream stops at the time it is given; the caller's own time lets it finish what may not be repeated.
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -65,6 +65,7 @@
             UpstreamSend send = prepare(upstream, instructions(upstream), limits(), true);
             try (UpstreamAnswer answer = send.execute()) {
                 AnswerFacts facts = context().protocol().readAnswer(answer.status(), answer.headers());
+                checkOwn(facts, answer);
                 return judge(
                         use,
                         facts,
@@ -87,11 +88,6 @@
     }
 
     private boolean judge(Use use, AnswerFacts facts, WholeAnswer answer, boolean ranBefore, long sentMillis) {
-        if (!facts.requestId().isEmpty()
-                && !facts.requestId().equals(request().facts().requestId())) {
-            throw new WagtailcartException(
-                    ResultCode.ANSWER_MISMATCH, "answer belongs to request " + facts.requestId());
-        }
         if (facts.notRun()) {
             notRun(ranBefore);
             use.end();
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -143,7 +143,8 @@
             try (UpstreamAnswer answer = send.execute()) {
                 byte[] body = answer.readAll();
                 AnswerFacts facts = context().protocol().readAnswer(answer.status(), answer.headers());
-                if (facts.success() && isOwn(facts)) {
+                checkOwn(facts, answer);
+                if (facts.success()) {
                     use.end(true, nowMillis());
                     return context().protocol().readCacheSource(engine.address(), body);
                 }
@@ -235,16 +236,8 @@
         return isResponseStarted() ? events.lastEventId() : "";
     }
 
-    private boolean isOwn(AnswerFacts facts) {
-        return facts.requestId().isEmpty()
-                || facts.requestId().equals(request().facts().requestId());
-    }
-
     private StreamEnd pass(Use use, AnswerFacts facts, UpstreamAnswer answer, boolean ranBefore, long sentMillis) {
-        if (!isOwn(facts)) {
-            throw new WagtailcartException(
-                    ResultCode.ANSWER_MISMATCH, "answer belongs to request " + facts.requestId());
-        }
+        checkOwn(facts, answer);
         if (facts.notRun()) {
             notRun(ranBefore);
             use.end();
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/ReusedConnections.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/ReusedConnections.java
@@ -30,6 +30,10 @@
         Connection connection = chain.connection();
         if (connection != null && !used.add(connection)) {
             check(connection.socket(), chain.readTimeoutMillis());
+            ConnectionUse use = chain.request().tag(ConnectionUse.class);
+            if (use != null) {
+                use.noteReused();
+            }
         }
         return chain.proceed(chain.request());
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamAnswer.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamAnswer.java
@@ -17,9 +17,11 @@
     private final Response response;
     private final Call call;
     private final List<String> headers;
+    private final boolean reused;
     private boolean whole;
 
-    UpstreamAnswer(Response response, Call call, List<String> retryAfter) {
+    UpstreamAnswer(Response response, Call call, List<String> retryAfter, boolean reused) {
+        this.reused = reused;
         this.response = response;
         this.call = call;
         this.headers = new ArrayList<>();
@@ -32,6 +34,11 @@
         return response.code();
     }
 
+    /** Returns whether the connection had carried other requests, whose late answers may still arrive on it. */
+    public boolean reusedConnection() {
+        return reused;
+    }
+
     /** Returns the header lines, name and value alternating. */
     public List<String> headers() {
         return headers;
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamSend.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamSend.java
@@ -21,6 +21,7 @@
     private final Request request;
     private final SendLimits limits;
     private SendGuard guard = new SendGuard(Long.MAX_VALUE);
+    private ConnectionUse use = new ConnectionUse();
     private Call call;
     private boolean cancelled;
 
@@ -48,7 +49,7 @@
             try {
                 Response response = current.execute();
                 response.body().source().timeout().timeout(limits.gapMillis(), TimeUnit.MILLISECONDS);
-                return new UpstreamAnswer(response, current, guard.retryAfter());
+                return new UpstreamAnswer(response, current, guard.retryAfter(), use.reused());
             } catch (ReusedConnections.StaleConnectionException e) {
                 if (stale >= MAX_STALE) {
                     throw new WagtailcartException(ResultCode.CONNECT_FAILED, "only stale connections: " + e, e);
--- a/policy/src/test/java/org/wagtailcart/policy/role/PrefillShareTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/role/PrefillShareTest.java
@@ -51,4 +51,13 @@
         assertThat(share.plan(replaced, true, 21_000))
                 .containsExactly(new PrefillShare.Move("new", EngineRole.PREFILL));
     }
+
+    /** Orders that are on their way count; ordering more engines would have to be undone. */
+    @Test
+    void enginesOnTheirWayToTheOtherRoleCountThere() {
+        List<PrefillShare.Engine> engines = new ArrayList<>(engines(13, 5));
+        IntStream.range(9, 13).forEach(i -> engines.set(i, new PrefillShare.Engine("e" + i, "z" + i % 4, false, true)));
+        assertThat(share.plan(engines, false, 0)).isEmpty();
+        assertThat(share.plan(engines(13, 9), false, 4_000)).isEmpty();
+    }
 }
