Read only short prompts where they are generated from, notice silent engines by their other answers

A fixed limit on reading a prompt cancelled sound engines with a long queue. Change: at most 2,000 unread tokens are read by the engine that generates; prompts waiting there count as load; an engine counts as silent when a request is late and none has been answered since; gateways prefer engines in their own failure domain.

--- a/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
@@ -190,10 +190,13 @@
                         changes.containsKey(upstream.instanceId())))
                 .toList();
         List<PrefillShare.Move> moves = share.plan(seen, traffic.get(), nowMillis);
-        moves.stream().takeWhile(move -> mayOrder()).forEach(move -> upstreams.stream()
-                .filter(upstream -> upstream.instanceId().equals(move.engineId()))
-                .findFirst()
-                .ifPresent(upstream -> order(upstream, move.role())));
+        moves.stream()
+                .filter(move -> !leaveAloneUntilMillis.containsKey(move.engineId()))
+                .takeWhile(move -> mayOrder())
+                .forEach(move -> upstreams.stream()
+                        .filter(upstream -> upstream.instanceId().equals(move.engineId()))
+                        .findFirst()
+                        .ifPresent(upstream -> order(upstream, move.role())));
     }
 
     /** Returns whether this member holds the lease and no other can still be giving orders. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -29,8 +29,6 @@
     private static final String STEP_STREAM = "stream";
     /** Sends of each step before the request is given up. */
     private static final int MAX_SENDS = 4;
-    /** Time for which a prompt may be read beyond twice its estimate before another engine is tried. */
-    private static final long PROMPT_SLACK_MILLIS = 700;
     /** Longest pause in a stream; the usual caller gives up after two seconds or more. */
     private static final long SILENCE_MILLIS = 2_000;
     /** Part of the remaining time that the estimate may take. */
@@ -133,13 +131,14 @@
                 placement.queuedTokens(),
                 placement.unreadTokens());
         Use use = context().book().useForPrompt(engine, prompt, placement.unreadTokens());
+        SilenceGuard guard = null;
         try {
-            long limitMillis =
-                    Math.min(leftMillis(), 2 * Math.round(placement.firstTokenMillis()) + PROMPT_SLACK_MILLIS);
+            long limitMillis = Math.max(1, leftMillis());
             SendInstructions plain = instructions(engine);
             SendInstructions promptOnly = new SendInstructions(
                     engine.id(), plain.leftMillis(), plain.rank(), true, null, holderOf(placement), "");
             UpstreamSend send = prepare(engine, promptOnly, new SendLimits(limitMillis, limitMillis), false);
+            guard = new SilenceGuard(context(), engine, send);
             try (UpstreamAnswer answer = send.execute()) {
                 byte[] body = answer.readAll();
                 AnswerFacts facts = context().protocol().readAnswer(answer.status(), answer.headers());
@@ -169,6 +168,9 @@
             }
         } finally {
             use.end();
+            if (guard != null) {
+                guard.close();
+            }
         }
         return null;
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -1,6 +1,8 @@
 package org.wagtailcart.gateway.list;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.control.client.UpstreamWork;
 import org.wagtailcart.directory.ListedUpstream;
@@ -20,12 +22,13 @@
     private final PrefixCache cache;
     private ListedUpstream listed;
     private UpstreamWork others;
-    private int requests;
     private long queuedTokens;
     private double latencyMillis;
     private long latencyAtMillis;
     private long avoidUntilMillis = Long.MIN_VALUE;
+    private long answeredMillis = Long.MIN_VALUE;
     private boolean lost;
+    private final Set<Use> uses = new HashSet<>();
 
     Upstream(ListedUpstream listed, long memoryTokens, double latencyMillis, long nowMillis) {
         this.listed = listed;
@@ -63,7 +66,7 @@
     }
 
     int requests() {
-        return requests + others.requests();
+        return uses.size() + others.requests();
     }
 
     long queuedTokens() {
@@ -71,7 +74,7 @@
     }
 
     UpstreamWork ownWork() {
-        return new UpstreamWork(id(), requests, queuedTokens);
+        return new UpstreamWork(id(), uses.size(), queuedTokens);
     }
 
     double latencyMillis() {
@@ -98,17 +101,30 @@
         avoidUntilMillis = untilMillis;
     }
 
-    void started(long tokens, List<PrefixCache.Part> parts) {
-        requests++;
+    void started(Use use, long tokens, List<PrefixCache.Part> parts) {
+        uses.add(use);
         queuedTokens += tokens;
         cache.read(parts);
     }
 
-    void ended(long tokens) {
-        requests--;
+    void promptRead(long tokens) {
         queuedTokens -= tokens;
     }
 
+    void ended(Use use, long tokens) {
+        uses.remove(use);
+        queuedTokens -= tokens;
+    }
+
+    void answered(long nowMillis) {
+        answeredMillis = nowMillis;
+    }
+
+    /** Returns whether requests wait here longer than they should while no other gets an answer. */
+    boolean isSilent(long nowMillis) {
+        return uses.stream().anyMatch(use -> use.isUnanswered(answeredMillis, nowMillis));
+    }
+
     /** Notes an outcome; returns whether the upstream is lost by it or, after it was lost, regained. */
     boolean outcome(boolean success, double millis, long nowMillis) {
         if (success) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -40,6 +40,10 @@
     private static final long LATENCY_KEEP_MILLIS = 5_000;
     /** Time in which the list shows what an upstream has become. */
     private static final long MISDIRECTED_MILLIS = 1_500;
+    /** A request is late after this many times its usual duration. */
+    private static final double LATE_FACTOR = 3;
+    /** Time beyond that, for what the estimate cannot know. */
+    private static final long LATE_MILLIS = 400;
     /** Time in which an engine that refused a request may find room. */
     private static final long FULL_MILLIS = 200;
     /** Part of an engine's memory that shared prompt parts may take; running requests need the rest. */
@@ -258,6 +262,19 @@
         upstream.avoidUntil(clock.nowMillis() + MISDIRECTED_MILLIS);
     }
 
+    long nowMillis() {
+        return clock.nowMillis();
+    }
+
+    synchronized void answered(Upstream upstream, long nowMillis) {
+        upstream.answered(nowMillis);
+    }
+
+    /** Returns whether requests wait at an upstream longer than they should while no other gets an answer. */
+    public synchronized boolean isSilent(Upstream upstream) {
+        return upstream.isSilent(clock.nowMillis());
+    }
+
     /** Notes that an upstream has no room, or takes no requests for a while. */
     public synchronized void full(Upstream upstream) {
         upstream.avoidUntil(clock.nowMillis() + FULL_MILLIS);
@@ -291,8 +308,13 @@
     }
 
     private Use use(Upstream upstream, long tokens, List<PrefixCache.Part> parts) {
-        upstream.started(tokens, parts);
-        return new Use(this, upstream, tokens, clock.nowMillis());
+        long nowMillis = clock.nowMillis();
+        double usualMillis =
+                tokens == 0 ? upstream.latencyMillis() : (upstream.queuedTokens() + tokens) / TOKENS_PER_MILLI;
+        long dueMillis = nowMillis + Math.round(LATE_FACTOR * usualMillis) + LATE_MILLIS;
+        Use use = new Use(this, upstream, tokens, nowMillis, dueMillis);
+        upstream.started(use, tokens, parts);
+        return use;
     }
 
     /** Upstreams of a service that may get a request; those that failed lately only when no other is left. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Use.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Use.java
@@ -6,14 +6,16 @@
     private final Upstream upstream;
     private final long tokens;
     private final long startMillis;
+    private final long dueMillis;
     private boolean ended;
     private boolean read;
 
-    Use(UpstreamBook book, Upstream upstream, long tokens, long startMillis) {
+    Use(UpstreamBook book, Upstream upstream, long tokens, long startMillis, long dueMillis) {
         this.book = book;
         this.upstream = upstream;
         this.tokens = tokens;
         this.startMillis = startMillis;
+        this.dueMillis = dueMillis;
     }
 
     /** Returns the upstream. */
@@ -26,18 +28,23 @@
         synchronized (book) {
             if (!read && !ended) {
                 read = true;
-                upstream.ended(tokens);
-                upstream.started(0, java.util.List.of());
+                upstream.promptRead(tokens);
+                upstream.answered(book.nowMillis());
             }
         }
     }
 
+    /** Returns whether the upstream is late with this request and has answered no other since it was sent. */
+    boolean isUnanswered(long answeredMillis, long nowMillis) {
+        return nowMillis > dueMillis && answeredMillis < startMillis;
+    }
+
     /** Ends the use without a verdict on the upstream. */
     public void end() {
         synchronized (book) {
             if (!ended) {
                 ended = true;
-                upstream.ended(read ? 0 : tokens);
+                upstream.ended(this, read ? 0 : tokens);
             }
         }
     }
@@ -45,6 +52,9 @@
     /** Ends the use with a verdict on the upstream. */
     public void end(boolean success, long nowMillis) {
         end();
+        if (success) {
+            book.answered(upstream, nowMillis);
+        }
         book.outcome(upstream, success, (double) (nowMillis - startMillis), nowMillis);
     }
 }
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -22,6 +22,9 @@
     /** Time of a prompt's transfer and of the first step of its output. */
     static final double TRANSFER_MILLIS = 25;
 
+    /** Time by which an engine in another failure domain must be better; the prompt's text crosses to it. */
+    static final double DISTANCE_MILLIS = 40;
+
     /** Time that a fetch of KV cache takes beside its bytes. */
     static final double FETCH_MILLIS = 15;
 
@@ -31,14 +34,17 @@
     /** Share of an engine's slots by which another failure domain must be better. */
     static final double DOMAIN_PREFERENCE = 0.25;
 
+    /** Load of a prompt token that waits at an engine that generates; reading slows its output. */
+    static final double QUEUED_TOKEN_LOAD = 1.0 / 20_000;
+
     /** An engine that generates reads prompts at this share of the speed of one in the prefill role. */
     static final double DECODE_READ_SPEED = 0.5;
 
     /** Share of the time of the split way above which a prompt is not read by the engine that generates. */
-    static final double LOCAL_PART = 1.0;
+    static final double LOCAL_PART = 0.8;
 
     /** A longer rest of a prompt would hold up the output of the requests that the engine generates for. */
-    static final int MAX_LOCAL_TOKENS = 6_000;
+    static final int MAX_LOCAL_TOKENS = 2_000;
 
     private PromptPlacement() {}
 
@@ -85,7 +91,7 @@
         Optional<Choice> split = engines.stream()
                 .filter(EngineView::prefill)
                 .map(engine -> reading(engine, holder, size, speeds))
-                .min(Comparator.comparing((Reading reading) -> cost(reading, owner, size, speeds))
+                .min(Comparator.comparing((Reading reading) -> cost(reading, owner, size, speeds, ownDomain))
                         .thenComparing(reading -> reading.engine().id()))
                 .flatMap(reading -> chooseDecode(engines, reading.engine().failureDomain())
                         .map(decode -> new Choice(
@@ -145,12 +151,14 @@
     }
 
     /** Time to read, and a preference for the owner that keeps a part in one place. */
-    private static double cost(Reading reading, Optional<EngineView> owner, Size size, Speeds speeds) {
+    private static double cost(
+            Reading reading, Optional<EngineView> owner, Size size, Speeds speeds, String ownDomain) {
         boolean owned = owner.filter(reading.engine()::equals).isPresent();
         // A part that nobody holds is read where all gateways will look for it.
         double preference =
                 reading.unreadTokens() > size.promptTokens() - size.sharedTokens() ? NEW_PREFERENCE : PREFERENCE;
-        return reading.millis() - (owned ? preference * size.sharedTokens() / speeds.tokensPerMilli() : 0);
+        double distance = distance(reading.engine(), ownDomain) * DISTANCE_MILLIS;
+        return reading.millis() + distance - (owned ? preference * size.sharedTokens() / speeds.tokensPerMilli() : 0);
     }
 
     private static int distance(EngineView engine, String domain) {
@@ -161,7 +169,8 @@
         return engines.stream()
                 .filter(engine -> !engine.prefill())
                 .min(Comparator.comparing((EngineView engine) -> {
-                            double load = engine.slowness() * (engine.requests() + 1) / engine.slots();
+                            double load = engine.slowness() * (engine.requests() + 1) / engine.slots()
+                                    + engine.queuedTokens() * QUEUED_TOKEN_LOAD;
                             return load + (engine.failureDomain().equals(near) ? 0 : DOMAIN_PREFERENCE);
                         })
                         .thenComparing(EngineView::id));
--- a/policy/src/main/java/org/wagtailcart/policy/role/PrefillShare.java
+++ b/policy/src/main/java/org/wagtailcart/policy/role/PrefillShare.java
@@ -25,6 +25,9 @@
     /** A share must be wrong for this long before an engine is moved under traffic. */
     static final long SUSTAIN_MILLIS = 5_000;
 
+    /** Before traffic, the list must stay the same for this long. */
+    static final long SETTLE_MILLIS = 2_000;
+
     /** Time for which an engine counts as new. */
     static final long NEW_MILLIS = 3_000;
 
@@ -36,6 +39,7 @@
     private final Map<String, FirstSeen> firstSeenById = new HashMap<>();
 
     private long wrongSinceMillis = RIGHT;
+    private long listChangedMillis;
 
     /**
      * An engine as the host list shows it.
@@ -77,7 +81,9 @@
         if (fresh.isPresent()) {
             return List.of(fresh.get());
         }
-        if (!wrong) {
+        // At the start of a system engines appear one after another.
+        boolean settling = !traffic && nowMillis - listChangedMillis < SETTLE_MILLIS;
+        if (!wrong || settling) {
             return List.of();
         }
         boolean oneIsChanging = engines.stream().anyMatch(Engine::changing);
@@ -97,6 +103,9 @@
 
     private void note(List<Engine> engines, long nowMillis) {
         Set<String> ids = engines.stream().map(Engine::id).collect(Collectors.toSet());
+        if (!ids.equals(firstSeenById.keySet())) {
+            listChangedMillis = nowMillis;
+        }
         firstSeenById.keySet().retainAll(ids);
         engines.forEach(engine -> {
             FirstSeen seen = firstSeenById.get(engine.id());
