--- a/daemon/src/main/java/org/wagtailcart/daemon/Main.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/Main.java
@@ -9,6 +9,7 @@
 import java.lang.System.Logger.Level;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.EventKind;
 import org.wagtailcart.common.LogEvent;
@@ -36,6 +37,11 @@
     @Parameter(names = "--check", description = "Check the settings file and exit")
     private boolean check;
 
+    @Parameter(
+            names = "--exit-after-millis",
+            description = "Stop by itself after this time; for recording a class-data archive")
+    private long exitAfterMillis;
+
     @Parameter(names = "--help", help = true, description = "Show this text")
     private boolean help;
 
@@ -87,6 +93,10 @@
             return EXIT_FAILED;
         }
         HangupSignal.handle(() -> reload(daemon));
+        if (exitAfterMillis > 0) {
+            TimeUnit.MILLISECONDS.sleep(exitAfterMillis);
+            return 0;
+        }
         daemon.awaitStop();
         return 0;
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -11,6 +11,7 @@
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.SettingNames;
 import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.gateway.list.Outcome;
 import org.wagtailcart.gateway.list.Upstream;
 import org.wagtailcart.gateway.protocol.AnswerFacts;
 import org.wagtailcart.gateway.protocol.EndToEndHeaders;
@@ -143,6 +144,14 @@
         }
     }
 
+    /** Returns what an answer that is no success says of its upstream's health. */
+    static Outcome outcomeOf(AnswerFacts facts) {
+        if (!facts.stamped()) {
+            return Outcome.NO_ANSWER;
+        }
+        return facts.status() < 500 ? Outcome.ANSWERED : Outcome.FAILURE_ANSWER;
+    }
+
     /** Returns the instructions of a plain send. */
     final SendInstructions instructions(Upstream upstream) {
         // An upstream stops at the time it is given; the caller's own time lets it finish what may not be repeated.
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -7,6 +7,7 @@
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.gateway.list.Outcome;
 import org.wagtailcart.gateway.list.Upstream;
 import org.wagtailcart.gateway.list.Use;
 import org.wagtailcart.gateway.protocol.AnswerFacts;
@@ -106,11 +107,11 @@
         }
         runs++;
         if (facts.success() && facts.stamped()) {
-            use.end(true, nowMillis());
+            use.end(Outcome.ANSWERED, nowMillis());
             deliver(answer.status(), answer.headers(), answer.body());
             return true;
         }
-        use.end(facts.stamped() && facts.status() < 500, nowMillis());
+        use.end(outcomeOf(facts), nowMillis());
         lastFailure = facts.stamped() ? answer : null;
         logFailed(
                 STEP,
@@ -133,7 +134,7 @@
             return true;
         }
         boolean notRun = error.runState() == RunState.NOT_RUN;
-        use.end(false, nowMillis());
+        use.end(Outcome.NO_ANSWER, nowMillis());
         logFailed(
                 STEP,
                 use.upstream(),
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -9,6 +9,7 @@
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.gateway.list.Outcome;
 import org.wagtailcart.gateway.list.Upstream;
 import org.wagtailcart.gateway.list.UpstreamBook;
 import org.wagtailcart.gateway.list.Use;
@@ -144,7 +145,7 @@
                 AnswerFacts facts = context().protocol().readAnswer(answer.status(), answer.headers());
                 checkOwn(facts, answer);
                 if (facts.success()) {
-                    use.end(true, nowMillis());
+                    use.end(Outcome.ANSWERED, nowMillis());
                     return context().protocol().readCacheSource(engine.address(), body);
                 }
                 use.end();
@@ -161,7 +162,7 @@
             }
         } catch (WagtailcartException e) {
             if (!isEnded()) {
-                use.end(false, nowMillis());
+                use.end(Outcome.NO_ANSWER, nowMillis());
                 excluded.add(engine.id());
                 arrivals += e.runState() == RunState.NOT_RUN ? 0 : 1;
                 logFailed(STEP_PROMPT, engine, e.code(), 0, e.runState(), sentMillis, String.valueOf(e.getMessage()));
@@ -275,7 +276,7 @@
         if (events.isWithinEvent()) {
             throw new WagtailcartException(ResultCode.STREAM_INCOMPLETE, "stream ended within an event");
         }
-        use.end(true, nowMillis());
+        use.end(Outcome.ANSWERED, nowMillis());
         complete(answer.status());
         return StreamEnd.DONE;
     }
@@ -283,7 +284,7 @@
     private StreamEnd passFailure(Use use, AnswerFacts facts, UpstreamAnswer answer, long sentMillis) {
         byte[] body = answer.readAll();
         List<String> headers = answer.headers();
-        use.end(facts.status() < 500, nowMillis());
+        use.end(outcomeOf(facts), nowMillis());
         excluded.add(use.upstream().id());
         logFailed(
                 STEP_STREAM,
@@ -308,7 +309,7 @@
         if (isEnded()) {
             return StreamEnd.DONE;
         }
-        use.end(false, nowMillis());
+        use.end(Outcome.NO_ANSWER, nowMillis());
         excluded.add(use.upstream().id());
         logFailed(
                 STEP_STREAM,
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -16,9 +16,12 @@
     /** Weight of a new latency in the running mean. */
     private static final double LATENCY_WEIGHT = 0.2;
 
-    private static final HealthOptions HEALTH = new HealthOptions(3, 10, 0.5, 1_500, 6_000);
+    private static final HealthOptions HEALTH = new HealthOptions(3, 10, 0.3, 1_500, 6_000);
+    /** An upstream's own failures are part of its answers; only a run of them says that it is broken. */
+    private static final HealthOptions FAILURE_ANSWERS = new HealthOptions(6, 20, 0.5, 1_500, 6_000);
 
     private final HealthTracker health = HealthPolicy.EJECTION.tracker(HEALTH);
+    private final HealthTracker failureAnswers = HealthPolicy.EJECTION.tracker(FAILURE_ANSWERS);
     private final PrefixCache cache;
     private ListedUpstream listed;
     private UpstreamWork others;
@@ -94,7 +97,7 @@
     }
 
     boolean admits(long nowMillis) {
-        return !listed.leaving() && nowMillis >= avoidUntilMillis && health.admitsFromMillis(nowMillis) <= nowMillis;
+        return !listed.leaving() && nowMillis >= avoidUntilMillis && admitsFromMillis(nowMillis) <= nowMillis;
     }
 
     void avoidUntil(long untilMillis) {
@@ -126,23 +129,28 @@
     }
 
     /** Notes an outcome; returns whether the upstream is lost by it or, after it was lost, regained. */
-    boolean outcome(boolean success, double millis, long nowMillis) {
-        if (success) {
+    boolean outcome(Outcome outcome, double millis, long nowMillis) {
+        if (outcome == Outcome.ANSWERED) {
             latencyMillis += LATENCY_WEIGHT * (millis - latencyMillis);
             latencyAtMillis = nowMillis;
         }
-        health.onOutcome(success, nowMillis);
-        boolean nowLost = health.admitsFromMillis(nowMillis) > nowMillis;
-        boolean changed = nowLost != lost && (nowLost || success);
+        health.onOutcome(outcome != Outcome.NO_ANSWER, nowMillis);
+        failureAnswers.onOutcome(outcome == Outcome.ANSWERED, nowMillis);
+        boolean nowLost = admitsFromMillis(nowMillis) > nowMillis;
+        boolean changed = nowLost != lost && (nowLost || outcome == Outcome.ANSWERED);
         lost = changed ? nowLost : lost;
         return changed;
     }
 
+    private long admitsFromMillis(long nowMillis) {
+        return Math.max(health.admitsFromMillis(nowMillis), failureAnswers.admitsFromMillis(nowMillis));
+    }
+
     boolean lost() {
         return lost;
     }
 
     long lostUntilMillis(long nowMillis) {
-        return Math.max(nowMillis, health.admitsFromMillis(nowMillis));
+        return Math.max(nowMillis, admitsFromMillis(nowMillis));
     }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -43,7 +43,7 @@
     /** A request is late after this many times its usual duration. */
     private static final double LATE_FACTOR = 3;
     /** Time beyond that, for what the estimate cannot know. */
-    private static final long LATE_MILLIS = 400;
+    private static final long LATE_MILLIS = 700;
     /** Time in which an engine that refused a request may find room. */
     private static final long FULL_MILLIS = 200;
     /** Part of an engine's memory that shared prompt parts may take; running requests need the rest. */
@@ -280,8 +280,8 @@
         upstream.avoidUntil(clock.nowMillis() + FULL_MILLIS);
     }
 
-    synchronized void outcome(Upstream upstream, boolean success, double millis, long nowMillis) {
-        if (!upstream.outcome(success, millis, nowMillis)) {
+    synchronized void outcome(Upstream upstream, Outcome outcome, double millis, long nowMillis) {
+        if (!upstream.outcome(outcome, millis, nowMillis)) {
             return;
         }
         if (upstream.lost()) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Use.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Use.java
@@ -50,11 +50,11 @@
     }
 
     /** Ends the use with a verdict on the upstream. */
-    public void end(boolean success, long nowMillis) {
+    public void end(Outcome outcome, long nowMillis) {
         end();
-        if (success) {
+        if (outcome != Outcome.NO_ANSWER) {
             book.answered(upstream, nowMillis);
         }
-        book.outcome(upstream, success, (double) (nowMillis - startMillis), nowMillis);
+        book.outcome(upstream, outcome, (double) (nowMillis - startMillis), nowMillis);
     }
 }
