--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -145,7 +145,7 @@
                 AnswerFacts facts = context().protocol().readAnswer(answer.status(), answer.headers());
                 checkOwn(facts, answer);
                 if (facts.success()) {
-                    use.end(Outcome.ANSWERED, nowMillis());
+                    use.endRead(placement.firstTokenMillis(), nowMillis());
                     return context().protocol().readCacheSource(engine.address(), body);
                 }
                 use.end();
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -16,6 +16,20 @@
     /** Weight of a new latency in the running mean. */
     private static final double LATENCY_WEIGHT = 0.2;
 
+    /** Weight of a new reading speed in the running mean. */
+    private static final double SLOWNESS_WEIGHT = 0.2;
+    /** A speed that was not measured for longer says nothing any more. */
+    private static final long SLOWNESS_KEEP_MILLIS = 4_000;
+
+    /** Shorter readings say more about the queue than about the speed. */
+    private static final double MIN_SAMPLE_MILLIS = 120;
+
+    private static final double SAMPLE_SLACK_MILLIS = 60;
+    /** Slowness from which an engine is taken to be slow. */
+    private static final double SLOW = 2;
+
+    private static final double MAX_SLOWNESS = 8;
+
     private static final HealthOptions HEALTH = new HealthOptions(3, 10, 0.3, 1_500, 6_000);
     /** An upstream's own failures are part of its answers; only a run of them says that it is broken. */
     private static final HealthOptions FAILURE_ANSWERS = new HealthOptions(6, 20, 0.5, 1_500, 6_000);
@@ -29,6 +43,8 @@
     private double latencyMillis;
     private long latencyAtMillis;
     private long avoidUntilMillis = Long.MIN_VALUE;
+    private double slowness = 1;
+    private long slownessAtMillis;
     private long answeredMillis = Long.MIN_VALUE;
     private boolean lost;
     private final Set<Use> uses = new HashSet<>();
@@ -119,6 +135,28 @@
         queuedTokens -= tokens;
     }
 
+    /** Notes how long a prompt was read, relative to its estimate. */
+    void read(double actualMillis, double estimatedMillis, long nowMillis) {
+        if (estimatedMillis < MIN_SAMPLE_MILLIS) {
+            return;
+        }
+        double ratio = Math.min(MAX_SLOWNESS, actualMillis / (estimatedMillis + SAMPLE_SLACK_MILLIS));
+        slowness = slowness(nowMillis) + SLOWNESS_WEIGHT * (ratio - slowness(nowMillis));
+        slownessAtMillis = nowMillis;
+    }
+
+    /** Returns the time that it takes to read a prompt relative to its peers. */
+    double slowness(long nowMillis) {
+        boolean known = nowMillis - slownessAtMillis <= SLOWNESS_KEEP_MILLIS;
+        return known ? slowness : 1;
+    }
+
+    /** Returns the slowness that counts for placement: queues of other gateways make every engine look slow at times. */
+    double placementSlowness(long nowMillis) {
+        double current = slowness(nowMillis);
+        return current >= SLOW ? current : 1;
+    }
+
     void answered(long nowMillis) {
         answeredMillis = nowMillis;
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -330,7 +330,7 @@
         return healthy.isEmpty() ? present : healthy;
     }
 
-    private static EngineView view(Upstream upstream, List<PrefixCache.Part> parts) {
+    private EngineView view(Upstream upstream, List<PrefixCache.Part> parts) {
         return new EngineView(
                 upstream.id(),
                 upstream.listed().failureDomain(),
@@ -339,7 +339,7 @@
                 upstream.requests(),
                 upstream.queuedTokens(),
                 upstream.cachedTokens(parts),
-                1);
+                upstream.placementSlowness(clock.nowMillis()));
     }
 
     private static double currentLatency(Upstream upstream, double meanMillis, long nowMillis) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Use.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Use.java
@@ -49,6 +49,18 @@
         }
     }
 
+    /**
+     * Ends the use of an engine that has read a prompt.
+     *
+     * @param estimatedMillis time that it was expected to take
+     */
+    public void endRead(double estimatedMillis, long nowMillis) {
+        synchronized (book) {
+            upstream.read((double) (nowMillis - startMillis), estimatedMillis, nowMillis);
+        }
+        end(Outcome.ANSWERED, nowMillis);
+    }
+
     /** Ends the use with a verdict on the upstream. */
     public void end(Outcome outcome, long nowMillis) {
         end();
