--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -32,7 +32,7 @@
     static final double FETCH_GAIN_MILLIS = 15;
 
     /** Share of an engine's slots by which another failure domain must be better. */
-    static final double DOMAIN_PREFERENCE = 0.25;
+    static final double DOMAIN_PREFERENCE = 0.12;
 
     /** Load of a prompt token that waits at an engine that generates; reading slows its output. */
     static final double QUEUED_TOKEN_LOAD = 1.0 / 20_000;
@@ -46,6 +46,9 @@
     /** A longer rest of a prompt would hold up the output of the requests that the engine generates for. */
     static final int MAX_LOCAL_TOKENS = 2_000;
 
+    /** Share of its slots up to which an engine that generates also reads prompts. */
+    static final double MAX_LOCAL_LOAD = 0.25;
+
     private PromptPlacement() {}
 
     /**
@@ -111,7 +114,10 @@
         if (split.isEmpty() || local.isEmpty()) {
             return split.or(() -> local);
         }
+        EngineView reader = local.get().decode();
         boolean localIsBetter = local.get().unreadTokens() <= MAX_LOCAL_TOKENS
+                && reader.queuedTokens() <= MAX_LOCAL_TOKENS
+                && reader.requests() <= MAX_LOCAL_LOAD * reader.slots()
                 && local.get().firstTokenMillis() < LOCAL_PART * split.get().firstTokenMillis();
         return localIsBetter ? local : split;
     }
--- a/policy/src/main/java/org/wagtailcart/policy/role/PrefillShare.java
+++ b/policy/src/main/java/org/wagtailcart/policy/role/PrefillShare.java
@@ -17,7 +17,7 @@
  */
 public final class PrefillShare {
     /** Share of the engines in the prefill role; prompts dominate the work while outputs are short. */
-    static final double PREFILL_SHARE = 0.69;
+    static final double PREFILL_SHARE = 0.77;
 
     /** A share that is off by fewer engines than this is left alone once callers are served. */
     static final int TOLERATED_ENGINES = 2;
