--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -83,8 +83,9 @@
 
     private SendLimits limits() {
         long leftMillis = Math.max(1, leftMillis());
-        boolean another =
-                request().route().repeatable() && runs + 1 < request().route().maxAttempts();
+        boolean another = request().route().repeatable()
+                && runs + 1 < request().route().maxAttempts()
+                && context().book().hasReplica(request().service(), excluded);
         return new SendLimits(another ? (long) (leftMillis * FIRST_TRY_PART) : leftMillis, leftMillis);
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -210,6 +210,7 @@
         try {
             long leftMillis = Math.max(1, leftMillis());
             UpstreamSend send = prepare(engine, all, new SendLimits(leftMillis, SILENCE_MILLIS), true);
+            runs++;
             try (UpstreamAnswer answer = send.execute()) {
                 AnswerFacts facts = context().protocol().readAnswer(answer.status(), answer.headers());
                 return pass(use, facts, answer, ranBefore, sentMillis);
@@ -243,6 +244,7 @@
         checkOwn(facts, answer);
         if (facts.notRun()) {
             notRun(ranBefore);
+            runs--;
             use.end();
             refused(use.upstream(), facts);
             logFailed(
@@ -255,7 +257,6 @@
                     "engine did not run it");
             return StreamEnd.NOT_RUN;
         }
-        runs++;
         if (!facts.success() || !facts.stamped()) {
             return passFailure(use, facts, answer, sentMillis);
         }
@@ -322,9 +323,9 @@
         if (error.runState() == RunState.NOT_RUN) {
             notRun(ranBefore);
             arrivals--;
+            runs--;
             return StreamEnd.NOT_RUN;
         }
-        runs++;
         if (!mayResume()) {
             fail(error.code(), String.valueOf(error.getMessage()));
         }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -190,6 +190,11 @@
                 .map(view -> use(known(view.id()), 0, List.of()));
     }
 
+    /** Returns whether a replica of a service is left. */
+    public synchronized boolean hasReplica(String service, Set<String> excluded) {
+        return !usable(service, excluded, clock.nowMillis()).isEmpty();
+    }
+
     /** Places a request for generated text; empty when no engine can generate. */
     public synchronized Optional<Placement> place(String service, Prompt prompt, Set<String> excluded) {
         List<PrefixCache.Part> parts = parts(prompt);
--- /dev/null
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayRig.java
@@ -0,0 +1,158 @@
+package org.wagtailcart.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.control.client.WatchReply;
+import org.wagtailcart.control.client.WatchRequest;
+import org.wagtailcart.directory.ListedUpstream;
+import org.wagtailcart.routes.EngineSpec;
+import org.wagtailcart.routes.RequestLimits;
+import org.wagtailcart.routes.Route;
+import org.wagtailcart.routes.RouteKind;
+import org.wagtailcart.routes.RouteTable;
+import org.wagtailcart.routes.ServiceSpec;
+import org.wagtailcart.routes.Split;
+
+/** A gateway before scripted upstreams, with a control group that always answers. */
+final class GatewayRig implements AutoCloseable {
+    private static final String HOST = "h.example";
+
+    private final ExecutorService traffic = Executors.newCachedThreadPool();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+    private final HttpClient http = HttpClient.newHttpClient();
+    private final List<ListedUpstream> upstreams = new ArrayList<>();
+    private final Address callers = new Address("127.0.0.1", freePort());
+    private final GatewayRole role;
+
+    static {
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    }
+
+    GatewayRig() throws IOException {
+        Address ready = new Address("127.0.0.1", freePort());
+        GatewayOptions options = new GatewayOptions(
+                "g", "fes", callers, ready, List.of(new Address("127.0.0.1", 1)), 0.2, 50, 10_000, 0);
+        role = new GatewayRole(
+                options,
+                (member, request, limitMillis) -> reply(request),
+                () -> List.copyOf(upstreams),
+                new TestProtocol(),
+                traffic,
+                timer,
+                new MetricRegistry());
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    void add(String id, String service, TestUpstream upstream, @Nullable EngineRole engineRole) {
+        upstreams.add(new ListedUpstream(id, service, upstream.address(), "fes", 4, false, engineRole));
+    }
+
+    void start() throws InterruptedException {
+        role.start();
+        for (int i = 0; i < 500 && !role.ready(); i++) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+    }
+
+    private CompletableFuture<WatchReply> reply(WatchRequest request) {
+        RouteTable table = table();
+        WatchReply reply = new WatchReply(
+                request.knownVersion() < table.version() ? table : null,
+                table.version(),
+                0,
+                "",
+                List.of(),
+                1,
+                List.of(),
+                List.of(),
+                0,
+                0,
+                null,
+                0);
+        return CompletableFuture.supplyAsync(
+                () -> reply, CompletableFuture.delayedExecutor(20, TimeUnit.MILLISECONDS, traffic));
+    }
+
+    private static RouteTable table() {
+        return new RouteTable(
+                1,
+                List.of(
+                        route("safe", RouteKind.SAFE, false),
+                        route("unsafe", RouteKind.UNSAFE, false),
+                        route("stream", RouteKind.STREAMING, false),
+                        route("resumable", RouteKind.STREAMING, true)),
+                List.of(
+                        new ServiceSpec("stock", "/health", 96, null),
+                        new ServiceSpec(
+                                "brain", "/health", 96, new EngineSpec(64, 500_000, 18_432, 240_000, 5_000, 3_000))),
+                RequestLimits.DEFAULT);
+    }
+
+    private static Route route(String name, RouteKind kind, boolean resumable) {
+        String service = kind == RouteKind.STREAMING ? "brain" : "stock";
+        return new Route(
+                name,
+                HOST,
+                "/" + name + "/",
+                kind,
+                5_000,
+                100,
+                0,
+                List.of(new Split(service, 1)),
+                2,
+                kind == RouteKind.STREAMING,
+                resumable,
+                250);
+    }
+
+    HttpRequest request(String route, String id, long allowedMillis) {
+        HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create("http://" + callers + "/" + route + "/x"))
+                .header("Host", HOST)
+                .header("Id", id)
+                .header("Allowed", Long.toString(allowedMillis))
+                .timeout(Duration.ofSeconds(10))
+                .POST(HttpRequest.BodyPublishers.ofString("body"));
+        return (route.equals("stream") || route.equals("resumable") ? builder.header("Prompt", "5000") : builder)
+                .build();
+    }
+
+    HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
+        return http.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    CompletableFuture<HttpResponse<String>> sendAsync(HttpRequest request) {
+        return http.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    GatewayRole role() {
+        return role;
+    }
+
+    @Override
+    public void close() {
+        role.close();
+        traffic.shutdownNow();
+        timer.shutdownNow();
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
@@ -0,0 +1,83 @@
+package org.wagtailcart.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.gateway.protocol.AnswerFacts;
+import org.wagtailcart.gateway.protocol.CacheSource;
+import org.wagtailcart.gateway.protocol.Prompt;
+import org.wagtailcart.gateway.protocol.PromptPart;
+import org.wagtailcart.gateway.protocol.RequestFacts;
+import org.wagtailcart.gateway.protocol.RequestProtocol;
+import org.wagtailcart.gateway.protocol.SendInstructions;
+
+/** Header names of the tests' own. */
+final class TestProtocol implements RequestProtocol {
+    @Override
+    public String readyPath() {
+        return "/ready";
+    }
+
+    @Override
+    public RequestFacts read(List<String> headers) {
+        @Nullable
+        Prompt prompt = header(headers, "Prompt")
+                .map(text -> new Prompt("m", Integer.parseInt(text), 10, List.of(new PromptPart("own", 10))))
+                .orElse(null);
+        OptionalLong allowed = header(headers, "Allowed")
+                .map(Long::parseLong)
+                .map(OptionalLong::of)
+                .orElse(OptionalLong.empty());
+        return new RequestFacts(header(headers, "Id").orElse(""), allowed, prompt, "");
+    }
+
+    @Override
+    public List<String> outbound(List<String> callerHeaders, SendInstructions instructions) {
+        List<String> lines = new ArrayList<>(callerHeaders);
+        lines.addAll(List.of("Instance", instructions.instanceId()));
+        lines.addAll(List.of("Left", Long.toString(instructions.leftMillis())));
+        if (instructions.promptOnly()) {
+            lines.addAll(List.of("Only-Prompt", "1"));
+        }
+        CacheSource source = instructions.source();
+        if (source != null) {
+            lines.addAll(List.of("Source", source.engine() + "/" + source.handle()));
+        }
+        if (!instructions.lastEventId().isEmpty()) {
+            lines.addAll(List.of("After", instructions.lastEventId()));
+        }
+        return lines;
+    }
+
+    @Override
+    public AnswerFacts readAnswer(int status, List<String> headers) {
+        return new AnswerFacts(
+                status,
+                header(headers, "Id").orElse(""),
+                header(headers, "Stamp").isPresent(),
+                status == 421 || header(headers, "Not-Run").isPresent(),
+                status == 421);
+    }
+
+    @Override
+    public CacheSource readCacheSource(Address engine, byte[] body) {
+        return new CacheSource(engine, new String(body, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public String releasePath(CacheSource source) {
+        return "/release/" + source.handle();
+    }
+
+    private static Optional<String> header(List<String> lines, String name) {
+        return IntStream.range(0, lines.size() / 2)
+                .filter(i -> lines.get(2 * i).equalsIgnoreCase(name))
+                .mapToObj(i -> lines.get(2 * i + 1))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/wagtailcart/gateway/TestUpstream.java
@@ -0,0 +1,138 @@
+package org.wagtailcart.gateway;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.wagtailcart.common.Address;
+
+/** Upstream whose answers are bytes that a test scripts. */
+final class TestUpstream implements AutoCloseable {
+    /** A request as it arrived. */
+    record Received(String line, Map<String, String> headers) {
+        String header(String name) {
+            return headers.getOrDefault(name.toLowerCase(java.util.Locale.ROOT), "");
+        }
+    }
+
+    /** Answers one request. */
+    interface Script {
+        /** Writes an answer; returns whether the connection stays open. */
+        boolean answer(Received request, OutputStream out, Socket socket) throws IOException;
+    }
+
+    private final ServerSocket listener;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final List<Received> received = new CopyOnWriteArrayList<>();
+    private volatile Script script;
+
+    TestUpstream(Script script) throws IOException {
+        this.script = script;
+        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        threads.execute(this::accept);
+    }
+
+    Address address() {
+        return new Address("127.0.0.1", listener.getLocalPort());
+    }
+
+    List<Received> received() {
+        return received;
+    }
+
+    void script(Script next) {
+        script = next;
+    }
+
+    private void accept() {
+        try {
+            while (!listener.isClosed()) {
+                Socket socket = listener.accept();
+                threads.execute(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The test has ended.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            boolean open = true;
+            while (open) {
+                String line = in.readLine();
+                if (line == null) {
+                    return;
+                }
+                Map<String, String> headers = new TreeMap<>();
+                for (String header = in.readLine(); header != null && !header.isEmpty(); header = in.readLine()) {
+                    int colon = header.indexOf(':');
+                    headers.put(
+                            header.substring(0, colon).toLowerCase(java.util.Locale.ROOT),
+                            header.substring(colon + 1).strip());
+                }
+                int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+                for (int i = 0; i < length; i++) {
+                    int unused = in.read();
+                }
+                Received request = new Received(line, headers);
+                received.add(request);
+                open = script.answer(request, socket.getOutputStream(), socket);
+            }
+        } catch (IOException e) {
+            // The caller is gone.
+        }
+    }
+
+    /** Answers with a whole body. */
+    static Script ok(String body) {
+        return (request, out, socket) -> {
+            write(
+                    out,
+                    "HTTP/1.1 200 OK\r\nId: " + request.header("Id") + "\r\nStamp: s\r\nContent-Length: "
+                            + body.length() + "\r\n\r\n" + body);
+            return true;
+        };
+    }
+
+    /** Answers with a status line, headers and no body. */
+    static Script status(int status, String headers) {
+        return (request, out, socket) -> {
+            write(
+                    out,
+                    "HTTP/1.1 " + status + " X\r\nId: " + request.header("Id") + "\r\n" + headers
+                            + "Content-Length: 0\r\n\r\n");
+            return true;
+        };
+    }
+
+    /** Reads the request and resets the connection. */
+    static Script reset() {
+        return (request, out, socket) -> {
+            socket.setSoLinger(true, 0);
+            return false;
+        };
+    }
+
+    static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        threads.shutdownNow();
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteWatchTest.java
@@ -0,0 +1,106 @@
+package org.wagtailcart.gateway.watch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.wagtailcart.common.Address;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.control.client.WatchReply;
+import org.wagtailcart.control.client.WatchRequest;
+import org.wagtailcart.gateway.list.UpstreamBook;
+import org.wagtailcart.routes.RequestLimits;
+import org.wagtailcart.routes.RouteTable;
+
+/** A gateway that asks control members which are down, outdated or followers. */
+class RouteWatchTest {
+    private static final Address A = new Address("10.0.0.1", 7000);
+    private static final Address B = new Address("10.0.0.2", 7000);
+
+    /** What a member answers; absent members fail. */
+    private record Answer(long version, long confirmationAgeMillis, String leader) {}
+
+    private final Map<Address, Answer> answers = new ConcurrentHashMap<>();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+    private final RouteWatch watch = new RouteWatch(
+            "g",
+            List.of(A, B),
+            this::call,
+            new UpstreamBook("fes", MillisClock.monotonic()),
+            timer,
+            MillisClock.monotonic());
+
+    @AfterEach
+    void stop() {
+        watch.close();
+        timer.shutdownNow();
+    }
+
+    private CompletableFuture<WatchReply> call(Address member, WatchRequest request, long limitMillis) {
+        Answer answer = answers.get(member);
+        if (answer == null) {
+            return CompletableFuture.failedFuture(new IllegalStateException("down"));
+        }
+        RouteTable table = new RouteTable(answer.version(), List.of(), List.of(), RequestLimits.DEFAULT);
+        WatchReply reply = new WatchReply(
+                answer.version() > request.knownVersion() ? table : null,
+                answer.version(),
+                answer.confirmationAgeMillis(),
+                answer.leader(),
+                List.of(),
+                1,
+                List.of(),
+                List.of(),
+                0,
+                0,
+                null,
+                0);
+        return CompletableFuture.supplyAsync(() -> reply, CompletableFuture.delayedExecutor(10, TimeUnit.MILLISECONDS));
+    }
+
+    private void awaitVersion(long version) throws InterruptedException {
+        for (int i = 0; i < 500 && watch.routes().table().version() != version; i++) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertThat(watch.routes().table().version()).isEqualTo(version);
+    }
+
+    @Test
+    void aMemberThatIsDownIsPassedOver() throws InterruptedException {
+        answers.put(B, new Answer(3, 0, ""));
+        watch.start();
+        awaitVersion(3);
+        answers.remove(B);
+        answers.put(A, new Answer(4, 0, ""));
+        awaitVersion(4);
+    }
+
+    /** A member that is cut off from its group has an old table and says that it is not confirmed. */
+    @Test
+    void anUnconfirmedMemberIsNotBelievedWhileAnotherIsConfirmed() throws InterruptedException {
+        answers.put(A, new Answer(2, 60_000, ""));
+        answers.put(B, new Answer(5, 0, ""));
+        watch.start();
+        awaitVersion(5);
+        assertThat(watch.confirmed()).isTrue();
+    }
+
+    @Test
+    void theVersionNeverGoesBack() throws InterruptedException {
+        answers.put(A, new Answer(7, 0, ""));
+        answers.put(B, new Answer(7, 0, ""));
+        watch.start();
+        awaitVersion(7);
+        answers.put(A, new Answer(6, 0, ""));
+        answers.put(B, new Answer(6, 0, ""));
+        TimeUnit.MILLISECONDS.sleep(300);
+        assertThat(watch.routes().table().version()).isEqualTo(7);
+    }
+}
--- a/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
@@ -90,12 +90,25 @@
         assertThat(choose(List.of(engine("d", false, 0, 0)), MANUAL).prefill()).isNull();
     }
 
-    /** A transfer within a failure domain takes half the time. */
-    @Test
-    void theGeneratingEngineIsInTheFailureDomainOfTheReader() {
-        EngineView near = new EngineView("near", "fes", false, 64, 8, 0, 0, 1);
+    /** A transfer within a failure domain takes half the time, but a busy engine slows every stream. */
+    @ParameterizedTest
+    @CsvSource({"0, near", "4, near", "20, far"})
+    void theGeneratingEngineIsInTheFailureDomainOfTheReaderUnlessItIsBusy(int nearRequests, String chosen) {
+        EngineView near = new EngineView("near", "fes", false, 64, nearRequests, 0, 0, 1);
         EngineView far = new EngineView("far", "rabat", false, 64, 0, 0, 0, 1);
         PromptPlacement.Choice choice = choose(List.of(engine("p", true, 0, 0), near, far), MANUAL);
-        assertThat(choice.decode()).isEqualTo(near);
+        assertThat(choice.decode().id()).isEqualTo(chosen);
+    }
+
+    /** Prompts that wait at an engine that generates slow its streams. */
+    @Test
+    void aShortPromptIsNotReadWhereOthersWaitOrManyStreamsRun() {
+        PromptPlacement.Size question = new PromptPlacement.Size(1_000, 0, "");
+        EngineView busy = new EngineView("busy", "fes", false, 64, 40, 0, 0, 1);
+        assertThat(choose(List.of(engine("p", true, 60_000, 0), busy), question).prefill())
+                .isNotNull();
+        EngineView idle = new EngineView("idle", "fes", false, 64, 1, 0, 0, 1);
+        assertThat(choose(List.of(engine("p", true, 60_000, 0), idle), question).prefill())
+                .isNull();
     }
 }
