--- a/cli/src/main/java/org/wagtailcart/cli/CheckCommands.java
+++ b/cli/src/main/java/org/wagtailcart/cli/CheckCommands.java
@@ -12,12 +12,12 @@
 import org.wagtailcart.settings.SettingsTree;
 import org.wagtailcart.settings.process.ProcessSettings;
 
-/** Commands that check a file without a server. */
+/** Commands that read files without a server. */
 final class CheckCommands {
     private CheckCommands() {}
 
     static List<CliCommand> all() {
-        return List.of(new CheckSettings(), new CheckTree());
+        return List.of(new CheckSettings(), new CheckTree(), new ExplainCommand());
     }
 
     private static ExitCode check(Session session, String file, Function<String, String> check) {
--- /dev/null
+++ b/cli/src/main/java/org/wagtailcart/cli/ExplainCommand.java
@@ -0,0 +1,138 @@
+package org.wagtailcart.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import java.util.stream.StreamSupport;
+import org.wagtailcart.common.LogEvent;
+
+/** Shows what each process decided about one request, and what it learned shortly before, from logs alone. */
+@Parameters(commandDescription = "Shows the decisions about a request from the JSON logs of processes")
+final class ExplainCommand extends CliCommand {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    /** Events that change what a process believes, without naming a request. */
+    private static final Set<String> BELIEFS = Set.of(
+            "table-installed",
+            "list-changed",
+            "upstream-lost",
+            "upstream-regained",
+            "control-lost",
+            "control-regained",
+            "list-lost",
+            "list-regained",
+            "readiness-changed");
+
+    private static final long BELIEFS_BEFORE_MILLIS = 3_000;
+
+    @Parameter(description = "REQUEST-ID FILE...", required = true)
+    private List<String> arguments = new ArrayList<>();
+
+    /** A line of a log. */
+    private record Line(String process, long timeMillis, JsonNode event) {
+        String name() {
+            return event.path("event").asText();
+        }
+    }
+
+    /** The lines of a file and the number of those that could not be read. */
+    private record Log(List<Line> lines, int unreadable) {}
+
+    @Override
+    String name() {
+        return "explain";
+    }
+
+    @Override
+    ExitCode run(Session session) {
+        if (arguments.size() < 2) {
+            throw new CliException(ExitCode.USAGE, "explain needs a request id and at least one file");
+        }
+        String id = arguments.get(0);
+        List<Line> lines = arguments.stream()
+                .skip(1)
+                .flatMap(file -> read(session, file).lines().stream())
+                .sorted(Comparator.comparing(Line::timeMillis))
+                .toList();
+        List<Line> decisions = lines.stream()
+                .filter(line -> line.event().path("request").asText().equals(id))
+                .toList();
+        if (decisions.isEmpty()) {
+            throw new CliException(ExitCode.REFUSED, "no line names the request " + id);
+        }
+        session.console()
+                .result(Stream.concat(beliefs(lines, decisions), decisions.stream())
+                        .sorted(Comparator.comparing(Line::timeMillis))
+                        .map(ExplainCommand::text)
+                        .collect(Collectors.joining("\n")));
+        return ExitCode.OK;
+    }
+
+    /** What the processes that decided learned from shortly before the first decision to the last one. */
+    private static Stream<Line> beliefs(List<Line> lines, List<Line> decisions) {
+        Set<String> processes = decisions.stream().map(Line::process).collect(Collectors.toSet());
+        long from = decisions.get(0).timeMillis() - BELIEFS_BEFORE_MILLIS;
+        long to = decisions.get(decisions.size() - 1).timeMillis();
+        return lines.stream()
+                .filter(line -> BELIEFS.contains(line.name()) && processes.contains(line.process()))
+                .filter(line -> line.timeMillis() >= from && line.timeMillis() <= to);
+    }
+
+    private static Log read(Session session, String file) {
+        List<String> texts = new String(Session.read(file), StandardCharsets.UTF_8)
+                .lines()
+                .filter(text -> !text.isBlank())
+                .toList();
+        String process = String.valueOf(Path.of(file).getFileName());
+        List<Line> lines = texts.stream()
+                .map(text -> parse(process, text))
+                .flatMap(Optional::stream)
+                .toList();
+        int unreadable = texts.size() - lines.size();
+        if (unreadable > 0) {
+            session.console().error(file + ": " + unreadable + " lines are no events and were passed over");
+        }
+        return new Log(lines, unreadable);
+    }
+
+    /** Reads a line; a collector may have written a time and the name of the process before the object. */
+    private static Optional<Line> parse(String file, String text) {
+        int start = text.indexOf('{');
+        if (start < 0) {
+            return Optional.empty();
+        }
+        try {
+            JsonNode event = MAPPER.readTree(text.substring(start));
+            String before = text.substring(0, start).strip();
+            String process = before.isEmpty() ? file : before.substring(before.lastIndexOf(' ') + 1);
+            return event.path("event").isTextual()
+                    ? Optional.of(new Line(process, timeMillis(event), event))
+                    : Optional.empty();
+        } catch (JsonProcessingException | java.time.DateTimeException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static long timeMillis(JsonNode event) {
+        return java.time.Instant.parse(event.path("time").asText()).toEpochMilli();
+    }
+
+    private static String text(Line line) {
+        Object[] fields = StreamSupport.stream(
+                        ((Iterable<String>) () -> line.event().fieldNames()).spliterator(), false)
+                .filter(name -> !Set.of("time", "level", "event", "request").contains(name))
+                .flatMap(name -> Stream.<Object>of(name, line.event().path(name).asText()))
+                .toArray();
+        return line.event().path("time").asText() + " " + line.process() + " " + LogEvent.of(line.name(), fields);
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/org/wagtailcart/cli/ExplainCommandTest.java
@@ -0,0 +1,58 @@
+package org.wagtailcart.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ExplainCommandTest {
+    private static final String SENT = "{\"time\":\"2026-06-03T16:54:35.031Z\",\"level\":\"INFO\","
+            + "\"event\":\"request-sent\",\"request\":\"r-1\",\"step\":\"call\",\"upstream\":\"i-1\"}\n";
+    private static final String ENDED = "{\"time\":\"2026-06-03T16:54:35.400Z\",\"level\":\"INFO\","
+            + "\"event\":\"request-ended\",\"request\":\"r-1\",\"code\":6011}\n";
+    private static final String OTHER = SENT.replace("r-1", "r-2");
+    private static final String LOST = "{\"time\":\"2026-06-03T16:54:34.000Z\",\"level\":\"WARNING\","
+            + "\"event\":\"upstream-lost\",\"upstream\":\"i-7\"}\n";
+    private static final String LONG_AGO = LOST.replace(":34.000Z", ":04.000Z").replace("i-7", "i-8");
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    @TempDir
+    private Path folder;
+
+    private ExitCode run(String... arguments) {
+        return new Wagtailcart(new Console(new PrintStream(out, true), new PrintStream(err, true))).run(arguments);
+    }
+
+    @Test
+    void theDecisionsOfSeveralProcessesComeInOrderWithWhatTheyBelieved() throws IOException {
+        Path one = folder.resolve("g1.log");
+        Path two = folder.resolve("g2.log");
+        Files.writeString(one, LONG_AGO + LOST + OTHER + "no event at all\n{\"cut\n" + ENDED);
+        Files.writeString(two, "  12.5 front-1 " + SENT);
+        assertThat(run("explain", "r-1", one.toString(), two.toString())).isEqualTo(ExitCode.OK);
+        assertThat(out.toString(StandardCharsets.UTF_8).lines().toList())
+                .containsExactly(
+                        "2026-06-03T16:54:34.000Z g1.log upstream-lost upstream=i-7",
+                        "2026-06-03T16:54:35.031Z front-1 request-sent step=call upstream=i-1",
+                        "2026-06-03T16:54:35.400Z g1.log request-ended code=6011")
+                .inOrder();
+        assertThat(err.toString(StandardCharsets.UTF_8)).contains("2 lines are no events");
+    }
+
+    @Test
+    void aRequestThatNoLineNamesIsSaidSo() throws IOException {
+        Path file = folder.resolve("g1.log");
+        Files.writeString(file, OTHER);
+        assertThat(run("explain", "r-1", file.toString())).isEqualTo(ExitCode.REFUSED);
+        assertThat(run("explain", "r-1")).isEqualTo(ExitCode.USAGE);
+        assertThat(run("explain", "r-1", folder.resolve("none").toString())).isEqualTo(ExitCode.INVALID_FILE);
+    }
+}
--- /dev/null
+++ b/common/src/test/java/org/wagtailcart/common/EventKindTest.java
@@ -0,0 +1,36 @@
+package org.wagtailcart.common;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+class EventKindTest {
+    /** Guards against a table of log lines that lacks a kind or names other fields. */
+    @Test
+    void theTableOfLogLinesMatchesTheEnum() throws IOException {
+        List<String> expected = Arrays.stream(EventKind.values())
+                .map(kind -> "| `" + kind.eventName() + "` | "
+                        + kind.fields().stream().map(field -> "`" + field + "`").collect(Collectors.joining(", "))
+                        + " ")
+                .toList();
+        List<String> rows = Files.readAllLines(Path.of("..", "docs", "OPERATIONS.md")).stream()
+                .filter(line -> line.startsWith("| `"))
+                .map(line -> String.join("|", Arrays.copyOf(line.split("\\|", -1), 3)))
+                .toList();
+        assertThat(rows).containsAtLeastElementsIn(expected).inOrder();
+    }
+
+    @Test
+    void anEventHasAValueForEachField() {
+        assertThrows(IllegalArgumentException.class, () -> new Event(EventKind.CONTROL_REGAINED));
+        assertThat(new Event(EventKind.CONTROL_REGAINED, "10.0.0.1:7000").toString())
+                .isEqualTo("control-regained member=10.0.0.1:7000");
+    }
+}
