Cut a record that was never synced however a loss of power tore it

Change: a mark beside the log tells up to where it was synced; what lies behind it was never acknowledged and is cut. Damage before the mark still stops the member or empties its folder. Tests: RecordLogTest.cutsARecordThatWasNotSyncedHoweverItIsTorn was red before; the flipped-bit tests are unchanged and green.

--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftStorage.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftStorage.java
@@ -29,6 +29,9 @@
     private static final Logger LOG = System.getLogger(RaftStorage.class.getName());
     private static final String FOUNDERS = "founders";
     private static final String LOG_PREFIX = "log-";
+    /** Sync mark of a log. */
+    private static final String MARK_PREFIX = "synced-";
+
     private static final String SNAPSHOT_PREFIX = "snapshot-";
     private static final int HARD_STATE = 1;
     private static final int ENTRY = 2;
@@ -143,6 +146,7 @@
         old.close();
         deleteAllBut(SNAPSHOT_PREFIX, name);
         deleteAllBut(LOG_PREFIX, logName());
+        deleteAllBut(MARK_PREFIX, MARK_PREFIX + logName());
     }
 
     @Override
@@ -175,6 +179,7 @@
             opened = createLog(baseIndex, baseTerm, List.of());
         }
         deleteAllBut(LOG_PREFIX, logName());
+        deleteAllBut(MARK_PREFIX, MARK_PREFIX + logName());
         return opened;
     }
 
--- a/storage/src/main/java/org/wagtailcart/storage/RecordLog.java
+++ b/storage/src/main/java/org/wagtailcart/storage/RecordLog.java
@@ -27,9 +27,11 @@
 
     private final Path path;
     private final FileChannel channel;
+    private final SyncMark mark;
     private long sizeBytes;
 
-    private RecordLog(Path path, FileChannel channel, long sizeBytes) {
+    private RecordLog(Path path, FileChannel channel, SyncMark mark, long sizeBytes) {
+        this.mark = mark;
         this.path = path;
         this.channel = channel;
         this.sizeBytes = sizeBytes;
@@ -45,14 +47,15 @@
         try {
             long fileBytes = Files.exists(path) ? Files.size(path) : 0;
             ByteBuffer content = ByteBuffer.wrap(fileBytes == 0 ? new byte[0] : Files.readAllBytes(path));
-            long validBytes = read(path, content, reader);
+            long validBytes = read(path, content, SyncMark.read(path), reader);
             FileChannel channel = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-            RecordLog log = new RecordLog(path, channel, validBytes);
+            RecordLog log = new RecordLog(path, channel, SyncMark.open(path), validBytes);
             if (validBytes < fileBytes) {
                 log.cut(fileBytes);
             }
             // What a killed process wrote can be read before it is durable.
             log.sync();
+            log.mark.sync();
             return log;
         } catch (IOException e) {
             throw failed("open", path, e);
@@ -92,6 +95,7 @@
         } catch (IOException e) {
             throw failed("sync", path, e);
         }
+        mark.advance(sizeBytes);
     }
 
     /** Returns the size of the file. */
@@ -103,6 +107,7 @@
     public void close() {
         try {
             channel.close();
+            mark.close();
         } catch (IOException e) {
             throw failed("close", path, e);
         }
@@ -123,14 +128,14 @@
         channel.force(true);
     }
 
-    private static long read(Path path, ByteBuffer content, Consumer<byte[]> reader) {
+    private static long read(Path path, ByteBuffer content, long syncedBytes, Consumer<byte[]> reader) {
         while (content.remaining() >= HEADER_BYTES) {
             int start = content.position();
             int length = content.getInt();
             int payloadSum = content.getInt();
             int headerSum = content.getInt();
             if (headerSum != Checksum.of(content.duplicate().position(start).limit(start + 8)) || length < 0) {
-                if (isZero(content, start, content.limit())) {
+                if (start >= syncedBytes || isZero(content, start, content.limit())) {
                     return start;
                 }
                 throw damaged(path, start, "header");
@@ -141,7 +146,7 @@
             byte[] payload = new byte[length];
             content.get(payload);
             if (payloadSum != Checksum.of(payload)) {
-                if (!content.hasRemaining() && hasUnwrittenSector(content, start)) {
+                if (start >= syncedBytes || (!content.hasRemaining() && hasUnwrittenSector(content, start))) {
                     return start;
                 }
                 throw damaged(path, start, "payload");
--- /dev/null
+++ b/storage/src/main/java/org/wagtailcart/storage/SyncMark.java
@@ -0,0 +1,81 @@
+package org.wagtailcart.storage;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import org.wagtailcart.common.LogEvent;
+
+/**
+ * Small file beside a log that tells up to where the log was synced. It is written after each sync but not synced itself,
+ * so after a loss of power it may tell too little, never too much. Bytes behind the mark were never acknowledged.
+ */
+final class SyncMark implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(SyncMark.class.getName());
+    private static final String PREFIX = "synced-";
+    private static final String TEMPORARY_SUFFIX = ".tmp";
+    private static final int BYTES = Long.BYTES + Integer.BYTES;
+    /** Without a mark every byte of the log may have been acknowledged. */
+    static final long NO_MARK = Long.MAX_VALUE;
+
+    private final Path path;
+    private final FileChannel channel;
+
+    private SyncMark(Path path, FileChannel channel) {
+        this.path = path;
+        this.channel = channel;
+    }
+
+    /** Returns the path of the mark of a log, also while the log has its temporary name. */
+    static Path of(Path log) {
+        String name = String.valueOf(log.getFileName()).replace(TEMPORARY_SUFFIX, "");
+        return log.resolveSibling(PREFIX + name);
+    }
+
+    static SyncMark open(Path log) throws IOException {
+        Path path = of(log);
+        return new SyncMark(path, FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE));
+    }
+
+    /** Returns the bytes of a log that were synced for sure, {@link #NO_MARK} when it has no mark. */
+    static long read(Path log) throws IOException {
+        Path path = of(log);
+        if (!Files.exists(path)) {
+            return NO_MARK;
+        }
+        ByteBuffer content = ByteBuffer.wrap(Files.readAllBytes(path));
+        if (content.remaining() != BYTES) {
+            return 0;
+        }
+        long syncedBytes = content.getLong();
+        return content.getInt() == checksum(syncedBytes) ? syncedBytes : 0;
+    }
+
+    /** Notes that a log was synced. A failure makes the mark tell too little, which is safe. */
+    void advance(long syncedBytes) {
+        ByteBuffer content = ByteBuffer.allocate(BYTES).putLong(syncedBytes).putInt(checksum(syncedBytes));
+        try {
+            int unused = channel.write(content.flip(), 0);
+        } catch (IOException e) {
+            LOG.log(Level.DEBUG, LogEvent.of("sync-mark-failed", "file", path.getFileName(), "reason", e));
+        }
+    }
+
+    /** Makes the mark itself durable. */
+    void sync() throws IOException {
+        channel.force(true);
+    }
+
+    private static int checksum(long syncedBytes) {
+        return Checksum.of(ByteBuffer.allocate(Long.BYTES).putLong(syncedBytes).flip());
+    }
+
+    @Override
+    public void close() throws IOException {
+        channel.close();
+    }
+}
--- a/storage/src/test/java/org/wagtailcart/storage/RecordLogTest.java
+++ b/storage/src/test/java/org/wagtailcart/storage/RecordLogTest.java
@@ -149,4 +149,36 @@
         Arrays.fill(bytes, (byte) 0x55);
         return bytes;
     }
+
+    /** A loss of power may leave any part of a record that was never acknowledged; it must not stop the member. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 3, 5, 9, 12, 15, 30, 41})
+    void cutsARecordThatWasNotSyncedHoweverItIsTorn(int offset) throws IOException {
+        Path file = folder.resolve("torn");
+        byte[] acknowledged = {1, 2, 3};
+        byte[] mark;
+        try (RecordLog log = RecordLog.open(file, record -> {})) {
+            log.append(acknowledged);
+            mark = Files.readAllBytes(SyncMark.of(file));
+            log.append(new byte[30]);
+        }
+        Files.write(SyncMark.of(file), mark);
+        byte[] bytes = Files.readAllBytes(file);
+        bytes[HEADER_BYTES + acknowledged.length + offset] ^= 0x55;
+        Files.write(file, bytes);
+        assertReads(file, List.of(acknowledged));
+    }
+
+    /** The same damage to a record that was synced is no torn tail. */
+    @Test
+    void stopsOnADamagedLastRecordThatWasSynced() throws IOException {
+        Path file = folder.resolve("damaged");
+        try (RecordLog log = RecordLog.open(file, record -> {})) {
+            log.append(new byte[] {1, 2, 3});
+        }
+        byte[] bytes = Files.readAllBytes(file);
+        bytes[HEADER_BYTES + 1] ^= 0x55;
+        Files.write(file, bytes);
+        assertThrows(WagtailcartException.class, () -> RecordLog.open(file, record -> {}));
+    }
 }
