--- a/common/src/main/java/org/wagtailcart/common/EventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/EventKind.java
@@ -44,7 +44,7 @@
             "list-age-millis",
             "reason"),
     /** A gateway sends no more requests to an upstream for a while. */
-    UPSTREAM_LOST(false, "upstream", "address", "failures", "for-millis"),
+    UPSTREAM_LOST(false, "upstream", "address", "for-millis"),
     /** An upstream answered with success after it was lost. */
     UPSTREAM_REGAINED(false, "upstream", "address"),
     /** A gateway has a newer routing table. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -291,7 +291,7 @@
         }
         if (upstream.lost()) {
             long forMillis = upstream.lostUntilMillis(nowMillis) - nowMillis;
-            EventKind.UPSTREAM_LOST.log(LOG, Level.WARNING, upstream.id(), upstream.address(), "outcomes", forMillis);
+            EventKind.UPSTREAM_LOST.log(LOG, Level.WARNING, upstream.id(), upstream.address(), forMillis);
         } else {
             EventKind.UPSTREAM_REGAINED.log(LOG, Level.INFO, upstream.id(), upstream.address());
         }
