--- a/settings/src/test/java/org/wagtailcart/settings/process/ProcessSettingsTest.java
+++ b/settings/src/test/java/org/wagtailcart/settings/process/ProcessSettingsTest.java
@@ -104,4 +104,55 @@
         assertThat(refused.code()).isEqualTo(ResultCode.INVALID_SETTINGS_FILE);
         assertThat(refused).hasMessageThat().contains(message);
     }
+
+    private static final String GATEWAY =
+            """
+            [process]
+            id = front-1
+            roles = gateway
+            [listen]
+            caller = 10.1.0.30:8149
+            ready = 10.1.0.30:8141
+            [control]
+            seeds = 10.1.0.31:8144,10.2.0.35:8144
+            peer-port = 7380
+            [retry]
+            ratio = 0.2
+            reserve = 52
+            window-seconds = 10
+            [platform]
+            host-list = 10.200.0.100:8142
+            """;
+
+    /** Seeds name hosts; members listen for each other on one port. */
+    @Test
+    void aGatewayFindsControlMembersBySeeds() {
+        ProcessSettings settings = ProcessSettings.parse(GATEWAY);
+        assertThat(settings.discovery().seeds())
+                .containsExactly(new Address("10.1.0.31", 7380), new Address("10.2.0.35", 7380))
+                .inOrder();
+        assertThat(settings.discovery().mayFound()).isFalse();
+        assertThat(settings.retries()).isEqualTo(new RetrySettings(0.2, 52, 10_000));
+        assertThat(settings.platform().orElseThrow().orderLeaseMillis()).isEqualTo(3_000);
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "peer-port = 7380 | peer-port = 0",
+                "peer-port = 7380 | found = true",
+                "seeds = 10.1.0.31:8144,10.2.0.35:8144 | seeds = somewhere",
+                "ratio = 0.2 | ratio = 1.5",
+                "reserve = 52 | reserve = -1",
+                "host-list = 10.200.0.100:8142 | host-list = list",
+                "ready = 10.1.0.30:8141 | ",
+                "host-list = 10.200.0.100:8142 | "
+            })
+    void aGatewaySettingThatIsNotAcceptedIsNamed(String good, String bad) {
+        String text = GATEWAY.replace(good, bad == null ? "" : bad);
+        WagtailcartException error = assertThrows(WagtailcartException.class, () -> ProcessSettings.parse(text));
+        assertThat(error.code()).isEqualTo(ResultCode.INVALID_SETTINGS_FILE);
+        assertThat(error).hasMessageThat().contains("section [");
+    }
 }
