Learn which engines start streams late and which read slowly, from waiting requests too

Slow readers were learned only from answered prompts; callers who left after 2.4 s counted for nothing. Change: StartDelay and ReadSlowness in policy, fed by first events, by requests that still wait and by those given up; the choice of both engines counts the delay. Ruled out: the number of streams at the engines (5 each), queues at the readers.

--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -81,7 +81,7 @@
         }
         return context().book().useReplica(request().service(), excluded).map(use -> {
             use.end();
-            return new UpstreamBook.Placement(Optional.empty(), use.upstream(), Optional.empty(), 0, 0, 0);
+            return new UpstreamBook.Placement(Optional.empty(), use.upstream(), Optional.empty(), 0, 0, 0, 0);
         });
     }
 
@@ -131,7 +131,7 @@
                 0,
                 placement.queuedTokens(),
                 placement.unreadTokens());
-        Use use = context().book().useForPrompt(engine, prompt, placement.unreadTokens());
+        Use use = context().book().useForPrompt(engine, prompt, placement.unreadTokens(), placement.readMillis());
         SilenceGuard guard = null;
         try {
             long limitMillis = Math.max(1, leftMillis());
@@ -145,7 +145,7 @@
                 AnswerFacts facts = context().protocol().readAnswer(answer.status(), answer.headers());
                 checkOwn(facts, answer);
                 if (facts.success()) {
-                    use.endRead(placement.firstTokenMillis(), nowMillis());
+                    use.endRead(nowMillis());
                     return context().protocol().readCacheSource(engine.address(), body);
                 }
                 use.end();
@@ -195,9 +195,7 @@
                 0,
                 placement.queuedTokens(),
                 source == null ? placement.unreadTokens() : 0);
-        Use use = prompt == null || source != null
-                ? context().book().use(engine)
-                : context().book().useForPrompt(engine, prompt, placement.unreadTokens());
+        Use use = useForStream(placement, prompt, source != null);
         SendInstructions plain = instructions(engine);
         SendInstructions all = new SendInstructions(
                 engine.id(),
@@ -222,6 +220,20 @@
         }
     }
 
+    private Use useForStream(UpstreamBook.Placement placement, @Nullable Prompt prompt, boolean fromOther) {
+        UpstreamBook book = context().book();
+        Upstream engine = placement.decode();
+        if (fromOther) {
+            return placement
+                    .prefill()
+                    .map(reader -> book.useForStream(engine, reader))
+                    .orElseGet(() -> book.use(engine));
+        }
+        return prompt == null
+                ? book.use(engine)
+                : book.useForPrompt(engine, prompt, placement.unreadTokens(), placement.readMillis());
+    }
+
     /** An engine that does not do what the list says of it is left alone until the list is read again. */
     private void refused(Upstream engine, AnswerFacts facts) {
         excluded.add(engine.id());
@@ -267,7 +279,7 @@
         for (byte[] part = answer.read(); part.length > 0; part = answer.read()) {
             byte[] whole = events.accept(part);
             if (whole.length > 0) {
-                use.promptRead();
+                use.generates();
                 write(whole);
             }
             if (isEnded()) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -10,26 +10,14 @@
 import org.wagtailcart.policy.health.HealthPolicy;
 import org.wagtailcart.policy.health.HealthTracker;
 import org.wagtailcart.policy.placement.PrefixCache;
+import org.wagtailcart.policy.placement.ReadSlowness;
+import org.wagtailcart.policy.placement.StartDelay;
 
 /** One upstream and what this gateway knows of it. Guarded by its {@link UpstreamBook}. */
 public final class Upstream {
     /** Weight of a new latency in the running mean. */
     private static final double LATENCY_WEIGHT = 0.2;
 
-    /** Weight of a new reading speed in the running mean. */
-    private static final double SLOWNESS_WEIGHT = 0.2;
-    /** A speed that was not measured for longer says nothing any more. */
-    private static final long SLOWNESS_KEEP_MILLIS = 4_000;
-
-    /** Shorter readings say more about the queue than about the speed. */
-    private static final double MIN_SAMPLE_MILLIS = 120;
-
-    private static final double SAMPLE_SLACK_MILLIS = 60;
-    /** Slowness from which an engine is taken to be slow. */
-    private static final double SLOW = 2;
-
-    private static final double MAX_SLOWNESS = 8;
-
     private static final HealthOptions HEALTH = new HealthOptions(3, 10, 0.3, 1_500, 6_000);
     /** An upstream's own failures are part of its answers; only a run of them says that it is broken. */
     private static final HealthOptions FAILURE_ANSWERS = new HealthOptions(6, 20, 0.5, 1_500, 6_000);
@@ -43,8 +31,8 @@
     private double latencyMillis;
     private long latencyAtMillis;
     private long avoidUntilMillis = Long.MIN_VALUE;
-    private double slowness = 1;
-    private long slownessAtMillis;
+    private final ReadSlowness readSlowness = new ReadSlowness();
+    private final StartDelay startDelay = new StartDelay();
     private long answeredMillis = Long.MIN_VALUE;
     private boolean lost;
     private final Set<Use> uses = new HashSet<>();
@@ -135,26 +123,30 @@
         queuedTokens -= tokens;
     }
 
-    /** Notes how long a prompt was read, relative to its estimate. */
-    void read(double actualMillis, double estimatedMillis, long nowMillis) {
-        if (estimatedMillis < MIN_SAMPLE_MILLIS) {
-            return;
-        }
-        double ratio = Math.min(MAX_SLOWNESS, actualMillis / (estimatedMillis + SAMPLE_SLACK_MILLIS));
-        slowness = slowness(nowMillis) + SLOWNESS_WEIGHT * (ratio - slowness(nowMillis));
-        slownessAtMillis = nowMillis;
+    ReadSlowness readSlowness() {
+        return readSlowness;
     }
 
-    /** Returns the time that it takes to read a prompt relative to its peers. */
-    double slowness(long nowMillis) {
-        boolean known = nowMillis - slownessAtMillis <= SLOWNESS_KEEP_MILLIS;
-        return known ? slowness : 1;
+    StartDelay startDelay() {
+        return startDelay;
     }
 
-    /** Returns the slowness that counts for placement: queues of other gateways make every engine look slow at times. */
-    double placementSlowness(long nowMillis) {
-        double current = slowness(nowMillis);
-        return current >= SLOW ? current : 1;
+    /** Returns the time that it takes to read a prompt relative to its peers, as far as it is known by now. */
+    double slowness(long nowMillis) {
+        double waiting = uses.stream()
+                .mapToDouble(use -> use.waitingSlowness(nowMillis))
+                .max()
+                .orElse(1);
+        return Math.max(readSlowness.value(nowMillis), waiting);
+    }
+
+    /** Returns by how much its streams start later than usual, as far as it is known by now. */
+    double startDelayMillis(long nowMillis) {
+        double waiting = uses.stream()
+                .mapToDouble(use -> use.waitingMillis(nowMillis))
+                .max()
+                .orElse(0);
+        return Math.max(startDelay.millis(nowMillis), waiting);
     }
 
     void answered(long nowMillis) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -74,6 +74,7 @@
      * @param prefill engine that reads the prompt, empty when the other one does it
      * @param decode engine that generates
      * @param holder engine from which the reader fetches the KV cache of shared parts, empty when it reads them
+     * @param readMillis estimated time until the prompt is read
      * @param firstTokenMillis estimated time to the first token
      * @param queuedTokens prompt tokens that wait at the engine that reads
      * @param unreadTokens tokens of the prompt that it does not hold, as far as is known
@@ -82,6 +83,7 @@
             Optional<Upstream> prefill,
             Upstream decode,
             Optional<Upstream> holder,
+            double readMillis,
             double firstTokenMillis,
             long queuedTokens,
             int unreadTokens) {}
@@ -187,7 +189,7 @@
                                         currentLatency(upstream, meanMillis, nowMillis)))
                                 .toList(),
                         failureDomain)
-                .map(view -> use(known(view.id()), 0, List.of()));
+                .map(view -> use(known(view.id()), Use.Work.NO_PROMPT, List.of()));
     }
 
     /** Returns whether a replica of a service is left. */
@@ -212,6 +214,7 @@
                             Optional.ofNullable(choice.prefill()).map(view -> known(view.id())),
                             known(choice.decode().id()),
                             Optional.ofNullable(choice.holder()).map(view -> known(view.id())),
+                            choice.readMillis(),
                             choice.firstTokenMillis(),
                             reader.queuedTokens(),
                             choice.unreadTokens());
@@ -222,10 +225,16 @@
      * Starts to use an engine that reads a prompt.
      *
      * @param unreadTokens tokens that it still has to read
+     * @param readMillis estimated time until they are read
      */
-    public synchronized Use useForPrompt(Upstream engine, Prompt prompt, int unreadTokens) {
+    public synchronized Use useForPrompt(Upstream engine, Prompt prompt, int unreadTokens, double readMillis) {
         note(engine, sharedParts(prompt));
-        return use(engine, unreadTokens, parts(prompt));
+        return use(engine, new Use.Work(unreadTokens, readMillis, null), parts(prompt));
+    }
+
+    /** Starts to use an engine that generates from the KV cache of another one. */
+    public synchronized Use useForStream(Upstream engine, Upstream reader) {
+        return use(engine, new Use.Work(0, 0, reader), List.of());
     }
 
     private void note(Upstream engine, List<PrefixCache.Part> shared) {
@@ -259,7 +268,7 @@
 
     /** Starts to use an upstream that has no prompt to read. */
     public synchronized Use use(Upstream upstream) {
-        return use(upstream, 0, List.of());
+        return use(upstream, Use.Work.NO_PROMPT, List.of());
     }
 
     /** Notes that an upstream is not what the list says; it gets nothing until the list is read anew. */
@@ -312,13 +321,14 @@
         return Objects.requireNonNull(upstreamsById.get(id));
     }
 
-    private Use use(Upstream upstream, long tokens, List<PrefixCache.Part> parts) {
+    private Use use(Upstream upstream, Use.Work work, List<PrefixCache.Part> parts) {
         long nowMillis = clock.nowMillis();
-        double usualMillis =
-                tokens == 0 ? upstream.latencyMillis() : (upstream.queuedTokens() + tokens) / TOKENS_PER_MILLI;
+        double usualMillis = work.tokens() == 0
+                ? upstream.latencyMillis()
+                : (upstream.queuedTokens() + work.tokens()) / TOKENS_PER_MILLI;
         long dueMillis = nowMillis + Math.round(LATE_FACTOR * usualMillis) + LATE_MILLIS;
-        Use use = new Use(this, upstream, tokens, nowMillis, dueMillis);
-        upstream.started(use, tokens, parts);
+        Use use = new Use(this, upstream, work, nowMillis, dueMillis);
+        upstream.started(use, work.tokens(), parts);
         return use;
     }
 
@@ -336,6 +346,7 @@
     }
 
     private EngineView view(Upstream upstream, List<PrefixCache.Part> parts) {
+        long nowMillis = clock.nowMillis();
         return new EngineView(
                 upstream.id(),
                 upstream.listed().failureDomain(),
@@ -344,7 +355,8 @@
                 upstream.requests(),
                 upstream.queuedTokens(),
                 upstream.cachedTokens(parts),
-                upstream.placementSlowness(clock.nowMillis()));
+                upstream.slowness(nowMillis),
+                upstream.startDelayMillis(nowMillis));
     }
 
     private static double currentLatency(Upstream upstream, double meanMillis, long nowMillis) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Use.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Use.java
@@ -1,19 +1,34 @@
 package org.wagtailcart.gateway.list;
 
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.policy.placement.ReadSlowness;
+import org.wagtailcart.policy.placement.StartDelay;
+
 /** Use of an upstream by one request, from the choice to the end. */
 public final class Use {
     private final UpstreamBook book;
     private final Upstream upstream;
-    private final long tokens;
+    private final Work work;
     private final long startMillis;
     private final long dueMillis;
     private boolean ended;
     private boolean read;
 
-    Use(UpstreamBook book, Upstream upstream, long tokens, long startMillis, long dueMillis) {
+    /**
+     * What the upstream has to do.
+     *
+     * @param tokens prompt tokens that it has to read, 0 for none
+     * @param readMillis estimated time until they are read
+     * @param reader engine that has read the prompt for it, null when there is none
+     */
+    record Work(long tokens, double readMillis, @Nullable Upstream reader) {
+        static final Work NO_PROMPT = new Work(0, 0, null);
+    }
+
+    Use(UpstreamBook book, Upstream upstream, Work work, long startMillis, long dueMillis) {
         this.book = book;
         this.upstream = upstream;
-        this.tokens = tokens;
+        this.work = work;
         this.startMillis = startMillis;
         this.dueMillis = dueMillis;
     }
@@ -23,13 +38,20 @@
         return upstream;
     }
 
-    /** Notes that the upstream has read the prompt. */
-    public void promptRead() {
+    /** Notes that the upstream has generated something, and so has read the prompt or fetched its KV cache. */
+    public void generates() {
         synchronized (book) {
-            if (!read && !ended) {
-                read = true;
-                upstream.promptRead(tokens);
-                upstream.answered(book.nowMillis());
+            if (read || ended) {
+                return;
+            }
+            read = true;
+            long nowMillis = book.nowMillis();
+            upstream.promptRead(work.tokens());
+            upstream.answered(nowMillis);
+            Upstream reader = work.reader();
+            if (reader != null) {
+                upstream.startDelay().observed(waitedMillis(nowMillis), nowMillis);
+                reader.startDelay().observed(waitedMillis(nowMillis), nowMillis);
             }
         }
     }
@@ -39,24 +61,48 @@
         return nowMillis > dueMillis && answeredMillis < startMillis;
     }
 
+    /** Returns how slow the upstream is at least, while it still reads this prompt. */
+    double waitingSlowness(long nowMillis) {
+        boolean reading = work.tokens() > 0 && !read;
+        return reading ? ReadSlowness.ofWaiting(waitedMillis(nowMillis), work.readMillis()) : 1;
+    }
+
+    /** Returns by how much the upstream is late at least, while this stream has not begun. */
+    double waitingMillis(long nowMillis) {
+        boolean starting = work.reader() != null && !read;
+        return starting ? StartDelay.excessMillis(waitedMillis(nowMillis)) : 0;
+    }
+
     /** Ends the use without a verdict on the upstream. */
     public void end() {
         synchronized (book) {
-            if (!ended) {
-                ended = true;
-                upstream.ended(this, read ? 0 : tokens);
+            if (ended) {
+                return;
             }
+            ended = true;
+            if (!read) {
+                givenUp(book.nowMillis());
+            }
+            upstream.ended(this, read ? 0 : work.tokens());
         }
     }
 
-    /**
-     * Ends the use of an engine that has read a prompt.
-     *
-     * @param estimatedMillis time that it was expected to take
-     */
-    public void endRead(double estimatedMillis, long nowMillis) {
+    private void givenUp(long nowMillis) {
+        if (work.tokens() > 0) {
+            upstream.readSlowness().givenUp(waitedMillis(nowMillis), work.readMillis(), nowMillis);
+        }
+        Upstream reader = work.reader();
+        if (reader != null) {
+            upstream.startDelay().givenUp(waitedMillis(nowMillis), nowMillis);
+        }
+    }
+
+    /** Ends the use of an engine that has read a prompt for another. */
+    public void endRead(long nowMillis) {
         synchronized (book) {
-            upstream.read((double) (nowMillis - startMillis), estimatedMillis, nowMillis);
+            upstream.readSlowness().observed(waitedMillis(nowMillis), work.readMillis(), nowMillis);
+            upstream.promptRead(read ? 0 : work.tokens());
+            read = true;
         }
         end(Outcome.ANSWERED, nowMillis);
     }
@@ -67,6 +113,10 @@
         if (outcome != Outcome.NO_ANSWER) {
             book.answered(upstream, nowMillis);
         }
-        book.outcome(upstream, outcome, (double) (nowMillis - startMillis), nowMillis);
+        book.outcome(upstream, outcome, waitedMillis(nowMillis), nowMillis);
+    }
+
+    private double waitedMillis(long nowMillis) {
+        return nowMillis - startMillis;
     }
 }
--- a/policy/src/main/java/org/wagtailcart/policy/placement/EngineView.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/EngineView.java
@@ -11,6 +11,7 @@
  * @param queuedTokens prompt tokens that it still has to read, of all gateways
  * @param cachedTokens tokens of this prompt that it is believed to hold
  * @param slowness time that it takes relative to its peers, 1 when it is like them
+ * @param startDelayMillis time by which streams that it generates, or whose prompt it read, start later than usual
  */
 public record EngineView(
         String id,
@@ -20,4 +21,5 @@
         int requests,
         long queuedTokens,
         int cachedTokens,
-        double slowness) {}
+        double slowness,
+        double startDelayMillis) {}
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -34,6 +34,9 @@
     /** Share of an engine's slots by which another failure domain must be better. */
     static final double DOMAIN_PREFERENCE = 0.12;
 
+    /** Delay at the start of a stream that weighs as much as an engine without a free slot. */
+    static final double FULL_LOAD_MILLIS = 400;
+
     /** Load of a prompt token that waits at an engine that generates; reading slows its output. */
     static final double QUEUED_TOKEN_LOAD = 1.0 / 20_000;
 
@@ -75,6 +78,7 @@
      * @param decode engine that generates
      * @param holder engine from which the reader fetches the KV cache of shared parts, null when it reads them
      * @param unreadTokens tokens that are still to be read
+     * @param readMillis estimated time until the prompt is read
      * @param firstTokenMillis estimated time to the first token
      */
     public record Choice(
@@ -82,6 +86,7 @@
             EngineView decode,
             @Nullable EngineView holder,
             int unreadTokens,
+            double readMillis,
             double firstTokenMillis) {}
 
     /** What it takes an engine to have the whole prompt in its memory. */
@@ -102,15 +107,21 @@
                                 decode,
                                 reading.holder(),
                                 reading.unreadTokens(),
-                                reading.millis() + TRANSFER_MILLIS)));
+                                reading.millis(),
+                                reading.millis() + startMillis(reading.engine(), decode))));
         Optional<Choice> local = engines.stream()
                 .filter(engine -> !engine.prefill())
                 .map(engine -> reading(engine, holder, size, speeds))
                 .min(Comparator.comparing((Reading reading) ->
                                 reading.millis() + distance(reading.engine(), ownDomain) * TRANSFER_MILLIS)
                         .thenComparing(reading -> reading.engine().id()))
-                .map(reading ->
-                        new Choice(null, reading.engine(), reading.holder(), reading.unreadTokens(), reading.millis()));
+                .map(reading -> new Choice(
+                        null,
+                        reading.engine(),
+                        reading.holder(),
+                        reading.unreadTokens(),
+                        reading.millis(),
+                        reading.millis()));
         if (split.isEmpty() || local.isEmpty()) {
             return split.or(() -> local);
         }
@@ -156,6 +167,11 @@
         return millis + FETCH_GAIN_MILLIS < alone.millis() ? new Reading(engine, holder.get(), rest, millis) : alone;
     }
 
+    /** Time from the end of the reading to the first event; a delay is seen at both engines of a pair. */
+    private static double startMillis(EngineView reader, EngineView decode) {
+        return TRANSFER_MILLIS + Math.max(reader.startDelayMillis(), decode.startDelayMillis());
+    }
+
     /** Time to read, and a preference for the owner that keeps a part in one place. */
     private static double cost(
             Reading reading, Optional<EngineView> owner, Size size, Speeds speeds, String ownDomain) {
@@ -164,7 +180,8 @@
         double preference =
                 reading.unreadTokens() > size.promptTokens() - size.sharedTokens() ? NEW_PREFERENCE : PREFERENCE;
         double distance = distance(reading.engine(), ownDomain) * DISTANCE_MILLIS;
-        return reading.millis() + distance - (owned ? preference * size.sharedTokens() / speeds.tokensPerMilli() : 0);
+        double startMillis = reading.millis() + reading.engine().startDelayMillis();
+        return startMillis + distance - (owned ? preference * size.sharedTokens() / speeds.tokensPerMilli() : 0);
     }
 
     private static int distance(EngineView engine, String domain) {
@@ -176,7 +193,8 @@
                 .filter(engine -> !engine.prefill())
                 .min(Comparator.comparing((EngineView engine) -> {
                             double load = engine.slowness() * (engine.requests() + 1) / engine.slots()
-                                    + engine.queuedTokens() * QUEUED_TOKEN_LOAD;
+                                    + engine.queuedTokens() * QUEUED_TOKEN_LOAD
+                                    + engine.startDelayMillis() / FULL_LOAD_MILLIS;
                             return load + (engine.failureDomain().equals(near) ? 0 : DOMAIN_PREFERENCE);
                         })
                         .thenComparing(EngineView::id));
--- a/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
@@ -16,7 +16,7 @@
     private static final PromptPlacement.Size MANUAL = new PromptPlacement.Size(17_000, 13_300, "manual-7");
 
     private static EngineView engine(String id, boolean prefill, long queuedTokens, int cachedTokens) {
-        return new EngineView(id, "fes", prefill, 64, 0, queuedTokens, cachedTokens, 1);
+        return new EngineView(id, "fes", prefill, 64, 0, queuedTokens, cachedTokens, 1, 0);
     }
 
     private static PromptPlacement.Choice choose(List<EngineView> engines, PromptPlacement.Size size) {
@@ -94,20 +94,39 @@
     @ParameterizedTest
     @CsvSource({"0, near", "4, near", "20, far"})
     void theGeneratingEngineIsInTheFailureDomainOfTheReaderUnlessItIsBusy(int nearRequests, String chosen) {
-        EngineView near = new EngineView("near", "fes", false, 64, nearRequests, 0, 0, 1);
-        EngineView far = new EngineView("far", "rabat", false, 64, 0, 0, 0, 1);
+        EngineView near = new EngineView("near", "fes", false, 64, nearRequests, 0, 0, 1, 0);
+        EngineView far = new EngineView("far", "rabat", false, 64, 0, 0, 0, 1, 0);
         PromptPlacement.Choice choice = choose(List.of(engine("p", true, 0, 0), near, far), MANUAL);
         assertThat(choice.decode().id()).isEqualTo(chosen);
     }
 
+    /** Of few engines that generate, one behind a slow link must not get a third of all streams. */
+    @ParameterizedTest
+    @CsvSource({"0, near", "30, near", "900, far"})
+    void anEngineWhoseStreamsStartLateGeneratesOnlyWhenTheOthersAreFull(double delayMillis, String chosen) {
+        EngineView near = new EngineView("near", "fes", false, 64, 2, 0, 0, 1, delayMillis);
+        EngineView far = new EngineView("far", "rabat", false, 64, 2, 0, 0, 1, 0);
+        PromptPlacement.Choice choice = choose(List.of(engine("p", true, 0, 0), near, far), MANUAL);
+        assertThat(choice.decode().id()).isEqualTo(chosen);
+        assertThat(choice.firstTokenMillis()).isAtLeast(choice.decode().startDelayMillis());
+    }
+
+    /** A reader that hands its KV cache over slowly loses its preference for the parts that it holds. */
+    @Test
+    void anEngineThatHandsItsCacheOverSlowlyDoesNotRead() {
+        EngineView slow = new EngineView("slow", "fes", true, 64, 2, 0, 13_300, 1, 900);
+        assertThat(reader(choose(List.of(slow, engine("sound", true, 0, 0), engine("d", false, 0, 0)), MANUAL)))
+                .isEqualTo("sound");
+    }
+
     /** Prompts that wait at an engine that generates slow its streams. */
     @Test
     void aShortPromptIsNotReadWhereOthersWaitOrManyStreamsRun() {
         PromptPlacement.Size question = new PromptPlacement.Size(1_000, 0, "");
-        EngineView busy = new EngineView("busy", "fes", false, 64, 40, 0, 0, 1);
+        EngineView busy = new EngineView("busy", "fes", false, 64, 40, 0, 0, 1, 0);
         assertThat(choose(List.of(engine("p", true, 60_000, 0), busy), question).prefill())
                 .isNotNull();
-        EngineView idle = new EngineView("idle", "fes", false, 64, 1, 0, 0, 1);
+        EngineView idle = new EngineView("idle", "fes", false, 64, 1, 0, 0, 1, 0);
         assertThat(choose(List.of(engine("p", true, 60_000, 0), idle), question).prefill())
                 .isNull();
     }
