--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -151,9 +151,7 @@
 
     @Override
     public boolean ready() {
-        return !draining
-                && context.watch().routes().table().version() > 0
-                && context.book().isListed();
+        return !draining && context.knowsRoutes();
     }
 
     /** Fails readiness at once, serves for the grace period; completes when no request is open after it. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayContext.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayContext.java
@@ -30,4 +30,9 @@
         RequestCounters counters,
         Executor traffic,
         ScheduledExecutorService timer,
-        MillisClock clock) {}
+        MillisClock clock) {
+    /** Returns whether requests can be routed: routing table and host list were received. */
+    public boolean knowsRoutes() {
+        return watch.routes().table().version() > 0 && book.isListed();
+    }
+}
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayRig.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayRig.java
@@ -32,6 +32,7 @@
 /** A gateway before scripted upstreams, with a control group that always answers. */
 final class GatewayRig implements AutoCloseable {
     private static final String HOST = "h.example";
+    private static final long ANSWER_MILLIS = 20;
 
     private final ExecutorService traffic = Executors.newCachedThreadPool();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
@@ -39,12 +40,19 @@
     private final List<ListedUpstream> upstreams = new ArrayList<>();
     private final Address callers = new Address("127.0.0.1", freePort());
     private final GatewayRole role;
+    private final long controlMillis;
 
     static {
         System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
     }
 
     GatewayRig() throws IOException {
+        this(ANSWER_MILLIS);
+    }
+
+    /** Creates a gateway whose control group answers late. */
+    GatewayRig(long controlMillis) throws IOException {
+        this.controlMillis = controlMillis;
         Address ready = new Address("127.0.0.1", freePort());
         GatewayOptions options = new GatewayOptions(
                 "g", "fes", callers, ready, List.of(new Address("127.0.0.1", 1)), 0.2, 50, 10_000, 0);
@@ -69,12 +77,17 @@
     }
 
     void start() throws InterruptedException {
-        role.start();
+        startUnready();
         for (int i = 0; i < 500 && !role.ready(); i++) {
             TimeUnit.MILLISECONDS.sleep(10);
         }
     }
 
+    /** Starts to listen without waiting for the control group. */
+    void startUnready() {
+        role.start();
+    }
+
     private CompletableFuture<WatchReply> reply(WatchRequest request) {
         RouteTable table = table();
         WatchReply reply = new WatchReply(
@@ -91,7 +104,7 @@
                 null,
                 0);
         return CompletableFuture.supplyAsync(
-                () -> reply, CompletableFuture.delayedExecutor(20, TimeUnit.MILLISECONDS, traffic));
+                () -> reply, CompletableFuture.delayedExecutor(controlMillis, TimeUnit.MILLISECONDS, traffic));
     }
 
     private static RouteTable table() {
--- /dev/null
+++ b/gateway/src/test/java/org/wagtailcart/gateway/StartTest.java
@@ -0,0 +1,24 @@
+package org.wagtailcart.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.http.HttpResponse;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Requests that reach a gateway before it knows any route, as all do after a loss of power. */
+class StartTest {
+    @ParameterizedTest
+    @CsvSource({"safe, 400, 200", "unsafe, 400, 200", "unsafe, 9000, 503"})
+    void aRequestWaitsAMomentForTheRoutesAndIsRefusedAfterIt(String route, long controlMillis, int status)
+            throws Exception {
+        try (TestUpstream upstream = new TestUpstream(TestUpstream.ok("body"));
+                GatewayRig rig = new GatewayRig(controlMillis)) {
+            rig.add("a", "stock", upstream, null);
+            rig.startUnready();
+            HttpResponse<String> response = rig.send(rig.request(route, "r-1", 5_000));
+            assertThat(response.statusCode()).isEqualTo(status);
+            assertThat(upstream.received()).hasSize(status == 200 ? 1 : 0);
+        }
+    }
+}
