Rank prompts by the time that is left until they must be read

Change: RequestRank counts the slack of a request and the priority; what cannot be on time goes last. Ruled out: the choice of engine (queues there 4,000 tokens).

--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -19,6 +19,7 @@
 import org.wagtailcart.gateway.send.SendLimits;
 import org.wagtailcart.gateway.send.UpstreamAnswer;
 import org.wagtailcart.gateway.send.UpstreamSend;
+import org.wagtailcart.policy.placement.RequestRank;
 
 /**
  * One request from its arrival to its end. It ends once: by an answer, a refusal, the caller's leaving or its deadline,
@@ -159,8 +160,8 @@
         return new SendInstructions(upstream.id(), Math.max(1, allowedMillis), rank(), false, null, null, "");
     }
 
-    final int rank() {
-        return Math.max(0, Math.min(9, 2 * request.route().priority()));
+    private int rank() {
+        return Math.max(0, Math.min(RequestRank.LAST, 2 * request.route().priority()));
     }
 
     /** Returns whether another send is within the budget that all gateways share. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -20,6 +20,8 @@
 import org.wagtailcart.gateway.send.SendLimits;
 import org.wagtailcart.gateway.send.UpstreamAnswer;
 import org.wagtailcart.gateway.send.UpstreamSend;
+import org.wagtailcart.policy.placement.PromptPlacement;
+import org.wagtailcart.policy.placement.RequestRank;
 
 /**
  * A request whose answer is a stream of events. One engine reads its prompt, another generates from the KV cache of the
@@ -81,16 +83,17 @@
         }
         return context().book().useReplica(request().service(), excluded).map(use -> {
             use.end();
-            return new UpstreamBook.Placement(Optional.empty(), use.upstream(), Optional.empty(), 0, 0, 0, 0);
+            return new UpstreamBook.Placement(
+                    Optional.empty(), use.upstream(), Optional.empty(), PromptPlacement.Times.NONE, 0, 0);
         });
     }
 
     /** Tries one placement; returns whether the request is done. */
     private boolean attempt(UpstreamBook.Placement placement) {
-        if (placement.firstTokenMillis() > USABLE_PART * leftMillis()) {
+        if (placement.times().firstTokenMillis() > USABLE_PART * leftMillis()) {
             giveUp(
                     ResultCode.DEADLINE_UNREACHABLE,
-                    "first token estimated in " + Math.round(placement.firstTokenMillis()) + " ms");
+                    "first token estimated in " + Math.round(placement.times().firstTokenMillis()) + " ms");
             return true;
         }
         Prompt prompt = request().facts().prompt();
@@ -127,17 +130,23 @@
         logSent(
                 STEP_PROMPT,
                 engine,
-                placement.firstTokenMillis(),
+                placement.times().firstTokenMillis(),
                 0,
                 placement.queuedTokens(),
                 placement.unreadTokens());
-        Use use = context().book().useForPrompt(engine, prompt, placement.unreadTokens(), placement.readMillis());
+        Use use = context()
+                .book()
+                .useForPrompt(
+                        engine,
+                        prompt,
+                        placement.unreadTokens(),
+                        placement.times().readMillis());
         SilenceGuard guard = null;
         try {
             long limitMillis = Math.max(1, leftMillis());
             SendInstructions plain = instructions(engine);
             SendInstructions promptOnly = new SendInstructions(
-                    engine.id(), plain.leftMillis(), plain.rank(), true, null, holderOf(placement), "");
+                    engine.id(), plain.leftMillis(), rank(placement), true, null, holderOf(placement), "");
             UpstreamSend send = prepare(engine, promptOnly, new SendLimits(limitMillis, limitMillis), false);
             guard = new SilenceGuard(context(), engine, send);
             try (UpstreamAnswer answer = send.execute()) {
@@ -191,7 +200,7 @@
         logSent(
                 STEP_STREAM,
                 engine,
-                placement.firstTokenMillis(),
+                placement.times().firstTokenMillis(),
                 0,
                 placement.queuedTokens(),
                 source == null ? placement.unreadTokens() : 0);
@@ -200,7 +209,7 @@
         SendInstructions all = new SendInstructions(
                 engine.id(),
                 plain.leftMillis(),
-                plain.rank(),
+                rank(placement),
                 false,
                 source,
                 source == null ? holderOf(placement) : null,
@@ -231,7 +240,11 @@
         }
         return prompt == null
                 ? book.use(engine)
-                : book.useForPrompt(engine, prompt, placement.unreadTokens(), placement.readMillis());
+                : book.useForPrompt(
+                        engine,
+                        prompt,
+                        placement.unreadTokens(),
+                        placement.times().readMillis());
     }
 
     /** An engine that does not do what the list says of it is left alone until the list is read again. */
@@ -244,6 +257,15 @@
         }
     }
 
+    private int rank(UpstreamBook.Placement placement) {
+        if (request().route().targetLatencyMillis() <= 0) {
+            return RequestRank.of(request().route().priority(), Double.MAX_VALUE);
+        }
+        long dueMillis = request().arrivedMillis() + request().route().targetLatencyMillis();
+        double slackMillis = dueMillis - nowMillis() - placement.times().aloneMillis();
+        return RequestRank.of(request().route().priority(), slackMillis);
+    }
+
     private static @Nullable Address holderOf(UpstreamBook.Placement placement) {
         return placement.holder().map(Upstream::address).orElse(null);
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -74,8 +74,7 @@
      * @param prefill engine that reads the prompt, empty when the other one does it
      * @param decode engine that generates
      * @param holder engine from which the reader fetches the KV cache of shared parts, empty when it reads them
-     * @param readMillis estimated time until the prompt is read
-     * @param firstTokenMillis estimated time to the first token
+     * @param times estimated times
      * @param queuedTokens prompt tokens that wait at the engine that reads
      * @param unreadTokens tokens of the prompt that it does not hold, as far as is known
      */
@@ -83,8 +82,7 @@
             Optional<Upstream> prefill,
             Upstream decode,
             Optional<Upstream> holder,
-            double readMillis,
-            double firstTokenMillis,
+            PromptPlacement.Times times,
             long queuedTokens,
             int unreadTokens) {}
 
@@ -214,8 +212,7 @@
                             Optional.ofNullable(choice.prefill()).map(view -> known(view.id())),
                             known(choice.decode().id()),
                             Optional.ofNullable(choice.holder()).map(view -> known(view.id())),
-                            choice.readMillis(),
-                            choice.firstTokenMillis(),
+                            choice.times(),
                             reader.queuedTokens(),
                             choice.unreadTokens());
                 });
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -78,19 +78,30 @@
      * @param decode engine that generates
      * @param holder engine from which the reader fetches the KV cache of shared parts, null when it reads them
      * @param unreadTokens tokens that are still to be read
-     * @param readMillis estimated time until the prompt is read
-     * @param firstTokenMillis estimated time to the first token
+     * @param times estimated times
      */
     public record Choice(
             @Nullable EngineView prefill,
             EngineView decode,
             @Nullable EngineView holder,
             int unreadTokens,
-            double readMillis,
-            double firstTokenMillis) {}
+            Times times) {}
+
+    /**
+     * Estimated times of a request.
+     *
+     * @param readMillis time until the prompt is read
+     * @param firstTokenMillis time to the first token
+     * @param aloneMillis time to the first token if nothing else waited
+     */
+    public record Times(double readMillis, double firstTokenMillis, double aloneMillis) {
+        /** Times of a request without a prompt. */
+        public static final Times NONE = new Times(0, 0, 0);
+    }
 
     /** What it takes an engine to have the whole prompt in its memory. */
-    private record Reading(EngineView engine, @Nullable EngineView holder, int unreadTokens, double millis) {}
+    private record Reading(
+            EngineView engine, @Nullable EngineView holder, int unreadTokens, double millis, double aloneMillis) {}
 
     /** Places a prompt, empty when no engine can generate. */
     public static Optional<Choice> choose(List<EngineView> engines, Size size, Speeds speeds, String ownDomain) {
@@ -107,8 +118,7 @@
                                 decode,
                                 reading.holder(),
                                 reading.unreadTokens(),
-                                reading.millis(),
-                                reading.millis() + startMillis(reading.engine(), decode))));
+                                times(reading, startMillis(reading.engine(), decode)))));
         Optional<Choice> local = engines.stream()
                 .filter(engine -> !engine.prefill())
                 .map(engine -> reading(engine, holder, size, speeds))
@@ -116,12 +126,7 @@
                                 reading.millis() + distance(reading.engine(), ownDomain) * TRANSFER_MILLIS)
                         .thenComparing(reading -> reading.engine().id()))
                 .map(reading -> new Choice(
-                        null,
-                        reading.engine(),
-                        reading.holder(),
-                        reading.unreadTokens(),
-                        reading.millis(),
-                        reading.millis()));
+                        null, reading.engine(), reading.holder(), reading.unreadTokens(), times(reading, 0)));
         if (split.isEmpty() || local.isEmpty()) {
             return split.or(() -> local);
         }
@@ -129,7 +134,8 @@
         boolean localIsBetter = local.get().unreadTokens() <= MAX_LOCAL_TOKENS
                 && reader.queuedTokens() <= MAX_LOCAL_TOKENS
                 && reader.requests() <= MAX_LOCAL_LOAD * reader.slots()
-                && local.get().firstTokenMillis() < LOCAL_PART * split.get().firstTokenMillis();
+                && local.get().times().firstTokenMillis()
+                        < LOCAL_PART * split.get().times().firstTokenMillis();
         return localIsBetter ? local : split;
     }
 
@@ -155,16 +161,23 @@
         double tokensPerMilli = speeds.tokensPerMilli() * (engine.prefill() ? 1 : DECODE_READ_SPEED);
         int cached = engine.cachedTokens();
         int unread = Math.max(0, size.promptTokens() - cached);
-        double waitMillis = engine.queuedTokens() / tokensPerMilli;
-        Reading alone = new Reading(engine, null, unread, engine.slowness() * (waitMillis + unread / tokensPerMilli));
+        double waitMillis = engine.slowness() * engine.queuedTokens() / tokensPerMilli;
+        double aloneMillis = engine.slowness() * unread / tokensPerMilli;
+        Reading alone = new Reading(engine, null, unread, waitMillis + aloneMillis, aloneMillis);
         if (holder.isEmpty() || holder.get().equals(engine)) {
             return alone;
         }
         int fetched = Math.max(0, Math.min(size.sharedTokens(), holder.get().cachedTokens()) - cached);
-        double fetchMillis = FETCH_MILLIS + fetched / speeds.fetchedTokensPerMilli();
         int rest = unread - fetched;
-        double millis = engine.slowness() * (waitMillis + rest / tokensPerMilli) + fetchMillis;
-        return millis + FETCH_GAIN_MILLIS < alone.millis() ? new Reading(engine, holder.get(), rest, millis) : alone;
+        double fetchMillis = FETCH_MILLIS + fetched / speeds.fetchedTokensPerMilli();
+        double restMillis = engine.slowness() * rest / tokensPerMilli + fetchMillis;
+        return restMillis + FETCH_GAIN_MILLIS < aloneMillis
+                ? new Reading(engine, holder.get(), rest, waitMillis + restMillis, restMillis)
+                : alone;
+    }
+
+    private static Times times(Reading reading, double startMillis) {
+        return new Times(reading.millis(), reading.millis() + startMillis, reading.aloneMillis() + startMillis);
     }
 
     /** Time from the end of the reading to the first event; a delay is seen at both engines of a pair. */
--- a/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
@@ -108,7 +108,7 @@
         EngineView far = new EngineView("far", "rabat", false, 64, 2, 0, 0, 1, 0);
         PromptPlacement.Choice choice = choose(List.of(engine("p", true, 0, 0), near, far), MANUAL);
         assertThat(choice.decode().id()).isEqualTo(chosen);
-        assertThat(choice.firstTokenMillis()).isAtLeast(choice.decode().startDelayMillis());
+        assertThat(choice.times().firstTokenMillis()).isAtLeast(choice.decode().startDelayMillis());
     }
 
     /** A reader that hands its KV cache over slowly loses its preference for the parts that it holds. */
