--- a/coordination/src/test/java/org/wagtailcart/coordination/RaftLogTest.java
+++ b/coordination/src/test/java/org/wagtailcart/coordination/RaftLogTest.java
@@ -147,11 +147,35 @@
         }
     }
 
+    /** Members that all lose power before there is a group are started again without the right to found one. */
+    @Test
+    void foundsAfterARestartThatNoLongerNamesTheFounders() throws Exception {
+        List<InitialMember> founders = newMembers(3);
+        initial = founders;
+        start(founders.get(0));
+        members.values().forEach(LoopbackMember::close);
+        members.clear();
+        initial = List.of();
+        start(founders.get(0));
+        initial = founders;
+        start(founders.get(1)).close();
+        start(founders.get(2)).close();
+        initial = List.of();
+        start(founders.get(1));
+        start(founders.get(2));
+        awaitLeader();
+        assertThat(awaitLeader().log.status().members().members()).hasSize(3);
+    }
+
     private void startInitial(int count) {
-        initial = IntStream.rangeClosed(1, count)
+        initial = newMembers(count);
+        initial.forEach(this::start);
+    }
+
+    private static List<InitialMember> newMembers(int count) {
+        return IntStream.rangeClosed(1, count)
                 .mapToObj(i -> new InitialMember("m" + i, freeAddress()))
                 .toList();
-        initial.forEach(this::start);
     }
 
     private LoopbackMember start(InitialMember member) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -1,5 +1,7 @@
 package org.wagtailcart.gateway.call;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -38,6 +40,8 @@
     private static final double USABLE_PART = 0.9;
 
     private static final long RETRY_AFTER_MILLIS = 250;
+    private static final long RELEASE_LIMIT_MILLIS = 1_000;
+    private static final Logger LOG = System.getLogger(StreamCall.class.getName());
 
     private final Set<String> excluded = new HashSet<>();
     private final EventSplitter events = new EventSplitter();
@@ -103,6 +107,10 @@
             if (source == null) {
                 return isEnded();
             }
+            if (isEnded()) {
+                release(source);
+                return true;
+            }
         }
         StreamEnd end = stream(placement, prompt, source);
         return switch (end) {
@@ -189,6 +197,9 @@
         Upstream engine = placement.decode();
         if (!mayArrive(arrivals == 0)) {
             giveUp(ResultCode.RETRY_BUDGET_EXHAUSTED, "no retry is left in the budget");
+            if (source != null) {
+                release(source);
+            }
             return StreamEnd.DONE;
         }
         if (source == null) {
@@ -229,6 +240,22 @@
         }
     }
 
+    /** Frees a KV cache that nobody will take, as its caller has left. */
+    private void release(CacheSource source) {
+        try {
+            SendLimits limits = new SendLimits(RELEASE_LIMIT_MILLIS, RELEASE_LIMIT_MILLIS);
+            String path = context().protocol().releasePath(source);
+            context()
+                    .upstreams()
+                    .prepare(source.engine(), "DELETE", path, List.of(), new byte[0], limits)
+                    .execute()
+                    .close();
+        } catch (WagtailcartException e) {
+            // The engine frees it by itself after some seconds.
+            LOG.log(Level.DEBUG, "cache not released: " + e.getMessage());
+        }
+    }
+
     private Use useForStream(UpstreamBook.Placement placement, @Nullable Prompt prompt, boolean fromOther) {
         UpstreamBook book = context().book();
         Upstream engine = placement.decode();
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayRig.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayRig.java
@@ -33,6 +33,8 @@
 final class GatewayRig implements AutoCloseable {
     private static final String HOST = "h.example";
     private static final long ANSWER_MILLIS = 20;
+    static final double RETRY_RATIO = 0.2;
+    static final int RETRY_RESERVE = 20;
 
     private final ExecutorService traffic = Executors.newCachedThreadPool();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
@@ -52,10 +54,27 @@
 
     /** Creates a gateway whose control group answers late. */
     GatewayRig(long controlMillis) throws IOException {
+        this(controlMillis, RETRY_RESERVE);
+    }
+
+    /** Creates a gateway with retries only in proportion to its requests. */
+    static GatewayRig withReserve(int retryReserve) throws IOException {
+        return new GatewayRig(ANSWER_MILLIS, retryReserve);
+    }
+
+    private GatewayRig(long controlMillis, int retryReserve) throws IOException {
         this.controlMillis = controlMillis;
         Address ready = new Address("127.0.0.1", freePort());
         GatewayOptions options = new GatewayOptions(
-                "g", "fes", callers, ready, List.of(new Address("127.0.0.1", 1)), 0.2, 50, 10_000, 0);
+                "g",
+                "fes",
+                callers,
+                ready,
+                List.of(new Address("127.0.0.1", 1)),
+                RETRY_RATIO,
+                RETRY_RESERVE,
+                10_000,
+                0);
         role = new GatewayRole(
                 options,
                 (member, request, limitMillis) -> reply(request),
