Let the route's priority decide before the slack

Change: two ranks a priority; slack and lateness only move a request by one. Ruled out: the closing outage (its windows are better).

--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -157,11 +157,14 @@
     final SendInstructions instructions(Upstream upstream) {
         // An upstream stops at the time it is given; the caller's own time lets it finish what may not be repeated.
         long allowedMillis = request.callerDeadlineMillis() - nowMillis();
-        return new SendInstructions(upstream.id(), Math.max(1, allowedMillis), rank(), false, null, null, "");
-    }
-
-    private int rank() {
-        return Math.max(0, Math.min(RequestRank.LAST, 2 * request.route().priority()));
+        return new SendInstructions(
+                upstream.id(),
+                Math.max(1, allowedMillis),
+                RequestRank.of(request.route().priority()),
+                false,
+                null,
+                null,
+                "");
     }
 
     /** Returns whether another send is within the budget that all gateways share. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -286,7 +286,7 @@
 
     private int rank(UpstreamBook.Placement placement) {
         if (request().route().targetLatencyMillis() <= 0) {
-            return RequestRank.of(request().route().priority(), Double.MAX_VALUE);
+            return RequestRank.of(request().route().priority());
         }
         long dueMillis = request().arrivedMillis() + request().route().targetLatencyMillis();
         double slackMillis = dueMillis - nowMillis() - placement.times().aloneMillis();
