Turn to the next control member sooner while there is no table

Change: 200 ms until the first table. Test: RouteWatchTest, red before by the constant limit. Ruled out: the election (35.91 s, 0.16 s after the third member was up).

--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteWatch.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteWatch.java
@@ -38,6 +38,8 @@
     private static final Logger LOG = System.getLogger(RouteWatch.class.getName());
     /** A member holds a question for 250 ms; a longer silence means that it is down or cut off. */
     private static final long CALL_LIMIT_MILLIS = 700;
+    /** A member answers at once to a gateway without a table; requests wait for it. */
+    private static final long FIRST_CALL_LIMIT_MILLIS = 200;
 
     private static final long RETRY_MILLIS = 50;
     /** A member that failed is not asked as the leader for this long. */
@@ -138,10 +140,14 @@
         WatchRequest request = new WatchRequest(
                 processId, routes.table().version(), knownDirectory(), book.ownWork(), book.takeNotes(), noteCursor());
         CompletableFuture<?> unused = transport
-                .call(member, request, CALL_LIMIT_MILLIS)
+                .call(member, request, callLimitMillis())
                 .whenComplete((reply, error) -> answered(member, sentAtMillis, reply, error));
     }
 
+    private long callLimitMillis() {
+        return routes.table().version() == 0 ? FIRST_CALL_LIMIT_MILLIS : CALL_LIMIT_MILLIS;
+    }
+
     private void answered(Address member, long sentAtMillis, @Nullable WatchReply reply, @Nullable Throwable error) {
         long delayMillis = RETRY_MILLIS;
         try {
--- a/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteWatchTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteWatchTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +29,7 @@
     private record Answer(long version, long confirmationAgeMillis, String leader) {}
 
     private final Map<Address, Answer> answers = new ConcurrentHashMap<>();
+    private final List<Long> limitsMillis = new CopyOnWriteArrayList<>();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
     private final RouteWatch watch = new RouteWatch(
             "g",
@@ -44,6 +46,7 @@
     }
 
     private CompletableFuture<WatchReply> call(Address member, WatchRequest request, long limitMillis) {
+        limitsMillis.add(limitMillis);
         Answer answer = answers.get(member);
         if (answer == null) {
             return CompletableFuture.failedFuture(new IllegalStateException("down"));
@@ -72,6 +75,17 @@
         assertThat(watch.routes().table().version()).isEqualTo(version);
     }
 
+    /** Callers wait for the first table; a member that is down must not hold it up. */
+    @Test
+    void aGatewayWithoutATableTurnsToTheNextMemberSooner() throws InterruptedException {
+        answers.put(A, new Answer(3, 0, ""));
+        answers.put(B, new Answer(3, 0, ""));
+        watch.start();
+        awaitVersion(3);
+        TimeUnit.MILLISECONDS.sleep(100);
+        assertThat(limitsMillis.get(0)).isLessThan(limitsMillis.get(limitsMillis.size() - 1));
+    }
+
     @Test
     void aMemberThatIsDownIsPassedOver() throws InterruptedException {
         answers.put(B, new Answer(3, 0, ""));
