One set of hop-by-hop headers and one factory of daemon threads

Cause: the set stood in four places that differed, none of them honoured names listed by Connection, and daemon threads were made in seven places. Change: HopByHopHeaders and DaemonThreads in common; GatewayCall no longer filters a second time. Ruled out: module upstream as their place (entry does not use it). Test: HopByHopHeadersTest.

--- /dev/null
+++ b/common/src/test/java/org/wagtailcart/common/HopByHopHeadersTest.java
@@ -0,0 +1,24 @@
+package org.wagtailcart.common;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Headers of one connection must not reach the other side. */
+class HopByHopHeadersTest {
+    @ParameterizedTest
+    @CsvSource({
+        "Host, close, true",
+        "Transfer-Encoding, close, false",
+        "KEEP-ALIVE, close, false",
+        "X-Own, close, true",
+        "X-Own, 'close, x-own', false",
+        "X-Request-Id, keep-alive, true"
+    })
+    void onlyHeadersOfBothEndsArePassedOn(String name, String connection, boolean passedOn) {
+        List<String> left = HopByHopHeaders.removeFrom(List.of("Connection", connection, name, "value"));
+        assertThat(left).isEqualTo(passedOn ? List.of(name, "value") : List.of());
+    }
+}
--- a/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
@@ -17,6 +17,7 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.DaemonThreads;
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.MillisClock;
@@ -83,11 +84,8 @@
     private final EnginePort engines;
     private final long leaseMillis;
     private final MillisClock clock = MillisClock.monotonic();
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
-        Thread created = new Thread(task, "engine-orders");
-        created.setDaemon(true);
-        return created;
-    });
+    private final ScheduledExecutorService thread =
+            Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("engine-orders"));
     private final Map<String, PrefillShare> sharesByService = new HashMap<>();
     private final Map<String, Long> leaveAloneUntilMillis = new HashMap<>();
     private final Map<String, Change> changes = new HashMap<>();
--- a/coordination/src/main/java/org/wagtailcart/coordination/LocalLog.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/LocalLog.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Supplier;
+import org.wagtailcart.common.DaemonThreads;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
@@ -14,11 +15,7 @@
 public final class LocalLog implements ReplicatedLog {
     private final Member self;
     private final StateMachine stateMachine;
-    private final ExecutorService controlThread = Executors.newSingleThreadExecutor(task -> {
-        Thread thread = new Thread(task, "control");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ExecutorService controlThread = Executors.newSingleThreadExecutor(DaemonThreads.named("control"));
     private volatile long index;
     private long timeMillis;
 
--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftLog.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftLog.java
@@ -15,6 +15,7 @@
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.common.DaemonThreads;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.ResultCode;
@@ -56,7 +57,7 @@
     private final Joining joining;
     private final PendingCalls calls = new PendingCalls();
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
-    private final ExecutorService controlThread = Executors.newSingleThreadExecutor(Threads.named("control"));
+    private final ExecutorService controlThread = Executors.newSingleThreadExecutor(DaemonThreads.named("control"));
     private final Meter proposalMeter;
     private final long tickMillis;
 
--- a/coordination/src/main/java/org/wagtailcart/coordination/StorageThread.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/StorageThread.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.DaemonThreads;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.ResultCode;
@@ -70,7 +71,7 @@
         this.storage = storage;
         this.listener = listener;
         this.syncTimer = registry.timer("coordination.store");
-        executor = Executors.newSingleThreadExecutor(Threads.named("control-storage"));
+        executor = Executors.newSingleThreadExecutor(DaemonThreads.named("control-storage"));
     }
 
     void start() {
--- a/coordination/src/test/java/org/wagtailcart/coordination/LoopbackMember.java
+++ b/coordination/src/test/java/org/wagtailcart/coordination/LoopbackMember.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.wagtailcart.common.DaemonThreads;
 import org.wagtailcart.wire.IoLoop;
 import org.wagtailcart.wire.MessageCodec;
 import org.wagtailcart.wire.PeerClient;
@@ -16,7 +17,7 @@
 final class LoopbackMember implements AutoCloseable {
     private static final MessageCodec CODEC = new MessageCodec(List.of(RaftMessages.TYPES));
 
-    private final ExecutorService executor = Executors.newCachedThreadPool(Threads.named("test-peer"));
+    private final ExecutorService executor = Executors.newCachedThreadPool(DaemonThreads.named("test-peer"));
     private final IoLoop loop;
     private final PeerServer server;
     private final PeerClient client;
--- a/daemon/src/main/java/org/wagtailcart/daemon/ProcessModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/ProcessModule.java
@@ -7,9 +7,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadFactory;
-import java.util.concurrent.atomic.AtomicInteger;
 import javax.inject.Singleton;
+import org.wagtailcart.common.DaemonThreads;
 import org.wagtailcart.control.client.ControlMessages;
 import org.wagtailcart.control.orders.OrderMessages;
 import org.wagtailcart.coordination.RaftMessages;
@@ -67,13 +66,13 @@
     @Provides
     @Singleton
     static ExecutorService traffic() {
-        return Executors.newCachedThreadPool(threads("traffic-"));
+        return Executors.newCachedThreadPool(DaemonThreads.numbered("traffic-"));
     }
 
     @Provides
     @Singleton
     static ScheduledExecutorService timer() {
-        return Executors.newScheduledThreadPool(1, threads("timer-"));
+        return Executors.newScheduledThreadPool(1, DaemonThreads.numbered("timer-"));
     }
 
     @Provides
@@ -82,13 +81,4 @@
             IoLoop loop, MessageCodec codec, ExecutorService traffic, WireOptions options, MetricRegistry registry) {
         return new PeerClient(loop, codec, traffic, options, registry);
     }
-
-    private static ThreadFactory threads(String prefix) {
-        AtomicInteger number = new AtomicInteger();
-        return task -> {
-            Thread thread = new Thread(task, prefix + number.incrementAndGet());
-            thread.setDaemon(true);
-            return thread;
-        };
-    }
 }
--- a/entry/src/main/java/org/wagtailcart/entry/request/HttpHead.java
+++ b/entry/src/main/java/org/wagtailcart/entry/request/HttpHead.java
@@ -3,9 +3,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.wagtailcart.common.HopByHopHeaders;
 
 /**
  * Method, target and header lines of a request.
@@ -16,19 +16,6 @@
  * @param headers header lines, name and value alternating
  */
 public record HttpHead(String method, String path, String query, List<String> headers) {
-    private static final Set<String> HOP_BY_HOP = Set.of(
-            "connection",
-            "keep-alive",
-            "proxy-authenticate",
-            "proxy-authorization",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "host",
-            "expect",
-            "content-length");
-
     /** Returns the first value of a header. */
     public Optional<String> header(String name) {
         return header(headers, name);
@@ -52,6 +39,9 @@
     }
 
     private static boolean isEndToEnd(String name) {
-        return !HOP_BY_HOP.contains(name) && !name.startsWith("wagtailcart-") && !name.equals("x-request-id");
+        return !HopByHopHeaders.contains(name)
+                && !name.equals("host")
+                && !name.startsWith("wagtailcart-")
+                && !name.equals("x-request-id");
     }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
+import org.wagtailcart.common.HopByHopHeaders;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
@@ -25,7 +26,6 @@
 import org.wagtailcart.gateway.call.Calls;
 import org.wagtailcart.gateway.call.GatewayContext;
 import org.wagtailcart.gateway.call.InboundRequest;
-import org.wagtailcart.gateway.protocol.EndToEndHeaders;
 import org.wagtailcart.gateway.protocol.RequestFacts;
 import org.wagtailcart.routes.Route;
 import org.wagtailcart.routes.RouteIndex;
@@ -171,7 +171,7 @@
                 facts,
                 exchange.getRequestMethod().toString(),
                 target,
-                EndToEndHeaders.endToEnd(headers),
+                HopByHopHeaders.removeFrom(headers),
                 body,
                 route,
                 service,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.EventKind;
+import org.wagtailcart.common.HopByHopHeaders;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.SettingNames;
@@ -14,7 +15,6 @@
 import org.wagtailcart.gateway.list.Outcome;
 import org.wagtailcart.gateway.list.Upstream;
 import org.wagtailcart.gateway.protocol.AnswerFacts;
-import org.wagtailcart.gateway.protocol.EndToEndHeaders;
 import org.wagtailcart.gateway.protocol.SendInstructions;
 import org.wagtailcart.gateway.send.SendLimits;
 import org.wagtailcart.gateway.send.UpstreamAnswer;
@@ -105,7 +105,7 @@
      * @throws WagtailcartException with {@link ResultCode#CALLER_GONE} when the request has ended
      */
     final UpstreamSend prepare(Upstream upstream, SendInstructions instructions, SendLimits limits, boolean runs) {
-        List<String> headers = EndToEndHeaders.endToEnd(context.protocol().outbound(request.headers(), instructions));
+        List<String> headers = context.protocol().outbound(request.headers(), instructions);
         UpstreamSend send = context.upstreams()
                 .prepare(upstream.address(), request.method(), request.target(), headers, request.body(), limits);
         synchronized (this) {
@@ -220,7 +220,7 @@
     final void deliver(int status, List<String> headers, byte[] body) {
         if (end(false)) {
             noteFirstByte();
-            caller.reply(status, EndToEndHeaders.endToEnd(headers), body);
+            caller.reply(status, HopByHopHeaders.removeFrom(headers), body);
             logEnded(ResultCode.OK, status, RunState.RAN, "");
         }
     }
@@ -233,7 +233,7 @@
             }
             responseStarted = true;
         }
-        caller.start(status, EndToEndHeaders.endToEnd(headers));
+        caller.start(status, HopByHopHeaders.removeFrom(headers));
         return true;
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/ListReader.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/ListReader.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.wagtailcart.common.DaemonThreads;
 import org.wagtailcart.common.EventKind;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.WagtailcartException;
@@ -22,11 +23,8 @@
     private final HostList list;
     private final UpstreamBook book;
     private final MillisClock clock;
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
-        Thread created = new Thread(task, "list-reader");
-        created.setDaemon(true);
-        return created;
-    });
+    private final ScheduledExecutorService thread =
+            Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("list-reader"));
     private Optional<String> failure = Optional.empty();
 
     /** Creates a reader that has not started. */
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamCall.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamCall.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
@@ -16,6 +15,7 @@
 import okhttp3.Response;
 import okio.Buffer;
 import okio.BufferedSource;
+import org.wagtailcart.common.HopByHopHeaders;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
@@ -26,8 +26,6 @@
     private static final int CHUNK_BYTES = 16 << 10;
     private static final long MAX_LINE_BYTES = 1 << 20;
     private static final Set<Integer> ENGINE_REFUSALS = Set.of(429, 503);
-    private static final Set<String> HOP_HEADERS =
-            Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "trailer");
 
     private final Call call;
     private final SendGuard guard;
@@ -152,7 +150,7 @@
     private List<String> headerLines(Headers headers) {
         List<String> lines = new ArrayList<>();
         headers.forEach(header -> {
-            if (!HOP_HEADERS.contains(header.getFirst().toLowerCase(Locale.ROOT))) {
+            if (!HopByHopHeaders.contains(header.getFirst())) {
                 lines.add(header.getFirst());
                 lines.add(header.getSecond());
             }
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamClient.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamClient.java
@@ -2,8 +2,6 @@
 
 import java.net.Proxy;
 import java.util.List;
-import java.util.Locale;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import okhttp3.ConnectionPool;
@@ -15,6 +13,7 @@
 import okhttp3.RequestBody;
 import okhttp3.internal.http.HttpMethod;
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.HopByHopHeaders;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.Priority;
 import org.wagtailcart.common.ResultCode;
@@ -29,19 +28,6 @@
 public final class UpstreamClient {
     static final String REQUEST_ID = "X-Request-Id";
 
-    private static final Set<String> HOP_HEADERS = Set.of(
-            "connection",
-            "host",
-            "content-length",
-            "transfer-encoding",
-            "keep-alive",
-            "te",
-            "trailer",
-            "upgrade",
-            "expect",
-            "proxy-authorization",
-            "proxy-connection");
-
     private final OkHttpClient client;
     private final UpstreamOptions options;
     private final MillisClock clock;
@@ -155,7 +141,8 @@
     private static void addHeaders(Request.Builder builder, List<String> lines) {
         IntStream.range(0, lines.size() / 2)
                 .map(i -> 2 * i)
-                .filter(i -> !HOP_HEADERS.contains(lines.get(i).toLowerCase(Locale.ROOT)))
+                .filter(i ->
+                        !HopByHopHeaders.contains(lines.get(i)) && !lines.get(i).equalsIgnoreCase("host"))
                 .filter(i -> !lines.get(i).equalsIgnoreCase("Accept-Encoding"))
                 .forEach(i -> builder.addHeader(lines.get(i), lines.get(i + 1)));
     }
--- a/wire/src/main/java/org/wagtailcart/wire/IoLoop.java
+++ b/wire/src/main/java/org/wagtailcart/wire/IoLoop.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.common.DaemonThreads;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.ResultCode;
@@ -46,11 +47,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        executor = Executors.newSingleThreadExecutor(task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        });
+        executor = Executors.newSingleThreadExecutor(DaemonThreads.named(name));
         executor.execute(this::run);
     }
 
