Ask engines what they hold after the leader has changed

Change: the leader asks each engine once in a term and passes the answer on as notes; it reads the list as soon as it leads. Ruled out: engines (they were not restarted), routing tables (there at 36.1 s).

--- a/common/src/main/java/org/wagtailcart/common/EventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/EventKind.java
@@ -63,6 +63,8 @@
     READINESS_CHANGED(false, "ready", "reason"),
     /** An operator's table was acknowledged or refused. */
     TABLE_OFFERED(false, "version", "status", "code", "after-millis", "reason"),
+    /** The leader asked an engine which prompt parts it holds. */
+    CACHE_SURVEYED(false, "engine", "parts", "reason"),
     /** Settings were read again. */
     SETTINGS_RELOADED(false, "file", "seeds"),
     /** Log lines of a kind were dropped to bound the volume. */
--- a/control/src/main/java/org/wagtailcart/control/ControlRole.java
+++ b/control/src/main/java/org/wagtailcart/control/ControlRole.java
@@ -26,6 +26,7 @@
 import org.wagtailcart.control.client.LoadDigest;
 import org.wagtailcart.control.client.LoadDigestReply;
 import org.wagtailcart.control.client.PowerGrant;
+import org.wagtailcart.control.client.PrefixNote;
 import org.wagtailcart.control.client.ProcessesReply;
 import org.wagtailcart.control.client.ProcessesRequest;
 import org.wagtailcart.control.client.SyncRequest;
@@ -241,11 +242,21 @@
         };
     }
 
-    /** Passes a host list that this member read on to the gateways. */
-    public void passOn(List<ListedUpstream> upstreams, long readAtMillis) {
-        if (feed.accept(upstreams, readAtMillis)) {
-            watches.answerDue();
-        }
+    /** Returns what passes the leader's news on to the gateways. */
+    public RoleDuty.GatewayFeed gatewayFeed() {
+        return new RoleDuty.GatewayFeed() {
+            @Override
+            public void list(List<ListedUpstream> upstreams, long readAtMillis) {
+                if (feed.accept(upstreams, readAtMillis)) {
+                    watches.answerDue();
+                }
+            }
+
+            @Override
+            public void held(PrefixNote note) {
+                watches.note(note);
+            }
+        };
     }
 
     /** Returns whether callers are being served, as far as the gateways told this member. */
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/orders/CacheSurvey.java
@@ -0,0 +1,70 @@
+package org.wagtailcart.control.orders;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.wagtailcart.common.EventKind;
+import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.control.client.PrefixNote;
+import org.wagtailcart.directory.EnginePort;
+import org.wagtailcart.directory.HeldPart;
+import org.wagtailcart.directory.ListedUpstream;
+
+/**
+ * Asks each engine once which prompt parts it holds, after this member became the leader. Gateways and control members forget
+ * it with a restart while the engines do not, and would have everything read again. Used by one thread.
+ */
+final class CacheSurvey {
+    private static final Logger LOG = System.getLogger(CacheSurvey.class.getName());
+
+    private final EnginePort engines;
+    private final Consumer<PrefixNote> listener;
+    private final Executor executor;
+    private final Set<String> askedIds = new HashSet<>();
+
+    /**
+     * Creates a survey.
+     *
+     * @param listener receives what an engine holds, on a thread of the executor
+     * @param executor runs the questions, which block
+     */
+    CacheSurvey(EnginePort engines, Consumer<PrefixNote> listener, Executor executor) {
+        this.engines = engines;
+        this.listener = listener;
+        this.executor = executor;
+    }
+
+    /** Forgets which engines were asked, as another leader may have learned more meanwhile. */
+    void reset() {
+        askedIds.clear();
+    }
+
+    /** Asks the engines that were not asked yet. */
+    void ask(List<ListedUpstream> upstreams) {
+        askedIds.retainAll(upstreams.stream().map(ListedUpstream::instanceId).collect(Collectors.toUnmodifiableSet()));
+        upstreams.stream()
+                .filter(upstream -> upstream.role() != null && !upstream.leaving())
+                .filter(upstream -> askedIds.add(upstream.instanceId()))
+                .forEach(upstream -> executor.execute(() -> ask(upstream)));
+    }
+
+    private void ask(ListedUpstream engine) {
+        try {
+            List<HeldPart> parts = engines.heldParts(engine);
+            EventKind.CACHE_SURVEYED.log(LOG, Level.INFO, engine.instanceId(), parts.size(), "");
+            if (!parts.isEmpty()) {
+                listener.accept(new PrefixNote(
+                        engine.instanceId(),
+                        parts.stream().map(HeldPart::id).toList(),
+                        parts.stream().map(HeldPart::tokens).toList()));
+            }
+        } catch (WagtailcartException e) {
+            EventKind.CACHE_SURVEYED.log(LOG, Level.INFO, engine.instanceId(), 0, e.getMessage());
+        }
+    }
+}
--- a/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -22,6 +23,7 @@
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.control.client.PrefixNote;
 import org.wagtailcart.directory.EnginePort;
 import org.wagtailcart.directory.EngineReport;
 import org.wagtailcart.directory.HostList;
@@ -40,6 +42,11 @@
     /** Time between two readings of the host list; leaving upstreams must be known within the drain limit. */
     private static final long INTERVAL_MILLIS = 700;
 
+    /** A new leader reads the list at once, as the gateways may all have started anew. */
+    private static final long CHECK_MILLIS = 100;
+
+    private static final int SURVEY_THREADS = 4;
+
     private static final long CONFIRM_LIMIT_MILLIS = 500;
     /** Time within which gateways learn of a change before the order is sent. */
     private static final long ANNOUNCE_MILLIS = 60;
@@ -53,11 +60,13 @@
     /** A change of role that was ordered. */
     private record Change(EngineRole role, long untilMillis) {}
 
-    /** Receives host lists. */
-    @FunctionalInterface
-    public interface ListListener {
+    /** Passes on to the gateways what the leader learns. */
+    public interface GatewayFeed {
         /** Takes a list and the monotonic time before it was read. */
-        void accept(List<ListedUpstream> upstreams, long readAtMillis);
+        void list(List<ListedUpstream> upstreams, long readAtMillis);
+
+        /** Takes what an engine holds. */
+        void held(PrefixNote note);
     }
 
     /** What the duty needs of its member. */
@@ -79,18 +88,22 @@
     private final Authority authority;
     private final Supplier<RouteTable> table;
     private final Supplier<Boolean> traffic;
-    private final ListListener listener;
+    private final GatewayFeed gateways;
     private final HostList hosts;
     private final EnginePort engines;
     private final long leaseMillis;
     private final MillisClock clock = MillisClock.monotonic();
     private final ScheduledExecutorService thread =
             Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("engine-orders"));
+    private final ExecutorService surveyThreads =
+            Executors.newFixedThreadPool(SURVEY_THREADS, DaemonThreads.numbered("cache-survey-"));
+    private final CacheSurvey survey;
     private final Map<String, PrefillShare> sharesByService = new HashMap<>();
     private final Map<String, Long> leaveAloneUntilMillis = new HashMap<>();
     private final Map<String, Change> changes = new HashMap<>();
     private List<ListedUpstream> latest = List.of();
     private long latestReadAtMillis;
+    private long nextReadMillis = Long.MIN_VALUE;
     private long orderFromMillis = Long.MAX_VALUE;
     private long heldToken;
 
@@ -98,7 +111,7 @@
      * Creates it.
      *
      * @param traffic whether callers are being served; before that all engines may change at once
-     * @param listener receives each host list that was read
+     * @param gateways receives each host list that was read
      * @param leaseMillis time that must lie between the orders of two holders
      */
     public RoleDuty(
@@ -106,7 +119,7 @@
             Authority authority,
             Supplier<RouteTable> table,
             Supplier<Boolean> traffic,
-            ListListener listener,
+            GatewayFeed gateways,
             HostList hosts,
             EnginePort engines,
             long leaseMillis) {
@@ -114,21 +127,23 @@
         this.authority = authority;
         this.table = table;
         this.traffic = traffic;
-        this.listener = listener;
+        this.gateways = gateways;
         this.hosts = hosts;
         this.engines = engines;
         this.leaseMillis = leaseMillis;
+        this.survey = new CacheSurvey(engines, gateways::held, surveyThreads);
     }
 
     /** Starts to plan. */
     public void start() {
         ScheduledFuture<?> unused =
-                thread.scheduleWithFixedDelay(this::runSafely, INTERVAL_MILLIS, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                thread.scheduleWithFixedDelay(this::runSafely, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     @Override
     public void close() {
         thread.shutdownNow();
+        surveyThreads.shutdownNow();
     }
 
     private void runSafely() {
@@ -140,22 +155,29 @@
     }
 
     private void run() {
-        Set<String> services = table.get().services().stream()
-                .filter(service -> service.engine() != null)
-                .map(ServiceSpec::name)
-                .collect(Collectors.toSet());
         if (!authority.isLeader()) {
             orderFromMillis = Long.MAX_VALUE;
             heldToken = 0;
+            nextReadMillis = Long.MIN_VALUE;
+            survey.reset();
             return;
         }
         long readAtMillis = clock.nowMillis();
+        if (readAtMillis < nextReadMillis) {
+            return;
+        }
+        nextReadMillis = readAtMillis + INTERVAL_MILLIS;
         List<ListedUpstream> upstreams = hosts.read();
         latest = upstreams;
         latestReadAtMillis = readAtMillis;
         changes.values().removeIf(change -> change.untilMillis() <= readAtMillis);
         upstreams.forEach(upstream -> changes.remove(upstream.instanceId(), changeDone(upstream)));
-        listener.accept(withoutChanging(upstreams), readAtMillis);
+        gateways.list(withoutChanging(upstreams), readAtMillis);
+        survey.ask(upstreams);
+        Set<String> services = table.get().services().stream()
+                .filter(service -> service.engine() != null)
+                .map(ServiceSpec::name)
+                .collect(Collectors.toSet());
         Map<String, List<ListedUpstream>> listed = upstreams.stream()
                 .filter(upstream -> services.contains(upstream.service()))
                 .collect(Collectors.groupingBy(ListedUpstream::service));
@@ -265,7 +287,7 @@
     /** Tells the gateways to send the engine nothing more, and gives them a moment to learn it. */
     private void announce(ListedUpstream engine, EngineRole role) {
         changes.put(engine.instanceId(), new Change(role, clock.nowMillis() + CHANGE_MILLIS));
-        listener.accept(withoutChanging(latest), latestReadAtMillis);
+        gateways.list(withoutChanging(latest), latestReadAtMillis);
         if (!traffic.get()) {
             return;
         }
--- a/control/src/main/java/org/wagtailcart/control/watch/RouteWatches.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/RouteWatches.java
@@ -5,6 +5,7 @@
 import java.util.function.Supplier;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.control.client.PrefixNote;
 import org.wagtailcart.control.client.WatchReply;
 import org.wagtailcart.control.client.WatchRequest;
 import org.wagtailcart.coordination.LogStatus;
@@ -109,6 +110,11 @@
         }
     }
 
+    /** Tells all gateways what an engine holds. */
+    public synchronized void note(PrefixNote note) {
+        notes.add("", List.of(note));
+    }
+
     /** Returns whether any gateway ever had work in flight. */
     public boolean trafficSeen() {
         synchronized (this) {
--- a/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -202,7 +202,7 @@
                 control.orderAuthority(),
                 state::routes,
                 control::trafficSeen,
-                control::passOn,
+                control.gatewayFeed(),
                 list,
                 new PlatformEnginePort(client),
                 platform.orderLeaseMillis());
--- a/directory/src/main/java/org/wagtailcart/directory/EnginePort.java
+++ b/directory/src/main/java/org/wagtailcart/directory/EnginePort.java
@@ -1,5 +1,6 @@
 package org.wagtailcart.directory;
 
+import java.util.List;
 import org.wagtailcart.common.EngineRole;
 
 /** Orders and questions to engines. Methods block within a short limit. */
@@ -11,6 +12,13 @@
      */
     EngineReport report(ListedUpstream engine);
 
+    /**
+     * Asks an engine which parts of prompts it holds; this delays its work a little.
+     *
+     * @throws org.wagtailcart.common.WagtailcartException when it gives no understandable answer
+     */
+    List<HeldPart> heldParts(ListedUpstream engine);
+
     /**
      * Orders an engine to take a role.
      *
