Structured lines for all events, and truthful fields of request-sent

Cause: lines of control members were one text, so a collector could not select by term or member; request-sent said in-flight=0 and estimate 0 for plain calls always. Change: LogEvent reads its own lines again and JsonLineHandler writes their fields; in-flight and the usual time come from the book. Ruled out: 71 call sites with event kinds of their own (no gain for the reader of the log). Test: LogEventTest.

--- a/common/src/main/java/org/wagtailcart/common/LogEvent.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEvent.java
@@ -1,14 +1,55 @@
 package org.wagtailcart.common;
 
 import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.jspecify.annotations.Nullable;
 
-/** Formats one log event as {@code event key=value ...} on one line. */
+/** Formats one log event as {@code event key=value ...} on one line, and reads such lines again. */
 public final class LogEvent {
+    private static final Pattern NAME = Pattern.compile("[a-z][a-z0-9-]*");
+    private static final Pattern FIELD =
+            Pattern.compile(" ([a-z][a-z0-9-]*)=(?:\"((?:[^\"\\\\]|\\\\.)*)\"|([^ \"=]+))");
+
+    private static final Pattern ESCAPE = Pattern.compile("\\\\(.)");
+
     private LogEvent() {}
 
+    /**
+     * An event that was read from a line.
+     *
+     * @param name name of the event
+     * @param fields values by key, in order
+     */
+    public record Line(String name, Map<String, String> fields) {}
+
+    /** Reads a line that {@link #of} has formatted; empty for any other text. */
+    public static Optional<Line> parse(String text) {
+        int end = text.indexOf(' ');
+        String name = end < 0 ? text : text.substring(0, end);
+        if (!NAME.matcher(name).matches()) {
+            return Optional.empty();
+        }
+        Map<String, String> fields = new LinkedHashMap<>();
+        Matcher field = FIELD.matcher(text);
+        int read = name.length();
+        while (read < text.length() && field.find(read) && field.start() == read) {
+            fields.put(field.group(1), field.group(3) == null ? unquote(field.group(2)) : field.group(3));
+            read = field.end();
+        }
+        return read == text.length() ? Optional.of(new Line(name, fields)) : Optional.empty();
+    }
+
+    private static String unquote(String quoted) {
+        return ESCAPE.matcher(quoted)
+                .replaceAll(match -> Matcher.quoteReplacement(match.group(1).equals("n") ? "\n" : match.group(1)));
+    }
+
     /**
      * Formats an event.
      *
--- /dev/null
+++ b/common/src/test/java/org/wagtailcart/common/LogEventTest.java
@@ -0,0 +1,26 @@
+package org.wagtailcart.common;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Lines that people read and lines that programs read are the same. */
+class LogEventTest {
+    @ParameterizedTest
+    @ValueSource(strings = {"plain", "", "two words", "a=b", "quote \" and \\ slash", "line\nbreak", "\\n", "[a, b]"})
+    void aLineIsReadAsItWasFormatted(String value) {
+        String line = LogEvent.of("role-changed", "member", value, "term", 7);
+        assertThat(LogEvent.parse(line))
+                .isEqualTo(Optional.of(new LogEvent.Line("role-changed", Map.of("member", value, "term", "7"))));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"", "Some text", "watch stopped", "event key", "event key=", "event key=\"open", "event  a=b"})
+    void otherTextIsNoEvent(String text) {
+        assertThat(LogEvent.parse(text)).isEqualTo(Optional.empty());
+    }
+}
--- a/daemon/src/main/java/org/wagtailcart/daemon/JsonLineHandler.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/JsonLineHandler.java
@@ -10,6 +10,9 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.time.Instant;
+import java.util.Collections;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -19,12 +22,15 @@
 import java.util.stream.IntStream;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Event;
+import org.wagtailcart.common.LogEvent;
 
 /**
  * Writes one JSON object a line to standard output on a thread of its own. Callers never wait: above a rate, or when the
  * queue is full, lines are dropped and counted, those of successes first.
  */
 final class JsonLineHandler extends Handler {
+    private static final Set<String> RESERVED_FIELDS = Set.of("time", "level", "event", "trace");
+
     private static final int QUEUE_LINES = 4_096;
     /** Queue length from which only failures are taken. */
     private static final int FAILURES_ONLY_LINES = 2_048;
@@ -116,8 +122,7 @@
             json.writeStringField("level", record.getLevel().getName());
             Event event = eventOf(record);
             if (event == null) {
-                json.writeStringField("event", "text");
-                json.writeStringField("text", String.valueOf(record.getMessage()));
+                writeText(json, String.valueOf(record.getMessage()));
             } else {
                 json.writeStringField("event", event.kind().eventName());
                 IntStream.range(0, event.values().size())
@@ -135,6 +140,21 @@
         out.write('\n');
     }
 
+    /** Messages in the form of {@link LogEvent} get their fields; others stay text. */
+    private static void writeText(JsonGenerator json, String message) throws IOException {
+        Optional<LogEvent.Line> line = LogEvent.parse(message).filter(JsonLineHandler::isDistinct);
+        json.writeStringField("event", line.map(LogEvent.Line::name).orElse("text"));
+        if (line.isPresent()) {
+            line.get().fields().forEach((name, value) -> writeField(json, name, value));
+        } else {
+            json.writeStringField("text", message);
+        }
+    }
+
+    private static boolean isDistinct(LogEvent.Line line) {
+        return Collections.disjoint(line.fields().keySet(), RESERVED_FIELDS);
+    }
+
     private static void writeField(JsonGenerator json, String name, @Nullable Object value) {
         try {
             if (value instanceof Long || value instanceof Integer) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -173,8 +173,7 @@
     }
 
     /** Logs the choice of an upstream. */
-    final void logSent(
-            String step, Upstream upstream, double estimateMillis, int inFlight, long queuedTokens, int unreadTokens) {
+    final void logSent(String step, Upstream upstream, double estimateMillis, long queuedTokens, int unreadTokens) {
         EventKind.REQUEST_SENT.log(
                 LOG,
                 Level.INFO,
@@ -185,7 +184,7 @@
                 attempts() + 1,
                 leftMillis(),
                 Math.round(estimateMillis),
-                inFlight,
+                context.book().inFlight(upstream),
                 queuedTokens,
                 unreadTokens,
                 context.watch().routes().table().version(),
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -61,7 +61,7 @@
         excluded.add(upstream.id());
         boolean ranBefore = mayHaveRun();
         long sentMillis = nowMillis();
-        logSent(STEP, upstream, 0, 0, 0, 0);
+        logSent(STEP, upstream, context().book().usualMillis(upstream), 0, 0);
         try {
             UpstreamSend send = prepare(upstream, instructions(upstream), limits(), true);
             try (UpstreamAnswer answer = send.execute()) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -139,7 +139,6 @@
                 STEP_PROMPT,
                 engine,
                 placement.times().firstTokenMillis(),
-                0,
                 placement.queuedTokens(),
                 placement.unreadTokens());
         Use use = context()
@@ -212,7 +211,6 @@
                 STEP_STREAM,
                 engine,
                 placement.times().firstTokenMillis(),
-                0,
                 placement.queuedTokens(),
                 source == null ? placement.unreadTokens() : 0);
         Use use = useForStream(placement, prompt, source != null);
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -165,6 +165,16 @@
                 .toList();
     }
 
+    /** Returns the requests in flight at an upstream, of all gateways. */
+    public synchronized int inFlight(Upstream upstream) {
+        return upstream.requests();
+    }
+
+    /** Returns the usual time of an answer of an upstream. */
+    public synchronized double usualMillis(Upstream upstream) {
+        return upstream.latencyMillis();
+    }
+
     /** Returns whether a service has engines that read prompts for others or generate. */
     public synchronized boolean hasEngines(String service) {
         ServiceSpec spec = services.get(service);
