Take the order lease as soon as a member leads

Change: the lease is kept from the first reading of the list; whether the former holder must be waited for is told by the holder before the own one, since an answer to an earlier take may have been lost. Ruled out: the list (7 s of staleness are the platform's), PrefillShare. Test seen red: RoleDutyTest.

--- a/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
@@ -174,6 +174,7 @@
         upstreams.forEach(upstream -> changes.remove(upstream.instanceId(), changeDone(upstream)));
         gateways.list(withoutChanging(upstreams), readAtMillis);
         survey.ask(upstreams);
+        keepLease();
         Set<String> services = table.get().services().stream()
                 .filter(service -> service.engine() != null)
                 .map(ServiceSpec::name)
@@ -219,20 +220,28 @@
                         .ifPresent(upstream -> order(upstream, move.role())));
     }
 
-    /** Returns whether this member holds the lease and no other can still be giving orders. */
-    private boolean mayOrder() {
+    /** Takes the lease before an order is due, as a new holder has to wait until the former one cannot order any more. */
+    private void keepLease() {
         OrderLease lease = authority.lease();
-        if (!lease.holder().equals(memberId) || heldToken != lease.fencingToken()) {
+        if (!holds(lease)) {
             takeLease(lease);
-            return heldToken != 0 && clock.nowMillis() >= orderFromMillis;
         }
-        return clock.nowMillis() >= orderFromMillis;
+    }
+
+    /** Returns whether this member holds the lease and no other can still be giving orders. */
+    private boolean mayOrder() {
+        return holds(authority.lease()) && clock.nowMillis() >= orderFromMillis;
+    }
+
+    private boolean holds(OrderLease lease) {
+        return heldToken != 0 && lease.holder().equals(memberId) && heldToken == lease.fencingToken();
     }
 
     private void takeLease(OrderLease before) {
         Optional<OrderLease> taken = await(authority.takeLease(memberId), leaseMillis);
         taken.ifPresent(lease -> {
-            boolean first = before.holder().isEmpty() || before.holder().equals(memberId);
+            // An answer to an earlier take may have been lost, so that only the holder before that tells.
+            boolean first = before.granted(memberId).previousHolder().isEmpty();
             heldToken = lease.fencingToken();
             orderFromMillis = clock.nowMillis() + (first ? 0 : leaseMillis + ORDER_LIMIT_MILLIS);
             LOG.log(
