Keep prompts and their KV cache within a region

Change: the settings name the region of each failure domain; Distance says what a step, a transfer and another region cost; each region has its own owner and holder of a shared part; roles are spread over regions. Ruled out: control group (8 ms apart, tables and orders in time). In one region nothing changes. Tests: PromptPlacementTest, ProcessSettingsTest.

--- a/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/RoleDuty.java
@@ -22,6 +22,7 @@
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.Regions;
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.control.client.PrefixNote;
 import org.wagtailcart.directory.EnginePort;
@@ -87,6 +88,7 @@
     private final String memberId;
     private final Authority authority;
     private final Supplier<RouteTable> table;
+    private final Regions regions;
     private final Supplier<Boolean> traffic;
     private final GatewayFeed gateways;
     private final HostList hosts;
@@ -110,6 +112,7 @@
     /**
      * Creates it.
      *
+     * @param regions regions of the failure domains
      * @param traffic whether callers are being served; before that all engines may change at once
      * @param gateways receives each host list that was read
      * @param leaseMillis time that must lie between the orders of two holders
@@ -118,6 +121,7 @@
             String memberId,
             Authority authority,
             Supplier<RouteTable> table,
+            Regions regions,
             Supplier<Boolean> traffic,
             GatewayFeed gateways,
             HostList hosts,
@@ -126,6 +130,7 @@
         this.memberId = memberId;
         this.authority = authority;
         this.table = table;
+        this.regions = regions;
         this.traffic = traffic;
         this.gateways = gateways;
         this.hosts = hosts;
@@ -206,7 +211,7 @@
                 .filter(upstream -> !upstream.leaving() && upstream.role() != null)
                 .map(upstream -> new PrefillShare.Engine(
                         upstream.instanceId(),
-                        upstream.failureDomain(),
+                        areaOf(upstream),
                         upstream.role() == EngineRole.PREFILL,
                         changes.containsKey(upstream.instanceId())))
                 .toList();
@@ -220,6 +225,12 @@
                         .ifPresent(upstream -> order(upstream, move.role())));
     }
 
+    /** Engines of each role are spread over regions where there are several, as KV cache hardly moves between them. */
+    private String areaOf(ListedUpstream upstream) {
+        String domain = upstream.failureDomain();
+        return regions.several() ? regions.of(domain) : domain;
+    }
+
     /** Takes the lease before an order is due, as a new holder has to wait until the former one cannot order any more. */
     private void keepLease() {
         OrderLease lease = authority.lease();
--- a/control/src/test/java/org/wagtailcart/control/orders/RoleDutyTest.java
+++ b/control/src/test/java/org/wagtailcart/control/orders/RoleDutyTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.common.Regions;
 import org.wagtailcart.control.client.PrefixNote;
 import org.wagtailcart.directory.EnginePort;
 import org.wagtailcart.directory.EngineReport;
@@ -83,6 +84,7 @@
                 "new",
                 authority,
                 () -> RouteTable.NONE,
+                Regions.ONE,
                 () -> true,
                 new Gateways(),
                 List::of,
--- a/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -45,6 +45,7 @@
 import org.wagtailcart.platform.PlatformEnginePort;
 import org.wagtailcart.platform.PlatformHostList;
 import org.wagtailcart.platform.PlatformRequestProtocol;
+import org.wagtailcart.policy.placement.Place;
 import org.wagtailcart.policy.routing.LoadAwareRouter;
 import org.wagtailcart.settings.process.MemberAddress;
 import org.wagtailcart.settings.process.PlatformSettings;
@@ -201,6 +202,7 @@
                 memberId(settings),
                 control.orderAuthority(),
                 state::routes,
+                settings.regions(),
                 control::trafficSeen,
                 control.gatewayFeed(),
                 list,
@@ -221,7 +223,7 @@
             MetricRegistry registry) {
         GatewayOptions options = new GatewayOptions(
                 settings.id(),
-                settings.failureDomain(),
+                new Place(settings.failureDomain(), settings.regions()),
                 required(settings.callerListener(), "listen", "caller"),
                 required(settings.readyListener(), "listen", "ready"),
                 controlAddresses(settings),
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayOptions.java
@@ -2,12 +2,13 @@
 
 import java.util.List;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.policy.placement.Place;
 
 /**
  * Process settings of a gateway.
  *
  * @param processId name of the process
- * @param failureDomain failure domain that it runs in
+ * @param place where it runs
  * @param callerAddress listener for callers
  * @param readyAddress listener for the load balancer's question whether it is ready
  * @param controlSeeds peer addresses at which control members may be found
@@ -18,7 +19,7 @@
  */
 public record GatewayOptions(
         String processId,
-        String failureDomain,
+        Place place,
         Address callerAddress,
         Address readyAddress,
         List<Address> controlSeeds,
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -70,7 +70,7 @@
         }
         MillisClock clock = MillisClock.monotonic();
         this.options = options;
-        UpstreamBook book = new UpstreamBook(options.failureDomain(), clock);
+        UpstreamBook book = new UpstreamBook(options.place(), clock);
         RouteWatch watch = new RouteWatch(options.processId(), options.controlSeeds(), control, book, timer, clock);
         this.listReader = new ListReader(list, book, clock);
         this.context = new GatewayContext(
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -22,6 +22,7 @@
 import org.wagtailcart.gateway.protocol.Prompt;
 import org.wagtailcart.gateway.protocol.PromptPart;
 import org.wagtailcart.policy.placement.EngineView;
+import org.wagtailcart.policy.placement.Place;
 import org.wagtailcart.policy.placement.PrefixCache;
 import org.wagtailcart.policy.placement.PromptPlacement;
 import org.wagtailcart.policy.placement.ReplicaPlacement;
@@ -55,16 +56,16 @@
     /** Notes that wait for a control member; without one they are of little use. */
     private static final int MAX_NOTES = 1_000;
 
-    private final String failureDomain;
+    private final Place place;
     private final MillisClock clock;
     private final Map<String, Upstream> upstreamsById = new HashMap<>();
     private List<PrefixNote> notes = new ArrayList<>();
     private Map<String, ServiceSpec> services = Map.of();
     private long listedAtMillis = Long.MIN_VALUE / 4;
 
-    /** Creates an empty book of a gateway in a failure domain. */
-    public UpstreamBook(String failureDomain, MillisClock clock) {
-        this.failureDomain = failureDomain;
+    /** Creates an empty book of a gateway at a place. */
+    public UpstreamBook(Place place, MillisClock clock) {
+        this.place = place;
         this.clock = clock;
     }
 
@@ -196,7 +197,7 @@
                                         upstream.requests(),
                                         currentLatency(upstream, meanMillis, nowMillis)))
                                 .toList(),
-                        failureDomain)
+                        place.failureDomain())
                 .map(view -> use(known(view.id()), Use.Work.NO_PROMPT, List.of()));
     }
 
@@ -215,17 +216,16 @@
         String affinity = shared.isEmpty() ? "" : shared.get(shared.size() - 1).id();
         int sharedTokens = shared.stream().mapToInt(PromptPart::tokens).sum();
         PromptPlacement.Size size = new PromptPlacement.Size(prompt.promptTokens(), sharedTokens, affinity);
-        return PromptPlacement.choose(views, size, speeds(service), failureDomain)
-                .map(choice -> {
-                    EngineView reader = choice.prefill() == null ? choice.decode() : choice.prefill();
-                    return new Placement(
-                            Optional.ofNullable(choice.prefill()).map(view -> known(view.id())),
-                            known(choice.decode().id()),
-                            Optional.ofNullable(choice.holder()).map(view -> known(view.id())),
-                            choice.times(),
-                            reader.queuedTokens(),
-                            choice.unreadTokens());
-                });
+        return PromptPlacement.choose(views, size, speeds(service), place).map(choice -> {
+            EngineView reader = choice.prefill() == null ? choice.decode() : choice.prefill();
+            return new Placement(
+                    Optional.ofNullable(choice.prefill()).map(view -> known(view.id())),
+                    known(choice.decode().id()),
+                    Optional.ofNullable(choice.holder()).map(view -> known(view.id())),
+                    choice.times(),
+                    reader.queuedTokens(),
+                    choice.unreadTokens());
+        });
     }
 
     /**
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayRig.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayRig.java
@@ -18,9 +18,11 @@
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.common.Regions;
 import org.wagtailcart.control.client.WatchReply;
 import org.wagtailcart.control.client.WatchRequest;
 import org.wagtailcart.directory.ListedUpstream;
+import org.wagtailcart.policy.placement.Place;
 import org.wagtailcart.routes.EngineSpec;
 import org.wagtailcart.routes.RequestLimits;
 import org.wagtailcart.routes.Route;
@@ -67,7 +69,7 @@
         Address ready = new Address("127.0.0.1", freePort());
         GatewayOptions options = new GatewayOptions(
                 "g",
-                "fes",
+                new Place("fes", Regions.ONE),
                 callers,
                 ready,
                 List.of(new Address("127.0.0.1", 1)),
--- a/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteWatchTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteWatchTest.java
@@ -14,9 +14,11 @@
 import org.junit.jupiter.api.Test;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.Regions;
 import org.wagtailcart.control.client.WatchReply;
 import org.wagtailcart.control.client.WatchRequest;
 import org.wagtailcart.gateway.list.UpstreamBook;
+import org.wagtailcart.policy.placement.Place;
 import org.wagtailcart.routes.RequestLimits;
 import org.wagtailcart.routes.RouteTable;
 
@@ -35,7 +37,7 @@
             "g",
             List.of(A, B),
             this::call,
-            new UpstreamBook("fes", MillisClock.monotonic()),
+            new UpstreamBook(new Place("fes", Regions.ONE), MillisClock.monotonic()),
             timer,
             MillisClock.monotonic());
 
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -4,6 +4,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BinaryOperator;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.zip.CRC32C;
 import org.jspecify.annotations.Nullable;
 
@@ -22,18 +25,12 @@
     /** Time of a prompt's transfer and of the first step of its output. */
     static final double TRANSFER_MILLIS = 25;
 
-    /** Time by which an engine in another failure domain must be better; the prompt's text crosses to it. */
-    static final double DISTANCE_MILLIS = 40;
-
     /** Time that a fetch of KV cache takes beside its bytes. */
     static final double FETCH_MILLIS = 15;
 
     /** A fetch must save at least this time, as it loads the links of two engines. */
     static final double FETCH_GAIN_MILLIS = 15;
 
-    /** Share of an engine's slots by which another failure domain must be better. */
-    static final double DOMAIN_PREFERENCE = 0.12;
-
     /** Delay at the start of a stream that weighs as much as an engine without a free slot. */
     static final double FULL_LOAD_MILLIS = 400;
 
@@ -104,26 +101,26 @@
             EngineView engine, @Nullable EngineView holder, int unreadTokens, double millis, double aloneMillis) {}
 
     /** Places a prompt, empty when no engine can generate. */
-    public static Optional<Choice> choose(List<EngineView> engines, Size size, Speeds speeds, String ownDomain) {
-        Optional<EngineView> owner = owner(engines, size.affinity());
-        Optional<EngineView> holder = holder(engines, owner);
+    public static Optional<Choice> choose(List<EngineView> engines, Size size, Speeds speeds, Place gateway) {
+        Optional<EngineView> owner = owner(engines, size.affinity(), gateway);
+        List<EngineView> holders = holders(engines, owner, gateway);
         Optional<Choice> split = engines.stream()
                 .filter(EngineView::prefill)
-                .map(engine -> reading(engine, holder, size, speeds))
-                .min(Comparator.comparing((Reading reading) -> cost(reading, owner, size, speeds, ownDomain))
+                .map(engine -> reading(engine, holders, size, speeds, gateway))
+                .min(Comparator.comparing((Reading reading) -> cost(reading, owner, size, speeds, gateway))
                         .thenComparing(reading -> reading.engine().id()))
-                .flatMap(reading -> chooseDecode(engines, reading.engine().failureDomain())
+                .flatMap(reading -> chooseDecode(engines, reading.engine(), gateway)
                         .map(decode -> new Choice(
                                 reading.engine(),
                                 decode,
                                 reading.holder(),
                                 reading.unreadTokens(),
-                                times(reading, startMillis(reading.engine(), decode)))));
+                                times(reading, startMillis(reading.engine(), decode, size, speeds, gateway)))));
         Optional<Choice> local = engines.stream()
                 .filter(engine -> !engine.prefill())
-                .map(engine -> reading(engine, holder, size, speeds))
+                .map(engine -> reading(engine, holders, size, speeds, gateway))
                 .min(Comparator.comparing((Reading reading) ->
-                                reading.millis() + distance(reading.engine(), ownDomain) * TRANSFER_MILLIS)
+                                reading.millis() + gateway.to(reading.engine()).preferenceMillis())
                         .thenComparing(reading -> reading.engine().id()))
                 .map(reading -> new Choice(
                         null, reading.engine(), reading.holder(), reading.unreadTokens(), times(reading, 0)));
@@ -139,41 +136,48 @@
         return localIsBetter ? local : split;
     }
 
-    /** All gateways find the same owner of a part without telling each other. */
-    private static Optional<EngineView> owner(List<EngineView> engines, String affinity) {
-        return affinity.isEmpty()
-                ? Optional.empty()
-                : engines.stream()
-                        .filter(EngineView::prefill)
-                        .max(Comparator.comparing((EngineView engine) -> weight(affinity, engine.id()))
-                                .thenComparing(EngineView::id));
-    }
-
-    /** The engine that holds most of the shared parts. */
-    private static Optional<EngineView> holder(List<EngineView> engines, Optional<EngineView> owner) {
+    /** All gateways of a region find the same owner of a part without telling each other. */
+    private static Optional<EngineView> owner(List<EngineView> engines, String affinity, Place gateway) {
+        if (affinity.isEmpty()) {
+            return Optional.empty();
+        }
         return engines.stream()
-                .max(Comparator.comparing(EngineView::cachedTokens)
-                        .thenComparing(engine -> owner.filter(engine::equals).isPresent())
+                .filter(EngineView::prefill)
+                .max(Comparator.comparing((EngineView engine) -> gateway.to(engine) != Distance.OTHER_REGION)
+                        .thenComparing(engine -> weight(affinity, engine.id()))
                         .thenComparing(EngineView::id));
     }
 
-    private static Reading reading(EngineView engine, Optional<EngineView> holder, Size size, Speeds speeds) {
+    /** The engine of each region that holds most of the shared parts. */
+    private static List<EngineView> holders(List<EngineView> engines, Optional<EngineView> owner, Place gateway) {
+        Comparator<EngineView> byTokens = Comparator.comparing(EngineView::cachedTokens)
+                .thenComparing(engine -> owner.filter(engine::equals).isPresent())
+                .thenComparing(EngineView::id);
+        return List.copyOf(engines.stream()
+                .collect(Collectors.toMap(gateway::regionOf, Function.identity(), BinaryOperator.maxBy(byTokens)))
+                .values());
+    }
+
+    private static Reading reading(
+            EngineView engine, List<EngineView> holders, Size size, Speeds speeds, Place gateway) {
         double tokensPerMilli = speeds.tokensPerMilli() * (engine.prefill() ? 1 : DECODE_READ_SPEED);
-        int cached = engine.cachedTokens();
-        int unread = Math.max(0, size.promptTokens() - cached);
+        int unread = Math.max(0, size.promptTokens() - engine.cachedTokens());
         double waitMillis = engine.slowness() * engine.queuedTokens() / tokensPerMilli;
         double aloneMillis = engine.slowness() * unread / tokensPerMilli;
         Reading alone = new Reading(engine, null, unread, waitMillis + aloneMillis, aloneMillis);
-        if (holder.isEmpty() || holder.get().equals(engine)) {
-            return alone;
-        }
-        int fetched = Math.max(0, Math.min(size.sharedTokens(), holder.get().cachedTokens()) - cached);
-        int rest = unread - fetched;
-        double fetchMillis = FETCH_MILLIS + fetched / speeds.fetchedTokensPerMilli();
-        double restMillis = engine.slowness() * rest / tokensPerMilli + fetchMillis;
-        return restMillis + FETCH_GAIN_MILLIS < aloneMillis
-                ? new Reading(engine, holder.get(), rest, waitMillis + restMillis, restMillis)
-                : alone;
+        return holders.stream()
+                .filter(holder -> !holder.equals(engine))
+                .map(holder -> {
+                    int held = Math.min(size.sharedTokens(), holder.cachedTokens());
+                    int fetched = Math.max(0, held - engine.cachedTokens());
+                    int factor = gateway.between(holder, engine).transferFactor();
+                    double fetchMillis = FETCH_MILLIS + factor * fetched / speeds.fetchedTokensPerMilli();
+                    double restMillis = engine.slowness() * (unread - fetched) / tokensPerMilli + fetchMillis;
+                    return new Reading(engine, holder, unread - fetched, waitMillis + restMillis, restMillis);
+                })
+                .filter(reading -> reading.aloneMillis() + FETCH_GAIN_MILLIS < aloneMillis)
+                .min(Comparator.comparing(Reading::millis))
+                .orElse(alone);
     }
 
     private static Times times(Reading reading, double startMillis) {
@@ -181,34 +185,31 @@
     }
 
     /** Time from the end of the reading to the first event; a delay is seen at both engines of a pair. */
-    private static double startMillis(EngineView reader, EngineView decode) {
-        return TRANSFER_MILLIS + Math.max(reader.startDelayMillis(), decode.startDelayMillis());
+    private static double startMillis(EngineView reader, EngineView decode, Size size, Speeds speeds, Place gateway) {
+        int extra = gateway.between(reader, decode).transferFactor() - 1;
+        double farMillis = extra * size.promptTokens() / speeds.fetchedTokensPerMilli();
+        return TRANSFER_MILLIS + farMillis + Math.max(reader.startDelayMillis(), decode.startDelayMillis());
     }
 
     /** Time to read, and a preference for the owner that keeps a part in one place. */
-    private static double cost(
-            Reading reading, Optional<EngineView> owner, Size size, Speeds speeds, String ownDomain) {
+    private static double cost(Reading reading, Optional<EngineView> owner, Size size, Speeds speeds, Place gateway) {
         boolean owned = owner.filter(reading.engine()::equals).isPresent();
         // A part that nobody holds is read where all gateways will look for it.
         double preference =
                 reading.unreadTokens() > size.promptTokens() - size.sharedTokens() ? NEW_PREFERENCE : PREFERENCE;
-        double distance = distance(reading.engine(), ownDomain) * DISTANCE_MILLIS;
+        double distanceMillis = gateway.to(reading.engine()).preferenceMillis();
         double startMillis = reading.millis() + reading.engine().startDelayMillis();
-        return startMillis + distance - (owned ? preference * size.sharedTokens() / speeds.tokensPerMilli() : 0);
-    }
-
-    private static int distance(EngineView engine, String domain) {
-        return engine.failureDomain().equals(domain) ? 0 : 1;
+        return startMillis + distanceMillis - (owned ? preference * size.sharedTokens() / speeds.tokensPerMilli() : 0);
     }
 
-    private static Optional<EngineView> chooseDecode(List<EngineView> engines, String near) {
+    private static Optional<EngineView> chooseDecode(List<EngineView> engines, EngineView reader, Place gateway) {
         return engines.stream()
                 .filter(engine -> !engine.prefill())
                 .min(Comparator.comparing((EngineView engine) -> {
                             double load = engine.slowness() * (engine.requests() + 1) / engine.slots()
                                     + engine.queuedTokens() * QUEUED_TOKEN_LOAD
                                     + engine.startDelayMillis() / FULL_LOAD_MILLIS;
-                            return load + (engine.failureDomain().equals(near) ? 0 : DOMAIN_PREFERENCE);
+                            return load + gateway.between(reader, engine).preferenceLoad();
                         })
                         .thenComparing(EngineView::id));
     }
--- a/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
@@ -9,10 +9,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtailcart.common.Regions;
 
 /** Shared prefixes, queues and roles of engines under the loads that they must be placed for. */
 class PromptPlacementTest {
     private static final PromptPlacement.Speeds SPEEDS = new PromptPlacement.Speeds(50, 1_000);
+    private static final Place FES =
+            new Place("fes", new Regions(Map.of("fes", "north", "rabat", "north", "agadir", "south")));
     private static final PromptPlacement.Size MANUAL = new PromptPlacement.Size(17_000, 13_300, "manual-7");
 
     private static EngineView engine(String id, boolean prefill, long queuedTokens, int cachedTokens) {
@@ -20,7 +23,7 @@
     }
 
     private static PromptPlacement.Choice choose(List<EngineView> engines, PromptPlacement.Size size) {
-        return PromptPlacement.choose(engines, size, SPEEDS, "fes").orElseThrow();
+        return PromptPlacement.choose(engines, size, SPEEDS, FES).orElseThrow();
     }
 
     private static String reader(PromptPlacement.Choice choice) {
@@ -81,7 +84,7 @@
 
     @Test
     void withoutAnEngineThatGeneratesThereIsNoChoice() {
-        assertThat(PromptPlacement.choose(List.of(engine("p", true, 0, 0)), MANUAL, SPEEDS, "fes"))
+        assertThat(PromptPlacement.choose(List.of(engine("p", true, 0, 0)), MANUAL, SPEEDS, FES))
                 .isEmpty();
     }
 
@@ -119,6 +122,36 @@
                 .isEqualTo("sound");
     }
 
+    /** A transfer between regions takes ten times as long and holds up all others on the two links. */
+    @ParameterizedTest
+    @CsvSource({"0, 3, near, near-decode", "5000, 40, near, near-decode", "60000, 3, far, far-decode"})
+    void promptsAndTheirKvCacheStayInTheRegionUnlessItIsOverloaded(
+            long queuedTokens, int requests, String reader, String decode) {
+        EngineView near = new EngineView("near", "rabat", true, 64, 0, queuedTokens, 0, 1, 0);
+        EngineView far = new EngineView("far", "agadir", true, 64, 0, 0, 0, 1, 0);
+        EngineView nearDecode = new EngineView("near-decode", "fes", false, 64, requests, 100_000, 0, 1, 0);
+        EngineView farDecode = new EngineView("far-decode", "agadir", false, 64, 0, 100_000, 0, 1, 0);
+        PromptPlacement.Choice choice =
+                choose(List.of(near, far, nearDecode, farDecode), new PromptPlacement.Size(4_000, 0, ""));
+        assertThat(reader(choice)).isEqualTo(reader);
+        assertThat(choice.decode().id()).isEqualTo(decode);
+    }
+
+    /** Each region keeps its own copy of a shared part. */
+    @Test
+    void aPartIsReadAgainRatherThanFetchedFromAnotherRegionWhenThatIsFaster() {
+        EngineView near = engine("near", true, 0, 0);
+        EngineView far = new EngineView("far", "agadir", true, 64, 0, 0, 2_000, 1, 0);
+        PromptPlacement.Choice choice = PromptPlacement.choose(
+                        List.of(near, far, engine("d", false, 100_000, 0)),
+                        new PromptPlacement.Size(3_000, 2_000, "part"),
+                        new PromptPlacement.Speeds(50, 500),
+                        FES)
+                .orElseThrow();
+        assertThat(reader(choice)).isEqualTo("near");
+        assertThat(choice.holder()).isNull();
+    }
+
     /** Prompts that wait at an engine that generates slow its streams. */
     @Test
     void aShortPromptIsNotReadWhereOthersWaitOrManyStreamsRun() {
--- a/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettings.java
+++ b/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettings.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.common.Regions;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
 
@@ -13,6 +14,7 @@
  * @param id name of the process
  * @param host host it runs on
  * @param failureDomain failure domain it runs in
+ * @param regions regions of the failure domains, one for all when none is set
  * @param roles roles it takes, at least one
  * @param dataFolder folder for files; present for the control role
  * @param peerListener listener for other processes; present for the control and sidecar roles
@@ -34,6 +36,7 @@
         String id,
         String host,
         String failureDomain,
+        Regions regions,
         Set<ProcessRole> roles,
         Optional<String> dataFolder,
         Optional<Address> peerListener,
--- a/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
+++ b/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
@@ -12,6 +12,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.common.Regions;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.SettingNames;
 import org.wagtailcart.common.WagtailcartException;
@@ -48,6 +49,7 @@
                         "process",
                         "failure-domain",
                         value("process", "failure-domain").orElse("default")),
+                regions(),
                 roles,
                 value("process", "data-folder"),
                 listener("peer"),
@@ -71,7 +73,7 @@
 
     private static Map<String, List<String>> keys() {
         Map<String, List<String>> keys = new LinkedHashMap<>();
-        keys.put("process", List.of("id", "host", "failure-domain", "roles", "data-folder"));
+        keys.put("process", List.of("id", "host", "failure-domain", "regions", "roles", "data-folder"));
         keys.put("listen", List.of("peer", "caller", "ready", "metrics", "operator"));
         keys.put("control", List.of("members", "seeds", "peer-port", "found"));
         keys.put("retry", List.of("ratio", "reserve", "window-seconds"));
@@ -111,6 +113,25 @@
         return Set.copyOf(roles);
     }
 
+    private Regions regions() {
+        String text = value("process", "regions").orElse("");
+        if (text.isBlank()) {
+            return Regions.ONE;
+        }
+        String accepted = "a comma-separated list of FAILURE-DOMAIN:REGION, each failure domain once";
+        Map<String, String> regions = new LinkedHashMap<>();
+        list(text).forEach(entry -> {
+            String[] pair = entry.split(":", -1);
+            if (pair.length != 2 || pair[0].isBlank() || pair[1].isBlank()) {
+                throw invalid("process", "regions", text, accepted);
+            }
+            if (regions.put(pair[0].strip(), pair[1].strip()) != null) {
+                throw invalid("process", "regions", text, accepted);
+            }
+        });
+        return new Regions(Map.copyOf(regions));
+    }
+
     /** Seeds are given with any port; members listen for each other on the same port on all hosts. */
     private ControlDiscovery discovery() {
         Optional<String> seeds = value("control", "seeds");
--- a/settings/src/test/java/org/wagtailcart/settings/process/ProcessSettingsTest.java
+++ b/settings/src/test/java/org/wagtailcart/settings/process/ProcessSettingsTest.java
@@ -18,6 +18,7 @@
             id = fes-1
             host = host-1
             failure-domain = fes
+            regions = fes:north, rabat:south
             roles = entry, control
             data-folder = /var/lib/wagtailcart
 
@@ -52,6 +53,7 @@
         assertThat(settings.dataFolder()).hasValue("/var/lib/wagtailcart");
         assertThat(settings.peerListener()).hasValue(new Address("10.0.0.1", 7000));
         assertThat(settings.callerListener()).hasValue(new Address("127.0.0.1", 7001));
+        assertThat(settings.regions().of("rabat")).isEqualTo("south");
         assertThat(settings.members()).hasSize(2);
         assertThat(settings.members().get(1).toString()).isEqualTo("c2@10.0.0.2:7000");
         assertThat(settings.operatorTokenFile()).hasValue("token");
@@ -71,6 +73,8 @@
             id = fes-1                  | id = a b                      | "a b"; accepted is 1 to 64 letters
             id = fes-1                  |                               | key "id" is missing
             host = host-1               | host = /                      | key "host" has the value "/"
+            regions = fes:north, rabat:south | regions = fes              | "fes"; accepted is a comma-separated list of FAILURE-DOMAIN:REGION
+            regions = fes:north, rabat:south | regions = fes:a, fes:b     | each failure domain once
             roles = entry, control      | roles = entry, king           | "entry, king"; accepted is a comma-separated list of entry, control, sidecar
             roles = entry, control      | roles = entry, entry          | accepted is each role once
             roles = entry, control      | roles = ,                     | accepted is a comma-separated list
