--- a/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
@@ -42,7 +42,6 @@
 
     private final GatewayContext context;
     private final State state;
-    private final StartGate startGate;
     private final AtomicInteger open = new AtomicInteger();
     private final java.util.concurrent.atomic.AtomicLong bodyBytes = new java.util.concurrent.atomic.AtomicLong();
 
@@ -58,7 +57,6 @@
     InboundHandler(GatewayContext context, State state) {
         this.context = context;
         this.state = state;
-        this.startGate = new StartGate(context::knowsRoutes, context.timer(), context.clock());
     }
 
     /** Returns the number of requests without a complete response. */
@@ -107,7 +105,7 @@
                                 bodyBytes.addAndGet(-body.length);
                                 next.proceed();
                             });
-                            received.dispatch(SameThreadExecutor.INSTANCE, () -> hold(received, body, arrivedMillis));
+                            received.dispatch(SameThreadExecutor.INSTANCE, () -> accept(received, body, arrivedMillis));
                         },
                         (failed, error) -> {
                             limit.cancel(false);
@@ -129,16 +127,8 @@
                 .refuse(code, RunState.NOT_RUN, true, text, 0));
     }
 
-    /** Lets a request wait while the gateway starts. */
-    private void hold(HttpServerExchange exchange, byte[] body, long arrivedMillis) {
+    private void accept(HttpServerExchange exchange, byte[] body, long arrivedMillis) {
         CallerLink caller = new CallerLink(exchange, context.timer());
-        startGate.pass(() -> exchange.getIoThread().execute(() -> accept(exchange, caller, body, arrivedMillis)));
-    }
-
-    private void accept(HttpServerExchange exchange, CallerLink caller, byte[] body, long arrivedMillis) {
-        if (!exchange.getConnection().isOpen()) {
-            return;
-        }
         try {
             InboundRequest request = read(exchange, body, arrivedMillis);
             context.traffic().execute(Calls.of(context, request, caller));
