Refuse new requests after the grace period of a shutdown

Change: 3 s after SIGTERM requests are refused as not run (8 s are the platform's limit), so that the open ones end and the process with them. Test: DrainTest, seen red before in its first form (a new connection was served after the grace period).

--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -88,6 +88,11 @@
     }
 
     private final class HandlerState implements InboundHandler.State {
+        @Override
+        public boolean refusesRequests() {
+            return closing;
+        }
+
         @Override
         public boolean closesConnections() {
             return draining;
--- a/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
@@ -47,6 +47,9 @@
 
     /** What the handler asks of its gateway. */
     interface State {
+        /** Returns whether requests are refused, so that the open ones can end before the process is killed. */
+        boolean refusesRequests();
+
         /** Returns whether responses ask callers to open another connection. */
         boolean closesConnections();
 
@@ -77,6 +80,10 @@
             exchange.setPersistent(false);
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         }
+        if (state.refusesRequests()) {
+            refuseUnread(exchange, ResultCode.SHUTTING_DOWN, "gateway is shutting down");
+            return;
+        }
         long maxBodyBytes = context.watch().routes().table().limits().maxBodyBytes();
         if (exchange.getRequestContentLength() > maxBodyBytes) {
             refuseUnread(exchange, ResultCode.PAYLOAD_TOO_LARGE, "body is larger than " + maxBodyBytes + " bytes");
