One piece for header lines, body reading, plain HTTP clients and failed futures

Cause: reading the change again. Change: HeaderLines, Causes, PlainHttp, TimedBody (the limits of 10 and 30 s stay with their callers); Prompt holds the policy's part; SendInstructions are built where they differ; SilenceGuard is a resource; RouteIndex.service, ExplainCommand.Log and a public attempts() are gone as nothing used them. A failed body of the entry now cancels its timer, as the gateway's did. Ruled out: ReadSlowness and StartDelay (same shape, other decay), the two State interfaces (other answers).

--- a/cli/src/main/java/org/wagtailcart/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/wagtailcart/cli/ExplainCommand.java
@@ -45,9 +45,6 @@
         }
     }
 
-    /** The lines of a file and the number of those that could not be read. */
-    private record Log(List<Line> lines, int unreadable) {}
-
     @Override
     String name() {
         return "explain";
@@ -61,7 +58,7 @@
         String id = arguments.get(0);
         List<Line> lines = arguments.stream()
                 .skip(1)
-                .flatMap(file -> read(session, file).lines().stream())
+                .flatMap(file -> read(session, file).stream())
                 .sorted(Comparator.comparing(Line::timeMillis))
                 .toList();
         List<Line> decisions = lines.stream()
@@ -88,7 +85,7 @@
                 .filter(line -> line.timeMillis() >= from && line.timeMillis() <= to);
     }
 
-    private static Log read(Session session, String file) {
+    private static List<Line> read(Session session, String file) {
         List<String> texts = new String(Session.read(file), StandardCharsets.UTF_8)
                 .lines()
                 .filter(text -> !text.isBlank())
@@ -102,7 +99,7 @@
         if (unreadable > 0) {
             session.console().error(file + ": " + unreadable + " lines are no events and were passed over");
         }
-        return new Log(lines, unreadable);
+        return lines;
     }
 
     /** Reads a line; a collector may have written a time and the name of the process before the object. */
--- /dev/null
+++ b/common/src/main/java/org/wagtailcart/common/HeaderLines.java
@@ -0,0 +1,33 @@
+package org.wagtailcart.common;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/** HTTP header lines as a list in which names and values alternate. */
+public final class HeaderLines {
+    private HeaderLines() {}
+
+    /** Returns the first value of a header. */
+    public static Optional<String> first(List<String> lines, String name) {
+        return all(lines, name).findFirst();
+    }
+
+    /** Returns all values of a header, in order. */
+    public static Stream<String> all(List<String> lines, String name) {
+        return IntStream.range(0, lines.size() / 2)
+                .filter(i -> lines.get(2 * i).equalsIgnoreCase(name))
+                .mapToObj(i -> lines.get(2 * i + 1));
+    }
+
+    /** Returns the lines whose name a test accepts. */
+    public static List<String> keep(List<String> lines, Predicate<String> name) {
+        return IntStream.range(0, lines.size() / 2)
+                .filter(i -> name.test(lines.get(2 * i)))
+                .boxed()
+                .flatMap(i -> Stream.of(lines.get(2 * i), lines.get(2 * i + 1)))
+                .toList();
+    }
+}
--- a/common/src/main/java/org/wagtailcart/common/HopByHopHeaders.java
+++ b/common/src/main/java/org/wagtailcart/common/HopByHopHeaders.java
@@ -4,7 +4,6 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /** HTTP headers that concern one connection only and are not passed on. */
@@ -37,20 +36,13 @@
      */
     public static List<String> removeFrom(List<String> lines) {
         Set<String> named = namedByConnection(lines);
-        return IntStream.range(0, lines.size() / 2)
-                .filter(i -> !contains(lines.get(2 * i)))
-                .filter(i -> !named.contains(lines.get(2 * i).toLowerCase(Locale.ROOT)))
-                .boxed()
-                .flatMap(i -> Stream.of(lines.get(2 * i), lines.get(2 * i + 1)))
-                .toList();
+        return HeaderLines.keep(lines, name -> !contains(name) && !named.contains(name.toLowerCase(Locale.ROOT)));
     }
 
     /** The Connection header names further ones. */
     private static Set<String> namedByConnection(List<String> lines) {
-        return IntStream.range(0, lines.size() / 2)
-                .filter(i -> lines.get(2 * i).equalsIgnoreCase(CONNECTION))
-                .boxed()
-                .flatMap(i -> Stream.of(lines.get(2 * i + 1).split(",")))
+        return HeaderLines.all(lines, CONNECTION)
+                .flatMap(value -> Stream.of(value.split(",")))
                 .map(name -> name.strip().toLowerCase(Locale.ROOT))
                 .collect(Collectors.toUnmodifiableSet());
     }
--- a/control/src/main/java/org/wagtailcart/control/Commands.java
+++ b/control/src/main/java/org/wagtailcart/control/Commands.java
@@ -2,10 +2,9 @@
 
 import java.lang.reflect.RecordComponent;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.Causes;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
@@ -144,9 +143,7 @@
     }
 
     static WagtailcartException toKnown(Throwable error) {
-        Throwable cause = error instanceof CompletionException
-                ? Optional.ofNullable(error.getCause()).orElse(error)
-                : error;
+        Throwable cause = Causes.of(error);
         return cause instanceof WagtailcartException known
                 ? known
                 : new WagtailcartException(ResultCode.INTERNAL_ERROR, RunState.MAY_HAVE_RUN, String.valueOf(cause));
--- a/control/src/main/java/org/wagtailcart/control/client/ControlClientImpl.java
+++ b/control/src/main/java/org/wagtailcart/control/client/ControlClientImpl.java
@@ -2,13 +2,13 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.common.Causes;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
@@ -159,8 +159,7 @@
         }
 
         private void retryAfter(Throwable error) {
-            Throwable cause =
-                    error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
+            Throwable cause = Causes.of(error);
             RunState runState = cause instanceof WagtailcartException known ? known.runState() : RunState.MAY_HAVE_RUN;
             mayHaveRun |= runState != RunState.NOT_RUN;
             lastReason = lastTried + ": " + cause.getMessage();
--- a/control/src/main/java/org/wagtailcart/control/http/OperatorServer.java
+++ b/control/src/main/java/org/wagtailcart/control/http/OperatorServer.java
@@ -19,11 +19,10 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.function.Function;
-import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.common.Causes;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.SettingNames;
@@ -178,7 +177,7 @@
     }
 
     private static WagtailcartException known(Throwable error) {
-        Throwable cause = unwrap(error);
+        Throwable cause = Causes.of(error);
         if (cause instanceof WagtailcartException known) {
             return known;
         }
@@ -186,11 +185,6 @@
         return new WagtailcartException(ResultCode.INTERNAL_ERROR, "the request failed: " + cause);
     }
 
-    private static Throwable unwrap(Throwable error) {
-        @Nullable Throwable cause = error.getCause();
-        return error instanceof CompletionException && cause != null ? cause : error;
-    }
-
     private static void send(HttpServerExchange exchange, OperatorReply reply) {
         exchange.setStatusCode(reply.status());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, reply.contentType());
--- a/daemon/src/main/java/org/wagtailcart/daemon/JsonLineHandler.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/JsonLineHandler.java
@@ -21,6 +21,7 @@
 import java.util.logging.LogRecord;
 import java.util.stream.IntStream;
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.DaemonThreads;
 import org.wagtailcart.common.Event;
 import org.wagtailcart.common.LogEvent;
 
@@ -45,7 +46,6 @@
     private final JsonFactory factory = new JsonFactory();
     private final OutputStream out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out));
     private final Counter dropped;
-    private final Thread writer;
     private volatile boolean closed;
     private long second;
     private int successesInSecond;
@@ -53,9 +53,7 @@
     JsonLineHandler(MetricRegistry registry) {
         factory.disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET);
         dropped = registry.counter("log.dropped");
-        writer = new Thread(this::write, "log");
-        writer.setDaemon(true);
-        writer.start();
+        DaemonThreads.named("log").newThread(this::write).start();
     }
 
     @Override
--- a/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
+++ b/entry/src/main/java/org/wagtailcart/entry/CallerHandler.java
@@ -7,13 +7,10 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
-import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
@@ -34,6 +31,7 @@
 import org.wagtailcart.entry.request.PoolDirectory;
 import org.wagtailcart.entry.request.RequestClassifier;
 import org.wagtailcart.entry.request.RequestKind;
+import org.wagtailcart.entry.request.TimedBody;
 
 /** Receives the HTTP requests of callers and starts a call for each. */
 final class CallerHandler implements HttpHandler {
@@ -147,26 +145,12 @@
             return;
         }
         exchange.setMaxEntitySize(MAX_BODY_BYTES);
-        Future<?> limit = context.timer()
-                .schedule(
-                        () -> exchange.getIoThread().execute(() -> closeConnection(exchange)),
-                        MAX_BODY_MILLIS,
-                        TimeUnit.MILLISECONDS);
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (received, body) -> {
-                            limit.cancel(false);
-                            received.dispatch(SameThreadExecutor.INSTANCE, () -> accept(received, body));
-                        },
-                        (failed, error) -> refuseUnread(failed, bodyError()));
-    }
-
-    private static void closeConnection(HttpServerExchange exchange) {
-        try {
-            exchange.getConnection().close();
-        } catch (IOException e) {
-            LOG.log(Level.DEBUG, LogEvent.of("close-failed", "reason", e.getMessage()));
-        }
+        TimedBody.receive(
+                exchange,
+                context.timer(),
+                MAX_BODY_MILLIS,
+                (received, body) -> received.dispatch(SameThreadExecutor.INSTANCE, () -> accept(received, body)),
+                (failed, error) -> refuseUnread(failed, bodyError()));
     }
 
     private static WagtailcartException bodyError() {
--- a/entry/src/main/java/org/wagtailcart/entry/call/KeyedRunner.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/KeyedRunner.java
@@ -8,10 +8,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
 import java.util.function.Function;
+import org.wagtailcart.common.Causes;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
@@ -230,7 +230,7 @@
     }
 
     private static WagtailcartException failureOf(Throwable error) {
-        Throwable cause = error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
+        Throwable cause = Causes.of(error);
         return cause instanceof WagtailcartException known
                 ? known
                 : new WagtailcartException(ResultCode.INTERNAL_ERROR, "call failed", cause);
--- /dev/null
+++ b/entry/src/main/java/org/wagtailcart/entry/request/TimedBody.java
@@ -0,0 +1,53 @@
+package org.wagtailcart.entry.request;
+
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.wagtailcart.common.LogEvent;
+
+/** Reads a request body whole, and closes the connection of a caller that does not send it in time. */
+public final class TimedBody {
+    private static final Logger LOG = System.getLogger(TimedBody.class.getName());
+
+    private TimedBody() {}
+
+    /**
+     * Reads the body of a request; called on the connection's thread, as both callbacks are.
+     *
+     * @param limitMillis time within which the body must arrive
+     */
+    public static void receive(
+            HttpServerExchange exchange,
+            ScheduledExecutorService timer,
+            long limitMillis,
+            Receiver.FullBytesCallback whole,
+            Receiver.ErrorCallback broken) {
+        Future<?> limit = timer.schedule(
+                () -> exchange.getIoThread().execute(() -> closeConnection(exchange)),
+                limitMillis,
+                TimeUnit.MILLISECONDS);
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (received, body) -> {
+                            limit.cancel(false);
+                            whole.handle(received, body);
+                        },
+                        (failed, error) -> {
+                            limit.cancel(false);
+                            broken.error(failed, error);
+                        });
+    }
+
+    private static void closeConnection(HttpServerExchange exchange) {
+        try {
+            exchange.getConnection().close();
+        } catch (IOException e) {
+            LOG.log(Level.DEBUG, LogEvent.of("close-failed", "reason", e.getMessage()));
+        }
+    }
+}
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -89,7 +89,7 @@
 
     private final class HandlerState implements InboundHandler.State {
         @Override
-        public boolean refusesRequests() {
+        public boolean refusesNewWork() {
             return closing;
         }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
@@ -5,23 +5,19 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
-import java.io.IOException;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
 import org.wagtailcart.common.HopByHopHeaders;
-import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.entry.request.TimedBody;
 import org.wagtailcart.gateway.call.CallerLink;
 import org.wagtailcart.gateway.call.Calls;
 import org.wagtailcart.gateway.call.GatewayContext;
@@ -32,7 +28,6 @@
 
 /** Receives the requests of callers, finds their routes and starts a call for each. */
 final class InboundHandler implements HttpHandler {
-    private static final Logger LOG = System.getLogger(InboundHandler.class.getName());
     /** Time within which a body must arrive; a caller that never sends it would hold up a shutdown. */
     private static final long MAX_BODY_MILLIS = 10_000;
     /** Bodies of open requests that are kept in memory at most. */
@@ -43,12 +38,12 @@
     private final GatewayContext context;
     private final State state;
     private final AtomicInteger open = new AtomicInteger();
-    private final java.util.concurrent.atomic.AtomicLong bodyBytes = new java.util.concurrent.atomic.AtomicLong();
+    private final AtomicLong bodyBytes = new AtomicLong();
 
     /** What the handler asks of its gateway. */
     interface State {
         /** Returns whether requests are refused, so that the open ones can end before the process is killed. */
-        boolean refusesRequests();
+        boolean refusesNewWork();
 
         /** Returns whether responses ask callers to open another connection. */
         boolean closesConnections();
@@ -80,7 +75,7 @@
             exchange.setPersistent(false);
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         }
-        if (state.refusesRequests()) {
+        if (state.refusesNewWork()) {
             refuseUnread(exchange, ResultCode.SHUTTING_DOWN, "gateway is shutting down");
             return;
         }
@@ -98,34 +93,20 @@
     }
 
     private void readBody(HttpServerExchange exchange, long arrivedMillis) {
-        Future<?> limit = context.timer()
-                .schedule(
-                        () -> exchange.getIoThread().execute(() -> closeConnection(exchange)),
-                        MAX_BODY_MILLIS,
-                        TimeUnit.MILLISECONDS);
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (received, body) -> {
-                            limit.cancel(false);
-                            bodyBytes.addAndGet(body.length);
-                            received.addExchangeCompleteListener((done, next) -> {
-                                bodyBytes.addAndGet(-body.length);
-                                next.proceed();
-                            });
-                            received.dispatch(SameThreadExecutor.INSTANCE, () -> accept(received, body, arrivedMillis));
-                        },
-                        (failed, error) -> {
-                            limit.cancel(false);
-                            refuseUnread(failed, ResultCode.INVALID_ARGUMENT, "body was not sent whole: " + error);
-                        });
-    }
-
-    private static void closeConnection(HttpServerExchange exchange) {
-        try {
-            exchange.getConnection().close();
-        } catch (IOException e) {
-            LOG.log(Level.DEBUG, LogEvent.of("close-failed", "reason", e.getMessage()));
-        }
+        TimedBody.receive(
+                exchange,
+                context.timer(),
+                MAX_BODY_MILLIS,
+                (received, body) -> {
+                    bodyBytes.addAndGet(body.length);
+                    received.addExchangeCompleteListener((done, next) -> {
+                        bodyBytes.addAndGet(-body.length);
+                        next.proceed();
+                    });
+                    received.dispatch(SameThreadExecutor.INSTANCE, () -> accept(received, body, arrivedMillis));
+                },
+                (failed, error) ->
+                        refuseUnread(failed, ResultCode.INVALID_ARGUMENT, "body was not sent whole: " + error));
     }
 
     private void refuseUnread(HttpServerExchange exchange, ResultCode code, String text) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -19,7 +19,6 @@
 import org.wagtailcart.gateway.send.SendLimits;
 import org.wagtailcart.gateway.send.UpstreamAnswer;
 import org.wagtailcart.gateway.send.UpstreamSend;
-import org.wagtailcart.policy.placement.RequestRank;
 
 /**
  * One request from its arrival to its end. It ends once: by an answer, a refusal, the caller's leaving or its deadline,
@@ -94,7 +93,7 @@
         return responseStarted;
     }
 
-    final synchronized int attempts() {
+    private synchronized int attempts() {
         return attempts;
     }
 
@@ -153,18 +152,9 @@
         return facts.status() < 500 ? Outcome.ANSWERED : Outcome.FAILURE_ANSWER;
     }
 
-    /** Returns the instructions of a plain send. */
-    final SendInstructions instructions(Upstream upstream) {
-        // An upstream stops at the time it is given; the caller's own time lets it finish what may not be repeated.
-        long allowedMillis = request.callerDeadlineMillis() - nowMillis();
-        return new SendInstructions(
-                upstream.id(),
-                Math.max(1, allowedMillis),
-                RequestRank.of(request.route().priority()),
-                false,
-                null,
-                null,
-                "");
+    /** Returns how long an upstream may work; it stops then, and the caller's own time lets it finish its work. */
+    final long allowedMillis() {
+        return Math.max(1, request.callerDeadlineMillis() - nowMillis());
     }
 
     /** Returns whether another send is within the budget that all gateways share. */
@@ -259,8 +249,7 @@
 
     /** Ends a request without an answer; says that it did not run only when that is known. */
     final void fail(ResultCode code, String text) {
-        RunState runState = mayHaveRun() ? RunState.MAY_HAVE_RUN : RunState.NOT_RUN;
-        finish(code, runState, text, 0);
+        finish(code, runState(), text, 0);
     }
 
     private void finish(ResultCode code, RunState runState, String text, long retryAfterMillis) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -1,6 +1,7 @@
 package org.wagtailcart.gateway.call;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -11,9 +12,11 @@
 import org.wagtailcart.gateway.list.Upstream;
 import org.wagtailcart.gateway.list.Use;
 import org.wagtailcart.gateway.protocol.AnswerFacts;
+import org.wagtailcart.gateway.protocol.SendInstructions;
 import org.wagtailcart.gateway.send.SendLimits;
 import org.wagtailcart.gateway.send.UpstreamAnswer;
 import org.wagtailcart.gateway.send.UpstreamSend;
+import org.wagtailcart.policy.placement.RequestRank;
 
 /** A request to a plain service: another replica gets it when the first did not run it, or when it may run twice. */
 final class PlainCall extends GatewayCall {
@@ -30,7 +33,7 @@
     private @Nullable WholeAnswer lastFailure;
 
     /** An answer read to its end. */
-    private record WholeAnswer(int status, java.util.List<String> headers, byte[] body) {}
+    private record WholeAnswer(int status, List<String> headers, byte[] body) {}
 
     PlainCall(GatewayContext context, InboundRequest request, CallerLink caller) {
         super(context, request, caller);
@@ -81,6 +84,11 @@
         }
     }
 
+    private SendInstructions instructions(Upstream upstream) {
+        int rank = RequestRank.of(request().route().priority());
+        return new SendInstructions(upstream.id(), allowedMillis(), rank, false, null, null, "");
+    }
+
     private SendLimits limits() {
         long leftMillis = Math.max(1, leftMillis());
         boolean another = request().route().repeatable()
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/SilenceGuard.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/SilenceGuard.java
@@ -3,15 +3,18 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.wagtailcart.gateway.list.Upstream;
+import org.wagtailcart.gateway.send.UpstreamAnswer;
 import org.wagtailcart.gateway.send.UpstreamSend;
 
 /** Gives a send up when its upstream has fallen silent, so that another one can take the request. */
 final class SilenceGuard implements AutoCloseable {
     private static final long CHECK_MILLIS = 200;
 
+    private final UpstreamSend send;
     private final ScheduledFuture<?> check;
 
     SilenceGuard(GatewayContext context, Upstream upstream, UpstreamSend send) {
+        this.send = send;
         check = context.timer()
                 .scheduleWithFixedDelay(
                         () -> {
@@ -24,6 +27,11 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    /** Sends the request and waits for the head of the answer. */
+    UpstreamAnswer execute() {
+        return send.execute();
+    }
+
     @Override
     public void close() {
         check.cancel(false);
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -148,15 +148,13 @@
                         prompt,
                         placement.unreadTokens(),
                         placement.times().readMillis());
-        SilenceGuard guard = null;
         try {
             long limitMillis = Math.max(1, leftMillis());
-            SendInstructions plain = instructions(engine);
             SendInstructions promptOnly = new SendInstructions(
-                    engine.id(), plain.leftMillis(), rank(placement), true, null, holderOf(placement), "");
+                    engine.id(), allowedMillis(), rank(placement), true, null, holderOf(placement), "");
             UpstreamSend send = prepare(engine, promptOnly, new SendLimits(limitMillis, limitMillis), false);
-            guard = new SilenceGuard(context(), engine, send);
-            try (UpstreamAnswer answer = send.execute()) {
+            try (SilenceGuard guard = new SilenceGuard(context(), engine, send);
+                    UpstreamAnswer answer = guard.execute()) {
                 byte[] body = answer.readAll();
                 AnswerFacts facts = context().protocol().readAnswer(answer.status(), answer.headers());
                 checkOwn(facts, answer);
@@ -185,9 +183,6 @@
             }
         } finally {
             use.end();
-            if (guard != null) {
-                guard.close();
-            }
         }
         return null;
     }
@@ -214,10 +209,9 @@
                 placement.queuedTokens(),
                 source == null ? placement.unreadTokens() : 0);
         Use use = useForStream(placement, prompt, source != null);
-        SendInstructions plain = instructions(engine);
         SendInstructions all = new SendInstructions(
                 engine.id(),
-                plain.leftMillis(),
+                allowedMillis(),
                 rank(placement),
                 false,
                 source,
@@ -238,7 +232,7 @@
         }
     }
 
-    /** Frees a KV cache that nobody will take, as its caller has left. */
+    /** Frees a KV cache that nobody will take. */
     private void release(CacheSource source) {
         try {
             SendLimits limits = new SendLimits(RELEASE_LIMIT_MILLIS, RELEASE_LIMIT_MILLIS);
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamBook.java
@@ -20,7 +20,6 @@
 import org.wagtailcart.control.client.UpstreamWork;
 import org.wagtailcart.directory.ListedUpstream;
 import org.wagtailcart.gateway.protocol.Prompt;
-import org.wagtailcart.gateway.protocol.PromptPart;
 import org.wagtailcart.policy.placement.EngineView;
 import org.wagtailcart.policy.placement.Place;
 import org.wagtailcart.policy.placement.PrefixCache;
@@ -208,13 +207,13 @@
 
     /** Places a request for generated text; empty when no engine can generate. */
     public synchronized Optional<Placement> place(String service, Prompt prompt, Set<String> excluded) {
-        List<PrefixCache.Part> parts = parts(prompt);
-        List<EngineView> views = usable(service, excluded, clock.nowMillis()).stream()
-                .map(upstream -> view(upstream, parts))
+        long nowMillis = clock.nowMillis();
+        List<EngineView> views = usable(service, excluded, nowMillis).stream()
+                .map(upstream -> view(upstream, prompt.parts(), nowMillis))
                 .toList();
-        List<PromptPart> shared = prompt.sharedParts();
+        List<PrefixCache.Part> shared = prompt.sharedParts();
         String affinity = shared.isEmpty() ? "" : shared.get(shared.size() - 1).id();
-        int sharedTokens = shared.stream().mapToInt(PromptPart::tokens).sum();
+        int sharedTokens = shared.stream().mapToInt(PrefixCache.Part::tokens).sum();
         PromptPlacement.Size size = new PromptPlacement.Size(prompt.promptTokens(), sharedTokens, affinity);
         return PromptPlacement.choose(views, size, speeds(service), place).map(choice -> {
             EngineView reader = choice.prefill() == null ? choice.decode() : choice.prefill();
@@ -235,8 +234,8 @@
      * @param readMillis estimated time until they are read
      */
     public synchronized Use useForPrompt(Upstream engine, Prompt prompt, int unreadTokens, double readMillis) {
-        note(engine, sharedParts(prompt));
-        return use(engine, new Use.Work(unreadTokens, readMillis, null), parts(prompt));
+        note(engine, prompt.sharedParts());
+        return use(engine, new Use.Work(unreadTokens, readMillis, null), prompt.parts());
     }
 
     /** Starts to use an engine that generates from the KV cache of another one. */
@@ -341,10 +340,11 @@
 
     /** Upstreams of a service that may get a request; those that failed lately only when no other is left. */
     private List<Upstream> usable(String service, Set<String> excluded, long nowMillis) {
+        boolean engines = hasEngines(service);
         List<Upstream> present = upstreamsById.values().stream()
                 .filter(upstream -> upstream.listed().service().equals(service))
                 .filter(upstream -> !upstream.listed().leaving())
-                .filter(upstream -> !hasEngines(service) || upstream.listed().role() != null)
+                .filter(upstream -> !engines || upstream.listed().role() != null)
                 .filter(upstream -> !excluded.contains(upstream.id()))
                 .toList();
         List<Upstream> healthy =
@@ -352,8 +352,7 @@
         return healthy.isEmpty() ? present : healthy;
     }
 
-    private EngineView view(Upstream upstream, List<PrefixCache.Part> parts) {
-        long nowMillis = clock.nowMillis();
+    private static EngineView view(Upstream upstream, List<PrefixCache.Part> parts, long nowMillis) {
         return new EngineView(
                 upstream.id(),
                 upstream.listed().failureDomain(),
@@ -370,18 +369,4 @@
         boolean outdated = nowMillis - upstream.latencyAtMillis() > LATENCY_KEEP_MILLIS;
         return outdated ? Math.min(meanMillis, upstream.latencyMillis()) : upstream.latencyMillis();
     }
-
-    private static List<PrefixCache.Part> sharedParts(Prompt prompt) {
-        return toParts(prompt.sharedParts());
-    }
-
-    private static List<PrefixCache.Part> parts(Prompt prompt) {
-        return toParts(prompt.parts());
-    }
-
-    private static List<PrefixCache.Part> toParts(List<PromptPart> parts) {
-        return parts.stream()
-                .map(part -> new PrefixCache.Part(part.id(), part.tokens()))
-                .toList();
-    }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/HttpUpstreams.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/HttpUpstreams.java
@@ -1,15 +1,12 @@
 package org.wagtailcart.gateway.send;
 
-import java.net.Proxy;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import okhttp3.ConnectionPool;
-import okhttp3.ConnectionSpec;
 import okhttp3.Dispatcher;
 import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
-import okhttp3.Protocol;
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
@@ -20,6 +17,7 @@
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.upstream.OneShotBody;
+import org.wagtailcart.upstream.PlainHttp;
 import org.wagtailcart.upstream.SendGuard;
 
 /** HTTP client of a gateway. It never repeats a request by itself once a byte of it may have left. */
@@ -35,15 +33,8 @@
 
     /** Creates a client without connections. */
     public HttpUpstreams(MillisClock clock) {
-        client = new OkHttpClient.Builder()
-                // Without it a process reads certificates at its start.
-                .connectionSpecs(List.of(ConnectionSpec.CLEARTEXT))
+        client = PlainHttp.builder()
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_IDLE_MILLIS, TimeUnit.MILLISECONDS))
-                .retryOnConnectionFailure(false)
-                .followRedirects(false)
-                .followSslRedirects(false)
-                .protocols(List.of(Protocol.HTTP_1_1))
-                .proxy(Proxy.NO_PROXY)
                 .connectTimeout(CONNECT_MILLIS, TimeUnit.MILLISECONDS)
                 .addInterceptor(HttpUpstreams::limit)
                 .addNetworkInterceptor(new ReusedConnections())
--- a/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
@@ -5,16 +5,16 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.stream.IntStream;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.common.HeaderLines;
 import org.wagtailcart.gateway.protocol.AnswerFacts;
 import org.wagtailcart.gateway.protocol.CacheSource;
 import org.wagtailcart.gateway.protocol.Prompt;
-import org.wagtailcart.gateway.protocol.PromptPart;
 import org.wagtailcart.gateway.protocol.RequestFacts;
 import org.wagtailcart.gateway.protocol.RequestProtocol;
 import org.wagtailcart.gateway.protocol.SendInstructions;
+import org.wagtailcart.policy.placement.PrefixCache;
 
 /** Header names of the tests' own. */
 final class TestProtocol implements RequestProtocol {
@@ -27,7 +27,7 @@
     public RequestFacts read(List<String> headers) {
         @Nullable
         Prompt prompt = header(headers, "Prompt")
-                .map(text -> new Prompt("m", Integer.parseInt(text), 10, List.of(new PromptPart("own", 10))))
+                .map(text -> new Prompt("m", Integer.parseInt(text), 10, List.of(new PrefixCache.Part("own", 10))))
                 .orElse(null);
         OptionalLong allowed = header(headers, "Allowed")
                 .map(Long::parseLong)
@@ -75,9 +75,6 @@
     }
 
     private static Optional<String> header(List<String> lines, String name) {
-        return IntStream.range(0, lines.size() / 2)
-                .filter(i -> lines.get(2 * i).equalsIgnoreCase(name))
-                .mapToObj(i -> lines.get(2 * i + 1))
-                .findFirst();
+        return HeaderLines.first(lines, name);
     }
 }
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PrefixCache.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PrefixCache.java
@@ -10,7 +10,12 @@
  * Not thread safe.
  */
 public final class PrefixCache {
-    /** Part of a prompt. */
+    /**
+     * Part of a prompt; requests with the same parts at the start share their KV cache.
+     *
+     * @param id identity of the part's text
+     * @param tokens its size
+     */
     public record Part(String id, int tokens) {}
 
     private long capacityTokens;
--- a/routes/src/main/java/org/wagtailcart/routes/RouteIndex.java
+++ b/routes/src/main/java/org/wagtailcart/routes/RouteIndex.java
@@ -5,14 +5,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /** Finds the route and the service of a request in one table. Immutable. */
 public final class RouteIndex {
     private final RouteTable table;
     private final Map<String, List<Route>> routesByHost;
-    private final Map<String, ServiceSpec> services;
 
     /** Builds the index of a table. */
     public RouteIndex(RouteTable table) {
@@ -21,7 +19,6 @@
                 .sorted(Comparator.comparing(
                         (Route route) -> -route.pathPrefix().length()))
                 .collect(Collectors.groupingBy(route -> route.hostName().toLowerCase(Locale.ROOT)));
-        this.services = table.services().stream().collect(Collectors.toMap(ServiceSpec::name, Function.identity()));
     }
 
     /** Returns the table. */
@@ -53,9 +50,4 @@
         }
         return route.splits().get(route.splits().size() - 1).service();
     }
-
-    /** Returns a service. */
-    public Optional<ServiceSpec> service(String name) {
-        return Optional.ofNullable(services.get(name));
-    }
 }
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamClient.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamClient.java
@@ -1,14 +1,11 @@
 package org.wagtailcart.sidecar.upstream;
 
-import java.net.Proxy;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import okhttp3.ConnectionPool;
-import okhttp3.ConnectionSpec;
 import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
-import okhttp3.Protocol;
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.internal.http.HttpMethod;
@@ -22,6 +19,7 @@
 import org.wagtailcart.fleet.UpstreamView;
 import org.wagtailcart.sidecar.message.AttemptRequest;
 import org.wagtailcart.upstream.OneShotBody;
+import org.wagtailcart.upstream.PlainHttp;
 import org.wagtailcart.upstream.SendGuard;
 
 /** HTTP client towards the upstreams of a sidecar. It never repeats a request by itself. */
@@ -38,15 +36,8 @@
         this.clock = clock;
         // A connection serves one request: an idle one that went silent, or that still carries the late answer to an
         // earlier request, is then never used. The upstream is on the same host, so a new connection costs little.
-        client = new OkHttpClient.Builder()
-                // Without it a process reads certificates at its start.
-                .connectionSpecs(List.of(ConnectionSpec.CLEARTEXT))
+        client = PlainHttp.builder()
                 .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
-                .retryOnConnectionFailure(false)
-                .followRedirects(false)
-                .followSslRedirects(false)
-                .protocols(List.of(Protocol.HTTP_1_1))
-                .proxy(Proxy.NO_PROXY)
                 .connectTimeout(options.connectLimitMillis(), TimeUnit.MILLISECONDS)
                 .readTimeout(options.controlLimitMillis(), TimeUnit.MILLISECONDS)
                 .writeTimeout(options.silenceLimitMillis(), TimeUnit.MILLISECONDS)
--- a/standin/src/main/java/org/wagtailcart/standin/EngineLoop.java
+++ b/standin/src/main/java/org/wagtailcart/standin/EngineLoop.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import org.wagtailcart.common.DaemonThreads;
 import org.wagtailcart.common.EngineRole;
 
 /** Continuous batching: in each step every sequence with a processed prompt gets one token. */
@@ -40,8 +41,7 @@
         this.cost = cost;
         this.role = role;
         this.latestStepMillis = cost.stepMillis();
-        thread = new Thread(this::run, "engine-loop");
-        thread.setDaemon(true);
+        thread = DaemonThreads.named("engine-loop").newThread(this::run);
         thread.start();
     }
 
