Move the upkeep of the group out of RaftLog

Change: GroupUpkeep does the latter through three actions of its member; changeNow serves operators and upkeep. Ruled out: a split of the proposal path (it shares its batches with the reads). Tests: RaftLogTest, RaftNodeTest, MembershipPlannerTest, 28 green.

--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftLog.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftLog.java
@@ -35,11 +35,6 @@
 
     private static final Logger LOG = System.getLogger(RaftLog.class.getName());
     private static final int MAX_BATCH = 4_096;
-    private static final long FOUNDING_INTERVAL_MILLIS = 300;
-    /** Longer than an election, so that a group that elects a leader is not asked. */
-    private static final long JOIN_AFTER_SILENCE_MILLIS = 2_500;
-
-    private static final long MEMBERS_INTERVAL_MILLIS = 100;
     /** A sync that takes longer keeps operators waiting for their acknowledgement. */
     private static final long SLOW_DISK_MILLIS = 700;
 
@@ -53,8 +48,7 @@
     private final RaftTransport transport;
     private final StorageThread storageThread;
     private final List<InitialMember> initialMembers;
-    private final Founding founding;
-    private final Joining joining;
+    private final GroupUpkeep upkeep;
     private final PendingCalls calls = new PendingCalls();
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final ExecutorService controlThread = Executors.newSingleThreadExecutor(DaemonThreads.named("control"));
@@ -65,10 +59,7 @@
     private List<Long> readBatch = new ArrayList<>();
     private long stateTimeMillis;
     private long nextTickMillis;
-    private long nextFoundingMillis;
-    private long nextMembersCheckMillis;
     private long nextHandOverMillis;
-    private boolean foundingRuns;
     private boolean snapshotRuns;
     private @Nullable WagtailcartException failure;
     private volatile boolean closed;
@@ -97,9 +88,7 @@
         long seed = incarnation ^ System.nanoTime();
         node = new RaftNode(self, options.address(), options.timing(), storage.hardState(), log, seed, nowMillis);
         initialMembers = storage.initialMembers();
-        founding = new Founding(options, initialMembers, incarnation, client);
-        joining = new Joining(
-                new Member(options.memberId(), incarnation, options.address(), false), options.joinContacts(), client);
+        upkeep = new GroupUpkeep(options, initialMembers, node, client, new UpkeepActions());
         transport = new RaftTransport(self, client);
         storageThread = new StorageThread(storage, this, registry);
         status = node.status(options.address());
@@ -156,17 +145,19 @@
     @Override
     public CompletableFuture<Members> changeMembers(MemberChange change) {
         CompletableFuture<Object> future = new CompletableFuture<>();
-        call(future, () -> {
-            long id = calls.addProposal(future);
-            try {
-                perform(node.changeMembers(clock.nowMillis(), wallClock.nowMillis(), id, change));
-            } catch (WagtailcartException e) {
-                calls.failProposal(id, e);
-            }
-        });
+        call(future, () -> changeNow(future, change));
         return future.thenApply(Members.class::cast);
     }
 
+    private void changeNow(CompletableFuture<Object> future, MemberChange change) {
+        long id = calls.addProposal(future);
+        try {
+            perform(node.changeMembers(clock.nowMillis(), wallClock.nowMillis(), id, change));
+        } catch (WagtailcartException e) {
+            calls.failProposal(id, e);
+        }
+    }
+
     @Override
     public CompletableFuture<Void> transferLeadership() {
         CompletableFuture<Void> future = new CompletableFuture<>();
@@ -306,9 +297,7 @@
         if (nowMillis >= nextTickMillis) {
             nextTickMillis = nowMillis + tickMillis;
             perform(node.tick(nowMillis));
-            foundIfDue(nowMillis);
-            joinIfDue(nowMillis);
-            changeMembersIfDue(nowMillis);
+            upkeep.tick(nowMillis);
             handOverIfDiskIsSlow(nowMillis);
         }
         calls.completeReads(node.appliedIndex());
@@ -423,53 +412,6 @@
                 snapshot, base, log.termAt(base).orElseThrow(), log.between(base + 1, log.lastIndex())));
     }
 
-    private void foundIfDue(long nowMillis) {
-        if (foundingRuns || nowMillis < nextFoundingMillis || !node.isBlank() || !founding.mayFound()) {
-            return;
-        }
-        foundingRuns = true;
-        nextFoundingMillis = nowMillis + FOUNDING_INTERVAL_MILLIS;
-        founding.ask(voters -> submit(() -> {
-            foundingRuns = false;
-            voters.filter(list -> node.isBlank()).ifPresent(this::found);
-        }));
-    }
-
-    /** A member that no leader speaks to may have been removed, or its group may not know it yet. */
-    private void joinIfDue(long nowMillis) {
-        boolean alone = node.isBlank() || node.leaderSilentMillis(nowMillis) > JOIN_AFTER_SILENCE_MILLIS;
-        if (alone && !options.joinContacts().isEmpty()) {
-            joining.askIfDue(nowMillis, node.log().members());
-        }
-    }
-
-    private void receiveJoin(Exchange exchange, Object request) {
-        submit(() -> {
-            joining.asked(clock.nowMillis(), ((RaftMessages.JoinRequest) request).member());
-            List<Address> known =
-                    node.log().members().members().stream().map(Member::address).toList();
-            exchange.finish(new RaftMessages.JoinReply(known));
-        });
-    }
-
-    private void changeMembersIfDue(long nowMillis) {
-        if (options.joinContacts().isEmpty() || nowMillis < nextMembersCheckMillis) {
-            return;
-        }
-        nextMembersCheckMillis = nowMillis + MEMBERS_INTERVAL_MILLIS;
-        node.plannedChange(nowMillis, joining.joiners(nowMillis)).ifPresent(change -> {
-            LOG.log(Level.INFO, LogEvent.of("members-planned", "kind", change.kind(), "member", change.member()));
-            CompletableFuture<Object> future = new CompletableFuture<>();
-            long id = calls.addProposal(future);
-            try {
-                perform(node.changeMembers(nowMillis, wallClock.nowMillis(), id, change));
-            } catch (WagtailcartException e) {
-                calls.failProposal(id, e);
-                LOG.log(Level.INFO, LogEvent.of("members-refused", "reason", e.getMessage()));
-            }
-        });
-    }
-
     /** A leader whose disk does not answer can acknowledge nothing; another member can. */
     private void handOverIfDiskIsSlow(long nowMillis) {
         if (status.role() == LogStatus.Role.LEADER
@@ -491,6 +433,35 @@
         perform(node.found(clock.nowMillis(), wallClock.nowMillis(), voters));
     }
 
+    private void receiveJoin(Exchange exchange, Object request) {
+        submit(() -> {
+            upkeep.asked(clock.nowMillis(), ((RaftMessages.JoinRequest) request).member());
+            List<Address> known =
+                    node.log().members().members().stream().map(Member::address).toList();
+            exchange.finish(new RaftMessages.JoinReply(known));
+        });
+    }
+
+    /** What the upkeep of the group does through this member. */
+    private final class UpkeepActions implements GroupUpkeep.Actions {
+        @Override
+        public void submit(Runnable task) {
+            RaftLog.this.submit(task);
+        }
+
+        @Override
+        public void found(List<Member> voters) {
+            RaftLog.this.found(voters);
+        }
+
+        @Override
+        public CompletableFuture<Object> change(MemberChange change) {
+            CompletableFuture<Object> future = new CompletableFuture<>();
+            changeNow(future, change);
+            return future;
+        }
+    }
+
     private RaftMessages.IdentityReply identity() {
         Member self = new Member(options.memberId(), node.self().incarnation(), options.address(), false);
         return new RaftMessages.IdentityReply(self, node.isBlank(), initialMembers);
