Keep the log writer running when a record cannot be formatted

Cause: LogEvent.parse matched quoted values with a backtracking group, which recurses once per character. With 256 kB stacks a member list of about a thousand characters overflowed the stack of the thread "log", which ended; the process logged nothing more.

Change: possessive quantifiers, which iterate; a record that cannot be formatted is counted as dropped and the thread goes on.

Ruled out: a larger stack, which moves the length at which it happens.

Before: LogEventTest.parsesALongValue overflows; after: LogEventTest and JsonLineHandlerTest pass.

--- a/common/src/main/java/org/wagtailcart/common/LogEvent.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEvent.java
@@ -13,8 +13,9 @@
 /** Formatter and parser of log events in the one-line form {@code event key=value ...}. */
 public final class LogEvent {
     private static final Pattern NAME = Pattern.compile("[a-z][a-z0-9-]*");
+    /** Possessive, because a backtracking group recurses once per character and overflows the stack on long values. */
     private static final Pattern FIELD =
-            Pattern.compile(" ([a-z][a-z0-9-]*)=(?:\"((?:[^\"\\\\]|\\\\.)*)\"|([^ \"=]+))");
+            Pattern.compile(" ([a-z][a-z0-9-]*)=(?:\"([^\"\\\\]*+(?:\\\\.[^\"\\\\]*+)*+)\"|([^ \"=]+))");
 
     private static final Pattern ESCAPE = Pattern.compile("\\\\(.)");
 
--- a/common/src/test/java/org/wagtailcart/common/LogEventTest.java
+++ b/common/src/test/java/org/wagtailcart/common/LogEventTest.java
@@ -17,6 +17,15 @@
                 .isEqualTo(Optional.of(new LogEvent.Line("role-changed", Map.of("member", value, "term", "7"))));
     }
 
+    /** Guards against a stack overflow in the writer thread of the log, which ended all logging of the process. */
+    @ParameterizedTest
+    @ValueSource(strings = {"member ", "\"", "\\", "\n", "= "})
+    void parsesALongValue(String unit) {
+        String value = unit.repeat(100_000);
+        assertThat(LogEvent.parse(LogEvent.of("members-changed", "members", value)))
+                .isEqualTo(Optional.of(new LogEvent.Line("members-changed", Map.of("members", value))));
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {"", "Some text", "watch stopped", "event key", "event key=", "event key=\"open", "event  a=b"})
--- a/daemon/src/main/java/org/wagtailcart/daemon/JsonLineHandler.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/JsonLineHandler.java
@@ -45,13 +45,19 @@
     private final BlockingQueue<LogRecord> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
     private final CountDownLatch writerStopped = new CountDownLatch(1);
     private final JsonFactory jsonFactory = new JsonFactory();
-    private final OutputStream out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out));
+    private final OutputStream out;
     private final Counter dropped;
     private volatile boolean closed;
     private long currentSecond;
     private int successesInSecond;
 
+    /** Creates a handler that writes to standard output. */
     JsonLineHandler(MetricRegistry registry) {
+        this(registry, new FileOutputStream(FileDescriptor.out));
+    }
+
+    JsonLineHandler(MetricRegistry registry, OutputStream out) {
+        this.out = new BufferedOutputStream(out);
         jsonFactory.disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET);
         dropped = registry.counter("log.dropped");
         DaemonThreads.named("log").newThread(this::runWriter).start();
@@ -99,7 +105,7 @@
             while (!closed || !queue.isEmpty()) {
                 LogRecord record = queue.poll(100, TimeUnit.MILLISECONDS);
                 if (record != null) {
-                    writeLine(record);
+                    writeLineSafely(record);
                 }
                 if (queue.isEmpty()) {
                     out.flush();
@@ -115,6 +121,16 @@
         }
     }
 
+    /** Writes a line; a record that cannot be formatted is counted as dropped and does not end the writer thread. */
+    private void writeLineSafely(LogRecord record) throws IOException {
+        try {
+            writeLine(record);
+        } catch (RuntimeException | StackOverflowError e) {
+            dropped.inc();
+            out.write('\n');
+        }
+    }
+
     private void writeLine(LogRecord record) throws IOException {
         try (JsonGenerator json = jsonFactory.createGenerator(out)) {
             json.writeStartObject();
