Do not send requests whose callers left before the gateway read them

Cause: the end of a caller's connection was looked for only on the I/O thread's next pass, while the call already ran on a traffic thread.

Change: the connection is read once when the response is set up, on the I/O thread, and a call whose caller is gone ends before it sends anything.

Ruled out: comparing arrival times; the gateway cannot know how long the bytes waited in the socket.

--- a/entry/src/main/java/org/wagtailcart/entry/answer/CallerResponse.java
+++ b/entry/src/main/java/org/wagtailcart/entry/answer/CallerResponse.java
@@ -50,7 +50,7 @@
     private boolean started;
     private boolean sending;
     private boolean ended;
-    private boolean disconnected;
+    private volatile boolean disconnected;
 
     /** Creates the response of a dispatched exchange. */
     public CallerResponse(HttpServerExchange exchange, ScheduledExecutorService timer) {
@@ -68,6 +68,11 @@
         }
     }
 
+    /** Returns whether the caller has disconnected before the end of the response. May be called on any thread. */
+    public boolean disconnected() {
+        return disconnected;
+    }
+
     /** Returns whether status and headers were sent. */
     public boolean started() {
         return started;
--- a/entry/src/main/java/org/wagtailcart/entry/answer/DisconnectDetector.java
+++ b/entry/src/main/java/org/wagtailcart/entry/answer/DisconnectDetector.java
@@ -64,6 +64,8 @@
             DisconnectDetector detector = new DisconnectDetector(connection, exchange, disconnectAction);
             connection.getChannel().getSourceChannel().getReadSetter().set(channel -> detector.onReadable());
             connection.getOriginalSourceConduit().resumeReads();
+            // A request that waited in the socket's buffer may be followed by the end of the connection already.
+            detector.onReadable();
         }
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/CallerResponseWriter.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallerResponseWriter.java
@@ -28,6 +28,11 @@
         exchange.getIoThread().execute(() -> response.onDisconnect(action));
     }
 
+    /** Returns whether the caller has disconnected before the end of the response. */
+    public boolean isDisconnected() {
+        return response.disconnected();
+    }
+
     /** Sends a complete response. */
     public void reply(int status, List<String> headers, byte[] body) {
         exchange.getIoThread().execute(() -> response.send(status, headers, body));
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -59,6 +59,10 @@
     /** Registers the disconnect and deadline handlers and then serves the request. */
     @Override
     public final void run() {
+        if (caller.isDisconnected()) {
+            onCallerDisconnect();
+            return;
+        }
         caller.onDisconnect(this::onCallerDisconnect);
         long timeoutMillis = remainingMillis() - DEADLINE_MARGIN_MILLIS;
         synchronized (this) {
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -43,6 +43,7 @@
     private final HttpClient http = HttpClient.newHttpClient();
     private final List<ListedUpstream> upstreams = new ArrayList<>();
     private final Address callers = new Address("127.0.0.1", freePort());
+    private final TestProtocol protocol = new TestProtocol();
     private final GatewayRole role;
     private final long controlMillis;
 
@@ -81,7 +82,7 @@
                 options,
                 (member, request, timeoutMillis) -> reply(request),
                 () -> List.copyOf(upstreams),
-                new TestProtocol(),
+                protocol,
                 traffic,
                 timer,
                 new MetricRegistry());
@@ -179,6 +180,15 @@
         return http.sendAsync(request, HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Returns the address for callers. */
+    Address callers() {
+        return callers;
+    }
+
+    TestProtocol protocol() {
+        return protocol;
+    }
+
     GatewayRole role() {
         return role;
     }
--- a/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
@@ -18,6 +18,13 @@
 
 /** Request protocol with short header names for tests. */
 final class TestProtocol implements RequestProtocol {
+    private volatile Runnable beforeParse = () -> {};
+
+    /** Sets an action that runs on the I/O thread before a request is parsed. */
+    void beforeParse(Runnable action) {
+        beforeParse = action;
+    }
+
     @Override
     public String readyPath() {
         return "/ready";
@@ -25,6 +32,7 @@
 
     @Override
     public RequestMetadata parseRequest(List<String> headers) {
+        beforeParse.run();
         @Nullable
         Prompt prompt = header(headers, "Prompt")
                 .map(text -> new Prompt(
