Keep a shared segment at its owner unless the queue there is long

The preference for the owner weighed only the prefill of the copy itself, and a fetch was estimated at 15 ms besides its transfer, which two small round trips do not take, so the copy was then often prefilled instead of fetched.

Change: the owner may be slower by 0.7 of the segments' prefill time (4 times it while no engine holds them); a fetch costs 5 ms plus its transfer.

Before: PromptPlacementTest.aShortQueueAtItsOwner... fails; after: passes.

--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -16,20 +16,23 @@
  * outweighs the preference. Stateless.
  */
 public final class PromptPlacement {
-    /** Share of the shared segments' prefill time by which the preferred engine may be slower and is still chosen. */
-    static final double AFFINITY_PREFERENCE = 0.2;
+    /**
+     * Share of the shared segments' prefill time by which the preferred engine may be slower and is still chosen. A copy
+     * at another engine costs more than its prefill, because it evicts segments that other requests share.
+     */
+    static final double AFFINITY_PREFERENCE = 0.7;
 
     /** Share that applies instead while no engine has the shared segments cached. */
-    static final double UNCACHED_AFFINITY_PREFERENCE = 1.5;
+    static final double UNCACHED_AFFINITY_PREFERENCE = 4;
 
     /** Time to transfer a prompt's KV cache and to run its first decode step. */
     static final double TRANSFER_MILLIS = 25;
 
     /** Fixed time of a KV cache fetch, in addition to the transfer of its bytes. */
-    static final double FETCH_OVERHEAD_MILLIS = 15;
+    static final double FETCH_OVERHEAD_MILLIS = 5;
 
     /** Minimum saving of a fetch, because it loads the links of two engines. */
-    static final double MIN_FETCH_GAIN_MILLIS = 15;
+    static final double MIN_FETCH_GAIN_MILLIS = 5;
 
     /** Stream start delay that counts as much as the load of an engine without a free slot. */
     static final double START_DELAY_PER_LOAD_MILLIS = 400;
--- a/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
@@ -79,6 +79,23 @@
         assertThat(choice.prefillTokens()).isEqualTo(3_700);
     }
 
+    /**
+     * Load pattern: the shared segments of all prompts exceed the caches of all engines. Guards against a short queue at
+     * the owner of a segment that spreads copies of it, each of which evicts another segment.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, true", "5000, true", "60000, false"})
+    void aShortQueueAtItsOwnerDoesNotCopyASegmentToOtherEngines(long queuedTokens, boolean staysAtOwner) {
+        List<EngineCandidate> idle = IntStream.range(0, 6)
+                .mapToObj(i -> engine("e" + i, i < 5, 0, 0))
+                .toList();
+        String owner = prefillEngine(choose(idle, MANUAL));
+        List<EngineCandidate> engines = idle.stream()
+                .map(engine -> engine.id().equals(owner) ? engine(owner, true, queuedTokens, 13_300) : engine)
+                .toList();
+        assertThat(prefillEngine(choose(engines, MANUAL)).equals(owner)).isEqualTo(staysAtOwner);
+    }
+
     /** Guards against a short prompt that queues behind long ones. */
     @ParameterizedTest
     @CsvSource({"1460, 0, true", "1460, 200000, false", "17000, 0, false"})
