--- a/gateway/src/test/java/org/wagtailcart/gateway/EndlessResponseTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/EndlessResponseTest.java
@@ -10,8 +10,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.wagtailcart.common.EngineRole;
@@ -91,11 +93,11 @@
         }
     }
 
-    private static @org.jspecify.annotations.Nullable EngineRole role(Endless endless) {
+    private static @Nullable EngineRole role(Endless endless) {
         return endless.route.equals("stream") ? EngineRole.DECODE : null;
     }
 
-    private static @org.jspecify.annotations.Nullable EngineRole otherRole(Endless endless) {
+    private static @Nullable EngineRole otherRole(Endless endless) {
         return endless.route.equals("stream") ? null : EngineRole.DECODE;
     }
 
@@ -103,7 +105,7 @@
     private static String outcome(CompletableFuture<HttpResponse<String>> answer) throws Exception {
         try {
             return Integer.toString(answer.get(20, TimeUnit.SECONDS).statusCode());
-        } catch (java.util.concurrent.ExecutionException e) {
+        } catch (ExecutionException e) {
             return "broken off";
         }
     }
