Give the servers of tests ports below the ephemeral range

The fixture takes a port of the ephemeral range, closes it and starts its server later; an outgoing connection of another client of the same test can take it in between. Change: module testing with TestAddresses, used by the fixtures of nine modules in place of nine copies of the search; ProcessFleet had its own copy of the remedy. Ruled out: a server left over from an earlier test (each fixture takes new ports).

--- a/cli/src/test/java/org/wagtailcart/cli/WagtailcartTest.java
+++ b/cli/src/test/java/org/wagtailcart/cli/WagtailcartTest.java
@@ -8,7 +8,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -35,6 +34,7 @@
 import org.wagtailcart.coordination.SingleMemberLog;
 import org.wagtailcart.fleet.FleetMessages;
 import org.wagtailcart.settings.SettingsMessages;
+import org.wagtailcart.testing.TestAddresses;
 import org.wagtailcart.wire.IoLoop;
 import org.wagtailcart.wire.MessageCodec;
 import org.wagtailcart.wire.PeerClient;
@@ -68,8 +68,8 @@
     private final ExecutorService executor = Executors.newCachedThreadPool();
     private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
     private final IoLoop loop = new IoLoop("test-io");
-    private final Address operatorAddress = freeAddress();
-    private final Address unreachableAddress = freeAddress();
+    private final Address operatorAddress = TestAddresses.free();
+    private final Address unreachableAddress = TestAddresses.free();
 
     @TempDir
     private Path folder;
@@ -81,7 +81,7 @@
     void start() throws IOException {
         ControlState state = new ControlState(CODEC, new UnsupportedKeyStateMachine());
         MetricRegistry registry = new MetricRegistry();
-        log = new SingleMemberLog(new Member("c1", 1, freeAddress(), true), state);
+        log = new SingleMemberLog(new Member("c1", 1, TestAddresses.free(), true), state);
         role = new ControlRole(
                 new ControlOptions(operatorAddress, "secret", 500, 50, 50),
                 log,
@@ -217,14 +217,6 @@
         assertThat(code).isEqualTo(ExitCode.UNREACHABLE);
     }
 
-    private static Address freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return new Address("127.0.0.1", socket.getLocalPort());
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private static final class UnsupportedKeyStateMachine implements KeyStateMachine {
         @Override
         public Object apply(long index, long timeMillis, Object command) {
--- a/control/src/test/java/org/wagtailcart/control/http/ControlFixture.java
+++ b/control/src/test/java/org/wagtailcart/control/http/ControlFixture.java
@@ -1,8 +1,6 @@
 package org.wagtailcart.control.http;
 
 import com.codahale.metrics.MetricRegistry;
-import java.io.IOException;
-import java.net.ServerSocket;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -17,6 +15,7 @@
 import org.wagtailcart.coordination.Member;
 import org.wagtailcart.coordination.ReplicatedLog;
 import org.wagtailcart.coordination.SingleMemberLog;
+import org.wagtailcart.testing.TestAddresses;
 import org.wagtailcart.wire.IoLoop;
 import org.wagtailcart.wire.PeerClient;
 import org.wagtailcart.wire.PeerDispatcher;
@@ -27,8 +26,8 @@
 public final class ControlFixture implements AutoCloseable {
     public static final String TOKEN = "secret";
 
-    public final Address peerAddress = freeAddress();
-    public final Address operatorAddress = freeAddress();
+    public final Address peerAddress = TestAddresses.free();
+    public final Address operatorAddress = TestAddresses.free();
     public final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(2);
     public final PeerClient peers;
     public final ControlState state;
@@ -65,14 +64,6 @@
         server.start();
     }
 
-    private static Address freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return new Address("127.0.0.1", socket.getLocalPort());
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     @Override
     public void close() {
         role.close();
--- a/coordination/src/test/java/org/wagtailcart/coordination/LogBenchmark.java
+++ b/coordination/src/test/java/org/wagtailcart/coordination/LogBenchmark.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -15,6 +14,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.testing.TestAddresses;
 import org.wagtailcart.wire.MessageCodec;
 
 /** Measures proposals per second, latency, CPU and bytes over loopback; see docs/measurements/coordination.md. */
@@ -83,7 +83,7 @@
 
     private static void runCase(Path folder, int count, int[] concurrencies, long seconds) throws Exception {
         List<InitialMember> initial = IntStream.rangeClosed(1, count)
-                .mapToObj(i -> new InitialMember("m" + i, freeAddress()))
+                .mapToObj(i -> new InitialMember("m" + i, TestAddresses.free()))
                 .toList();
         List<LoopbackMember> members = new ArrayList<>();
         for (InitialMember member : initial) {
@@ -151,14 +151,6 @@
         }
     }
 
-    private static Address freeAddress() {
-        try (ServerSocket free = new ServerSocket(0)) {
-            return new Address("127.0.0.1", free.getLocalPort());
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private static final class CountingStateMachine implements StateMachine {
         private long count;
 
--- a/coordination/src/test/java/org/wagtailcart/coordination/RaftLogTest.java
+++ b/coordination/src/test/java/org/wagtailcart/coordination/RaftLogTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -24,10 +23,10 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.wagtailcart.common.Address;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.testing.TestAddresses;
 
 /** Guards against lost or diverging commands in members with real files and connections. */
 class RaftLogTest {
@@ -182,7 +181,7 @@
 
     private static List<InitialMember> newMembers(int count) {
         return IntStream.rangeClosed(1, count)
-                .mapToObj(i -> new InitialMember("m" + i, freeAddress()))
+                .mapToObj(i -> new InitialMember("m" + i, TestAddresses.free()))
                 .toList();
     }
 
@@ -225,14 +224,6 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
-    private static Address freeAddress() {
-        try (ServerSocket free = new ServerSocket(0)) {
-            return new Address("127.0.0.1", free.getLocalPort());
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private static void awaitTrue(BooleanSupplier condition) {
         long deadlineMillis = MillisClock.monotonic().nowMillis() + TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS);
         while (!condition.getAsBoolean()) {
--- a/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
@@ -7,7 +7,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -27,7 +26,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -38,6 +36,7 @@
 import org.wagtailcart.settings.ApplySettingsResult;
 import org.wagtailcart.settings.SettingsIni;
 import org.wagtailcart.settings.SettingsTree;
+import org.wagtailcart.testing.TestAddresses;
 import org.wagtailcart.wire.IoLoop;
 import org.wagtailcart.wire.PeerClient;
 import org.wagtailcart.wire.WireOptions;
@@ -45,10 +44,6 @@
 /** Test fixture that runs a fleet of real processes on loopback, with stand-ins for engines and services. */
 final class ProcessFleet implements AutoCloseable {
     static final String MODEL = "repair-assistant";
-    /** Ports below the ephemeral range, so that no outgoing connection takes a port before its process binds it. */
-    private static final AtomicInteger NEXT_PORT =
-            new AtomicInteger(18_000 + (int) (ProcessHandle.current().pid() % 100) * 120);
-
     private static final long WAIT_LIMIT_MILLIS = 90_000;
 
     private final Path folder;
@@ -78,7 +73,7 @@
 
     /** Returns the address of a listener, which is allocated on first use. */
     Address address(String name) {
-        return addresses.computeIfAbsent(name, unused -> freeAddress());
+        return addresses.computeIfAbsent(name, unused -> TestAddresses.free());
     }
 
     ChildProcess process(String name) {
@@ -442,20 +437,4 @@
     private static URI uri(Address address, String path) {
         return URI.create("http://" + address + path);
     }
-
-    private static Address freeAddress() {
-        return IntStream.generate(NEXT_PORT::getAndIncrement)
-                .filter(ProcessFleet::isFree)
-                .mapToObj(port -> new Address("127.0.0.1", port))
-                .findFirst()
-                .orElseThrow();
-    }
-
-    private static boolean isFree(int port) {
-        try (ServerSocket socket = new ServerSocket(port)) {
-            return socket.isBound();
-        } catch (IOException e) {
-            return false;
-        }
-    }
 }
--- a/entry/src/test/java/org/wagtailcart/entry/EntryFixture.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryFixture.java
@@ -18,6 +18,7 @@
 import org.wagtailcart.control.client.ControlClient;
 import org.wagtailcart.entry.admission.BoundedQueueAdmission;
 import org.wagtailcart.entry.admission.RatioRetryBudget;
+import org.wagtailcart.testing.TestAddresses;
 import org.wagtailcart.wire.IoLoop;
 import org.wagtailcart.wire.PeerClient;
 import org.wagtailcart.wire.WireOptions;
@@ -33,7 +34,7 @@
     private final HttpClient http =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     final MetricRegistry registry = new MetricRegistry();
-    final Address address = FakeSidecar.freeAddress();
+    final Address address = TestAddresses.free();
     final LeastInFlightRouter router = new LeastInFlightRouter();
     final EntryRole entry;
 
--- a/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
@@ -22,6 +22,7 @@
 import org.wagtailcart.sidecar.message.AttemptEnd;
 import org.wagtailcart.sidecar.message.AttemptRequest;
 import org.wagtailcart.sidecar.message.AttemptStarted;
+import org.wagtailcart.testing.TestAddresses;
 import org.wagtailcart.wire.Exchange;
 
 /** Guards against streams with lost, repeated or foreign tokens when attempts fail, are retried or are resumed. */
@@ -197,7 +198,7 @@
      */
     @Test
     void refusedConnectsDoNotSpendTheRetryBudget() {
-        control.addEngine("a-dead", FakeSidecar.freeAddress(), EngineRole.MIXED, 4);
+        control.addEngine("a-dead", TestAddresses.free(), EngineRole.MIXED, 4);
         fixture.awaitInstalled();
         IntStream.range(0, 30).forEach(i -> assertComplete(fixture.complete(true)));
         assertThat(fixture.count("entry.retries")).isAtLeast(20);
--- a/entry/src/test/java/org/wagtailcart/entry/FakeSidecar.java
+++ b/entry/src/test/java/org/wagtailcart/entry/FakeSidecar.java
@@ -4,8 +4,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +23,7 @@
 import org.wagtailcart.sidecar.message.AttemptStarted;
 import org.wagtailcart.sidecar.message.AttemptStatus;
 import org.wagtailcart.sidecar.message.SidecarMessages;
+import org.wagtailcart.testing.TestAddresses;
 import org.wagtailcart.wire.Exchange;
 import org.wagtailcart.wire.IoLoop;
 import org.wagtailcart.wire.MessageCodec;
@@ -53,20 +52,12 @@
     final CountDownLatch cancelled = new CountDownLatch(1);
 
     FakeSidecar() {
-        address = freeAddress();
+        address = TestAddresses.free();
         server = new PeerServer(
                 loop, address, CODEC, this::handle, executor, WireOptions.standard(), new MetricRegistry());
         server.start();
     }
 
-    static Address freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return new Address("127.0.0.1", socket.getLocalPort());
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     private void handle(Exchange exchange, Object message) {
         if (message instanceof AttemptQuery query) {
             AttemptStatus notSent = new AttemptStatus(AttemptStatus.State.NOT_SENT, null);
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -30,6 +29,7 @@
 import org.wagtailcart.routes.RouteTable;
 import org.wagtailcart.routes.ServiceSpec;
 import org.wagtailcart.routes.TrafficSplit;
+import org.wagtailcart.testing.TestAddresses;
 
 /** Test harness that runs a gateway with scripted upstreams and an in-process control group that always replies. */
 final class GatewayTestHarness implements AutoCloseable {
@@ -42,7 +42,7 @@
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
     private final HttpClient http = HttpClient.newHttpClient();
     private final List<ListedUpstream> upstreams = new ArrayList<>();
-    private final Address callers = new Address("127.0.0.1", freePort());
+    private final Address callers = TestAddresses.free();
     private final TestProtocol protocol = new TestProtocol();
     private final GatewayRole role;
     private final long controlMillis;
@@ -67,7 +67,7 @@
 
     private GatewayTestHarness(long controlMillis, int retryReserve) throws IOException {
         this.controlMillis = controlMillis;
-        Address ready = new Address("127.0.0.1", freePort());
+        Address ready = TestAddresses.free();
         GatewayOptions options = new GatewayOptions(
                 "g",
                 new Location("fes", Regions.SINGLE),
@@ -88,12 +88,6 @@
                 new MetricRegistry());
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     void add(String id, String service, TestUpstream upstream, @Nullable EngineRole engineRole) {
         upstreams.add(new ListedUpstream(id, service, upstream.address(), "fes", 4, false, engineRole));
     }
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarFixture.java
@@ -3,8 +3,6 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.codahale.metrics.MetricRegistry;
-import java.io.IOException;
-import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
@@ -26,6 +24,7 @@
 import org.wagtailcart.standin.ServiceOptions;
 import org.wagtailcart.standin.StandinEngine;
 import org.wagtailcart.standin.StandinService;
+import org.wagtailcart.testing.TestAddresses;
 import org.wagtailcart.wire.PeerDispatcher;
 
 /** Fixture with a sidecar, an embedded engine {@code e} and an embedded service {@code s}. */
@@ -37,8 +36,8 @@
     final ExecutorService traffic = Executors.newCachedThreadPool();
     private final List<ScheduledExecutorService> controlThreads = new CopyOnWriteArrayList<>();
     final MetricRegistry registry = new MetricRegistry();
-    final Address engineAddress = freeAddress();
-    final Address serviceAddress = freeAddress();
+    final Address engineAddress = TestAddresses.free();
+    final Address serviceAddress = TestAddresses.free();
     final StandinEngine engine;
     final StandinService service = new StandinService(new ServiceOptions(serviceAddress, 0, false));
     private final AtomicLong nextNumber = new AtomicLong(1_000);
@@ -86,14 +85,6 @@
         traffic.shutdownNow();
     }
 
-    static Address freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return new Address("127.0.0.1", socket.getLocalPort());
-        } catch (IOException e) {
-            throw new AssertionError(e);
-        }
-    }
-
     long epoch() {
         return ((SidecarDump) role.dump()).epoch();
     }
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarWireTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/SidecarWireTest.java
@@ -17,6 +17,7 @@
 import org.wagtailcart.sidecar.message.AttemptRequest;
 import org.wagtailcart.sidecar.message.AttemptStatus;
 import org.wagtailcart.sidecar.message.SidecarMessages;
+import org.wagtailcart.testing.TestAddresses;
 import org.wagtailcart.wire.Call;
 import org.wagtailcart.wire.IoLoop;
 import org.wagtailcart.wire.MessageCodec;
@@ -30,7 +31,7 @@
     private final SidecarFixture fixture = new SidecarFixture(options -> options);
     private final MessageCodec codec = new MessageCodec(List.of(SidecarMessages.TYPES));
     private final IoLoop loop = new IoLoop("test-io");
-    private final Address address = SidecarFixture.freeAddress();
+    private final Address address = TestAddresses.free();
     private final PeerServer server = new PeerServer(
             loop, address, codec, fixture.dispatcher, fixture.traffic, WireOptions.standard(), fixture.registry);
     private final PeerClient client =
--- a/standin/src/test/java/org/wagtailcart/standin/LoadGeneratorTest.java
+++ b/standin/src/test/java/org/wagtailcart/standin/LoadGeneratorTest.java
@@ -4,8 +4,6 @@
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
 import com.beust.jcommander.JCommander;
-import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -15,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.testing.TestAddresses;
 
 /**
  * Guards against a load generator that counts faulty responses as good or depends on more than its options, and against a
@@ -28,9 +27,9 @@
     private Relay relay;
 
     @BeforeEach
-    void start() throws IOException {
-        address = freeAddress();
-        relayAddress = freeAddress();
+    void start() {
+        address = TestAddresses.free();
+        relayAddress = TestAddresses.free();
         engine = new StandinEngine(EngineOptions.forTest(address, "m"));
         engine.start();
         relay = new Relay(new Relay.Options(relayAddress, address, null));
@@ -116,10 +115,4 @@
     private static LoadOptions options(long seed, long deadlineMillis, Address entry) {
         return new LoadOptions(List.of(entry), "m", "", "/", "default", seed, 1_000, 30, 1_000, 0, 0.1, deadlineMillis);
     }
-
-    private static Address freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return new Address("127.0.0.1", socket.getLocalPort());
-        }
-    }
 }
--- a/standin/src/test/java/org/wagtailcart/standin/StandinEngineTest.java
+++ b/standin/src/test/java/org/wagtailcart/standin/StandinEngineTest.java
@@ -2,8 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -16,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.testing.TestAddresses;
 
 /** Guards against a stand-in engine whose own faults would hide faults of the system under test. */
 class StandinEngineTest {
@@ -24,10 +23,8 @@
     private StandinEngine engine;
 
     @BeforeEach
-    void start() throws IOException {
-        try (ServerSocket free = new ServerSocket(0)) {
-            address = new Address("127.0.0.1", free.getLocalPort());
-        }
+    void start() {
+        address = TestAddresses.free();
         engine = new StandinEngine(EngineOptions.forTest(address, "m"));
         engine.start();
     }
@@ -88,18 +85,15 @@
     /** Guards against a KV cache that cannot be transferred from a prefill engine to a decode engine. */
     @Test
     void heldKvIsImportedByAnotherEngine() throws Exception {
-        try (ServerSocket free = new ServerSocket(0)) {
-            Address other = new Address("127.0.0.1", free.getLocalPort());
-            free.close();
-            try (StandinEngine decode = new StandinEngine(EngineOptions.forTest(other, "m"))) {
-                decode.start();
-                String held = "{\"model\":\"m\",\"prompt\":\"hello\",\"max_tokens\":0,\"hold_kv\":true}";
-                assertThat(post("/v1/completions", held).statusCode()).isEqualTo(200);
-                String source = "{\"address\":\"" + address + "\",\"request_id\":\"r1\"}";
-                String body = "{\"model\":\"m\",\"prompt\":\"hello\",\"max_tokens\":3,\"kv_source\":" + source + "}";
-                assertThat(post(other, "/v1/completions", body).body()).contains(Tokens.text("hello", 0, 3));
-                assertThat(decode.counters().kvImports()).isEqualTo(1);
-            }
+        Address other = TestAddresses.free();
+        try (StandinEngine decode = new StandinEngine(EngineOptions.forTest(other, "m"))) {
+            decode.start();
+            String held = "{\"model\":\"m\",\"prompt\":\"hello\",\"max_tokens\":0,\"hold_kv\":true}";
+            assertThat(post("/v1/completions", held).statusCode()).isEqualTo(200);
+            String source = "{\"address\":\"" + address + "\",\"request_id\":\"r1\"}";
+            String body = "{\"model\":\"m\",\"prompt\":\"hello\",\"max_tokens\":3,\"kv_source\":" + source + "}";
+            assertThat(post(other, "/v1/completions", body).body()).contains(Tokens.text("hello", 0, 3));
+            assertThat(decode.counters().kvImports()).isEqualTo(1);
         }
     }
 
--- a/wire/src/test/java/org/wagtailcart/wire/PeerTest.java
+++ b/wire/src/test/java/org/wagtailcart/wire/PeerTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.codahale.metrics.MetricRegistry;
-import java.io.IOException;
 import java.io.OutputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -29,6 +28,7 @@
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.testing.TestAddresses;
 
 /** Guards against calls between peers that lose replies, hang or report a wrong run state, over real sockets. */
 class PeerTest {
@@ -49,10 +49,8 @@
     private PeerClient client;
 
     @BeforeEach
-    void start() throws IOException {
-        try (ServerSocket free = new ServerSocket(0)) {
-            address = new Address("127.0.0.1", free.getLocalPort());
-        }
+    void start() {
+        address = TestAddresses.free();
         server = new PeerServer(loop, address, CODEC, this::handle, executor, FAST, registry);
         server.start();
         client = new PeerClient(loop, CODEC, executor, FAST, registry);
