Treat a response with an invalid header field as a failure

Cause: OkHttp accepts header names and values that RFC 9110 doesn't allow. Undertow cannot write a name outside Latin-1: the write failed after the response was marked as started, the exception was swallowed by XNIO, and the caller waited until its own timeout (seen in each run of CorruptedResponseTest as XNIO000011). Change: ResponseHeadValidator, a network interceptor of all internal clients, turns such a response into a failure and closes its connection; CallerResponseWriter closes the caller's connection when a write fails for any reason.

--- a/gateway/src/main/java/org/wagtailcart/gateway/call/CallerResponseWriter.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallerResponseWriter.java
@@ -2,6 +2,8 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.ScheduledExecutorService;
@@ -10,8 +12,12 @@
 import org.wagtailcart.entry.answer.CallerResponse;
 import org.wagtailcart.entry.answer.ErrorResponse;
 
-/** Thread-safe writer of the response to a caller. All operations run in order on the I/O thread of the connection. */
+/**
+ * Thread-safe writer of the response to a caller. All operations run in order on the I/O thread of the connection. An
+ * operation that fails closes the connection, because the caller would otherwise wait until its own timeout.
+ */
 public final class CallerResponseWriter {
+    private static final Logger LOG = System.getLogger(CallerResponseWriter.class.getName());
     private static final int MILLIS_PER_SECOND = 1_000;
 
     private final HttpServerExchange exchange;
@@ -25,7 +31,7 @@
 
     /** Runs an action once when the caller disconnects before the end of the response. */
     public void onDisconnect(Runnable action) {
-        exchange.getIoThread().execute(() -> response.onDisconnect(action));
+        execute(() -> response.onDisconnect(action));
     }
 
     /** Returns whether the caller has disconnected before the end of the response. */
@@ -35,27 +41,27 @@
 
     /** Sends a complete response. */
     public void reply(int status, List<String> headers, byte[] body) {
-        exchange.getIoThread().execute(() -> response.send(status, headers, body));
+        execute(() -> response.send(status, headers, body));
     }
 
     /** Sends the status and headers of a response; the body follows with {@link #write}. */
     public void start(int status, List<String> headers) {
-        exchange.getIoThread().execute(() -> response.start(status, headers));
+        execute(() -> response.start(status, headers));
     }
 
     /** Sends a chunk of the body. */
     public void write(byte[] bytes) {
-        exchange.getIoThread().execute(() -> response.write(bytes));
+        execute(() -> response.write(bytes));
     }
 
     /** Marks the response as complete. */
     public void end() {
-        exchange.getIoThread().execute(response::end);
+        execute(response::end);
     }
 
     /** Closes the connection, so that the caller observes an incomplete response. */
     public void abort() {
-        exchange.getIoThread().execute(response::abort);
+        execute(response::abort);
     }
 
     /**
@@ -64,7 +70,7 @@
      * @param retryAfterMillis time after which the caller should retry, 0 for no Retry-After header
      */
     public void refuse(ResultCode code, RunState runState, boolean retryable, String message, long retryAfterMillis) {
-        exchange.getIoThread().execute(() -> {
+        execute(() -> {
             if (response.started()) {
                 response.abort();
                 return;
@@ -76,4 +82,15 @@
             response.sendError(new ErrorResponse(code, runState, retryable || runState == RunState.NOT_RUN, message));
         });
     }
+
+    private void execute(Runnable operation) {
+        exchange.getIoThread().execute(() -> {
+            try {
+                operation.run();
+            } catch (RuntimeException e) {
+                LOG.log(Level.ERROR, "response to a caller cannot be written", e);
+                response.abort();
+            }
+        });
+    }
 }
--- a/upstream/src/main/java/org/wagtailcart/upstream/InternalHttpClients.java
+++ b/upstream/src/main/java/org/wagtailcart/upstream/InternalHttpClients.java
@@ -7,8 +7,8 @@
 import okhttp3.Protocol;
 
 /**
- * Factory for HTTP clients inside the system: no proxy, no TLS, no automatic retries or redirects, and a bound on the
- * bytes of a response besides its body.
+ * Factory for HTTP clients inside the system: no proxy, no TLS, no automatic retries or redirects, a bound on the
+ * bytes of a response besides its body, and a check of its header fields.
  */
 public final class InternalHttpClients {
     private InternalHttpClients() {}
@@ -24,6 +24,7 @@
                 .protocols(List.of(Protocol.HTTP_1_1))
                 .proxy(Proxy.NO_PROXY)
                 .socketFactory(ResponseBounds.socketFactory())
+                .addNetworkInterceptor(ResponseHeadValidator::intercept)
                 .addNetworkInterceptor(ResponseBounds::intercept);
     }
 }
