Count timeouts from when a request may have arrived, not from when it was read

Change: ReadDelayMonitor takes a timestamp per pass of the I/O thread's event loop. What is read in a pass has arrived after the start of the previous one; timeouts are counted from there when the thread is delayed by more than two intervals. Ruled out: the timer that ends requests (it fired on time), requests waiting for a thread of the executor (they count from the read).

--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -43,6 +43,7 @@
     private final GatewayOptions options;
     private final GatewayContext context;
     private final HostListReader listReader;
+    private final ReadDelayMonitor readDelay;
     private final InboundHandler handler;
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
     private volatile boolean draining;
@@ -84,7 +85,8 @@
                 traffic,
                 timer,
                 clock);
-        this.handler = new InboundHandler(context, new HandlerState());
+        this.readDelay = new ReadDelayMonitor(clock);
+        this.handler = new InboundHandler(context, new HandlerState(), readDelay);
         GatewayMetrics.register(registry, context, handler::openRequests);
     }
 
@@ -126,6 +128,7 @@
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MILLIS)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
+                // ReadDelayMonitor observes a single thread.
                 .setIoThreads(1)
                 .setWorkerThreads(1)
                 .setHandler(new io.undertow.server.handlers.HttpContinueReadHandler(byListener))
@@ -136,6 +139,7 @@
             throw new WagtailcartException(
                     ResultCode.INVALID_ARGUMENT, "cannot listen on " + callers + " or " + loadBalancer, e);
         }
+        readDelay.start(started.getWorker().getIoThread());
         server = started;
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
@@ -37,6 +37,7 @@
 
     private final GatewayContext context;
     private final GatewayState state;
+    private final ReadDelayMonitor readDelay;
     private final AtomicInteger open = new AtomicInteger();
     private final AtomicLong bodyBytes = new AtomicLong();
 
@@ -52,9 +53,10 @@
         void requestEnded();
     }
 
-    InboundHandler(GatewayContext context, GatewayState state) {
+    InboundHandler(GatewayContext context, GatewayState state, ReadDelayMonitor readDelay) {
         this.context = context;
         this.state = state;
+        this.readDelay = readDelay;
     }
 
     /** Returns the number of requests whose response is not complete. */
@@ -64,7 +66,7 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        long arrivedMillis = context.clock().nowMillis();
+        long arrivedMillis = readDelay.earliestArrivalMillis();
         open.incrementAndGet();
         exchange.addExchangeCompleteListener((done, next) -> {
             open.decrementAndGet();
