Compute the share of prefill engines from the slots of the engines

Change: the share is slots / (slots + 19.1), which leaves 0.77 at 64 slots and gives 0.63 at 32. Sites with 64 slots keep their split.

--- a/control/src/main/java/org/wagtailcart/control/orders/EngineRoleController.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/EngineRoleController.java
@@ -31,6 +31,7 @@
 import org.wagtailcart.directory.OrderOutcome;
 import org.wagtailcart.directory.ReportedEngineState;
 import org.wagtailcart.policy.role.PrefillRatioPlanner;
+import org.wagtailcart.routes.EngineSpec;
 import org.wagtailcart.routes.RouteTable;
 import org.wagtailcart.routes.ServiceSpec;
 
@@ -218,7 +219,8 @@
                         upstream.role() == EngineRole.PREFILL,
                         pendingRoleChanges.containsKey(upstream.instanceId())))
                 .toList();
-        List<PrefillRatioPlanner.RatioChange> changes = planner.plan(engines, trafficSeen.get(), nowMillis);
+        List<PrefillRatioPlanner.RatioChange> changes =
+                planner.plan(engines, slots(service), trafficSeen.get(), nowMillis);
         changes.stream()
                 .filter(change -> !orderCooldownUntilMillis.containsKey(change.engineId()))
                 .takeWhile(change -> mayOrder())
@@ -228,6 +230,15 @@
                         .ifPresent(upstream -> sendOrder(upstream, change.role())));
     }
 
+    private int slots(String service) {
+        return table.get().services().stream()
+                .filter(spec -> spec.name().equals(service))
+                .flatMap(spec -> Optional.ofNullable(spec.engine()).stream())
+                .mapToInt(EngineSpec::slots)
+                .findFirst()
+                .orElse(1);
+    }
+
     /**
      * Returns the domain over which engines of each role are spread: the region when there are several, because KV
      * cache is hardly ever transferred between regions, otherwise the failure domain.
--- a/policy/src/main/java/org/wagtailcart/policy/role/PrefillRatioPlanner.java
+++ b/policy/src/main/java/org/wagtailcart/policy/role/PrefillRatioPlanner.java
@@ -11,13 +11,16 @@
 import org.wagtailcart.common.EngineRole;
 
 /**
- * Planner that keeps a fixed share of a service's engines in the prefill role. Before traffic all engines may change at
+ * Planner that keeps a share of a service's engines in the prefill role, which depends on their slots. Before traffic all engines may change at
  * once; under traffic one at a time, and only after a sustained imbalance. An engine that has just appeared or
  * restarted has an empty cache and may change at once.
  */
 public final class PrefillRatioPlanner {
-    /** Share of the engines in the prefill role; prefill dominates the work because outputs are short. */
-    static final double PREFILL_RATIO = 0.77;
+    /**
+     * Outputs that decode at the same time for each engine that prefills. Engines with fewer slots than others need a
+     * larger share of the fleet in the decode role.
+     */
+    static final double OUTPUTS_PER_PREFILL_ENGINE = 19.1;
 
     /** Deviation from the target, in engines, from which the ratio is corrected under traffic. */
     static final int MIN_DEVIATION_ENGINES = 2;
@@ -59,22 +62,28 @@
      */
     public record RatioChange(String engineId, EngineRole role) {}
 
-    /** Returns the number of engines that should be in the prefill role. */
-    static int targetPrefillCount(int engines) {
+    /**
+     * Returns the number of engines that should be in the prefill role.
+     *
+     * @param slots requests that an engine runs at once
+     */
+    static int targetPrefillCount(int engines, int slots) {
         if (engines < 2) {
             return 0;
         }
-        return Math.max(1, Math.min(engines - 1, (int) Math.round(engines * PREFILL_RATIO)));
+        double prefillRatio = slots / (slots + OUTPUTS_PER_PREFILL_ENGINE);
+        return Math.max(1, Math.min(engines - 1, (int) Math.round(engines * prefillRatio)));
     }
 
     /**
      * Returns the role changes to order now.
      *
+     * @param slots requests that an engine runs at once
      * @param servingTraffic whether the service has traffic
      */
-    public List<RatioChange> plan(List<Engine> engines, boolean servingTraffic, long nowMillis) {
+    public List<RatioChange> plan(List<Engine> engines, int slots, boolean servingTraffic, long nowMillis) {
         recordEngines(engines, nowMillis);
-        int shortfall = targetPrefillCount(engines.size()) - plannedPrefillCount(engines);
+        int shortfall = targetPrefillCount(engines.size(), slots) - plannedPrefillCount(engines);
         boolean imbalanced = shortfall != 0 && (!servingTraffic || Math.abs(shortfall) >= MIN_DEVIATION_ENGINES);
         imbalancedSinceMillis = imbalanced ? Math.min(imbalancedSinceMillis, nowMillis) : NOT_IMBALANCED;
         Optional<RatioChange> newEngineChange = servingTraffic && shortfall != 0
--- a/policy/src/test/java/org/wagtailcart/policy/role/PrefillRatioPlannerTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/role/PrefillRatioPlannerTest.java
@@ -12,6 +12,8 @@
 
 /** Guards against wrong prefill ratios, and against role changes that cost cached prefixes under traffic needlessly. */
 class PrefillRatioPlannerTest {
+    private static final int SLOTS = 64;
+
     private final PrefillRatioPlanner planner = new PrefillRatioPlanner();
 
     private static List<PrefillRatioPlanner.Engine> engines(int count, int prefill) {
@@ -24,14 +26,21 @@
     @ParameterizedTest
     @CsvSource({"0, 0", "1, 0", "2, 1", "3, 2", "13, 10", "27, 21", "2100, 1617"})
     void theTargetKeepsAnEngineInBothRoles(int count, int prefill) {
-        assertThat(PrefillRatioPlanner.targetPrefillCount(count)).isEqualTo(prefill);
+        assertThat(PrefillRatioPlanner.targetPrefillCount(count, SLOTS)).isEqualTo(prefill);
+    }
+
+    /** Guards against long outputs that fill the slots of few decode engines while prefill engines are idle. */
+    @ParameterizedTest
+    @CsvSource({"8, 64, 6", "8, 32, 5", "8, 16, 4", "60, 64, 46", "60, 32, 38", "35, 32, 22", "8, 256, 7", "8, 1, 1"})
+    void enginesWithFewSlotsNeedMoreDecodeEngines(int count, int slots, int prefill) {
+        assertThat(PrefillRatioPlanner.targetPrefillCount(count, slots)).isEqualTo(prefill);
     }
 
     @Test
     void allEnginesChangeAtOnceBeforeTraffic() {
-        assertThat(planner.plan(engines(4, 3), false, 0)).isEmpty();
-        assertThat(planner.plan(engines(13, 5), false, 1_000)).isEmpty();
-        List<PrefillRatioPlanner.RatioChange> changes = planner.plan(engines(13, 5), false, 3_000);
+        assertThat(planner.plan(engines(4, 3), SLOTS, false, 0)).isEmpty();
+        assertThat(planner.plan(engines(13, 5), SLOTS, false, 1_000)).isEmpty();
+        List<PrefillRatioPlanner.RatioChange> changes = planner.plan(engines(13, 5), SLOTS, false, 3_000);
         assertThat(changes).hasSize(5);
         assertThat(changes.stream().map(PrefillRatioPlanner.RatioChange::role).distinct())
                 .containsExactly(EngineRole.PREFILL);
@@ -41,19 +50,19 @@
     @ParameterizedTest
     @CsvSource({"9, 60000, 0", "8, 4000, 0", "8, 6000, 1", "5, 6000, 1", "13, 6000, 1"})
     void underTrafficOneEngineChangesAfterASustainedImbalance(int prefill, long afterMillis, int changes) {
-        planner.plan(engines(13, prefill), true, 0);
-        assertThat(planner.plan(engines(13, prefill), true, afterMillis)).hasSize(changes);
+        planner.plan(engines(13, prefill), SLOTS, true, 0);
+        assertThat(planner.plan(engines(13, prefill), SLOTS, true, afterMillis)).hasSize(changes);
     }
 
     /** Guards against a delay for a replacement engine in the other role, whose cache is still empty. */
     @Test
     void aNewEngineChangesAtOnce() {
-        planner.plan(engines(13, 10), true, 0);
-        planner.plan(engines(13, 10), true, 20_000);
+        planner.plan(engines(13, 10), SLOTS, true, 0);
+        planner.plan(engines(13, 10), SLOTS, true, 20_000);
         List<PrefillRatioPlanner.Engine> replaced =
                 new ArrayList<>(engines(13, 10).subList(1, 13));
         replaced.add(new PrefillRatioPlanner.Engine("new", "z0", false, false));
-        assertThat(planner.plan(replaced, true, 21_000))
+        assertThat(planner.plan(replaced, SLOTS, true, 21_000))
                 .containsExactly(new PrefillRatioPlanner.RatioChange("new", EngineRole.PREFILL));
     }
 
@@ -63,8 +72,8 @@
         List<PrefillRatioPlanner.Engine> engines = new ArrayList<>(engines(13, 5));
         IntStream.range(8, 13)
                 .forEach(i -> engines.set(i, new PrefillRatioPlanner.Engine("e" + i, "z" + i % 4, false, true)));
-        planner.plan(engines, false, 0);
-        assertThat(planner.plan(engines, false, 3_000)).isEmpty();
-        assertThat(planner.plan(engines(13, 10), false, 7_000)).isEmpty();
+        planner.plan(engines, SLOTS, false, 0);
+        assertThat(planner.plan(engines, SLOTS, false, 3_000)).isEmpty();
+        assertThat(planner.plan(engines(13, 10), SLOTS, false, 7_000)).isEmpty();
     }
 }
