--- a/gateway/src/main/java/org/wagtailcart/gateway/ReadDelayMonitor.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/ReadDelayMonitor.java
@@ -1,5 +1,6 @@
 package org.wagtailcart.gateway;
 
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.wagtailcart.common.MillisClock;
 import org.xnio.XnioIoThread;
@@ -46,6 +47,10 @@
 
     private void takeTimestamp(XnioIoThread thread) {
         passStarted();
-        thread.executeAfter(() -> takeTimestamp(thread), INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        try {
+            thread.executeAfter(() -> takeTimestamp(thread), INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            // The thread is terminating because the gateway stops.
+        }
     }
 }
