--- a/common/src/main/java/org/wagtailcart/common/LogEventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEventKind.java
@@ -27,7 +27,18 @@
             "table-age-millis",
             "list-age-millis"),
     /** An attempt of a request failed at an upstream. */
-    ATTEMPT_FAILED(false, "request", "step", "upstream", "code", "status", "run-state", "after-millis", "reason"),
+    ATTEMPT_FAILED(
+            false,
+            "request",
+            "step",
+            "upstream",
+            "code",
+            "status",
+            "run-state",
+            "after-millis",
+            "output-for-millis",
+            "segments",
+            "reason"),
     /** A request ended. */
     REQUEST_ENDED(
             true,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -12,6 +12,7 @@
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.SettingNames;
 import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.gateway.list.InFlightRequest;
 import org.wagtailcart.gateway.list.Upstream;
 import org.wagtailcart.gateway.list.UpstreamOutcome;
 import org.wagtailcart.gateway.protocol.ResponseMetadata;
@@ -198,23 +199,26 @@
     /** Logs an attempt without a response to relay. */
     final void logFailed(
             String step,
-            Upstream upstream,
+            InFlightRequest inFlight,
             ResultCode code,
             int status,
             RunState runState,
             long sentAtMillis,
             String reason) {
         context.metrics().recordAttemptFailure(code);
+        long outputAtMillis = inFlight.firstOutputAtMillis();
         LogEventKind.ATTEMPT_FAILED.log(
                 LOG,
                 Level.INFO,
                 request.metadata().requestId(),
                 step,
-                upstream.id(),
+                inFlight.upstream().id(),
                 code.number(),
                 status,
                 SettingNames.of(runState),
                 nowMillis() - sentAtMillis,
+                outputAtMillis < 0 ? -1 : nowMillis() - outputAtMillis,
+                request.metadata().sharedSegmentIds(),
                 reason);
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -117,7 +117,7 @@
             }
             logFailed(
                     STEP,
-                    inFlight.upstream(),
+                    inFlight,
                     ResultCode.UPSTREAM_REFUSED,
                     metadata.status(),
                     RunState.NOT_RUN,
@@ -137,7 +137,7 @@
         lastFailure = metadata.hasServerStamp() ? response : null;
         logFailed(
                 STEP,
-                inFlight.upstream(),
+                inFlight,
                 ResultCode.UPSTREAM_FAILED,
                 metadata.status(),
                 RunState.RAN,
@@ -158,14 +158,7 @@
         }
         boolean notRun = error.runState() == RunState.NOT_RUN;
         inFlight.end(UpstreamOutcome.NO_RESPONSE, nowMillis());
-        logFailed(
-                STEP,
-                inFlight.upstream(),
-                error.code(),
-                0,
-                error.runState(),
-                sentAtMillis,
-                String.valueOf(error.getMessage()));
+        logFailed(STEP, inFlight, error.code(), 0, error.runState(), sentAtMillis, String.valueOf(error.getMessage()));
         if (notRun) {
             markNotRun(ranBefore);
             return false;
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -183,7 +183,7 @@
                 deliveredAttempts++;
                 logFailed(
                         STEP_PROMPT,
-                        engine,
+                        inFlight,
                         ResultCode.UPSTREAM_REFUSED,
                         metadata.status(),
                         RunState.NOT_RUN,
@@ -195,7 +195,8 @@
                 inFlight.end(UpstreamOutcome.NO_RESPONSE, nowMillis());
                 excluded.add(engine.id());
                 deliveredAttempts += e.runState() == RunState.NOT_RUN ? 0 : 1;
-                logFailed(STEP_PROMPT, engine, e.code(), 0, e.runState(), sentAtMillis, String.valueOf(e.getMessage()));
+                logFailed(
+                        STEP_PROMPT, inFlight, e.code(), 0, e.runState(), sentAtMillis, String.valueOf(e.getMessage()));
             }
         } finally {
             inFlight.end();
@@ -329,7 +330,7 @@
             handleRefusal(inFlight.upstream(), metadata);
             logFailed(
                     STEP_STREAM,
-                    inFlight.upstream(),
+                    inFlight,
                     ResultCode.UPSTREAM_REFUSED,
                     metadata.status(),
                     RunState.NOT_RUN,
@@ -370,7 +371,7 @@
         excluded.add(inFlight.upstream().id());
         logFailed(
                 STEP_STREAM,
-                inFlight.upstream(),
+                inFlight,
                 ResultCode.UPSTREAM_FAILED,
                 metadata.status(),
                 RunState.RAN,
@@ -396,7 +397,7 @@
         excluded.add(inFlight.upstream().id());
         logFailed(
                 STEP_STREAM,
-                inFlight.upstream(),
+                inFlight,
                 error.code(),
                 0,
                 error.runState(),
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/InFlightRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/InFlightRequest.java
@@ -13,6 +13,7 @@
     private final long dueMillis;
     private boolean ended;
     private boolean prefilled;
+    private long firstOutputAtMillis = -1;
 
     /**
      * Expected work of the upstream for the request.
@@ -46,6 +47,7 @@
             }
             prefilled = true;
             long nowMillis = registry.nowMillis();
+            firstOutputAtMillis = nowMillis;
             upstream.prefillCompleted(work.prefillTokens());
             upstream.recordResponse(nowMillis);
             Upstream prefillEngine = work.prefillEngine();
@@ -56,6 +58,13 @@
         }
     }
 
+    /** Returns the monotonic time of the first output of the upstream, -1 if there was none. */
+    public long firstOutputAtMillis() {
+        synchronized (registry) {
+            return firstOutputAtMillis;
+        }
+    }
+
     /** Returns whether the request is overdue and the upstream has sent no other response since it started. */
     boolean isOverdueWithoutResponse(long answeredMillis, long nowMillis) {
         return nowMillis > dueMillis && answeredMillis < startMillis;
--- a/gateway/src/main/java/org/wagtailcart/gateway/protocol/RequestMetadata.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/protocol/RequestMetadata.java
@@ -1,7 +1,9 @@
 package org.wagtailcart.gateway.protocol;
 
+import java.util.List;
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.policy.placement.PrefixCacheEstimate;
 
 /**
  * Metadata parsed from the headers of a caller's request.
@@ -12,4 +14,14 @@
  * @param lastEventId id of the last event received from an aborted stream, empty if there is none
  */
 public record RequestMetadata(
-        String requestId, OptionalLong timeoutMillis, @Nullable Prompt prompt, String lastEventId) {}
+        String requestId, OptionalLong timeoutMillis, @Nullable Prompt prompt, String lastEventId) {
+    /** Returns the ids of the prompt segments that other requests may share, in prompt order. */
+    public List<String> sharedSegmentIds() {
+        Prompt inferencePrompt = prompt;
+        return inferencePrompt == null
+                ? List.of()
+                : inferencePrompt.sharedSegments().stream()
+                        .map(PrefixCacheEstimate.Segment::id)
+                        .toList();
+    }
+}
