--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -89,7 +89,11 @@
     }
 
     void add(String id, String service, TestUpstream upstream, @Nullable EngineRole engineRole) {
-        upstreams.add(new ListedUpstream(id, service, upstream.address(), "fes", 4, false, engineRole));
+        add(id, service, upstream.address(), engineRole);
+    }
+
+    void add(String id, String service, Address address, @Nullable EngineRole engineRole) {
+        upstreams.add(new ListedUpstream(id, service, address, "fes", 4, false, engineRole));
     }
 
     void start() throws InterruptedException {
@@ -155,15 +159,25 @@
                 250);
     }
 
+    /** Returns a request with a prompt of the given segments, the last of which is its own. */
+    HttpRequest prompt(String route, String id, long callerTimeoutMillis, String... segments) {
+        return requestBuilder(route, id, callerTimeoutMillis)
+                .header("Segments", String.join(",", segments))
+                .build();
+    }
+
     HttpRequest request(String route, String id, long callerTimeoutMillis) {
+        return requestBuilder(route, id, callerTimeoutMillis).build();
+    }
+
+    private HttpRequest.Builder requestBuilder(String route, String id, long callerTimeoutMillis) {
         HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create("http://" + callers + "/" + route + "/x"))
                 .header("Host", HOST)
                 .header("Id", id)
                 .header("Allowed", Long.toString(callerTimeoutMillis))
                 .timeout(Duration.ofSeconds(10))
                 .POST(HttpRequest.BodyPublishers.ofString("body"));
-        return (route.equals("stream") || route.equals("resumable") ? builder.header("Prompt", "5000") : builder)
-                .build();
+        return route.equals("stream") || route.equals("resumable") ? builder.header("Prompt", "5000") : builder;
     }
 
     HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
--- a/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -35,8 +36,7 @@
         beforeParse.run();
         @Nullable
         Prompt prompt = header(headers, "Prompt")
-                .map(text -> new Prompt(
-                        "m", Integer.parseInt(text), 10, List.of(new PrefixCacheEstimate.Segment("own", 10))))
+                .map(text -> new Prompt("m", Integer.parseInt(text), 10, segments(headers)))
                 .orElse(null);
         OptionalLong callerTimeout = header(headers, "Allowed")
                 .map(Long::parseLong)
@@ -45,6 +45,12 @@
         return new RequestMetadata(header(headers, "Id").orElse(""), callerTimeout, prompt, "");
     }
 
+    private static List<PrefixCacheEstimate.Segment> segments(List<String> headers) {
+        return Arrays.stream(header(headers, "Segments").orElse("own").split(",", -1))
+                .map(id -> new PrefixCacheEstimate.Segment(id, 10))
+                .toList();
+    }
+
     @Override
     public List<String> upstreamHeaders(List<String> callerHeaders, UpstreamRequestOptions options) {
         List<String> lines = new ArrayList<>(callerHeaders);
