--- a/common/src/main/java/org/wagtailcart/common/Address.java
+++ b/common/src/main/java/org/wagtailcart/common/Address.java
@@ -1,6 +1,7 @@
 package org.wagtailcart.common;
 
 import java.net.InetSocketAddress;
+import java.util.regex.Pattern;
 
 /**
  * IP address and port of a listener.
@@ -9,6 +10,10 @@
  * @param port port, 1 to 65535
  */
 public record Address(String ip, int port) {
+    /** Four decimal octets, or hexadecimal digits and colons in square brackets. */
+    private static final Pattern IP =
+            Pattern.compile("((25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])(\\.(?!$)|$)){4}|\\[[0-9a-fA-F:]+]");
+
     /** Creates an address; rejects a port outside the range 1 to 65535. */
     public Address {
         if (port < 1 || port > 65535) {
@@ -24,7 +29,7 @@
      */
     public static Address parse(String text) {
         int colon = text.lastIndexOf(':');
-        if (colon <= 0 || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:]+]")) {
+        if (colon <= 0 || !IP.matcher(text.substring(0, colon)).matches()) {
             throw malformed(text);
         }
         try {
