Attach the record of connection reuse to requests

Report of another operator: a faulty replica wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that it ran, or such a request ran at a second replica.

It could happen here. A refusal without a request id counts only on a connection that has carried no other request, but UpstreamRequest never attached its ConnectionReuse to the call, so every connection passed for a fresh one. A copy of an earlier refusal without an id was taken for the answer to the next request, which then also ran at the other replica. Copies with an id were rejected before too.

EarlierRefusalTest: 3 of 10 cases red before (unsafe requests, copies without id, after 0, 2 and 10 ms: two runs of one request), 10 of 10 after. The two cases of streams without id were not red: their engine was out of service for 200 ms after each refusal.

--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamRequest.java
@@ -65,7 +65,11 @@
 
     private synchronized Call newCall() {
         guard = new SendGuard(Long.MAX_VALUE);
-        return client.newCall(request.newBuilder().tag(SendGuard.class, guard).build());
+        reuse = new ConnectionReuse();
+        return client.newCall(request.newBuilder()
+                .tag(SendGuard.class, guard)
+                .tag(ConnectionReuse.class, reuse)
+                .build());
     }
 
     private synchronized Call nextCall() {
