Continue a stream only with a response of its content type

Report of another operator: a stream broke off, the next replica answered with an error, and its text stood in the middle of the stream, or the stream looked complete.

An error status, a refusal, a response without a stamp and bytes that are no HTTP abort the stream here already. One form got through: an error page under status 200 with the replica's stamp. It has no event ids, so it was taken for an event, and the stream ended as complete. A response of another content type than the one it continues is now a failure of its engine, and the stream is aborted.

--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.common.HeaderLines;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
@@ -51,6 +52,8 @@
     private int deliveredAttempts;
 
     private int runs;
+    /** Content type of the response that was started. */
+    private String contentType = "";
 
     /** Outcome of an attempt at a decode engine. */
     private enum StreamEnd {
@@ -351,11 +354,17 @@
                     "engine did not run the request");
             return StreamEnd.NOT_RUN;
         }
-        if (!metadata.success() || !metadata.hasServerStamp()) {
+        String responseType =
+                HeaderLines.first(response.headers(), "Content-Type").orElse("");
+        boolean continuesOtherContent = isResponseStarted() && !responseType.equals(contentType);
+        if (!metadata.success() || !metadata.hasServerStamp() || continuesOtherContent) {
             return relayFailure(inFlight, metadata, response, sentAtMillis);
         }
-        if (!isResponseStarted() && !startResponse(response.status(), response.headers())) {
-            return StreamEnd.DONE;
+        if (!isResponseStarted()) {
+            contentType = responseType;
+            if (!startResponse(response.status(), response.headers())) {
+                return StreamEnd.DONE;
+            }
         }
         events.startContinuation();
         for (byte[] chunk = response.read(); chunk.length > 0; chunk = response.read()) {
