Test responses that end with their connection

A plain one is complete at the end of its connection unless that is reset; a stream that ends within an event has been broken off.

--- a/gateway/src/test/java/org/wagtailcart/gateway/PlainRequestTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/PlainRequestTest.java
@@ -31,6 +31,9 @@
                 Arguments.of("responds without a request id", withoutId(), "unsafe", 502, 0),
                 Arguments.of("truncates the body", truncatedBody(), "unsafe", 502, 0),
                 Arguments.of("truncates the body", truncatedBody(), "safe", 200, 1),
+                Arguments.of("ends its body with the connection", untilClose(false), "unsafe", 200, 0),
+                Arguments.of("resets a body without a length", untilClose(true), "unsafe", 502, 0),
+                Arguments.of("resets a body without a length", untilClose(true), "safe", 200, 1),
                 Arguments.of("sends invalid HTTP", invalidHttp(), "unsafe", 502, 0));
     }
 
@@ -48,6 +51,16 @@
         };
     }
 
+    private static TestUpstream.Script untilClose(boolean reset) {
+        return (request, out, socket) -> {
+            TestUpstream.write(out, "HTTP/1.1 200 OK\r\nId: " + request.header("Id") + "\r\nStamp: s\r\n\r\nfine");
+            if (reset) {
+                socket.setSoLinger(true, 0);
+            }
+            return false;
+        };
+    }
+
     private static TestUpstream.Script truncatedBody() {
         return (request, out, socket) -> {
             TestUpstream.write(
--- a/gateway/src/test/java/org/wagtailcart/gateway/StreamRequestTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/StreamRequestTest.java
@@ -12,12 +12,14 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailcart.common.EngineRole;
 
 /** Guards against lost, repeated or truncated events in streams whose prefill and decode run on different engines. */
 class StreamRequestTest {
     private static final int EVENTS = 12;
+    private static final int RESET_AFTER_MILLIS = 100;
 
     private static String events(int from, int to) {
         return IntStream.range(from, to)
@@ -84,6 +86,35 @@
         }
     }
 
+    /** Guards against a stream without a length that looks complete although it ended within an event, or was reset. */
+    @ParameterizedTest
+    @CsvSource({"'', false, true", "'id: 12', false, false", "'id: 12\ndata: x\n', false, false", "'', true, false"})
+    void streamThatEndsWithItsConnectionIsCompleteAfterItsLastEvent(String rest, boolean reset, boolean complete)
+            throws Exception {
+        TestUpstream.Script untilClose = (request, out, socket) -> {
+            TestUpstream.write(
+                    out,
+                    "HTTP/1.1 200 OK\r\nId: " + request.header("Id")
+                            + "\r\nStamp: s\r\nContent-Type: text/event-stream\r\n\r\n" + events(0, EVENTS) + rest);
+            if (reset) {
+                pause(RESET_AFTER_MILLIS);
+                socket.setSoLinger(true, 0);
+            }
+            return false;
+        };
+        try (TestUpstream engine = new TestUpstream(untilClose);
+                GatewayTestHarness harness = new GatewayTestHarness()) {
+            harness.add("a", "brain", engine, EngineRole.DECODE);
+            harness.start();
+            if (complete) {
+                assertThat(harness.send(harness.request("stream", "r-1", 4_000)).body())
+                        .isEqualTo(events(0, EVENTS));
+            } else {
+                assertThrows(IOException.class, () -> harness.send(harness.request("stream", "r-1", 4_000)));
+            }
+        }
+    }
+
     @Test
     void streamThatIsNotResumableIsAbortedAndNotRetried() throws Exception {
         try (TestUpstream failing = new TestUpstream(streamUntil(5));
@@ -136,6 +167,14 @@
         }
     }
 
+    private static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void awaitClose(Socket socket) throws IOException {
         socket.setSoTimeout(20_000);
         try {
