Bound the messages about crashes, count prefills, and send what clears a segment with the crash

- Each report of a crash changed the version of the state and so woke every gateway: with 33 gateways 33 pushes each a crash.
Only a new quarantine is sent at once now; suspects wait for the next poll.
- A gateway reports, with a crash, when requests with its segments completed last, so that the segments that all requests share are known as such before three crashes in short order convict them.
- An engine that ends under a prefill was no evidence.
- A check that found no free thread left its engine unchecked for good.

Tests: onlyAQuarantineIsUrgent, crashIsReportedWithTheCompletedRequestsOfItsSegments (both new with the change).

--- a/control/src/main/java/org/wagtailcart/control/watch/QuarantineTracker.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/QuarantineTracker.java
@@ -19,16 +19,25 @@
 final class QuarantineTracker {
     private static final Logger LOG = System.getLogger(QuarantineTracker.class.getName());
     /** Limit on the suspects in a reply; later crashes bring the cause back among the latest. */
-    private static final int MAX_SUSPECTS = 128;
+    private static final int MAX_SUSPECTS = 64;
 
     private final SegmentQuarantine quarantine = new SegmentQuarantine();
     private long version;
+    private long quarantinedVersion;
 
     /** Returns the version of the state; it changes when there is a new suspect or quarantine. */
     long version() {
         return version;
     }
 
+    /**
+     * Returns whether a gateway with the given version must be told at once. New suspects wait for its next poll, since
+     * each crash is reported by many gateways.
+     */
+    boolean isUrgentFor(long gatewayVersion) {
+        return gatewayVersion < quarantinedVersion || gatewayVersion > version;
+    }
+
     void record(QuarantineUpdate update, long nowMillis) {
         update.completions()
                 .forEach(completion ->
@@ -41,7 +50,7 @@
         QuarantinedSegment segment =
                 new QuarantinedSegment(entry.segmentId(), nowMillis + entry.remainingMillis(), entry.offences());
         if (quarantine.merge(segment, nowMillis)) {
-            version++;
+            quarantinedVersion = ++version;
         }
     }
 
@@ -52,16 +61,17 @@
                         .map(EngineCrashReport.PromptSegments::segmentIds)
                         .toList(),
                 nowMillis - report.ageMillis());
-        quarantine
-                .recordCrash(crash, nowMillis)
-                .ifPresent(segment -> LogEventKind.SEGMENT_QUARANTINED.log(
-                        LOG,
-                        Level.WARNING,
-                        segment.segmentId(),
-                        segment.offences(),
-                        segment.untilMillis() - nowMillis,
-                        "reports of the gateways"));
         version++;
+        quarantine.recordCrash(crash, nowMillis).ifPresent(segment -> {
+            quarantinedVersion = version;
+            LogEventKind.SEGMENT_QUARANTINED.log(
+                    LOG,
+                    Level.WARNING,
+                    segment.segmentId(),
+                    segment.offences(),
+                    segment.untilMillis() - nowMillis,
+                    "reports of the gateways");
+        });
     }
 
     QuarantineState state(long nowMillis) {
--- a/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
@@ -83,11 +83,11 @@
         due.forEach(item -> item.exchange().finish(buildReply(item.request())));
     }
 
-    /** Returns whether there is anything that the gateway does not have. Guarded by this. */
+    /** Returns whether the gateway must learn of a change at once. Guarded by this. */
     private boolean hasNewer(WatchRequest request, long nowMillis) {
         HostListCache.VersionedHostList hostList = hostListCache.latest();
         return table.get().version() > request.tableVersion()
-                || quarantine.version() != request.quarantineVersion()
+                || quarantine.isUrgentFor(request.quarantineVersion())
                 || (hostList.isFresh(nowMillis) && hostList.version() != request.hostListVersion());
     }
 
--- a/control/src/test/java/org/wagtailcart/control/watch/QuarantineTrackerTest.java
+++ b/control/src/test/java/org/wagtailcart/control/watch/QuarantineTrackerTest.java
@@ -64,6 +64,22 @@
         assertThat(tracker.state(2_000).quarantined()).containsExactly(new SegmentQuarantineEntry(CAUSE, 59_000, 1));
     }
 
+    /** Guards against gateways that learn late of a quarantine, and against one push to each for every report. */
+    @Test
+    void onlyAQuarantineIsUrgent() {
+        tracker.record(crash("e1", 0, CAUSE), 1_000);
+        tracker.record(crash("e2", 0, CAUSE), 2_000);
+        long before = tracker.version();
+        assertThat(tracker.isUrgentFor(0)).isFalse();
+        tracker.record(crash("e3", 0, CAUSE), 3_000);
+        assertThat(tracker.isUrgentFor(before)).isTrue();
+        assertThat(tracker.isUrgentFor(tracker.version())).isFalse();
+        tracker.record(crash("e4", 0, "other"), 4_000);
+        assertThat(tracker.isUrgentFor(tracker.version() - 1)).isFalse();
+        // A gateway that polled another member, or this one before it was started again, has an unrelated version.
+        assertThat(tracker.isUrgentFor(tracker.version() + 1)).isTrue();
+    }
+
     /** Guards against gateways that are not told of a suspect, or are told again and again. */
     @Test
     void versionChangesWithACrashOnly() {
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -210,7 +210,10 @@
             if (!isEnded()) {
                 inFlight.end(UpstreamOutcome.NO_RESPONSE, nowMillis());
                 excluded.add(engine.id());
-                deliveredAttempts += e.runState() == RunState.NOT_RUN ? 0 : 1;
+                if (e.runState() != RunState.NOT_RUN) {
+                    deliveredAttempts++;
+                    reportConnectionLost(inFlight);
+                }
                 logFailed(
                         STEP_PROMPT, inFlight, e.code(), 0, e.runState(), sentAtMillis, String.valueOf(e.getMessage()));
             }
@@ -432,16 +435,20 @@
             runs--;
             return StreamEnd.NOT_RUN;
         }
-        context()
-                .crashDetector()
-                .onStreamBroken(
-                        inFlight.upstream(), request().metadata().sharedSegmentIds(), inFlight.firstOutputAtMillis());
+        reportConnectionLost(inFlight);
         if (!mayResume()) {
             fail(error.code(), String.valueOf(error.getMessage()));
         }
         return StreamEnd.BROKEN;
     }
 
+    private void reportConnectionLost(InFlightRequest inFlight) {
+        context()
+                .crashDetector()
+                .onConnectionLost(
+                        inFlight.upstream(), request().metadata().sharedSegmentIds(), inFlight.firstOutputAtMillis());
+    }
+
     private boolean mayResume() {
         return request().route().retryable() && runs < request().route().maxAttempts();
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/quarantine/EngineCrashDetector.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/quarantine/EngineCrashDetector.java
@@ -61,12 +61,12 @@
     }
 
     /**
-     * Records that the connection of a stream broke off.
+     * Records that the connection of a stream, or of a prefill, broke off.
      *
      * @param segmentIds shared segments of its prompt
      * @param firstOutputAtMillis monotonic time of its first output, -1 if there was none
      */
-    public void onStreamBroken(Upstream engine, List<String> segmentIds, long firstOutputAtMillis) {
+    public void onConnectionLost(Upstream engine, List<String> segmentIds, long firstOutputAtMillis) {
         long nowMillis = clock.nowMillis();
         boolean begun = firstOutputAtMillis >= 0 && nowMillis - firstOutputAtMillis > MAX_OUTPUT_MILLIS;
         if (segmentIds.isEmpty() || begun) {
@@ -81,26 +81,36 @@
             brokenByEngine.put(engine.id(), new BrokenStreams(nowMillis, new ArrayList<>(List.of(segmentIds))));
         }
         try {
-            ScheduledFuture<?> unused = timer.schedule(
-                    () -> requestExecutor.execute(() -> check(engine)), COLLECT_MILLIS, TimeUnit.MILLISECONDS);
+            ScheduledFuture<?> unused = timer.schedule(() -> startCheck(engine), COLLECT_MILLIS, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
             LOG.log(Level.DEBUG, "engine " + engine.id() + " is not checked: the gateway is stopping");
         }
     }
 
-    private void check(Upstream engine) {
-        boolean crashed = refusesConnections.test(engine.address());
+    private void startCheck(Upstream engine) {
         BrokenStreams broken = remove(engine);
-        if (crashed && broken != null) {
-            LogEventKind.UPSTREAM_CRASHED.log(
-                    LOG,
-                    Level.WARNING,
-                    engine.id(),
-                    engine.address(),
-                    broken.prompts().size(),
-                    broken.prompts());
-            quarantine.recordCrash(engine.id(), broken.prompts(), broken.firstAtMillis());
+        if (broken == null) {
+            return;
+        }
+        try {
+            requestExecutor.execute(() -> check(engine, broken));
+        } catch (RejectedExecutionException e) {
+            LOG.log(Level.WARNING, "engine " + engine.id() + " is not checked: no thread is free");
+        }
+    }
+
+    private void check(Upstream engine, BrokenStreams broken) {
+        if (!refusesConnections.test(engine.address())) {
+            return;
         }
+        LogEventKind.UPSTREAM_CRASHED.log(
+                LOG,
+                Level.WARNING,
+                engine.id(),
+                engine.address(),
+                broken.prompts().size(),
+                broken.prompts());
+        quarantine.recordCrash(engine.id(), broken.prompts(), broken.firstAtMillis());
     }
 
     private synchronized @Nullable BrokenStreams remove(Upstream engine) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/quarantine/PromptQuarantine.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/quarantine/PromptQuarantine.java
@@ -66,6 +66,10 @@
         });
     }
 
+    private void addKnownCompletion(String segmentId) {
+        quarantine.lastCompletionMillis(segmentId).ifPresent(atMillis -> addPendingCompletion(segmentId, atMillis));
+    }
+
     private void addPendingCompletion(String segmentId, long atMillis) {
         if (pendingCompletions.size() < MAX_PENDING) {
             pendingCompletions.put(segmentId, atMillis);
@@ -80,6 +84,7 @@
             crashes++;
             if (pendingCrashes.size() < MAX_PENDING) {
                 pendingCrashes.add(crash);
+                prompts.stream().flatMap(List::stream).forEach(this::addKnownCompletion);
             }
             convicted = quarantine.recordCrash(crash, clock.nowMillis());
         }
@@ -140,9 +145,7 @@
     public void apply(QuarantineState state, long receivedAtMillis) {
         List<QuarantinedSegment> added;
         synchronized (this) {
-            state.suspects().forEach(segmentId -> quarantine
-                    .lastCompletionMillis(segmentId)
-                    .ifPresent(atMillis -> addPendingCompletion(segmentId, atMillis)));
+            state.suspects().forEach(this::addKnownCompletion);
             awaitedCompletions.clear();
             awaitedCompletions.addAll(state.suspects());
             added = state.quarantined().stream()
--- a/gateway/src/test/java/org/wagtailcart/gateway/quarantine/PromptQuarantineTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/quarantine/PromptQuarantineTest.java
@@ -53,6 +53,15 @@
         assertThat(again.completions()).containsExactly(new SegmentCompletion("other", 700));
     }
 
+    /** Guards against a segment of many requests that the control group takes for one without a completed request. */
+    @Test
+    void crashIsReportedWithTheCompletedRequestsOfItsSegments() {
+        quarantine.recordCompletion(List.of("first", "unrelated"));
+        nowMillis.addAndGet(300);
+        quarantine.recordCrash("e1", List.of(List.of("first", CAUSE)), nowMillis.get());
+        assertThat(quarantine.drainUpdate(false).completions()).containsExactly(new SegmentCompletion("first", 300));
+    }
+
     /** Guards against suspects that stay under suspicion although requests with them completed before or after. */
     @Test
     void completedRequestsWithSuspectsAreReportedOnce() {
@@ -92,8 +101,8 @@
         InFlightRequest inFlight =
                 registry.startReplicaRequest("brain", java.util.Set.of()).orElseThrow();
         long outputAtMillis = outputForMillis < 0 ? -1 : nowMillis.get() - outputForMillis;
-        detector.onStreamBroken(inFlight.upstream(), List.of(CAUSE), outputAtMillis);
-        detector.onStreamBroken(inFlight.upstream(), List.of(), -1);
+        detector.onConnectionLost(inFlight.upstream(), List.of(CAUSE), outputAtMillis);
+        detector.onConnectionLost(inFlight.upstream(), List.of(), -1);
         timer.shutdown();
         assertThat(timer.awaitTermination(10, TimeUnit.SECONDS)).isTrue();
         assertThat(quarantine.crashes()).isEqualTo(crashes);
