--- a/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
@@ -49,7 +49,7 @@
         this.clock = clock;
     }
 
-    /** Replies to a poll when there is a newer table, host list or quarantine, otherwise holds it until then or its timeout. */
+    /** Replies to a poll when there is a newer table, host list or quarantine, or when it has timed out. */
     public void handle(Exchange exchange, Object message) {
         WatchRequest request = (WatchRequest) message;
         long nowMillis = clock.nowMillis();
--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
@@ -27,8 +27,8 @@
 import org.wagtailcart.routes.RouteTable;
 
 /**
- * Long-polling client that fetches the routing table, the host list, prefix cache updates and the quarantine from one control member at
- * a time, preferably the leader. The version of the routing table in force never decreases.
+ * Long-polling client that fetches the routing table, the host list, prefix cache updates and the quarantine from one
+ * control member at a time, preferably the leader. The version of the routing table in force never decreases.
  */
 public final class RouteTableWatcher implements AutoCloseable {
     /** Transport for one poll of one control member. */
--- a/gateway/src/test/java/org/wagtailcart/gateway/CrashingEngine.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/CrashingEngine.java
@@ -79,36 +79,20 @@
         try (socket) {
             BufferedReader in =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-            while (in.readLine() != null) {
-                answer(in, socket);
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                answer(TestUpstream.readRequest(line, in), socket);
             }
         } catch (IOException e) {
             // The gateway or a crash closed the connection.
         }
     }
 
-    private void answer(BufferedReader in, Socket socket) throws IOException {
-        String id = "";
-        List<String> segments = List.of();
-        int length = 0;
-        for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
-            String value = line.substring(line.indexOf(':') + 1).strip();
-            if (line.startsWith("Id:")) {
-                id = value;
-            } else if (line.startsWith("Segments:")) {
-                segments = Arrays.asList(value.split(",", -1));
-            } else if (line.startsWith("Content-Length:")) {
-                length = Integer.parseInt(value);
-            }
-        }
-        for (int i = 0; i < length; i++) {
-            int unused = in.read();
-        }
+    private void answer(TestUpstream.Received request, Socket socket) throws IOException {
+        List<String> segments = Arrays.asList(request.header("Segments").split(",", -1));
         receivedSegments.add(segments);
         if (segments.contains(crashingSegment)) {
             crash();
         } else {
-            TestUpstream.Received request = new TestUpstream.Received("", java.util.Map.of("id", id));
             TestUpstream.ok("id: 0\ndata: piece\n\n").respond(request, socket.getOutputStream(), socket);
         }
     }
--- a/gateway/src/test/java/org/wagtailcart/gateway/TestUpstream.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/TestUpstream.java
@@ -75,18 +75,7 @@
                 if (line == null) {
                     return;
                 }
-                Map<String, String> headers = new TreeMap<>();
-                for (String header = in.readLine(); header != null && !header.isEmpty(); header = in.readLine()) {
-                    int colon = header.indexOf(':');
-                    headers.put(
-                            header.substring(0, colon).toLowerCase(java.util.Locale.ROOT),
-                            header.substring(colon + 1).strip());
-                }
-                int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-                for (int i = 0; i < length; i++) {
-                    int unused = in.read();
-                }
-                Received request = new Received(line, headers);
+                Received request = readRequest(line, in);
                 received.add(request);
                 open = script.respond(request, socket.getOutputStream(), socket);
             }
@@ -95,6 +84,22 @@
         }
     }
 
+    /** Reads the headers and the body that follow a request line. */
+    static Received readRequest(String line, BufferedReader in) throws IOException {
+        Map<String, String> headers = new TreeMap<>();
+        for (String header = in.readLine(); header != null && !header.isEmpty(); header = in.readLine()) {
+            int colon = header.indexOf(':');
+            headers.put(
+                    header.substring(0, colon).toLowerCase(java.util.Locale.ROOT),
+                    header.substring(colon + 1).strip());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        for (int i = 0; i < length; i++) {
+            int unused = in.read();
+        }
+        return new Received(line, headers);
+    }
+
     /** Returns a script that responds with status 200 and the given body. */
     static Script ok(String body) {
         return (request, out, socket) -> {
