End a stream for the silence of its engine only if another can continue it

Cause: a fixed limit of 2 s on the gap between reads. It now holds only where the route allows resumption and another engine is listed; otherwise the caller, its deadline and the route's timeout decide. A stream that ends so after 2 s of silence still counts against its engine, as before.

--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -36,7 +36,7 @@
     private static final String STEP_STREAM = "stream";
     /** Limit on the attempts before the request is refused. */
     private static final int MAX_ATTEMPTS = 4;
-    /** Limit on the gap between reads of a stream; callers usually time out after two seconds or more. */
+    /** Gap between reads after which a stream continues at another engine, if there is one. */
     private static final long MAX_EVENT_GAP_MILLIS = 2_000;
     /** Limit on the estimated time to first token, as a fraction of the remaining time. */
     private static final double USABLE_TIME_FRACTION = 0.9;
@@ -52,6 +52,8 @@
     private int deliveredAttempts;
 
     private int runs;
+    /** Monotonic time of the latest bytes of the current stream, -1 before its head. */
+    private long lastReadAtMillis = -1;
     /** Content type of the response that was started. */
     private String contentType = "";
 
@@ -255,10 +257,9 @@
                 kvCacheHandle == null ? prefixSourceAddress(placement) : null,
                 resumeAfter());
         try {
-            long remainingMillis = Math.max(1, remainingMillis());
-            UpstreamRequest upstreamRequest =
-                    prepare(engine, decodeOptions, new UpstreamTimeouts(remainingMillis, MAX_EVENT_GAP_MILLIS), true);
+            UpstreamRequest upstreamRequest = prepare(engine, decodeOptions, streamTimeouts(engine), true);
             runs++;
+            lastReadAtMillis = -1;
             try (UpstreamResponse response = upstreamRequest.execute()) {
                 ResponseMetadata metadata = context().protocol().parseResponse(response.status(), response.headers());
                 return relayStream(inFlight, metadata, response, ranBefore, sentAtMillis);
@@ -270,6 +271,17 @@
         }
     }
 
+    /** Returns the timeouts of a stream. The silence of an engine ends it only if another engine can continue it. */
+    private UpstreamTimeouts streamTimeouts(Upstream engine) {
+        long remainingMillis = Math.max(1, remainingMillis());
+        Set<String> tried = new HashSet<>(excluded);
+        tried.add(engine.id());
+        boolean canContinue = request().route().retryable()
+                && runs + 1 < request().route().maxAttempts()
+                && context().registry().hasReplica(request().service(), tried);
+        return new UpstreamTimeouts(remainingMillis, canContinue ? MAX_EVENT_GAP_MILLIS : remainingMillis);
+    }
+
     /** Frees a KV cache that no engine will fetch. */
     private void releaseKvCache(KvCacheHandle kvCacheHandle) {
         try {
@@ -370,7 +382,9 @@
             }
         }
         events.startContinuation();
+        lastReadAtMillis = nowMillis();
         for (byte[] chunk = response.read(); chunk.length > 0; chunk = response.read()) {
+            lastReadAtMillis = nowMillis();
             byte[] completeEvents = events.accept(chunk);
             if (completeEvents.length > 0) {
                 inFlight.recordFirstOutput();
@@ -417,6 +431,7 @@
     private StreamEnd handleStreamFailure(
             InFlightRequest inFlight, WagtailcartException error, boolean ranBefore, long sentAtMillis) {
         if (isEnded()) {
+            recordSilence(inFlight);
             return StreamEnd.DONE;
         }
         inFlight.end(UpstreamOutcome.NO_RESPONSE, nowMillis());
@@ -442,6 +457,13 @@
         return StreamEnd.BROKEN;
     }
 
+    /** Counts a stream that its caller left, or whose time ended, against an engine that had fallen silent. */
+    private void recordSilence(InFlightRequest inFlight) {
+        if (lastReadAtMillis >= 0 && nowMillis() - lastReadAtMillis >= MAX_EVENT_GAP_MILLIS) {
+            inFlight.end(UpstreamOutcome.NO_RESPONSE, nowMillis());
+        }
+    }
+
     private void reportConnectionLost(InFlightRequest inFlight) {
         context()
                 .crashDetector()
--- a/gateway/src/test/java/org/wagtailcart/gateway/StreamRequestTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/StreamRequestTest.java
@@ -20,6 +20,8 @@
 class StreamRequestTest {
     private static final int EVENTS = 12;
     private static final int RESET_AFTER_MILLIS = 100;
+    /** Longer than the gap after which a stream continues at another engine. */
+    private static final int LONG_PAUSE_MILLIS = 2_600;
 
     private static String events(int from, int to) {
         return IntStream.range(from, to)
@@ -143,6 +145,29 @@
         }
     }
 
+    /** Guards against a slow but sound stream that is cut, although nothing else can serve its caller. */
+    @ParameterizedTest
+    @CsvSource({"stream, false", "stream, true", "resumable, false", "resumable, true"})
+    void pauseOfAnEngineDoesNotEndTheStream(String route, boolean otherEngine) throws Exception {
+        TestUpstream.Script pausing = (request, out, socket) -> {
+            TestUpstream.write(out, head(request) + chunk(events(0, 5)));
+            pause(LONG_PAUSE_MILLIS);
+            TestUpstream.write(out, chunk(events(5, EVENTS)) + "0\r\n\r\n");
+            return true;
+        };
+        try (TestUpstream engine = new TestUpstream(pausing);
+                TestUpstream other = new TestUpstream(streamUntil(EVENTS));
+                GatewayTestHarness harness = new GatewayTestHarness()) {
+            harness.add("a", "brain", engine, EngineRole.DECODE);
+            if (otherEngine) {
+                harness.add("b", "brain", other, EngineRole.DECODE);
+            }
+            harness.start();
+            assertThat(harness.send(harness.request(route, "r-1", 4_500)).body())
+                    .isEqualTo(events(0, EVENTS));
+        }
+    }
+
     /** Guards against an engine that keeps decoding for a disconnected caller. */
     @ParameterizedTest
     @ValueSource(strings = {"stream", "resumable"})
