--- a/review/src/DrainCase.java
+++ b/review/src/DrainCase.java
@@ -95,7 +95,7 @@
             socket.setSoTimeout(8_000);
             String head = "POST /batch/1 HTTP/1.1\r\nHost: " + HOST + "\r\nX-Request-Id: " + requestId
                     + "\r\nX-Model: m\r\nX-Token-Count: " + tokens + ",260\r\nX-Prompt-Prefix: a" + tokens + ":"
-                    + tokens / 2 + ",b" + tokens + ":" + (tokens - tokens / 2)
+                    + tokens * 3 / 7 + ",b" + tokens + ":" + (tokens - tokens * 3 / 7)
                     + "\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
             socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
             InputStream in = socket.getInputStream();
