--- a/review/src/DrainCase.java
+++ b/review/src/DrainCase.java
@@ -15,6 +15,7 @@
     private static final long DRAIN_MILLIS = 3_000;
     private static final long LINGER_MILLIS = 1_200;
     private static final int EVENTS = 12;
+    private static final int SLOTS = 24;
     private static final String HOST = "models.example";
 
     private static final Map<String, Long> LATE = new ConcurrentHashMap<>();
@@ -30,8 +31,9 @@
             }
         };
         int port = Fleet.freePorts(1)[0];
-        new Engine(fleet, "i-prefill-1", "models", "prefill", 16, EVENTS, "127.0.30.1", port, arrivals);
-        Engine leaving = new Engine(fleet, "i-decode-1", "models", "decode", 16, EVENTS, "127.0.30.2", port, arrivals);
+        new Engine(fleet, "i-prefill-1", "models", "prefill", SLOTS, EVENTS, "127.0.30.1", port, arrivals);
+        new Engine(fleet, "i-prefill-2", "models", "prefill", SLOTS, EVENTS, "127.0.30.4", port, arrivals);
+        Engine leaving = new Engine(fleet, "i-decode-1", "models", "decode", SLOTS, EVENTS, "127.0.30.2", port, arrivals);
         fleet.startAll(1, config());
         Thread.sleep(3_000);
 
@@ -39,10 +41,11 @@
             fleet.log("answer to r-warm-" + i + ": " + send(fleet, "r-warm-" + i, 4_000).join());
         }
         CompletableFuture<String> first = send(fleet, "r-first", 45_000);
+        CompletableFuture<String> other = send(fleet, "r-other", 45_001);
         Thread.sleep(200);
         CompletableFuture<String> second = send(fleet, "r-second", 93_100);
         Thread.sleep(100);
-        new Engine(fleet, "i-decode-2", "models", "decode", 16, EVENTS, "127.0.30.3", port, arrivals);
+        new Engine(fleet, "i-decode-2", "models", "decode", SLOTS, EVENTS, "127.0.30.3", port, arrivals);
         fleet.log("i-decode-2, the new replica, is in the list");
         if (fleet.trouble) {
             leaving.list("draining");
@@ -53,6 +56,7 @@
             fleet.log("i-decode-1 has ended");
         }
         fleet.log("answer to r-first: " + first.join());
+        fleet.log("answer to r-other: " + other.join());
         String answer = second.join();
         fleet.log("answer to r-second: " + answer);
         boolean broken = !LATE.isEmpty() || (!fleet.trouble && !answer.startsWith("complete"));
@@ -70,7 +74,7 @@
                 + "\"target_latency_ms\":800,\"priority\":2,\"service\":\"models\",\"max_attempts\":1,\"sticky\":true,"
                 + "\"resumable\":false,\"gap_target_ms\":400}],"
                 + "\"services\":[{\"name\":\"models\",\"health_path\":\"/health\",\"max_conns\":360,"
-                + "\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":16,\"kv_tokens\":486646,"
+                + "\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":" + SLOTS + ",\"kv_tokens\":486646,"
                 + "\"token_kv_bytes\":18432,\"link_mbps\":190000.0,\"moves\":true,\"backups\":true,\"stride\":13,"
                 + "\"most\":12,\"handle_ttl_s\":5.0,\"switch_s\":3.0,\"pin_ms\":4000.0,\"hold_ms\":2000.0,"
                 + "\"models\":[{\"name\":\"m\"}]}}],"
