Log on which connection a response came and what else was found there

request-ended and attempt-failed name the connection and the number of requests it had carried. The new event unexpected-response, with a counter for each kind, names bytes on an idle connection, a response to another request, and a head that contains a second status line. No decision changes: such a head is still accepted.

--- a/common/src/main/java/org/wagtailcart/common/LogEventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEventKind.java
@@ -38,6 +38,8 @@
             "after-millis",
             "output-for-millis",
             "segments",
+            "connection",
+            "earlier-requests",
             "reason"),
     /** A request ended. */
     REQUEST_ENDED(
@@ -53,7 +55,11 @@
             "table-version",
             "table-age-millis",
             "list-age-millis",
+            "connection",
+            "earlier-requests",
             "reason"),
+    /** An upstream sent bytes that are no response to the request that waits for one. */
+    UNEXPECTED_RESPONSE(false, "request", "address", "kind", "connection", "earlier-requests", "reason"),
     /** A gateway took an upstream out of service for a period. */
     UPSTREAM_LOST(false, "upstream", "address", "for-millis"),
     /** An upstream that was out of service responded with success. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/CallFactory.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallFactory.java
@@ -10,6 +10,8 @@
 public final class CallFactory {
     private static final Logger LOG = System.getLogger(CallFactory.class.getName());
 
+    private static final long NO_CONNECTION = -1;
+
     private CallFactory() {}
 
     /** Returns a plain or a streaming call, depending on the kind of the request's route. */
@@ -37,6 +39,8 @@
                 context.routeWatcher().routes().table().version(),
                 context.routeWatcher().ageMillis(),
                 context.registry().listAgeMillis(),
+                NO_CONNECTION,
+                0,
                 error.getMessage());
     }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -18,6 +18,8 @@
 import org.wagtailcart.gateway.list.UpstreamOutcome;
 import org.wagtailcart.gateway.protocol.ResponseMetadata;
 import org.wagtailcart.gateway.protocol.UpstreamRequestOptions;
+import org.wagtailcart.gateway.send.ConnectionUse;
+import org.wagtailcart.gateway.send.UnexpectedResponse;
 import org.wagtailcart.gateway.send.UpstreamRequest;
 import org.wagtailcart.gateway.send.UpstreamResponse;
 import org.wagtailcart.gateway.send.UpstreamTimeouts;
@@ -114,6 +116,11 @@
         return responseStarted;
     }
 
+    /** Returns the use of the connection of the latest attempt. */
+    private synchronized ConnectionUse connectionUse() {
+        return currentRequest == null ? new ConnectionUse() : currentRequest.connectionUse();
+    }
+
     private synchronized int attempts() {
         return attempts;
     }
@@ -128,7 +135,14 @@
             Upstream upstream, UpstreamRequestOptions options, UpstreamTimeouts timeouts, boolean runs) {
         List<String> headers = context.protocol().upstreamHeaders(request.headers(), options);
         UpstreamRequest upstreamRequest = context.client()
-                .prepare(upstream.address(), request.method(), request.target(), headers, request.body(), timeouts);
+                .prepare(
+                        request.metadata().requestId(),
+                        upstream.address(),
+                        request.method(),
+                        request.target(),
+                        headers,
+                        request.body(),
+                        timeouts);
         synchronized (this) {
             if (ended) {
                 throw new WagtailcartException(ResultCode.CALLER_GONE, RunState.NOT_RUN, "request has ended");
@@ -164,7 +178,7 @@
                             metadata.announcement(),
                             request.metadata().requestId());
         }
-        checkRequestId(metadata, response);
+        checkRequestId(upstream, metadata, response);
         return metadata;
     }
 
@@ -182,15 +196,22 @@
      *
      * @throws WagtailcartException with {@link ResultCode#ANSWER_MISMATCH} if it may belong to another request
      */
-    private void checkRequestId(ResponseMetadata metadata, UpstreamResponse response) {
+    private void checkRequestId(Upstream upstream, ResponseMetadata metadata, UpstreamResponse response) {
         boolean idMatches = metadata.requestId().equals(request.metadata().requestId());
-        boolean refusalWithoutId = metadata.requestId().isEmpty() && metadata.notRun() && !response.reusedConnection();
+        boolean refusalWithoutId = metadata.requestId().isEmpty()
+                && metadata.notRun()
+                && !response.connectionUse().reused();
         if (!idMatches && !refusalWithoutId) {
-            throw new WagtailcartException(
-                    ResultCode.ANSWER_MISMATCH,
-                    RunState.MAY_HAVE_RUN,
-                    "response with status " + metadata.status() + " belongs to request \"" + metadata.requestId()
-                            + "\"");
+            String reason = "response with status " + metadata.status() + " belongs to request \""
+                    + metadata.requestId() + "\"";
+            context.unexpectedResponses()
+                    .record(
+                            UnexpectedResponse.OTHER_REQUEST,
+                            request.metadata().requestId(),
+                            upstream.address(),
+                            response.connectionUse(),
+                            reason);
+            throw new WagtailcartException(ResultCode.ANSWER_MISMATCH, RunState.MAY_HAVE_RUN, reason);
         }
     }
 
@@ -270,6 +291,8 @@
                 nowMillis() - sentAtMillis,
                 outputAtMillis < 0 ? -1 : nowMillis() - outputAtMillis,
                 request.suspectIds(),
+                connectionUse().connectionNumber(),
+                connectionUse().earlierRequests(),
                 reason);
     }
 
@@ -414,6 +437,8 @@
                 context.routeWatcher().routes().table().version(),
                 context.routeWatcher().ageMillis(),
                 context.registry().listAgeMillis(),
+                connectionUse().connectionNumber(),
+                connectionUse().earlierRequests(),
                 reason);
     }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayContext.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayContext.java
@@ -7,6 +7,7 @@
 import org.wagtailcart.gateway.protocol.RequestProtocol;
 import org.wagtailcart.gateway.quarantine.EngineCrashDetector;
 import org.wagtailcart.gateway.quarantine.PromptQuarantine;
+import org.wagtailcart.gateway.send.UnexpectedResponseLog;
 import org.wagtailcart.gateway.send.UpstreamHttpClient;
 import org.wagtailcart.gateway.watch.RouteTableWatcher;
 
@@ -16,6 +17,7 @@
  * @param protocol codec for requests and responses
  * @param registry registry of upstreams and in-flight requests
  * @param client HTTP client for upstreams
+ * @param unexpectedResponses log of bytes of upstreams that no request waits for
  * @param routeWatcher source of the routing table
  * @param retryBudgets retry budgets of the services
  * @param quarantine prompt segments whose requests are refused
@@ -30,6 +32,7 @@
         RequestProtocol protocol,
         UpstreamRegistry registry,
         UpstreamHttpClient client,
+        UnexpectedResponseLog unexpectedResponses,
         RouteTableWatcher routeWatcher,
         RetryBudgets retryBudgets,
         PromptQuarantine quarantine,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -296,7 +296,7 @@
             String path = context().protocol().releasePath(kvCacheHandle);
             context()
                     .client()
-                    .prepare(kvCacheHandle.engine(), "DELETE", path, List.of(), new byte[0], timeouts)
+                    .prepare("", kvCacheHandle.engine(), "DELETE", path, List.of(), new byte[0], timeouts)
                     .execute()
                     .close();
         } catch (WagtailcartException e) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamHttpClient.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamHttpClient.java
@@ -38,10 +38,12 @@
     private static final long MAX_TOTAL_RESPONSE_BYTES = 32L << 20;
 
     private final OkHttpClient client;
+    private final UnexpectedResponseLog unexpectedResponses;
     private final ResponseBuffer responseBuffer = new ResponseBuffer(MAX_RESPONSE_BYTES, MAX_TOTAL_RESPONSE_BYTES);
 
     /** Creates a client with an empty connection pool. */
-    public UpstreamHttpClient(MillisClock clock) {
+    public UpstreamHttpClient(MillisClock clock, UnexpectedResponseLog unexpectedResponses) {
+        this.unexpectedResponses = unexpectedResponses;
         client = InternalHttpClients.builder()
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_IDLE_MILLIS, TimeUnit.MILLISECONDS))
                 .connectTimeout(CONNECT_MILLIS, TimeUnit.MILLISECONDS)
@@ -55,11 +57,13 @@
     /**
      * Prepares a request; nothing is sent yet.
      *
+     * @param requestId id that the response must bear, empty if it need not bear one
      * @param target path and query
      * @param headers header lines, names and values alternating
      * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT} if it is not a valid HTTP request
      */
     public UpstreamRequest prepare(
+            String requestId,
             Address address,
             String method,
             String target,
@@ -77,7 +81,8 @@
                     .filter(i -> !headers.get(2 * i).equalsIgnoreCase("Accept-Encoding"))
                     .forEach(i -> builder.addHeader(headers.get(2 * i), headers.get(2 * i + 1)));
             Request request = builder.method(method, bodyOf(method, body)).build();
-            return new UpstreamRequest(client, request, timeouts, responseBuffer);
+            return new UpstreamRequest(
+                    client, request, requestId, address, timeouts, responseBuffer, unexpectedResponses);
         } catch (IllegalArgumentException e) {
             throw new WagtailcartException(ResultCode.INVALID_ARGUMENT, "not a valid HTTP request: " + e, e);
         }
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamRequest.java
@@ -7,10 +7,12 @@
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.wagtailcart.common.Address;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.upstream.ResponseBuffer;
+import org.wagtailcart.upstream.ResponseHeadValidator;
 import org.wagtailcart.upstream.SendGuard;
 
 /** Cancellable HTTP request to an upstream. */
@@ -20,21 +22,39 @@
 
     private final OkHttpClient client;
     private final Request request;
+    private final String requestId;
+    private final Address address;
     private final UpstreamTimeouts timeouts;
     private final ResponseBuffer buffer;
+    private final UnexpectedResponseLog unexpectedResponses;
     private SendGuard guard = new SendGuard(Long.MAX_VALUE);
-    private ConnectionReuse reuse = new ConnectionReuse();
+    private ConnectionUse connectionUse = new ConnectionUse();
     private Call call;
     private boolean cancelled;
 
-    UpstreamRequest(OkHttpClient client, Request request, UpstreamTimeouts limits, ResponseBuffer buffer) {
-        this.buffer = buffer;
+    UpstreamRequest(
+            OkHttpClient client,
+            Request request,
+            String requestId,
+            Address address,
+            UpstreamTimeouts timeouts,
+            ResponseBuffer buffer,
+            UnexpectedResponseLog unexpectedResponses) {
         this.client = client;
         this.request = request;
-        this.timeouts = limits;
+        this.requestId = requestId;
+        this.address = address;
+        this.timeouts = timeouts;
+        this.buffer = buffer;
+        this.unexpectedResponses = unexpectedResponses;
         this.call = newCall();
     }
 
+    /** Returns the use of the connection of the latest send. */
+    public synchronized ConnectionUse connectionUse() {
+        return connectionUse;
+    }
+
     /** Cancels the request and closes its connection. */
     public synchronized void cancel() {
         cancelled = true;
@@ -51,9 +71,15 @@
             Call current = nextCall();
             try {
                 Response response = current.execute();
+                if (ResponseHeadValidator.hasSecondStatusLine(response)) {
+                    record(UnexpectedResponse.MERGED_HEAD, response.message());
+                }
                 response.body().source().timeout().timeout(timeouts.readMillis(), TimeUnit.MILLISECONDS);
-                return new UpstreamResponse(response, current, guard.retryAfter(), reuse.reused(), buffer);
+                return new UpstreamResponse(response, current, guard.retryAfter(), connectionUse(), buffer);
             } catch (StaleConnectionInterceptor.StaleConnectionException e) {
+                if (e.unexpectedBytes()) {
+                    record(UnexpectedResponse.IDLE_BYTES, String.valueOf(e.getMessage()));
+                }
                 if (stale >= MAX_STALE) {
                     throw new WagtailcartException(
                             ResultCode.CONNECT_FAILED, "all pooled connections were stale: " + e, e);
@@ -64,12 +90,16 @@
         }
     }
 
+    private void record(UnexpectedResponse kind, String reason) {
+        unexpectedResponses.record(kind, requestId, address, connectionUse(), reason);
+    }
+
     private synchronized Call newCall() {
         guard = new SendGuard(Long.MAX_VALUE);
-        reuse = new ConnectionReuse();
+        connectionUse = new ConnectionUse();
         return client.newCall(request.newBuilder()
                 .tag(SendGuard.class, guard)
-                .tag(ConnectionReuse.class, reuse)
+                .tag(ConnectionUse.class, connectionUse)
                 .build());
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamResponse.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamResponse.java
@@ -18,12 +18,13 @@
     private final Response response;
     private final Call call;
     private final List<String> headers;
-    private final boolean reused;
+    private final ConnectionUse connectionUse;
     private final ResponseBuffer buffer;
     private boolean complete;
 
-    UpstreamResponse(Response response, Call call, List<String> retryAfter, boolean reused, ResponseBuffer buffer) {
-        this.reused = reused;
+    UpstreamResponse(
+            Response response, Call call, List<String> retryAfter, ConnectionUse connectionUse, ResponseBuffer buffer) {
+        this.connectionUse = connectionUse;
         this.buffer = buffer;
         this.response = response;
         this.call = call;
@@ -37,9 +38,9 @@
         return response.code();
     }
 
-    /** Returns whether the connection had carried other requests, whose late responses may still arrive on it. */
-    public boolean reusedConnection() {
-        return reused;
+    /** Returns the use of the connection on which the response arrives. */
+    public ConnectionUse connectionUse() {
+        return connectionUse;
     }
 
     /** Returns the header lines, names and values alternating. */
