--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -118,7 +118,7 @@
 
     /** Returns the use of the connection of the latest attempt. */
     private synchronized ConnectionUse connectionUse() {
-        return currentRequest == null ? new ConnectionUse() : currentRequest.connectionUse();
+        return currentRequest == null ? ConnectionUse.none() : currentRequest.connectionUse();
     }
 
     private synchronized int attempts() {
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/ConnectionUse.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/ConnectionUse.java
@@ -7,9 +7,24 @@
 public final class ConnectionUse {
     private static final long NOT_CONNECTED = -1;
 
+    private final String requestId;
     private volatile long connectionNumber = NOT_CONNECTED;
     private volatile int earlierRequests;
 
+    ConnectionUse(String requestId) {
+        this.requestId = requestId;
+    }
+
+    /** Returns the use of a request that was never sent. */
+    public static ConnectionUse none() {
+        return new ConnectionUse("");
+    }
+
+    /** Returns the id of the request that the response must bear, empty if it need not bear one. */
+    String requestId() {
+        return requestId;
+    }
+
     void set(long connection, int earlier) {
         earlierRequests = earlier;
         connectionNumber = connection;
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/StaleConnectionInterceptor.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/StaleConnectionInterceptor.java
@@ -12,8 +12,9 @@
 import okhttp3.Response;
 
 /**
- * Interceptor that rejects a pooled connection before a request is written to it if the upstream has closed it or has
- * sent bytes that belong to no request.
+ * Interceptor that rejects a pooled connection before a request is written to it if a response on it may not belong to
+ * the request: the upstream has closed it or has sent bytes that belong to no request, or it has carried a request with
+ * the same id, whose response may come once more.
  */
 final class StaleConnectionInterceptor implements Interceptor {
     private static final int CHECK_MILLIS = 1;
@@ -21,48 +22,52 @@
     private final AtomicLong connections = new AtomicLong();
     private final Map<Connection, ConnectionHistory> histories = Collections.synchronizedMap(new WeakHashMap<>());
 
+    /** Reason why a pooled connection is not used for a request. */
+    enum Reason {
+        CLOSED("upstream closed the connection"),
+        UNEXPECTED_BYTES("unexpected bytes on an idle connection"),
+        SAME_ID("the connection has carried a request with the same id");
+
+        private final String text;
+
+        Reason(String text) {
+            this.text = text;
+        }
+    }
+
     /** Thrown before the request is written, because the connection cannot be used. */
     static final class StaleConnectionException extends IOException {
         private static final long serialVersionUID = 1L;
 
-        private final boolean unexpectedBytes;
+        private final Reason reason;
 
-        StaleConnectionException(boolean unexpectedBytes) {
-            super(unexpectedBytes ? "unexpected bytes on an idle connection" : "upstream closed the connection");
-            this.unexpectedBytes = unexpectedBytes;
+        StaleConnectionException(Reason reason) {
+            super(reason.text);
+            this.reason = reason;
         }
 
-        /** Returns whether the upstream sent bytes that belong to no request, rather than closing the connection. */
-        boolean unexpectedBytes() {
-            return unexpectedBytes;
-        }
-    }
-
-    /** Number of a connection and of the requests that it has carried. Confined to the request that uses it. */
-    private static final class ConnectionHistory {
-        private final long number;
-        private int requests;
-
-        ConnectionHistory(long number) {
-            this.number = number;
+        Reason reason() {
+            return reason;
         }
     }
 
     @Override
     public Response intercept(Chain chain) throws IOException {
         Connection connection = chain.connection();
-        if (connection != null) {
-            ConnectionHistory history = histories.computeIfAbsent(
-                    connection, created -> new ConnectionHistory(connections.incrementAndGet()));
-            ConnectionUse use = chain.request().tag(ConnectionUse.class);
-            if (use != null) {
-                use.set(history.number, history.requests);
-            }
-            if (history.requests > 0) {
-                check(connection.socket(), chain.readTimeoutMillis());
+        ConnectionUse use = chain.request().tag(ConnectionUse.class);
+        if (connection == null || use == null) {
+            return chain.proceed(chain.request());
+        }
+        ConnectionHistory history =
+                histories.computeIfAbsent(connection, created -> new ConnectionHistory(connections.incrementAndGet()));
+        use.set(history.number(), history.requests());
+        if (use.reused()) {
+            if (history.hasCarried(use.requestId())) {
+                throw new StaleConnectionException(Reason.SAME_ID);
             }
-            history.requests++;
+            check(connection.socket(), chain.readTimeoutMillis());
         }
+        history.add(use.requestId());
         return chain.proceed(chain.request());
     }
 
@@ -70,7 +75,7 @@
         socket.setSoTimeout(CHECK_MILLIS);
         try {
             int next = socket.getInputStream().read();
-            throw new StaleConnectionException(next >= 0);
+            throw new StaleConnectionException(next < 0 ? Reason.CLOSED : Reason.UNEXPECTED_BYTES);
         } catch (SocketTimeoutException e) {
             socket.setSoTimeout(readTimeoutMillis);
         }
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamRequest.java
@@ -22,13 +22,12 @@
 
     private final OkHttpClient client;
     private final Request request;
-    private final String requestId;
     private final Address address;
     private final UpstreamTimeouts timeouts;
     private final ResponseBuffer buffer;
     private final UnexpectedResponseLog unexpectedResponses;
     private SendGuard guard = new SendGuard(Long.MAX_VALUE);
-    private ConnectionUse connectionUse = new ConnectionUse();
+    private ConnectionUse connectionUse;
     private Call call;
     private boolean cancelled;
 
@@ -42,7 +41,7 @@
             UnexpectedResponseLog unexpectedResponses) {
         this.client = client;
         this.request = request;
-        this.requestId = requestId;
+        this.connectionUse = new ConnectionUse(requestId);
         this.address = address;
         this.timeouts = timeouts;
         this.buffer = buffer;
@@ -74,7 +73,7 @@
                 response.body().source().timeout().timeout(timeouts.readMillis(), TimeUnit.MILLISECONDS);
                 return new UpstreamResponse(response, current, guard.retryAfter(), connectionUse(), buffer);
             } catch (StaleConnectionInterceptor.StaleConnectionException e) {
-                if (e.unexpectedBytes()) {
+                if (e.reason() == StaleConnectionInterceptor.Reason.UNEXPECTED_BYTES) {
                     record(UnexpectedResponse.IDLE_BYTES, String.valueOf(e.getMessage()));
                 }
                 if (stale >= MAX_STALE) {
@@ -92,12 +91,13 @@
     }
 
     private void record(UnexpectedResponse kind, String reason) {
-        unexpectedResponses.record(kind, requestId, address, connectionUse(), reason);
+        ConnectionUse use = connectionUse();
+        unexpectedResponses.record(kind, use.requestId(), address, use, reason);
     }
 
     private synchronized Call newCall() {
         guard = new SendGuard(Long.MAX_VALUE);
-        connectionUse = new ConnectionUse();
+        connectionUse = new ConnectionUse(connectionUse.requestId());
         return client.newCall(request.newBuilder()
                 .tag(SendGuard.class, guard)
                 .tag(ConnectionUse.class, connectionUse)
