--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -137,6 +137,7 @@
         UpstreamRequest upstreamRequest = context.client()
                 .prepare(
                         request.metadata().requestId(),
+                        (status, received, connection) -> checkHead(upstream, status, received, connection),
                         upstream.address(),
                         request.method(),
                         request.target(),
@@ -163,23 +164,9 @@
         return mayHaveRun;
     }
 
-    /**
-     * Parses the head of a response, records what its upstream says about itself, and checks that it belongs to this
-     * request.
-     *
-     * @throws WagtailcartException with {@link ResultCode#ANSWER_MISMATCH} if it may belong to another request
-     */
-    final ResponseMetadata receiveHead(Upstream upstream, UpstreamResponse response) {
-        ResponseMetadata metadata = context.protocol().parseResponse(response.status(), response.headers());
-        if (!metadata.wrongInstance()) {
-            context.registry()
-                    .recordAnnouncement(
-                            upstream,
-                            metadata.announcement(),
-                            request.metadata().requestId());
-        }
-        checkRequestId(upstream, metadata, response);
-        return metadata;
+    /** Parses the head of a response. */
+    final ResponseMetadata parseHead(UpstreamResponse response) {
+        return context.protocol().parseResponse(response.status(), response.headers());
     }
 
     /**
@@ -191,26 +178,21 @@
     }
 
     /**
-     * Checks that a response belongs to this request. Upstreams echo the request id; only a refusal on a connection
-     * that has carried no other request may omit it.
-     *
-     * @throws WagtailcartException with {@link ResultCode#ANSWER_MISMATCH} if it may belong to another request
+     * Records what the upstream of a response says about itself, and checks that the response belongs to this request.
+     * Upstreams echo the request id; only a refusal on a connection that has carried no other request may omit it.
      */
-    private void checkRequestId(Upstream upstream, ResponseMetadata metadata, UpstreamResponse response) {
-        boolean idMatches = metadata.requestId().equals(request.metadata().requestId());
-        boolean refusalWithoutId = metadata.requestId().isEmpty()
-                && metadata.notRun()
-                && !response.connectionUse().reused();
+    private void checkHead(Upstream upstream, int status, List<String> headers, ConnectionUse connection) {
+        String requestId = request.metadata().requestId();
+        ResponseMetadata metadata = context.protocol().parseResponse(status, headers);
+        if (!metadata.wrongInstance()) {
+            context.registry().recordAnnouncement(upstream, metadata.announcement(), requestId);
+        }
+        boolean idMatches = metadata.requestId().equals(requestId);
+        boolean refusalWithoutId = metadata.requestId().isEmpty() && metadata.notRun() && !connection.reused();
         if (!idMatches && !refusalWithoutId) {
-            String reason = "response with status " + metadata.status() + " belongs to request \""
-                    + metadata.requestId() + "\"";
+            String reason = "response with status " + status + " belongs to request \"" + metadata.requestId() + "\"";
             context.unexpectedResponses()
-                    .record(
-                            UnexpectedResponse.OTHER_REQUEST,
-                            request.metadata().requestId(),
-                            upstream.address(),
-                            response.connectionUse(),
-                            reason);
+                    .record(UnexpectedResponse.OTHER_REQUEST, requestId, upstream.address(), connection, reason);
             throw new WagtailcartException(ResultCode.ANSWER_MISMATCH, RunState.MAY_HAVE_RUN, reason);
         }
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -81,7 +81,7 @@
         try {
             UpstreamRequest upstreamRequest = prepare(upstream, options(upstream), timeouts(), true);
             try (UpstreamResponse response = upstreamRequest.execute()) {
-                ResponseMetadata metadata = receiveHead(upstream, response);
+                ResponseMetadata metadata = parseHead(response);
                 return handleResponse(
                         inFlight,
                         metadata,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -21,6 +21,7 @@
 import org.wagtailcart.gateway.protocol.Prompt;
 import org.wagtailcart.gateway.protocol.ResponseMetadata;
 import org.wagtailcart.gateway.protocol.UpstreamRequestOptions;
+import org.wagtailcart.gateway.send.ResponseCheck;
 import org.wagtailcart.gateway.send.UpstreamRequest;
 import org.wagtailcart.gateway.send.UpstreamResponse;
 import org.wagtailcart.gateway.send.UpstreamTimeouts;
@@ -197,7 +198,7 @@
                     prepare(engine, prefillOptions, new UpstreamTimeouts(timeoutMillis, timeoutMillis), false);
             try (ResponseWatchdog watchdog = new ResponseWatchdog(context(), engine, upstreamRequest);
                     UpstreamResponse response = watchdog.execute()) {
-                ResponseMetadata metadata = receiveHead(engine, response);
+                ResponseMetadata metadata = parseHead(response);
                 byte[] body = response.readAll();
                 if (metadata.success()) {
                     inFlight.endPrefill(nowMillis());
@@ -268,7 +269,7 @@
             runs++;
             lastReadAtMillis = -1;
             try (UpstreamResponse response = upstreamRequest.execute()) {
-                ResponseMetadata metadata = receiveHead(engine, response);
+                ResponseMetadata metadata = parseHead(response);
                 return relayStream(inFlight, metadata, response, ranBefore, sentAtMillis);
             }
         } catch (WagtailcartException e) {
@@ -296,7 +297,15 @@
             String path = context().protocol().releasePath(kvCacheHandle);
             context()
                     .client()
-                    .prepare("", kvCacheHandle.engine(), "DELETE", path, List.of(), new byte[0], timeouts)
+                    .prepare(
+                            "",
+                            ResponseCheck.NONE,
+                            kvCacheHandle.engine(),
+                            "DELETE",
+                            path,
+                            List.of(),
+                            new byte[0],
+                            timeouts)
                     .execute()
                     .close();
         } catch (WagtailcartException e) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamHttpClient.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamHttpClient.java
@@ -44,26 +44,30 @@
     /** Creates a client with an empty connection pool. */
     public UpstreamHttpClient(MillisClock clock, UnexpectedResponseLog unexpectedResponses) {
         this.unexpectedResponses = unexpectedResponses;
-        client = InternalHttpClients.builder()
+        OkHttpClient.Builder builder = InternalHttpClients.builder()
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_IDLE_MILLIS, TimeUnit.MILLISECONDS))
                 .connectTimeout(CONNECT_MILLIS, TimeUnit.MILLISECONDS)
                 .addInterceptor(UpstreamHttpClient::applyTimeouts)
                 .addNetworkInterceptor(new StaleConnectionInterceptor())
                 .addNetworkInterceptor(chain -> SendGuard.intercept(chain, clock))
-                .dispatcher(new Dispatcher())
-                .build();
+                .dispatcher(new Dispatcher());
+        // First in the list is last for responses: it sees only those that the other interceptors have accepted.
+        builder.networkInterceptors().add(0, new ResponseCheckInterceptor());
+        client = builder.build();
     }
 
     /**
      * Prepares a request; nothing is sent yet.
      *
      * @param requestId id that the response must bear, empty if it need not bear one
+     * @param check decides whether the response belongs to the request
      * @param target path and query
      * @param headers header lines, names and values alternating
      * @throws WagtailcartException with {@link ResultCode#INVALID_ARGUMENT} if it is not a valid HTTP request
      */
     public UpstreamRequest prepare(
             String requestId,
+            ResponseCheck check,
             Address address,
             String method,
             String target,
@@ -74,6 +78,7 @@
             Request.Builder builder = new Request.Builder()
                     .url(url(address, target))
                     .tag(UpstreamTimeouts.class, timeouts)
+                    .tag(ResponseCheck.class, check)
                     // Without this header OkHttp requests a compressed response and decompresses it, which changes the
                     // response.
                     .header("Accept-Encoding", "identity");
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamRequest.java
@@ -80,6 +80,8 @@
                     throw new WagtailcartException(
                             ResultCode.CONNECT_FAILED, "all pooled connections were stale: " + e, e);
                 }
+            } catch (ResponseCheckInterceptor.RejectedException e) {
+                throw e.rejection();
             } catch (MergedResponseException e) {
                 record(UnexpectedResponse.MERGED_HEAD, String.valueOf(e.getMessage()));
                 throw new WagtailcartException(
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamResponse.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamResponse.java
@@ -28,9 +28,15 @@
         this.buffer = buffer;
         this.response = response;
         this.call = call;
-        this.headers = new ArrayList<>();
-        response.headers().forEach(header -> headers.addAll(List.of(header.getFirst(), header.getSecond())));
-        retryAfter.forEach(value -> headers.addAll(List.of("Retry-After", value)));
+        this.headers = headerLines(response, retryAfter);
+    }
+
+    /** Returns header lines with those of Retry-After, which the HTTP client does not see. */
+    static List<String> headerLines(Response response, List<String> retryAfter) {
+        List<String> lines = new ArrayList<>();
+        response.headers().forEach(header -> lines.addAll(List.of(header.getFirst(), header.getSecond())));
+        retryAfter.forEach(value -> lines.addAll(List.of("Retry-After", value)));
+        return lines;
     }
 
     /** Returns the HTTP status. */
