--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -30,6 +30,7 @@
 import org.wagtailcart.gateway.protocol.RequestProtocol;
 import org.wagtailcart.gateway.quarantine.EngineCrashDetector;
 import org.wagtailcart.gateway.quarantine.PromptQuarantine;
+import org.wagtailcart.gateway.send.SuspectUpstreams;
 import org.wagtailcart.gateway.send.UnexpectedResponseLog;
 import org.wagtailcart.gateway.send.UpstreamHttpClient;
 import org.wagtailcart.gateway.watch.RouteTableWatcher;
@@ -81,8 +82,9 @@
         PromptQuarantine quarantine = new PromptQuarantine(clock);
         RouteTableWatcher routeWatcher = new RouteTableWatcher(
                 options.processId(), options.controlSeeds(), control, upstreams, quarantine, timer, clock);
-        UnexpectedResponseLog unexpectedResponses = new UnexpectedResponseLog(registry);
-        UpstreamHttpClient client = new UpstreamHttpClient(clock, unexpectedResponses);
+        SuspectUpstreams suspects = new SuspectUpstreams(clock);
+        UnexpectedResponseLog unexpectedResponses = new UnexpectedResponseLog(registry, suspects);
+        UpstreamHttpClient client = new UpstreamHttpClient(clock, unexpectedResponses, suspects);
         this.listReader = new HostListReader(list, upstreams, clock);
         this.context = new GatewayContext(
                 protocol,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -298,7 +298,7 @@
             context()
                     .client()
                     .prepare(
-                            "",
+                            "DELETE " + path,
                             ResponseCheck.NONE,
                             kvCacheHandle.engine(),
                             "DELETE",
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/ConnectionHistory.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/ConnectionHistory.java
@@ -1,15 +1,15 @@
 package org.wagtailcart.gateway.send;
 
-import java.util.ArrayDeque;
-import java.util.Queue;
+import java.util.HashSet;
+import java.util.Set;
 
 /** What a connection to an upstream has carried. Confined to the request that uses the connection. */
 final class ConnectionHistory {
-    /** Limit on the remembered ids. A connection carries a few requests a second, and late responses come in seconds. */
-    private static final int MAX_IDS = 64;
+    /** Limit on the requests of a connection, since the ids of all of them are kept in memory. */
+    private static final int MAX_REQUESTS = 1_024;
 
     private final long number;
-    private final Queue<String> latestIds = new ArrayDeque<>();
+    private final Set<String> requestIds = new HashSet<>();
     private int requests;
 
     /**
@@ -29,20 +29,17 @@
         return requests;
     }
 
-    /** Returns whether one of the latest requests had the given id. */
+    boolean isFull() {
+        return requests >= MAX_REQUESTS;
+    }
+
     boolean hasCarried(String requestId) {
-        return latestIds.contains(requestId);
+        return requestIds.contains(requestId);
     }
 
     /** Records a request that is about to be written. */
     void add(String requestId) {
         requests++;
-        if (requestId.isEmpty()) {
-            return;
-        }
-        if (latestIds.size() == MAX_IDS) {
-            latestIds.remove();
-        }
-        latestIds.add(requestId);
+        requestIds.add(requestId);
     }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/StaleConnectionInterceptor.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/StaleConnectionInterceptor.java
@@ -13,8 +13,8 @@
 
 /**
  * Interceptor that rejects a pooled connection before a request is written to it if a response on it may not belong to
- * the request: the upstream has closed it or has sent bytes that belong to no request, or it has carried a request with
- * the same id, whose response may come once more.
+ * the request: the upstream has closed it or has sent bytes that belong to no request, or the connection has carried a
+ * request with the same id, whose response may come once more.
  */
 final class StaleConnectionInterceptor implements Interceptor {
     private static final int CHECK_MILLIS = 1;
@@ -24,14 +24,22 @@
 
     /** Reason why a pooled connection is not used for a request. */
     enum Reason {
-        CLOSED("upstream closed the connection"),
-        UNEXPECTED_BYTES("unexpected bytes on an idle connection"),
-        SAME_ID("the connection has carried a request with the same id");
+        CLOSED("upstream closed the connection", false),
+        UNEXPECTED_BYTES("unexpected bytes on an idle connection", true),
+        SAME_ID("the connection has carried a request with the same id", true),
+        WORN_OUT("the connection has carried as many requests as it may", false);
 
         private final String text;
+        private final boolean needsNewConnection;
 
-        Reason(String text) {
+        Reason(String text, boolean needsNewConnection) {
             this.text = text;
+            this.needsNewConnection = needsNewConnection;
+        }
+
+        /** Returns whether the request needs a new connection, since other pooled ones may not do either. */
+        boolean needsNewConnection() {
+            return needsNewConnection;
         }
     }
 
@@ -65,6 +73,9 @@
             if (history.hasCarried(use.requestId())) {
                 throw new StaleConnectionException(Reason.SAME_ID);
             }
+            if (history.isFull()) {
+                throw new StaleConnectionException(Reason.WORN_OUT);
+            }
             check(connection.socket(), chain.readTimeoutMillis());
         }
         history.add(use.requestId());
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UnexpectedResponseLog.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UnexpectedResponseLog.java
@@ -9,15 +9,18 @@
 import org.wagtailcart.common.LogEventKind;
 import org.wagtailcart.common.SettingNames;
 
-/** Logs and counts bytes that upstreams sent although no request waited for them. Thread safe. */
+/** Logs and counts bytes that upstreams sent although no request waited for them, and suspects these upstreams. */
 public final class UnexpectedResponseLog {
     private static final Logger LOG = System.getLogger(UnexpectedResponseLog.class.getName());
 
     private final MetricRegistry registry;
+    private final SuspectUpstreams suspects;
 
     /** Creates a log with a counter for each kind in the registry. */
-    public UnexpectedResponseLog(MetricRegistry registry) {
+    public UnexpectedResponseLog(MetricRegistry registry, SuspectUpstreams suspects) {
         this.registry = registry;
+        this.suspects = suspects;
+        registry.registerGauge("gateway.upstreams-suspect", suspects::count);
         Arrays.stream(UnexpectedResponse.values()).forEach(this::counter);
     }
 
@@ -33,6 +36,7 @@
     public void record(
             UnexpectedResponse kind, String requestId, Address upstream, ConnectionUse connection, String reason) {
         counter(kind).inc();
+        suspects.add(upstream);
         LogEventKind.UNEXPECTED_RESPONSE.log(
                 LOG,
                 Level.WARNING,
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamHttpClient.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamHttpClient.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import okhttp3.Call;
 import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
 import okhttp3.HttpUrl;
@@ -38,12 +39,17 @@
     private static final long MAX_TOTAL_RESPONSE_BYTES = 32L << 20;
 
     private final OkHttpClient client;
+    /** Client without a connection pool. */
+    private final OkHttpClient newConnectionClient;
+
+    private final SuspectUpstreams suspects;
     private final UnexpectedResponseLog unexpectedResponses;
     private final ResponseBuffer responseBuffer = new ResponseBuffer(MAX_RESPONSE_BYTES, MAX_TOTAL_RESPONSE_BYTES);
 
     /** Creates a client with an empty connection pool. */
-    public UpstreamHttpClient(MillisClock clock, UnexpectedResponseLog unexpectedResponses) {
+    public UpstreamHttpClient(MillisClock clock, UnexpectedResponseLog unexpectedResponses, SuspectUpstreams suspects) {
         this.unexpectedResponses = unexpectedResponses;
+        this.suspects = suspects;
         OkHttpClient.Builder builder = InternalHttpClients.builder()
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_IDLE_MILLIS, TimeUnit.MILLISECONDS))
                 .connectTimeout(CONNECT_MILLIS, TimeUnit.MILLISECONDS)
@@ -54,6 +60,9 @@
         // First in the list is last for responses: it sees only those that the other interceptors have accepted.
         builder.networkInterceptors().add(0, new ResponseCheckInterceptor());
         client = builder.build();
+        newConnectionClient = client.newBuilder()
+                .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+                .build();
     }
 
     /**
@@ -86,13 +95,22 @@
                     .filter(i -> !headers.get(2 * i).equalsIgnoreCase("Accept-Encoding"))
                     .forEach(i -> builder.addHeader(headers.get(2 * i), headers.get(2 * i + 1)));
             Request request = builder.method(method, bodyOf(method, body)).build();
-            return new UpstreamRequest(
-                    client, request, requestId, address, timeouts, responseBuffer, unexpectedResponses);
+            return new UpstreamRequest(this, request, new ConnectionUse(requestId), address, timeouts, responseBuffer);
         } catch (IllegalArgumentException e) {
             throw new WagtailcartException(ResultCode.INVALID_ARGUMENT, "not a valid HTTP request: " + e, e);
         }
     }
 
+    /** Returns a call on a pooled or new connection, or always on a new one. */
+    Call newCall(Request request, Address upstream, boolean newConnection) {
+        OkHttpClient sender = newConnection || suspects.contains(upstream) ? newConnectionClient : client;
+        return sender.newCall(request);
+    }
+
+    UnexpectedResponseLog unexpectedResponses() {
+        return unexpectedResponses;
+    }
+
     /** Returns whether the host at an address is reachable but nothing listens there. Blocks while it connects. */
     public boolean refusesConnections(Address address) {
         try (Socket socket = new Socket()) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamRequest.java
@@ -2,9 +2,9 @@
 
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.net.ProtocolException;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
-import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
 import org.wagtailcart.common.Address;
@@ -17,36 +17,33 @@
 
 /** Cancellable HTTP request to an upstream. */
 public final class UpstreamRequest {
-    /** Limit on the stale pooled connections that are skipped before the request fails. */
+    /** Limit on the stale pooled connections that are skipped before a new connection is used. */
     private static final int MAX_STALE = 8;
 
-    private final OkHttpClient client;
+    private final UpstreamHttpClient client;
     private final Request request;
     private final Address address;
     private final UpstreamTimeouts timeouts;
     private final ResponseBuffer buffer;
-    private final UnexpectedResponseLog unexpectedResponses;
     private SendGuard guard = new SendGuard(Long.MAX_VALUE);
     private ConnectionUse connectionUse;
     private Call call;
     private boolean cancelled;
 
     UpstreamRequest(
-            OkHttpClient client,
+            UpstreamHttpClient client,
             Request request,
-            String requestId,
+            ConnectionUse connectionUse,
             Address address,
             UpstreamTimeouts timeouts,
-            ResponseBuffer buffer,
-            UnexpectedResponseLog unexpectedResponses) {
+            ResponseBuffer buffer) {
         this.client = client;
         this.request = request;
-        this.connectionUse = new ConnectionUse(requestId);
+        this.connectionUse = connectionUse;
         this.address = address;
         this.timeouts = timeouts;
         this.buffer = buffer;
-        this.unexpectedResponses = unexpectedResponses;
-        this.call = newCall();
+        this.call = newCall(false);
     }
 
     /** Returns the use of the connection of the latest send. */
@@ -66,8 +63,9 @@
      * @throws WagtailcartException if there is no response; its run state is NOT_RUN only if no byte of it was sent
      */
     public UpstreamResponse execute() {
+        boolean newConnection = false;
         for (int stale = 0; ; stale++) {
-            Call current = nextCall();
+            Call current = nextCall(newConnection);
             try {
                 Response response = current.execute();
                 response.body().source().timeout().timeout(timeouts.readMillis(), TimeUnit.MILLISECONDS);
@@ -76,16 +74,16 @@
                 if (e.reason() == StaleConnectionInterceptor.Reason.UNEXPECTED_BYTES) {
                     record(UnexpectedResponse.IDLE_BYTES, String.valueOf(e.getMessage()));
                 }
-                if (stale >= MAX_STALE) {
-                    throw new WagtailcartException(
-                            ResultCode.CONNECT_FAILED, "all pooled connections were stale: " + e, e);
-                }
+                newConnection = e.reason().needsNewConnection() || stale >= MAX_STALE;
             } catch (ResponseCheckInterceptor.RejectedException e) {
                 throw e.rejection();
             } catch (MergedResponseException e) {
                 record(UnexpectedResponse.MERGED_HEAD, String.valueOf(e.getMessage()));
                 throw new WagtailcartException(
                         ResultCode.ANSWER_MISMATCH, RunState.MAY_HAVE_RUN, String.valueOf(e.getMessage()));
+            } catch (ProtocolException e) {
+                record(UnexpectedResponse.INVALID_HEAD, String.valueOf(e.getMessage()));
+                throw failure(e);
             } catch (IOException e) {
                 throw failure(e);
             }
@@ -94,23 +92,24 @@
 
     private void record(UnexpectedResponse kind, String reason) {
         ConnectionUse use = connectionUse();
-        unexpectedResponses.record(kind, use.requestId(), address, use, reason);
+        client.unexpectedResponses().record(kind, use.requestId(), address, use, reason);
     }
 
-    private synchronized Call newCall() {
+    private synchronized Call newCall(boolean newConnection) {
         guard = new SendGuard(Long.MAX_VALUE);
         connectionUse = new ConnectionUse(connectionUse.requestId());
-        return client.newCall(request.newBuilder()
+        Request tagged = request.newBuilder()
                 .tag(SendGuard.class, guard)
                 .tag(ConnectionUse.class, connectionUse)
-                .build());
+                .build();
+        return client.newCall(tagged, address, newConnection);
     }
 
-    private synchronized Call nextCall() {
+    private synchronized Call nextCall(boolean newConnection) {
         if (cancelled) {
             throw new WagtailcartException(ResultCode.CALLER_GONE, RunState.NOT_RUN, "request was cancelled");
         }
-        call = newCall();
+        call = newCall(newConnection);
         return call;
     }
 
--- a/gateway/src/test/java/org/wagtailcart/gateway/RepeatedIdTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/RepeatedIdTest.java
@@ -7,7 +7,10 @@
 import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -20,7 +23,10 @@
  * the upstream sent that response once more on a connection that carries the repeat.
  */
 class RepeatedIdTest {
-    private static final int REQUESTS = 20;
+    private static final int REQUESTS = 10;
+    /** More connections than are tried before a new one is opened. */
+    private static final int MANY = 30;
+
     private static final int TIMEOUT_MILLIS = 2_000;
 
     private final Map<String, AtomicInteger> runsById = new ConcurrentHashMap<>();
@@ -49,7 +55,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"safe, 0", "safe, 3", "unsafe, 0", "unsafe, 10", "stream, 0", "resumable, 3"})
+    @CsvSource({"safe, 0", "safe, 3", "unsafe, 0", "unsafe, 10", "unsafe, 100", "stream, 0", "resumable, 3"})
     void repeatUnderTheSameIdGetsItsOwnResponse(String route, int requestsBetween) throws Exception {
         try (TestUpstream upstream = new TestUpstream(repeatingItself());
                 GatewayTestHarness harness = new GatewayTestHarness()) {
@@ -71,11 +77,49 @@
     private void assertOwnResponse(GatewayTestHarness harness, String route, String id) {
         try {
             HttpResponse<String> response = harness.send(harness.request(route, id, TIMEOUT_MILLIS));
+            assertWithMessage("status of %s: %s", id, response.body())
+                    .that(response.statusCode())
+                    .isEqualTo(200);
             int run = runsById.get(id).get();
-            assertWithMessage("status of " + id).that(response.statusCode()).isEqualTo(200);
             assertWithMessage("body of " + id).that(response.body()).isEqualTo(body(run));
         } catch (IOException | InterruptedException e) {
             throw new AssertionError(e);
         }
     }
+
+    /** Guards against a refusal of a request because its id was seen before on every kept connection. */
+    @ParameterizedTest
+    @CsvSource({"safe", "unsafe"})
+    void idThatManyConnectionsHaveCarriedIsServed(String route) throws Exception {
+        CountDownLatch open = new CountDownLatch(MANY);
+        TestUpstream.Script script = (request, out, socket) -> {
+            open.countDown();
+            awaitAll(open);
+            return TestUpstream.ok("").respond(request, out, socket);
+        };
+        try (TestUpstream upstream = new TestUpstream(script);
+                GatewayTestHarness harness = new GatewayTestHarness()) {
+            IntStream.range(0, MANY).forEach(i -> harness.add("a-" + i, "stock", upstream, null));
+            harness.start();
+            List<CompletableFuture<HttpResponse<String>>> responses = IntStream.range(0, MANY)
+                    .mapToObj(i -> harness.sendAsync(harness.request(route, "same", 4 * TIMEOUT_MILLIS)))
+                    .toList();
+            responses.forEach(response -> assertWithMessage("status")
+                    .that(response.join().statusCode())
+                    .isEqualTo(200));
+            assertWithMessage("status of one more")
+                    .that(harness.send(harness.request(route, "same", TIMEOUT_MILLIS))
+                            .statusCode())
+                    .isEqualTo(200);
+        }
+    }
+
+    private static void awaitAll(CountDownLatch open) {
+        try {
+            boolean all = open.await(3, TimeUnit.SECONDS);
+            assertWithMessage("requests at the same time").that(all).isTrue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
