--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftStorage.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftStorage.java
@@ -45,6 +45,11 @@
     private long baseIndex = -1;
     private long baseTerm;
     private long generation;
+    /** Snapshot that the current log continues; empty for none. */
+    private String snapshotName = "";
+    /** Whether the name of the current log may be lost in a crash. Nothing is acknowledged meanwhile. */
+    private boolean logNameUnsynced;
+
     private RecordLog log;
 
     /**
@@ -65,6 +70,8 @@
                 folder.write(INITIAL_MEMBERS_FILE, encodeInitialMembers(givenMembers));
             }
             log = fresh ? createLog(0, 0, List.of()) : load();
+            syncLogName();
+            deleteUnusedFiles();
             initialMembers = givenMembers.isEmpty() ? decodeInitialMembers() : givenMembers;
         } catch (RuntimeException e) {
             folder.close();
@@ -118,6 +125,7 @@
 
     /** Makes the given writes durable in their order, with one sync unless one of them has a snapshot. */
     void write(List<NodeOutput.StorageWrite> writes) {
+        syncLogName();
         ByteArrayOutputStream record = new ByteArrayOutputStream();
         for (NodeOutput.StorageWrite write : writes) {
             HardState changed = write.hardState();
@@ -138,16 +146,33 @@
         }
     }
 
-    /** Writes a snapshot, then a new log file with the given entries after the base, and deletes the old files. */
+    /**
+     * Writes a snapshot, then a new log file with the given entries after the base, and deletes the old files. After a
+     * failure the storage goes on with the old or the new log file, both of which hold all that was written, and the
+     * files of the attempt are deleted, so that they don't take the room that the next one needs.
+     */
     void saveSnapshot(Snapshot newSnapshot, long newBaseIndex, long newBaseTerm, List<LogEntry> retainedEntries) {
+        syncLogName();
         String name = String.format("%s%019d", SNAPSHOT_PREFIX, newSnapshot.index());
-        folder.write(name, encode(newSnapshot));
         RecordLog old = log;
-        log = createLog(newBaseIndex, newBaseTerm, retainedEntries);
+        try {
+            folder.write(name, encode(newSnapshot));
+            log = createLog(newBaseIndex, newBaseTerm, retainedEntries);
+        } catch (WagtailcartException e) {
+            deleteUnusedFiles();
+            throw e;
+        }
+        snapshotName = name;
         old.close();
-        deleteAllBut(SNAPSHOT_PREFIX, name);
-        deleteAllBut(LOG_PREFIX, logName());
-        deleteAllBut(WATERMARK_PREFIX, WATERMARK_PREFIX + logName());
+        syncLogName();
+        deleteUnusedFiles();
+    }
+
+    private void syncLogName() {
+        if (logNameUnsynced) {
+            folder.sync();
+            logNameUnsynced = false;
+        }
     }
 
     @Override
@@ -160,7 +185,8 @@
         List<String> snapshots = folder.fileNames(SNAPSHOT_PREFIX);
         Snapshot latest = null;
         if (!snapshots.isEmpty()) {
-            latest = decodeSnapshot(folder.read(snapshots.get(snapshots.size() - 1), ResultCode.SNAPSHOT_DAMAGED));
+            snapshotName = snapshots.get(snapshots.size() - 1);
+            latest = decodeSnapshot(folder.read(snapshotName, ResultCode.SNAPSHOT_DAMAGED));
         }
         snapshot = latest;
         List<String> logs = folder.fileNames(LOG_PREFIX);
@@ -179,8 +205,6 @@
             baseTerm = latest.term();
             opened = createLog(baseIndex, baseTerm, List.of());
         }
-        deleteAllBut(LOG_PREFIX, logName());
-        deleteAllBut(WATERMARK_PREFIX, WATERMARK_PREFIX + logName());
         return opened;
     }
 
@@ -197,20 +221,32 @@
     }
 
     private RecordLog createLog(long newBaseIndex, long newBaseTerm, List<LogEntry> retainedEntries) {
-        generation++;
-        baseIndex = newBaseIndex;
-        baseTerm = newBaseTerm;
         List<byte[]> records = new ArrayList<>();
         records.add(encodeBase(newBaseIndex, newBaseTerm));
         records.add(encode(hardState));
         retainedEntries.forEach(entry -> records.add(encode(entry)));
-        return folder.createLog(logName(), records);
+        RecordLog created = folder.createLog(logName(generation + 1), records);
+        generation++;
+        baseIndex = newBaseIndex;
+        baseTerm = newBaseTerm;
+        logNameUnsynced = true;
+        return created;
     }
 
     private String logName() {
+        return logName(generation);
+    }
+
+    private static String logName(long generation) {
         return String.format("%s%019d", LOG_PREFIX, generation);
     }
 
+    private void deleteUnusedFiles() {
+        deleteAllBut(SNAPSHOT_PREFIX, snapshotName);
+        deleteAllBut(LOG_PREFIX, logName());
+        deleteAllBut(WATERMARK_PREFIX, WATERMARK_PREFIX + logName());
+    }
+
     private void deleteAllBut(String prefix, String keep) {
         folder.fileNames(prefix).stream().filter(name -> !name.equals(keep)).forEach(folder::delete);
     }
--- a/storage/src/main/java/org/wagtailcart/storage/DataFolder.java
+++ b/storage/src/main/java/org/wagtailcart/storage/DataFolder.java
@@ -125,21 +125,41 @@
         return RecordLog.open(folder.resolve(name), recordConsumer);
     }
 
-    /** Creates a log with the given records atomically: after a crash it is either absent or complete. */
+    /**
+     * Creates a log with the given records atomically: after a crash it is either absent or complete. It may be absent
+     * until {@link #sync} has succeeded. A failed attempt may leave a temporary file, which starts with the same name.
+     */
     public RecordLog createLog(String name, List<byte[]> records) {
         Path temporary = folder.resolve(name + TEMPORARY_SUFFIX);
         try {
             Files.deleteIfExists(temporary);
-            RecordLog log = RecordLog.open(temporary, record -> {});
+        } catch (IOException e) {
+            throw storageFailure("create", temporary, e);
+        }
+        RecordLog log = RecordLog.open(temporary, record -> {});
+        try {
             records.forEach(log::writeUnsynced);
             log.sync();
-            renameDurably(folder, temporary, name);
+            Files.move(temporary, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
             return log;
+        } catch (WagtailcartException e) {
+            log.close();
+            throw e;
         } catch (IOException e) {
+            log.close();
             throw storageFailure("create", temporary, e);
         }
     }
 
+    /** Makes created, renamed and deleted files durable. */
+    public void sync() {
+        try {
+            syncFolder(folder);
+        } catch (IOException e) {
+            throw storageFailure("sync", folder, e);
+        }
+    }
+
     /** Deletes a file without a sync of the folder. The file may reappear after a crash; callers must tolerate it. */
     public void delete(String name) {
         try {
--- a/storage/src/main/java/org/wagtailcart/storage/RecordLog.java
+++ b/storage/src/main/java/org/wagtailcart/storage/RecordLog.java
@@ -48,20 +48,38 @@
             long fileBytes = Files.exists(path) ? Files.size(path) : 0;
             ByteBuffer content = ByteBuffer.wrap(fileBytes == 0 ? new byte[0] : Files.readAllBytes(path));
             long validBytes = readRecords(path, content, SyncWatermark.read(path), recordConsumer);
-            FileChannel channel = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-            RecordLog log = new RecordLog(path, channel, SyncWatermark.open(path), validBytes);
-            if (validBytes < fileBytes) {
-                log.truncateTail(fileBytes);
-            }
-            // Records of a killed process may be in the page cache only; they are made durable before they are used.
-            log.sync();
-            log.watermark.sync();
+            RecordLog log = openFiles(path, validBytes);
+            log.makeDurable(fileBytes);
             return log;
         } catch (IOException e) {
             throw storageFailure("open", path, e);
         }
     }
 
+    private static RecordLog openFiles(Path path, long validBytes) throws IOException {
+        FileChannel channel = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        try {
+            return new RecordLog(path, channel, SyncWatermark.open(path), validBytes);
+        } catch (IOException e) {
+            channel.close();
+            throw e;
+        }
+    }
+
+    /** Cuts an incomplete last record and syncs the log, whose records may be in the page cache only after a kill. */
+    private void makeDurable(long fileBytes) throws IOException {
+        try {
+            if (sizeBytes < fileBytes) {
+                truncateTail(fileBytes);
+            }
+            sync();
+            watermark.sync();
+        } catch (IOException | WagtailcartException e) {
+            close();
+            throw e;
+        }
+    }
+
     /**
      * Appends a record and syncs it; the record is durable when this method returns. After a failure the record may be
      * appended again; it is written at the same offset.
