--- a/coordination/src/main/java/org/wagtailcart/coordination/RaftLog.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/RaftLog.java
@@ -39,6 +39,7 @@
     private static final long SLOW_SYNC_MILLIS = 700;
 
     private static final long TRANSFER_INTERVAL_MILLIS = 1_000;
+    private static final long SNAPSHOT_RETRY_INTERVAL_MILLIS = 1_000;
 
     private final RaftOptions options;
     private final StateMachine stateMachine;
@@ -61,6 +62,7 @@
     private long nextTickMillis;
     private long nextTransferMillis;
     private boolean snapshotInProgress;
+    private long nextSnapshotMillis = Long.MIN_VALUE;
     private @Nullable WagtailcartException failure;
     private volatile boolean closed;
     private volatile RaftStatus status;
@@ -219,6 +221,14 @@
         });
     }
 
+    @Override
+    public void onSnapshotFailed() {
+        submit(() -> {
+            snapshotInProgress = false;
+            nextSnapshotMillis = clock.nowMillis() + SNAPSHOT_RETRY_INTERVAL_MILLIS;
+        });
+    }
+
     @Override
     public void onStorageFailed(RuntimeException cause) {
         submit(() -> fail(cause));
@@ -406,7 +416,7 @@
     }
 
     private void snapshotIfDue() {
-        if (snapshotInProgress || !node.isSnapshotDue()) {
+        if (snapshotInProgress || clock.nowMillis() < nextSnapshotMillis || !node.isSnapshotDue()) {
             return;
         }
         snapshotInProgress = true;
--- a/coordination/src/main/java/org/wagtailcart/coordination/StorageThread.java
+++ b/coordination/src/main/java/org/wagtailcart/coordination/StorageThread.java
@@ -54,6 +54,9 @@
 
         void onSnapshotDurable(Snapshot snapshot);
 
+        /** Called when a snapshot could not be written; the log still has everything that it covers. */
+        void onSnapshotFailed();
+
         void onStorageFailed(RuntimeException cause);
     }
 
@@ -133,14 +136,26 @@
             } else if (job instanceof SnapshotJob taken) {
                 flush(writeJobs);
                 writeJobs = new ArrayList<>();
-                retryUntilWritten(() ->
-                        storage.saveSnapshot(taken.snapshot(), taken.baseIndex(), taken.baseTerm(), taken.entries()));
-                listener.onSnapshotDurable(taken.snapshot());
+                saveSnapshot(taken);
             }
         }
         flush(writeJobs);
     }
 
+    /** Tries once to write a snapshot. A disk that has no room for it may still have room for the log. */
+    private void saveSnapshot(SnapshotJob taken) {
+        try {
+            storage.saveSnapshot(taken.snapshot(), taken.baseIndex(), taken.baseTerm(), taken.entries());
+            listener.onSnapshotDurable(taken.snapshot());
+        } catch (WagtailcartException e) {
+            if (e.code() != ResultCode.STORAGE_FAILED) {
+                throw e;
+            }
+            LOG.log(Level.ERROR, LogEvent.of("snapshot-failed", "code", e.code().number(), "reason", e.getMessage()));
+            listener.onSnapshotFailed();
+        }
+    }
+
     /** Retries a write that fails, as on a full disk; nothing is acknowledged before it succeeds. */
     private void retryUntilWritten(Runnable write) throws InterruptedException {
         boolean failing = false;
