--- a/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/ProcessFleet.java
@@ -50,6 +50,7 @@
     private final Map<String, ChildProcess> processes = new LinkedHashMap<>();
     private final Map<String, Address> addresses = new LinkedHashMap<>();
     private final List<String> controlMembers;
+    private final Optional<Address> hostList;
     private final ObjectMapper mapper = new ObjectMapper();
     private final HttpClient http = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
@@ -62,7 +63,13 @@
 
     /** Creates a fleet and starts its control members, without settings. */
     ProcessFleet(Path folder, int controlCount) {
+        this(folder, controlCount, Optional.empty());
+    }
+
+    /** Creates a fleet whose gateways and control members use a platform with the given host list. */
+    ProcessFleet(Path folder, int controlCount, Optional<Address> hostList) {
         this.folder = folder;
+        this.hostList = hostList;
         this.controlMembers = IntStream.rangeClosed(1, controlCount)
                 .mapToObj(i -> "control-" + i)
                 .toList();
@@ -297,6 +304,24 @@
         return send(callerRequest(entry, path).GET().build());
     }
 
+    /** Sends a routing table to the first control member until it is accepted. */
+    void replaceRoutes(String json) {
+        HttpRequest request = HttpRequest.newBuilder(
+                        uri(address(controlMembers.get(0) + ".config"), "/api/config/replace"))
+                .timeout(Duration.ofSeconds(10))
+                .POST(HttpRequest.BodyPublishers.ofString(json))
+                .build();
+        await("the routing table to be accepted", () -> send(request).statusCode() == 200);
+    }
+
+    /** Waits until a gateway is ready. */
+    void awaitReady(String gateway) {
+        HttpRequest request = HttpRequest.newBuilder(uri(address(gateway + ".ready"), "/api/ready"))
+                .timeout(Duration.ofSeconds(10))
+                .build();
+        await(gateway + " to be ready", () -> send(request).statusCode() == 200);
+    }
+
     /** Sends a completion request and returns the response. */
     HttpResponse<String> sendCompletion(String entry, String prompt, int maxTokens, boolean stream) {
         String body = "{\"model\":\"%s\",\"stream\":%s,\"max_tokens\":%d,\"prompt\":\"%s\"}"
@@ -409,8 +434,16 @@
         return "[process]\nid = " + name + "\nhost = host-" + name + "\nfailure-domain = fes\nroles = " + role + "\n"
                 + (role.equals("control") ? "data-folder = data-" + name + "\n" : "")
                 + "[listen]\n" + listeners
-                + (role.equals("entry") ? "caller = " + address(name + ".caller") + "\n" : "")
-                + "[control]\nmembers = " + members + "\n[operator]\ntoken-file = operator.token\n";
+                + (role.equals("entry") || role.equals("gateway") ? "caller = " + address(name + ".caller") + "\n" : "")
+                + (role.equals("gateway") ? "ready = " + address(name + ".ready") + "\n" : "")
+                + "[control]\nmembers = " + members + "\n[operator]\ntoken-file = operator.token\n"
+                + hostList.map(list -> platformSection(name, role, list)).orElse("");
+    }
+
+    private String platformSection(String name, String role, Address list) {
+        return "[platform]\nhost-list = " + list + "\n"
+                + (role.equals("control") ? "control-listener = " + address(name + ".config") + "\n" : "")
+                + (role.equals("gateway") ? "[retry]\nratio = 0.2\nreserve = 50\n" : "");
     }
 
     private String upstreamSection(String branch, String name, String sidecar) {
