--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamHttpClient.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamHttpClient.java
@@ -50,16 +50,15 @@
     public UpstreamHttpClient(MillisClock clock, UnexpectedResponseLog unexpectedResponses, SuspectUpstreams suspects) {
         this.unexpectedResponses = unexpectedResponses;
         this.suspects = suspects;
-        OkHttpClient.Builder builder = InternalHttpClients.builder()
+        client = InternalHttpClients.builder(
+                        new ResponseCheckInterceptor(),
+                        new StaleConnectionInterceptor(),
+                        chain -> SendGuard.intercept(chain, clock))
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_IDLE_MILLIS, TimeUnit.MILLISECONDS))
                 .connectTimeout(CONNECT_MILLIS, TimeUnit.MILLISECONDS)
                 .addInterceptor(UpstreamHttpClient::applyTimeouts)
-                .addNetworkInterceptor(new StaleConnectionInterceptor())
-                .addNetworkInterceptor(chain -> SendGuard.intercept(chain, clock))
-                .dispatcher(new Dispatcher());
-        // First in the list is last for responses: it sees only those that the other interceptors have accepted.
-        builder.networkInterceptors().add(0, new ResponseCheckInterceptor());
-        client = builder.build();
+                .dispatcher(new Dispatcher())
+                .build();
         newConnectionClient = client.newBuilder()
                 .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
                 .build();
--- a/gateway/src/test/java/org/wagtailcart/gateway/MergedResponseHeadTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/MergedResponseHeadTest.java
@@ -3,8 +3,13 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -71,6 +76,54 @@
         }
     }
 
+    /** Guards against a request that runs twice: the refusal in front of its success hides within a field. */
+    @ParameterizedTest
+    @CsvSource({"unsafe", "stream"})
+    void successBehindThePartOfAnEarlierRefusalRunsOnce(String route) throws Exception {
+        String refusal = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRetry-After: 0.0";
+        Set<Socket> reused = ConcurrentHashMap.newKeySet();
+        Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+        TestUpstream.Script script = (request, out, socket) -> {
+            String id = request.header("Id");
+            runs.computeIfAbsent(id, first -> new AtomicInteger()).incrementAndGet();
+            String late = reused.add(socket) ? "" : refusal;
+            TestUpstream.write(out, late + response(200, id, "Server: stand-in"));
+            return true;
+        };
+        try (TestUpstream first = new TestUpstream(script);
+                TestUpstream second = new TestUpstream(script);
+                GatewayTestHarness harness = new GatewayTestHarness()) {
+            harness.add("a", "stock", first, null);
+            harness.add("b", "stock", second, null);
+            harness.add("c", "brain", first, EngineRole.DECODE);
+            harness.add("d", "brain", second, EngineRole.DECODE);
+            harness.start();
+            IntStream.range(0, 8).forEach(i -> {
+                int status = status(harness, route, route + "-" + i);
+                assertWithMessage("runs of request %s", i)
+                        .that(runs.get(route + "-" + i).get())
+                        .isEqualTo(1);
+                assertWithMessage("status of request %s", i).that(status).isNotEqualTo(503);
+            });
+        }
+    }
+
+    /** Guards against sound responses that are rejected because a field resembles a status line. */
+    @ParameterizedTest
+    @CsvSource({"Via: HTTP/1.1 192.0.2.1", "Warning: 199 HTTP/1.1 2004-draft", "Via: HTTP/1.1 proxy.example"})
+    void fieldThatNamesTheProtocolIsAccepted(String field) throws Exception {
+        TestUpstream.Script script = (request, out, socket) -> {
+            TestUpstream.write(out, response(200, request.header("Id"), field));
+            return true;
+        };
+        try (TestUpstream upstream = new TestUpstream(script);
+                GatewayTestHarness harness = new GatewayTestHarness()) {
+            harness.add("a", "stock", upstream, null);
+            harness.start();
+            assertWithMessage(field).that(status(harness, "unsafe", "r")).isEqualTo(200);
+        }
+    }
+
     /** Returns the status, 0 if the connection was closed without a response. */
     private static int status(GatewayTestHarness harness, String route, String id) {
         try {
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamClient.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamClient.java
@@ -36,12 +36,11 @@
         this.clock = clock;
         // Each request uses a new connection, because an idle one may be dead or still carry the late response to an
         // earlier request. The upstream is on the same host, so a new connection costs little.
-        client = InternalHttpClients.builder()
+        client = InternalHttpClients.builder(chain -> SendGuard.intercept(chain, clock))
                 .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
                 .connectTimeout(options.connectTimeoutMillis(), TimeUnit.MILLISECONDS)
                 .readTimeout(options.engineApiTimeoutMillis(), TimeUnit.MILLISECONDS)
                 .writeTimeout(options.idleTimeoutMillis(), TimeUnit.MILLISECONDS)
-                .addNetworkInterceptor(chain -> SendGuard.intercept(chain, clock))
                 .build();
     }
 
--- a/upstream/src/main/java/org/wagtailcart/upstream/ResponseHeadValidator.java
+++ b/upstream/src/main/java/org/wagtailcart/upstream/ResponseHeadValidator.java
@@ -17,7 +17,7 @@
 final class ResponseHeadValidator {
     private static final char DELETE = 0x7f;
     private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}( |$)");
 
     private ResponseHeadValidator() {}
 
