Let late copies of all kinds come from more replicas in the process test

The cause: since a gateway uses no kept connection to a replica that has sent bytes no request waited for, so that each of the eight replicas played one or two copies only.

The test now has 42 replicas, and the kinds of copies take turns, beginning with another one at each replica. Checks of answers and the precondition stay as they are.

--- a/daemon/src/test/java/org/wagtailcart/daemon/StutteringReplicas.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/StutteringReplicas.java
@@ -77,7 +77,7 @@
     record Run(String stamp, String attempt, int status, String body) {}
 
     /** Address at which a replica listens. */
-    private record Replica(String id, Address address, ServerSocket listener) {}
+    private record Replica(String id, Address address, ServerSocket listener, AtomicInteger turn) {}
 
     /** Response that was written to a connection. */
     private record Sent(String statusLine, String rest) {
@@ -118,7 +118,7 @@
     StutteringReplicas(long seed, int count) {
         this.seed = seed;
         this.replicas = IntStream.range(0, count)
-                .mapToObj(index -> listen("i-" + index, TestAddresses.free()))
+                .mapToObj(index -> listen(index, TestAddresses.free()))
                 .toList();
     }
 
@@ -159,9 +159,10 @@
         threads.shutdownNow();
     }
 
-    private static Replica listen(String id, Address address) {
+    private static Replica listen(int index, Address address) {
         try {
-            return new Replica(id, address, new ServerSocket(address.port(), 100, InetAddress.getByName(address.ip())));
+            ServerSocket listener = new ServerSocket(address.port(), 100, InetAddress.getByName(address.ip()));
+            return new Replica("i-" + index, address, listener, new AtomicInteger(index));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -196,7 +197,7 @@
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
             while (true) {
-                Optional<LateCopy> copy = chooseLateCopy(earlier, random);
+                Optional<LateCopy> copy = chooseLateCopy(replica, earlier, random);
                 if (copy.isPresent() && copy.get().whileIdle() && awaitsRequest(socket, in, random)) {
                     write(out, lateText(copy.get(), earlier, random));
                 }
@@ -220,11 +221,15 @@
         }
     }
 
-    private static Optional<LateCopy> chooseLateCopy(List<Sent> earlier, Random random) {
+    /**
+     * Chooses whether to write a late copy. The kinds take turns, beginning with another one at each replica: a gateway
+     * that finds a late copy uses no kept connection to that replica for a while, so that few more follow.
+     */
+    private static Optional<LateCopy> chooseLateCopy(Replica replica, List<Sent> earlier, Random random) {
         if (earlier.isEmpty() || random.nextDouble() >= LATE_COPY_PROBABILITY) {
             return Optional.empty();
         }
-        return Optional.of(LateCopy.values()[random.nextInt(LateCopy.values().length)]);
+        return Optional.of(LateCopy.values()[replica.turn.getAndIncrement() % LateCopy.values().length]);
     }
 
     /** Waits for a random time for the next request; returns whether none came. */
--- a/daemon/src/test/java/org/wagtailcart/daemon/StutteringUpstreamFaultTest.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/StutteringUpstreamFaultTest.java
@@ -49,7 +49,7 @@
     private static final long FIRST_SEED = Long.getLong("wagtailcart.stutter.first-seed", 1);
     private static final String GATEWAY = "gateway-1";
     private static final String HOST = "parts.example";
-    private static final int REPLICAS = 8;
+    private static final int REPLICAS = 42;
     private static final int CALLERS = 16;
     private static final int REQUESTS_PER_CALLER = 400;
     private static final int MAX_ATTEMPTS = 2;
