Count bytes behind a body for its own request only

Found while reading the change: a connection goes back to the pool as soon as its body is read, so that the count of bytes behind the body could be that of the next request on it, and its connection was closed. The count now names the request, and is 0 for an earlier one. Found by reading; no test shows the race.

--- a/upstream/src/main/java/org/wagtailcart/upstream/BoundedSocket.java
+++ b/upstream/src/main/java/org/wagtailcart/upstream/BoundedSocket.java
@@ -20,15 +20,15 @@
     private final ResponseByteCounter counter = new ResponseByteCounter();
     private final AtomicLong allowedBytes = new AtomicLong(MAX_OVERHEAD_BYTES);
 
-    /** Called before a request is written; its response may use the full allowance. */
-    void startRequest() {
+    /** Called before a request is written; its response may use the full allowance. Returns the number of the request. */
+    long startRequest() {
         allowedBytes.set(MAX_OVERHEAD_BYTES);
-        counter.start();
+        return counter.start();
     }
 
-    /** Returns how many bytes behind the end of a response with a body of the given length have arrived. */
-    long surplusBytes(long bodyBytes) {
-        return counter.surplusBytes(bodyBytes);
+    /** Returns how many bytes behind the end of the response to a request have arrived, 0 if it is not the latest. */
+    long surplusBytes(long request, long bodyBytes) {
+        return counter.surplusBytes(request, bodyBytes);
     }
 
     /** Called when bytes of the response body were read from the HTTP client. */
--- a/upstream/src/main/java/org/wagtailcart/upstream/ResponseBounds.java
+++ b/upstream/src/main/java/org/wagtailcart/upstream/ResponseBounds.java
@@ -32,10 +32,10 @@
         if (connection == null || !(connection.socket() instanceof BoundedSocket socket)) {
             return chain.proceed(chain.request());
         }
-        socket.startRequest();
+        long request = socket.startRequest();
         Response response = chain.proceed(chain.request());
         ResponseBody body = response.body();
-        CheckedBody checked = new CheckedBody(body, socket);
+        CheckedBody checked = new CheckedBody(body, socket, request);
         return response.newBuilder()
                 .body(ResponseBody.create(Okio.buffer(checked), body.contentType(), body.contentLength()))
                 .build();
@@ -49,12 +49,14 @@
         private static final ByteString STATUS_LINE_START = ByteString.encodeUtf8("HTTP/1.");
 
         private final BoundedSocket socket;
+        private final long request;
         private final long lengthBytes;
         private long readBytes;
 
-        CheckedBody(ResponseBody body, BoundedSocket socket) {
+        CheckedBody(ResponseBody body, BoundedSocket socket, long request) {
             super(body.source());
             this.socket = socket;
+            this.request = request;
             this.lengthBytes = body.contentLength();
         }
 
@@ -65,7 +67,7 @@
                 socket.bodyRead(count);
                 readBytes += count;
             }
-            if (readBytes == lengthBytes && socket.surplusBytes(lengthBytes) > 0) {
+            if (readBytes == lengthBytes && socket.surplusBytes(request, lengthBytes) > 0) {
                 socket.close();
                 if (count > 0 && containsStatusLineStart(sink, count)) {
                     throw new ForeignBodyException();
--- a/upstream/src/main/java/org/wagtailcart/upstream/ResponseByteCounter.java
+++ b/upstream/src/main/java/org/wagtailcart/upstream/ResponseByteCounter.java
@@ -8,6 +8,7 @@
     /** Position of the first digit of the status in "HTTP/1.1 200 OK". */
     private static final int STATUS_POSITION = 9;
 
+    private long requestNumber;
     private long receivedBytes;
     private long headBytes;
     private boolean headComplete;
@@ -18,12 +19,14 @@
 
     private boolean interim;
 
-    /** Forgets the response before, when a request is about to be written. */
-    synchronized void start() {
+    /** Forgets the response before, when a request is about to be written; returns the number of the request. */
+    synchronized long start() {
+        requestNumber++;
         receivedBytes = 0;
         headBytes = 0;
         headComplete = false;
         startHead();
+        return requestNumber;
     }
 
     private void startHead() {
@@ -58,8 +61,11 @@
         }
     }
 
-    /** Returns how many bytes behind the end of a response with a body of the given length have arrived. */
-    synchronized long surplusBytes(long bodyBytes) {
-        return headComplete ? Math.max(0, receivedBytes - headBytes - bodyBytes) : 0;
+    /**
+     * Returns how many bytes behind the end of a response with a body of the given length have arrived; 0 if another
+     * request uses the connection already, which may be as soon as the body has been read.
+     */
+    synchronized long surplusBytes(long request, long bodyBytes) {
+        return headComplete && request == requestNumber ? Math.max(0, receivedBytes - headBytes - bodyBytes) : 0;
     }
 }
--- a/upstream/src/test/java/org/wagtailcart/upstream/ResponseByteCounterTest.java
+++ b/upstream/src/test/java/org/wagtailcart/upstream/ResponseByteCounterTest.java
@@ -30,12 +30,12 @@
     private static long surplus(String lineEnd, String head, String body, String behind, int pieceBytes) {
         ResponseByteCounter counter = new ResponseByteCounter();
         counter.received("HTTP/1.1 200 OK\r\n\r\nearlier".getBytes(StandardCharsets.US_ASCII), 0, 26);
-        counter.start();
+        long request = counter.start();
         byte[] bytes = (lines(head, lineEnd) + body + lines(behind, lineEnd)).getBytes(StandardCharsets.US_ASCII);
         for (int offset = 0; offset < bytes.length; offset += pieceBytes) {
             counter.received(bytes, offset, Math.min(pieceBytes, bytes.length - offset));
         }
-        return counter.surplusBytes(body.length());
+        return counter.surplusBytes(request, body.length());
     }
 
     private static String lines(String text, String lineEnd) {
