--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/client/FleetReport.java
@@ -0,0 +1,16 @@
+package org.wagtailcart.control.client;
+
+import java.util.List;
+import org.wagtailcart.policy.placement.EngineRate;
+import org.wagtailcart.policy.share.WorkspaceShare;
+
+/**
+ * What a control member knows from the reports of all gateways.
+ *
+ * @param trueTimeMillis estimate of the true time of day when the member replied, 0 when it has none
+ * @param usageSequence number of the last usage batch of the gateway that the member has, 0 for none
+ * @param engineRates prefill rates of all engines that gateways have reported
+ * @param shares limits on the workspaces that exceed their share; valid for a short time only
+ */
+public record FleetReport(
+        long trueTimeMillis, long usageSequence, List<EngineRate> engineRates, List<WorkspaceShare> shares) {}
--- a/control/src/main/java/org/wagtailcart/control/client/WatchReply.java
+++ b/control/src/main/java/org/wagtailcart/control/client/WatchReply.java
@@ -23,6 +23,7 @@
  * @param hostListAgeMillis time since the host list was read
  * @param quarantineVersion version of the member's quarantine state, 0 while it is empty
  * @param quarantine the quarantine state, null when the gateway has that version
+ * @param fleet what the member knows from the reports of all gateways, null from a member that knows nothing
  */
 public record WatchReply(
         @Nullable RouteTable table,
@@ -38,4 +39,5 @@
         @Nullable List<ListedUpstream> upstreams,
         long hostListAgeMillis,
         long quarantineVersion,
-        @Nullable QuarantineState quarantine) {}
+        @Nullable QuarantineState quarantine,
+        @Nullable FleetReport fleet) {}
--- a/control/src/main/java/org/wagtailcart/control/client/WatchRequest.java
+++ b/control/src/main/java/org/wagtailcart/control/client/WatchRequest.java
@@ -15,6 +15,7 @@
  * @param prefixUpdateCursor cursor of the last reply that the gateway received, 0 for none
  * @param quarantineVersion version of the quarantine state of the last reply, 0 for none
  * @param quarantineUpdate crashes and completions since the last poll, null if there are none
+ * @param report clock and load of the gateway, null from a process that reports none
  */
 public record WatchRequest(
         String processId,
@@ -24,4 +25,5 @@
         List<PrefixCacheUpdate> prefixUpdates,
         long prefixUpdateCursor,
         long quarantineVersion,
-        @Nullable QuarantineUpdate quarantineUpdate) {}
+        @Nullable QuarantineUpdate quarantineUpdate,
+        @Nullable GatewayReport report) {}
--- a/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
@@ -120,7 +120,8 @@
                     fresh && hostList.version() != request.hostListVersion() ? hostList.upstreams() : null,
                     nowMillis - hostList.readAtMillis(),
                     quarantine.version(),
-                    quarantine.version() == request.quarantineVersion() ? null : quarantine.state(nowMillis));
+                    quarantine.version() == request.quarantineVersion() ? null : quarantine.state(nowMillis),
+                    null);
         }
     }
 
--- a/control/src/test/java/org/wagtailcart/control/watch/GatewayTrackerTest.java
+++ b/control/src/test/java/org/wagtailcart/control/watch/GatewayTrackerTest.java
@@ -16,7 +16,7 @@
  */
 class GatewayTrackerTest {
     private static WatchRequest request(String process, OutstandingWork... work) {
-        return new WatchRequest(process, 1, 0, List.of(work), List.of(), 0, 0, null);
+        return new WatchRequest(process, 1, 0, List.of(work), List.of(), 0, 0, null, null);
     }
 
     private static PrefixCacheUpdate update(int number) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
@@ -158,6 +158,8 @@
                 HopByHopHeaders.removeFrom(headers),
                 body,
                 route,
+                "",
+                route.priority(),
                 service,
                 arrivedMillis,
                 callerDeadlineMillis,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/InboundRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/InboundRequest.java
@@ -18,6 +18,8 @@
  * @param headers end-to-end header lines, names and values alternating
  * @param body complete body
  * @param route matched route
+ * @param workspace workspace of the caller, empty for none
+ * @param priority scheduling priority, 0 is the highest
  * @param service service selected by the weights of the route
  * @param arrivedMillis monotonic time of its arrival
  * @param callerDeadlineMillis monotonic time of the caller's deadline
@@ -30,6 +32,8 @@
         List<String> headers,
         byte[] body,
         Route route,
+        String workspace,
+        int priority,
         String service,
         long arrivedMillis,
         long callerDeadlineMillis,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -97,8 +97,16 @@
     }
 
     private UpstreamRequestOptions options(Upstream upstream) {
-        int rank = RequestRank.of(request().route().priority());
-        return new UpstreamRequestOptions(upstream.id(), callerRemainingMillis(), rank, false, null, null, "");
+        int rank = RequestRank.of(request().priority());
+        return new UpstreamRequestOptions(
+                upstream.id(),
+                callerRemainingMillis(),
+                rank,
+                false,
+                null,
+                null,
+                "",
+                request().workspace());
     }
 
     private UpstreamTimeouts timeouts() {
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -193,7 +193,8 @@
                     true,
                     null,
                     prefixSourceAddress(placement),
-                    "");
+                    "",
+                    request().workspace());
             UpstreamRequest upstreamRequest =
                     prepare(engine, prefillOptions, new UpstreamTimeouts(timeoutMillis, timeoutMillis), false);
             try (ResponseWatchdog watchdog = new ResponseWatchdog(context(), engine, upstreamRequest);
@@ -263,7 +264,8 @@
                 false,
                 kvCacheHandle,
                 kvCacheHandle == null ? prefixSourceAddress(placement) : null,
-                resumeAfter());
+                resumeAfter(),
+                request().workspace());
         try {
             UpstreamRequest upstreamRequest = prepare(engine, decodeOptions, streamTimeouts(engine), true);
             runs++;
@@ -348,11 +350,11 @@
 
     private int rank(UpstreamRegistry.Placement placement) {
         if (request().route().targetLatencyMillis() <= 0) {
-            return RequestRank.of(request().route().priority());
+            return RequestRank.of(request().priority());
         }
         long targetMillis = request().arrivedMillis() + request().route().targetLatencyMillis();
         double slackMillis = targetMillis - nowMillis() - placement.times().unloadedFirstTokenMillis();
-        return RequestRank.of(request().route().priority(), slackMillis);
+        return RequestRank.of(request().priority(), slackMillis);
     }
 
     private static @Nullable Address prefixSourceAddress(UpstreamRegistry.Placement placement) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/protocol/UpstreamRequestOptions.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/protocol/UpstreamRequestOptions.java
@@ -13,6 +13,7 @@
  * @param kvCacheHandle KV cache from which decoding starts, null for none
  * @param prefixSource engine from which KV cache of shared prompt segments is fetched before the prefill, null for none
  * @param lastEventId id of the event after which the stream resumes, empty for the complete stream
+ * @param workspace workspace of the caller that the upstream is told, empty for none
  */
 public record UpstreamRequestOptions(
         String instanceId,
@@ -21,4 +22,5 @@
         boolean prefillOnly,
         @Nullable KvCacheHandle kvCacheHandle,
         @Nullable Address prefixSource,
-        String lastEventId) {}
+        String lastEventId,
+        String workspace) {}
--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
@@ -154,7 +154,8 @@
                 registry.drainPrefixUpdates(),
                 prefixUpdateCursor(),
                 knownQuarantineVersion,
-                quarantineUpdate.equals(QuarantineUpdate.NONE) ? null : quarantineUpdate);
+                quarantineUpdate.equals(QuarantineUpdate.NONE) ? null : quarantineUpdate,
+                null);
         CompletableFuture<?> unused = transport
                 .call(member, request, pollTimeoutMillis())
                 .whenComplete((reply, error) -> {
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -180,6 +180,7 @@
                 null,
                 0,
                 0,
+                null,
                 null);
         return CompletableFuture.supplyAsync(
                 () -> reply, CompletableFuture.delayedExecutor(controlMillis, TimeUnit.MILLISECONDS, traffic));
@@ -197,7 +198,8 @@
                         new ServiceSpec("stock", "/health", 96, null),
                         new ServiceSpec(
                                 "brain", "/health", 96, new EngineSpec(64, 500_000, 18_432, 240_000, 5_000, 3_000))),
-                RequestLimits.DEFAULT);
+                RequestLimits.DEFAULT,
+                null);
     }
 
     private static Route route(String name, RouteKind kind, boolean resumable) {
@@ -214,7 +216,8 @@
                 2,
                 kind == RouteKind.STREAMING,
                 resumable,
-                250);
+                250,
+                false);
     }
 
     /** Returns a request with a prompt of the given segments, the last of which is its own. */
--- a/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
@@ -55,7 +55,7 @@
         if (memberReply == null) {
             return CompletableFuture.failedFuture(new IllegalStateException("down"));
         }
-        RouteTable table = new RouteTable(memberReply.version(), List.of(), List.of(), RequestLimits.DEFAULT);
+        RouteTable table = new RouteTable(memberReply.version(), List.of(), List.of(), RequestLimits.DEFAULT, null);
         WatchReply reply = new WatchReply(
                 memberReply.version() > request.tableVersion() ? table : null,
                 memberReply.version(),
@@ -70,6 +70,7 @@
                 null,
                 0,
                 0,
+                null,
                 null);
         return CompletableFuture.supplyAsync(() -> reply, CompletableFuture.delayedExecutor(10, TimeUnit.MILLISECONDS));
     }
--- a/routes/src/main/java/org/wagtailcart/routes/Route.java
+++ b/routes/src/main/java/org/wagtailcart/routes/Route.java
@@ -17,6 +17,7 @@
  * @param prefixAffinity whether requests have common prompt prefixes that upstreams cache
  * @param resumable whether a stream may be resumed on another upstream
  * @param gapTargetMillis maximum gap between events of a stream that counts as on time, 0 for other routes
+ * @param open whether its requests need no API key, also when the table has workspaces
  */
 public record Route(
         String name,
@@ -30,7 +31,8 @@
         int maxAttempts,
         boolean prefixAffinity,
         boolean resumable,
-        long gapTargetMillis) {
+        long gapTargetMillis,
+        boolean open) {
     /** Returns whether a request on this route may run more than once. */
     public boolean retryable() {
         return kind.retryable(resumable);
--- a/routes/src/test/java/org/wagtailcart/routes/Tables.java
+++ b/routes/src/test/java/org/wagtailcart/routes/Tables.java
@@ -9,7 +9,7 @@
 
     static Route route(String name, String host, String prefix, long timeoutMillis, TrafficSplit... splits) {
         return new Route(
-                name, host, prefix, RouteKind.SAFE, timeoutMillis, 100, 0, List.of(splits), 2, false, false, 0);
+                name, host, prefix, RouteKind.SAFE, timeoutMillis, 100, 0, List.of(splits), 2, false, false, 0, false);
     }
 
     static RouteTable table(long version, Route... routes) {
@@ -17,6 +17,7 @@
                 version,
                 Arrays.asList(routes),
                 List.of(new ServiceSpec("stock", "/health", 96, null), new ServiceSpec("desk", "/health", 96, null)),
-                RequestLimits.DEFAULT);
+                RequestLimits.DEFAULT,
+                null);
     }
 }
