--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
@@ -0,0 +1,16 @@
+package org.wagtailcart.control.watch;
+
+import java.util.List;
+import org.wagtailcart.control.client.FleetReport;
+import org.wagtailcart.control.client.GatewayReport;
+
+/** Collects the reports of gateways and derives from them what all gateways are told. Not thread safe. */
+final class FleetReports {
+    /** Records the report of a gateway. */
+    void record(String processId, GatewayReport report, long nowMillis) {}
+
+    /** Returns the reply to a gateway. */
+    FleetReport replyTo(String processId, long nowMillis) {
+        return new FleetReport(0, 0, List.of(), List.of());
+    }
+}
--- a/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
@@ -5,6 +5,7 @@
 import java.util.function.Supplier;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.control.client.GatewayReport;
 import org.wagtailcart.control.client.PrefixCacheUpdate;
 import org.wagtailcart.control.client.QuarantineUpdate;
 import org.wagtailcart.control.client.WatchReply;
@@ -29,6 +30,7 @@
     private final GatewayTracker gatewayTracker = new GatewayTracker();
     private final PrefixUpdateLog prefixUpdates = new PrefixUpdateLog();
     private final QuarantineTracker quarantine = new QuarantineTracker();
+    private final FleetReports fleetReports = new FleetReports();
     private List<PendingWatch> pendingWatches = new ArrayList<>();
 
     /**
@@ -60,6 +62,10 @@
             if (update != null) {
                 quarantine.record(update, nowMillis);
             }
+            GatewayReport report = request.report();
+            if (report != null) {
+                fleetReports.record(request.processId(), report, nowMillis);
+            }
             if (!hasNewer(request, nowMillis)) {
                 pendingWatches.add(new PendingWatch(exchange, request, nowMillis + LONG_POLL_MILLIS));
                 return;
@@ -121,7 +127,7 @@
                     nowMillis - hostList.readAtMillis(),
                     quarantine.version(),
                     quarantine.version() == request.quarantineVersion() ? null : quarantine.state(nowMillis),
-                    null);
+                    fleetReports.replyTo(request.processId(), nowMillis));
         }
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -30,6 +30,7 @@
 import org.wagtailcart.gateway.protocol.RequestProtocol;
 import org.wagtailcart.gateway.quarantine.EngineCrashDetector;
 import org.wagtailcart.gateway.quarantine.PromptQuarantine;
+import org.wagtailcart.gateway.report.GatewayReports;
 import org.wagtailcart.gateway.send.SuspectUpstreams;
 import org.wagtailcart.gateway.send.UnexpectedResponseLog;
 import org.wagtailcart.gateway.send.UpstreamHttpClient;
@@ -81,7 +82,14 @@
         UpstreamRegistry upstreams = new UpstreamRegistry(options.location(), clock);
         PromptQuarantine quarantine = new PromptQuarantine(clock);
         RouteTableWatcher routeWatcher = new RouteTableWatcher(
-                options.processId(), options.controlSeeds(), control, upstreams, quarantine, timer, clock);
+                options.processId(),
+                options.controlSeeds(),
+                control,
+                upstreams,
+                quarantine,
+                new GatewayReports(),
+                timer,
+                clock);
         SuspectUpstreams suspects = new SuspectUpstreams(clock);
         UnexpectedResponseLog unexpectedResponses = new UnexpectedResponseLog(registry, suspects);
         UpstreamHttpClient client = new UpstreamHttpClient(clock, unexpectedResponses, suspects);
--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
@@ -16,6 +16,7 @@
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.LogEventKind;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.control.client.FleetReport;
 import org.wagtailcart.control.client.QuarantineState;
 import org.wagtailcart.control.client.QuarantineUpdate;
 import org.wagtailcart.control.client.WatchReply;
@@ -23,6 +24,7 @@
 import org.wagtailcart.directory.ListedUpstream;
 import org.wagtailcart.gateway.list.UpstreamRegistry;
 import org.wagtailcart.gateway.quarantine.PromptQuarantine;
+import org.wagtailcart.gateway.report.GatewayReports;
 import org.wagtailcart.routes.RouteIndex;
 import org.wagtailcart.routes.RouteTable;
 
@@ -56,6 +58,7 @@
     private final Transport transport;
     private final UpstreamRegistry registry;
     private final PromptQuarantine quarantine;
+    private final GatewayReports reports;
     private final ScheduledExecutorService scheduler;
     private final MillisClock clock;
     private final Set<Address> members = new LinkedHashSet<>();
@@ -82,12 +85,14 @@
             Transport transport,
             UpstreamRegistry registry,
             PromptQuarantine quarantine,
+            GatewayReports reports,
             ScheduledExecutorService scheduler,
             MillisClock clock) {
         this.processId = processId;
         this.transport = transport;
         this.registry = registry;
         this.quarantine = quarantine;
+        this.reports = reports;
         this.scheduler = scheduler;
         this.clock = clock;
         this.members.addAll(seeds);
@@ -155,7 +160,7 @@
                 prefixUpdateCursor(),
                 knownQuarantineVersion,
                 quarantineUpdate.equals(QuarantineUpdate.NONE) ? null : quarantineUpdate,
-                null);
+                reports.collect());
         CompletableFuture<?> unused = transport
                 .call(member, request, pollTimeoutMillis())
                 .whenComplete((reply, error) -> {
@@ -244,6 +249,10 @@
         }
         quarantineVersion = reply.quarantineVersion();
         applyHostList(sentAtMillis, reply);
+        FleetReport fleet = reply.fleet();
+        if (fleet != null) {
+            reports.apply(fleet, clock.nowMillis());
+        }
         followLeader(member, reply, confirmed);
     }
 
--- a/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
@@ -19,6 +19,7 @@
 import org.wagtailcart.control.client.WatchRequest;
 import org.wagtailcart.gateway.list.UpstreamRegistry;
 import org.wagtailcart.gateway.quarantine.PromptQuarantine;
+import org.wagtailcart.gateway.report.GatewayReports;
 import org.wagtailcart.policy.placement.Location;
 import org.wagtailcart.routes.RequestLimits;
 import org.wagtailcart.routes.RouteTable;
@@ -40,6 +41,7 @@
             this::call,
             new UpstreamRegistry(new Location("fes", Regions.SINGLE), MillisClock.monotonic()),
             new PromptQuarantine(MillisClock.monotonic()),
+            new GatewayReports(),
             timer,
             MillisClock.monotonic());
 
