Share the end of a call between plain and streamed calls

PlainCall and StreamCall each had the pair of giveUp methods and the check of the quarantine; both now stand in GatewayCall. The ids by which a crash is attributed hash the body of a plain request and were computed at each check; they are computed once. placeDecode collected candidates that a placement without a separate prefill does not need. Behaviour stays as it is.

--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -45,6 +45,8 @@
     private int attempts;
     private long firstByteMillis = -1;
     private @Nullable Future<?> deadline;
+    /** Computed on first use, since it hashes the body of a request without a prompt. */
+    private @Nullable List<String> suspectIds;
 
     GatewayCall(GatewayContext context, InboundRequest request, CallerResponseWriter caller) {
         this.context = context;
@@ -173,7 +175,7 @@
      * Returns the time after which a caller should retry a request that no upstream can take now: when the first one
      * accepts requests again, if that is known.
      */
-    final long retryAfterMillis(long defaultMillis) {
+    private long retryAfterMillis(long defaultMillis) {
         return context.registry().refusedForMillis(request.service()).orElse(defaultMillis);
     }
 
@@ -213,15 +215,33 @@
         return Math.max(1, request.callerDeadlineMillis() - nowMillis());
     }
 
-    /** Returns the time for which the request is refused because upstreams crash under it, empty if it is not. */
-    final OptionalLong quarantinedForMillis() {
-        return context.quarantine().refusedForMillis(request.suspectIds());
+    /** Ends the call if upstreams crash under its request or a segment of its prompt; returns whether they do. */
+    final boolean endIfQuarantined() {
+        OptionalLong refusedForMillis = context.quarantine().refusedForMillis(suspectIds());
+        refusedForMillis.ifPresent(millis -> giveUp(
+                ResultCode.SEGMENT_QUARANTINED,
+                "upstreams crash when they answer this request or a segment of its prompt",
+                millis));
+        return refusedForMillis.isPresent();
+    }
+
+    /** Records that the request ran to its end, which speaks against its segments as the cause of crashes. */
+    final void recordCompletion() {
+        context.quarantine().recordCompletion(suspectIds());
+    }
+
+    private synchronized List<String> suspectIds() {
+        List<String> ids = suspectIds;
+        if (ids == null) {
+            ids = request.suspectIds();
+            suspectIds = ids;
+        }
+        return ids;
     }
 
     /** Reports that the connection of an attempt broke off, which may mean that its upstream has crashed. */
     final void reportConnectionLost(InFlightRequest inFlight) {
-        context.crashDetector()
-                .onConnectionLost(inFlight.upstream(), request.suspectIds(), inFlight.firstOutputAtMillis());
+        context.crashDetector().onConnectionLost(inFlight.upstream(), suspectIds(), inFlight.firstOutputAtMillis());
     }
 
     /** Takes a retry from the budget shared by all gateways; returns false if it is exhausted. */
@@ -272,7 +292,7 @@
                 SettingNames.of(runState),
                 nowMillis() - sentAtMillis,
                 outputAtMillis < 0 ? -1 : nowMillis() - outputAtMillis,
-                request.suspectIds(),
+                suspectIds(),
                 connectionUse().connectionNumber(),
                 connectionUse().earlierRequests(),
                 reason);
@@ -338,6 +358,17 @@
         finish(code, runState(), text, 0);
     }
 
+    /** Ends a request that no further upstream will be tried for; the caller may return when the service has room. */
+    final void giveUp(ResultCode code, String text) {
+        giveUp(code, text, retryAfterMillis(defaultRetryAfterMillis()));
+    }
+
+    /** Ends a request that no further upstream will be tried for. */
+    abstract void giveUp(ResultCode code, String text, long retryAfterMillis);
+
+    /** Returns the time after which a caller should retry if nothing else is known. */
+    abstract long defaultRetryAfterMillis();
+
     private void finish(ResultCode code, RunState runState, String text, long retryAfterMillis) {
         if (!end(true)) {
             return;
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.ResultCode;
@@ -46,12 +45,7 @@
     @Override
     void serve() {
         for (int sends = 0; sends < MAX_ATTEMPTS && !isEnded(); sends++) {
-            OptionalLong refusedForMillis = quarantinedForMillis();
-            if (refusedForMillis.isPresent()) {
-                giveUp(
-                        ResultCode.SEGMENT_QUARANTINED,
-                        "replicas crash when they answer this request",
-                        refusedForMillis.getAsLong());
+            if (endIfQuarantined()) {
                 return;
             }
             if (sends > 0 && !tryAcquireRetry()) {
@@ -146,7 +140,7 @@
         runs++;
         if (metadata.success() && metadata.hasServerStamp()) {
             inFlight.end(UpstreamOutcome.SUCCESS, nowMillis());
-            context().quarantine().recordCompletion(request().suspectIds());
+            recordCompletion();
             sendResponse(response.status(), response.headers(), response.body());
             return true;
         }
@@ -195,11 +189,13 @@
         return request().route().retryable() && runs < request().route().maxAttempts();
     }
 
-    private void giveUp(ResultCode code, String message) {
-        giveUp(code, message, retryAfterMillis(RETRY_AFTER_MILLIS));
+    @Override
+    long defaultRetryAfterMillis() {
+        return RETRY_AFTER_MILLIS;
     }
 
-    private void giveUp(ResultCode code, String message, long retryAfterMillis) {
+    @Override
+    void giveUp(ResultCode code, String message, long retryAfterMillis) {
         if (lastFailure != null) {
             deliverFailure();
         } else if (mayHaveRun()) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Address;
@@ -72,7 +71,7 @@
     @Override
     void serve() {
         while (!isEnded()) {
-            if (isQuarantined()) {
+            if (endIfQuarantined()) {
                 return;
             }
             if (sends >= MAX_ATTEMPTS) {
@@ -90,16 +89,6 @@
         }
     }
 
-    /** Ends the call if its prompt has a segment under which engines crash; returns whether it does. */
-    private boolean isQuarantined() {
-        OptionalLong refusedForMillis = quarantinedForMillis();
-        refusedForMillis.ifPresent(millis -> giveUp(
-                ResultCode.SEGMENT_QUARANTINED,
-                "engines crash when they answer this prompt or a segment of it",
-                millis));
-        return refusedForMillis.isPresent();
-    }
-
     private Optional<UpstreamRegistry.Placement> place() {
         Prompt prompt = request().metadata().prompt();
         if (prompt != null && context().registry().hasEngines(request().service())) {
@@ -136,7 +125,7 @@
             if (kvCacheHandle == null) {
                 return isEnded();
             }
-            if (isEnded() || isQuarantined()) {
+            if (isEnded() || endIfQuarantined()) {
                 releaseKvCache(kvCacheHandle);
                 return true;
             }
@@ -415,7 +404,7 @@
             throw new WagtailcartException(ResultCode.STREAM_INCOMPLETE, "stream ended within an event");
         }
         inFlight.end(UpstreamOutcome.SUCCESS, nowMillis());
-        context().quarantine().recordCompletion(request().suspectIds());
+        recordCompletion();
         complete(response.status());
         return StreamEnd.DONE;
     }
@@ -488,11 +477,13 @@
         return request().route().retryable() && runs < request().route().maxAttempts();
     }
 
-    private void giveUp(ResultCode code, String message) {
-        giveUp(code, message, retryAfterMillis(RETRY_AFTER_MILLIS));
+    @Override
+    long defaultRetryAfterMillis() {
+        return RETRY_AFTER_MILLIS;
     }
 
-    private void giveUp(ResultCode code, String message, long retryAfterMillis) {
+    @Override
+    void giveUp(ResultCode code, String message, long retryAfterMillis) {
         if (mayHaveRun() || isResponseStarted()) {
             fail(ResultCode.UPSTREAM_FAILED, message);
         } else {
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -257,11 +257,14 @@
      * fetched by any other engine.
      */
     public synchronized Optional<Placement> placeDecode(Placement placement, String service, Set<String> excluded) {
+        if (placement.prefill().isEmpty()) {
+            return Optional.of(placement);
+        }
         long nowMillis = clock.nowMillis();
         List<Upstream> decoders = candidates(service, excluded, nowMillis).stream()
                 .filter(upstream -> upstream.listEntry().role() != EngineRole.PREFILL)
                 .toList();
-        if (placement.prefill().isEmpty() || decoders.contains(placement.decode())) {
+        if (decoders.contains(placement.decode())) {
             return Optional.of(placement);
         }
         List<EngineCandidate> candidates = decoders.stream()
