Authenticate callers by the API keys of workspaces

Gateways forwarded each caller's key to the upstream and served requests with keys that no table held. The field tenants of the operator's configuration had no effect.

ConfigDecoder makes digests of the keys with a new random salt for each table; the validator refuses a key that two workspaces share and a name that no header can carry. RouteIndex holds the authenticator of its table. The gateway checks the key after the head of a request and again after its body: the first check keeps bodies of callers without a key out of the buffer, the second applies a key that was withdrawn while the body arrived. 401 (code 1006) needs a table that a quorum has confirmed; otherwise the request gets 503 as not run. With [workspaces] strict-revoke, a gateway without a confirmation for revoke-limit-millis refuses keys altogether. Credentials of the caller are removed once, when the request is parsed, so that no path to an upstream can carry them; the workspace's name is sent with each request.

Refusals before a call carry the request id in the log, so that explain finds them.

Ruled out: a check after the body only (callers without a key fill the buffer of 64 MiB), and a slow hash (keys are random; the check runs on the I/O thread for each request). A key sent to a public route is not examined.

--- a/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -55,6 +55,7 @@
 import org.wagtailcart.wire.MessageCodec;
 import org.wagtailcart.wire.PeerClient;
 import org.wagtailcart.wire.PeerDispatcher;
+import org.wagtailcart.workspace.RevocationPolicy;
 
 /** Dagger module of the roles and the objects they share. Each is created only if the settings enable it. */
 @Module
@@ -232,7 +233,10 @@
                 settings.retryBudget().reserve(),
                 settings.retryBudget().windowMillis(),
                 settings.shutdownGraceMillis(),
-                settings.shutdownLimitMillis());
+                settings.shutdownLimitMillis(),
+                new RevocationPolicy(
+                        settings.workspaces().strictRevoke(),
+                        settings.workspaces().revokeLimitMillis()));
         return new GatewayRole(
                 options,
                 (member, request, timeoutMillis) -> peers.call(member, request, WatchReply.class, timeoutMillis),
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayOptions.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.policy.placement.Location;
+import org.wagtailcart.workspace.RevocationPolicy;
 
 /**
  * Process-level configuration of a gateway.
@@ -18,6 +19,7 @@
  * @param retryWindowMillis window over which requests and retries are counted
  * @param shutdownGraceMillis time for which new requests are still accepted after the readiness probe fails
  * @param shutdownLimitMillis time after the start of a shutdown at which the process is killed, empty if it is not
+ * @param revocation policy on API keys while the gateway is out of contact
  */
 public record GatewayOptions(
         String processId,
@@ -29,4 +31,5 @@
         int retryReserve,
         long retryWindowMillis,
         long shutdownGraceMillis,
-        OptionalLong shutdownLimitMillis) {}
+        OptionalLong shutdownLimitMillis,
+        RevocationPolicy revocation) {}
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -109,7 +109,7 @@
                 timer,
                 clock);
         this.readDelay = new ReadDelayMonitor(clock);
-        this.handler = new InboundHandler(context, new HandlerState(), readDelay);
+        this.handler = new InboundHandler(context, options.revocation(), new HandlerState(), readDelay);
         GatewayMetrics.register(registry, context, handler::openRequests);
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
@@ -25,6 +25,8 @@
 import org.wagtailcart.gateway.protocol.RequestMetadata;
 import org.wagtailcart.routes.Route;
 import org.wagtailcart.routes.RouteIndex;
+import org.wagtailcart.workspace.RevocationPolicy;
+import org.wagtailcart.workspace.Workspace;
 
 /** HTTP handler that receives the requests of callers, looks up their routes and starts a call for each. */
 final class InboundHandler implements HttpHandler {
@@ -36,6 +38,7 @@
     private static final long RETRY_AFTER_MILLIS = 300;
 
     private final GatewayContext context;
+    private final KeyCheck keyCheck;
     private final GatewayState state;
     private final ReadDelayMonitor readDelay;
     private final AtomicInteger open = new AtomicInteger();
@@ -53,8 +56,10 @@
         void requestEnded();
     }
 
-    InboundHandler(GatewayContext context, GatewayState state, ReadDelayMonitor readDelay) {
+    InboundHandler(
+            GatewayContext context, RevocationPolicy revocation, GatewayState state, ReadDelayMonitor readDelay) {
         this.context = context;
+        this.keyCheck = new KeyCheck(context, revocation);
         this.state = state;
         this.readDelay = readDelay;
     }
@@ -90,10 +95,35 @@
             refuseWithoutBody(exchange, ResultCode.QUEUE_FULL, "buffer for request bodies is full");
             return;
         }
+        if (refusedForItsKey(exchange)) {
+            return;
+        }
         exchange.setMaxEntitySize(maxBodyBytes);
         readBody(exchange, arrivedMillis);
     }
 
+    /**
+     * Refuses a request without a valid key before its body is read, so that only callers with a key take room in the
+     * buffer for bodies. The key is checked again after the body, since it may be withdrawn meanwhile.
+     */
+    private boolean refusedForItsKey(HttpServerExchange exchange) {
+        List<String> headers = headerLines(exchange);
+        RouteIndex routes = context.routeWatcher().routes();
+        try {
+            routes.find(hostName(exchange), exchange.getRequestURI())
+                    .ifPresent(route -> keyCheck.workspaceOf(routes, route, headers));
+            return false;
+        } catch (WagtailcartException e) {
+            if (!exchange.isRequestComplete()) {
+                exchange.setPersistent(false);
+            }
+            exchange.dispatch(
+                    SameThreadExecutor.INSTANCE,
+                    () -> refuse(exchange, new CallerResponseWriter(exchange, context.timer()), headers, e));
+            return true;
+        }
+    }
+
     private void readBody(HttpServerExchange exchange, long arrivedMillis) {
         RequestBodyReader.receive(
                 exchange,
@@ -123,28 +153,40 @@
             caller.refuse(ResultCode.SHUTTING_DOWN, RunState.NOT_RUN, true, "gateway is shutting down", 0);
             return;
         }
+        List<String> headers = headerLines(exchange);
         try {
-            InboundRequest request = parseRequest(exchange, body, arrivedMillis);
+            InboundRequest request = parseRequest(exchange, headers, body, arrivedMillis);
             context.requestExecutor().execute(CallFactory.of(context, request, caller));
         } catch (WagtailcartException e) {
-            long afterMillis = e.code().httpStatus() == 503 ? RETRY_AFTER_MILLIS : 0;
-            CallFactory.recordRefused(context, exchange.getRequestURI(), e);
-            caller.refuse(e.code(), RunState.NOT_RUN, true, String.valueOf(e.getMessage()), afterMillis);
+            refuse(exchange, caller, headers, e);
         } catch (RejectedExecutionException e) {
             caller.refuse(ResultCode.QUEUE_FULL, RunState.NOT_RUN, true, "too many requests", RETRY_AFTER_MILLIS);
         }
     }
 
-    private InboundRequest parseRequest(HttpServerExchange exchange, byte[] body, long arrivedMillis) {
-        List<String> headers = StreamSupport.stream(exchange.getRequestHeaders().spliterator(), false)
-                .flatMap(InboundHandler::headerLines)
-                .toList();
+    /** Logs a request that did not run and sends the error to its caller. */
+    private void refuse(
+            HttpServerExchange exchange,
+            CallerResponseWriter caller,
+            List<String> headers,
+            WagtailcartException error) {
+        long afterMillis = error.code().httpStatus() == 503 ? RETRY_AFTER_MILLIS : 0;
+        List<String> errorHeaders =
+                error.code() == ResultCode.API_KEY_REFUSED ? context.protocol().keyRefusalHeaders() : List.of();
+        String requestId = context.protocol().parseRequest(headers).requestId();
+        CallFactory.recordRefused(context, requestId, exchange.getRequestURI(), error);
+        caller.refuse(
+                error.code(), RunState.NOT_RUN, true, String.valueOf(error.getMessage()), afterMillis, errorHeaders);
+    }
+
+    private InboundRequest parseRequest(
+            HttpServerExchange exchange, List<String> headers, byte[] body, long arrivedMillis) {
         RequestMetadata metadata = context.protocol().parseRequest(headers);
         RouteIndex routes = context.routeWatcher().routes();
         String path = exchange.getRequestURI();
-        String hostName = Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.HOST))
-                .orElse("");
+        String hostName = hostName(exchange);
         Route route = routes.find(hostName, path).orElseThrow(() -> unknownRoute(hostName, path));
+        Optional<Workspace> workspace = keyCheck.workspaceOf(routes, route, headers);
         String query = exchange.getQueryString();
         String target = query.isEmpty() ? path : path + "?" + query;
         long callerDeadlineMillis = arrivedMillis + metadata.timeoutMillis().orElse(route.timeoutMillis());
@@ -155,17 +197,34 @@
                 metadata,
                 exchange.getRequestMethod().toString(),
                 target,
-                HopByHopHeaders.removeFrom(headers),
+                forwardedHeaders(routes, headers),
                 body,
                 route,
-                "",
-                route.priority(),
+                workspace.map(Workspace::name).orElse(""),
+                workspace.map(Workspace::priority).orElse(route.priority()),
                 service,
                 arrivedMillis,
                 callerDeadlineMillis,
                 arrivedMillis + route.timeoutMillis());
     }
 
+    /** Returns the header lines for upstreams; the credentials belong to the system if the table has workspaces. */
+    private List<String> forwardedHeaders(RouteIndex routes, List<String> headers) {
+        List<String> endToEnd = HopByHopHeaders.removeFrom(headers);
+        return routes.authenticator().isPresent() ? context.protocol().withoutCredentials(endToEnd) : endToEnd;
+    }
+
+    private static String hostName(HttpServerExchange exchange) {
+        return Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.HOST))
+                .orElse("");
+    }
+
+    private static List<String> headerLines(HttpServerExchange exchange) {
+        return StreamSupport.stream(exchange.getRequestHeaders().spliterator(), false)
+                .flatMap(InboundHandler::headerLines)
+                .toList();
+    }
+
     /**
      * Returns the error for a request without a matching route. It is NOT_FOUND only if a quorum confirmed the routing
      * table recently, because an outdated table may lack the route.
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/CallFactory.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallFactory.java
@@ -22,13 +22,14 @@
         };
     }
 
-    /** Records and logs a request that was refused before a route was selected. */
-    public static void recordRefused(GatewayContext context, String path, WagtailcartException error) {
+    /** Records and logs a request that was refused before its call was created. */
+    public static void recordRefused(
+            GatewayContext context, String requestId, String path, WagtailcartException error) {
         context.metrics().recordEnded(error.code(), 0, -1);
         LogEventKind.REQUEST_ENDED.log(
                 LOG,
                 Level.INFO,
-                "",
+                requestId,
                 path,
                 error.code().number(),
                 error.code().httpStatus(),
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/CallerResponseWriter.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallerResponseWriter.java
@@ -70,6 +70,22 @@
      * @param retryAfterMillis time after which the caller should retry, 0 for no Retry-After header
      */
     public void refuse(ResultCode code, RunState runState, boolean retryable, String message, long retryAfterMillis) {
+        refuse(code, runState, retryable, message, retryAfterMillis, List.of());
+    }
+
+    /**
+     * Sends an error response with additional header lines, or aborts the response if it has already started.
+     *
+     * @param retryAfterMillis time after which the caller should retry, 0 for no Retry-After header
+     * @param headers additional header lines, names and values alternating
+     */
+    public void refuse(
+            ResultCode code,
+            RunState runState,
+            boolean retryable,
+            String message,
+            long retryAfterMillis,
+            List<String> headers) {
         execute(() -> {
             if (response.started()) {
                 response.abort();
@@ -79,6 +95,9 @@
                 String seconds = String.format(Locale.ROOT, "%.2f", (double) retryAfterMillis / MILLIS_PER_SECOND);
                 response.setHeader(Headers.RETRY_AFTER_STRING, seconds);
             }
+            for (int i = 0; i < headers.size(); i += 2) {
+                response.setHeader(headers.get(i), headers.get(i + 1));
+            }
             response.sendError(new ErrorResponse(code, runState, retryable || runState == RunState.NOT_RUN, message));
         });
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/RequestMetrics.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/RequestMetrics.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.SettingNames;
+import org.wagtailcart.workspace.KeyVerdict;
 
 /** Metrics of ended requests: a counter per result code and timers of the total time and the time to first byte. */
 public final class RequestMetrics {
@@ -27,6 +28,11 @@
         }
     }
 
+    /** Counts a request that was refused for its API key, by the reason. */
+    public void recordKeyRefused(KeyVerdict verdict) {
+        registry.counter("gateway.key-refused." + SettingNames.of(verdict)).inc();
+    }
+
     void recordAttemptFailure(ResultCode code) {
         registry.counter("gateway.attempt." + SettingNames.of(code)).inc();
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/protocol/RequestProtocol.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/protocol/RequestProtocol.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.wagtailcart.common.Address;
+import org.wagtailcart.workspace.PresentedKey;
 
 /** Codec for the headers and bodies that are exchanged with callers and upstreams. Contains no routing decisions. */
 public interface RequestProtocol {
@@ -17,6 +18,15 @@
      */
     List<String> upstreamHeaders(List<String> callerHeaders, UpstreamRequestOptions options);
 
+    /** Parses the API key of a caller's request from its header lines. */
+    PresentedKey parseKey(List<String> headers);
+
+    /** Returns the header lines of a caller without its API key and the workspace that it claims. */
+    List<String> withoutCredentials(List<String> callerHeaders);
+
+    /** Returns the header lines of the response to a request whose API key is refused. */
+    List<String> keyRefusalHeaders();
+
     /** Parses the status and header lines of a response. */
     ResponseMetadata parseResponse(int status, List<String> headers);
 
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -35,6 +35,8 @@
 import org.wagtailcart.routes.ServiceSpec;
 import org.wagtailcart.routes.TrafficSplit;
 import org.wagtailcart.testing.TestAddresses;
+import org.wagtailcart.workspace.RevocationPolicy;
+import org.wagtailcart.workspace.WorkspaceTable;
 
 /** Test harness that runs a gateway with scripted upstreams and an in-process control group that always replies. */
 final class GatewayTestHarness implements AutoCloseable {
@@ -50,6 +52,10 @@
     private final Address callers = TestAddresses.free();
     private final TestProtocol protocol = new TestProtocol();
     private final GatewayRole role;
+    private final MetricRegistry registry = new MetricRegistry();
+    private volatile RouteTable table = table(1, null);
+    private volatile boolean controlReplies = true;
+    private volatile long controlAgeMillis;
     private final long controlMillis;
 
     static {
@@ -75,9 +81,24 @@
         return new GatewayTestHarness(REPLY_DELAY_MILLIS, RETRY_RESERVE, graceMillis, OptionalLong.of(limitMillis));
     }
 
+    /** Creates a gateway with the given policy on withdrawn keys. */
+    static GatewayTestHarness withRevocation(RevocationPolicy revocation) throws IOException {
+        return new GatewayTestHarness(REPLY_DELAY_MILLIS, RETRY_RESERVE, 0, OptionalLong.empty(), revocation);
+    }
+
     private GatewayTestHarness(
             long controlMillis, int retryReserve, long shutdownGraceMillis, OptionalLong shutdownLimitMillis)
             throws IOException {
+        this(controlMillis, retryReserve, shutdownGraceMillis, shutdownLimitMillis, RevocationPolicy.LENIENT);
+    }
+
+    private GatewayTestHarness(
+            long controlMillis,
+            int retryReserve,
+            long shutdownGraceMillis,
+            OptionalLong shutdownLimitMillis,
+            RevocationPolicy revocation)
+            throws IOException {
         this.controlMillis = controlMillis;
         Address ready = TestAddresses.free();
         GatewayOptions options = new GatewayOptions(
@@ -90,7 +111,8 @@
                 RETRY_RESERVE,
                 10_000,
                 shutdownGraceMillis,
-                shutdownLimitMillis);
+                shutdownLimitMillis,
+                revocation);
         role = new GatewayRole(
                 options,
                 (member, request, timeoutMillis) -> reply(request),
@@ -98,7 +120,30 @@
                 protocol,
                 traffic,
                 timer,
-                new MetricRegistry());
+                registry);
+    }
+
+    /** Brings a table into force with the given workspaces, null for none. Requests to the route "safe" need no key. */
+    void workspaces(long version, @Nullable WorkspaceTable workspaces) {
+        table = table(version, workspaces);
+    }
+
+    /** Sets whether the control group replies, and with which age of its last confirmation. */
+    void control(boolean replies, long confirmationAgeMillis) {
+        controlReplies = replies;
+        controlAgeMillis = confirmationAgeMillis;
+    }
+
+    /** Waits until the gateway has installed a version of the table. */
+    void awaitTable(long version) throws InterruptedException {
+        for (int i = 0; i < 1_000 && role.dump().tableVersion() != version; i++) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertThat(role.dump().tableVersion()).isEqualTo(version);
+    }
+
+    MetricRegistry registry() {
+        return registry;
     }
 
     void add(String id, String service, TestUpstream upstream, @Nullable EngineRole engineRole) {
@@ -165,11 +210,14 @@
     }
 
     private CompletableFuture<WatchReply> reply(WatchRequest request) {
-        RouteTable table = table();
+        if (!controlReplies) {
+            return CompletableFuture.failedFuture(new IllegalStateException("partitioned"));
+        }
+        RouteTable current = table;
         WatchReply reply = new WatchReply(
-                request.tableVersion() < table.version() ? table : null,
-                table.version(),
-                0,
+                request.tableVersion() < current.version() ? current : null,
+                current.version(),
+                controlAgeMillis,
                 "",
                 List.of(),
                 1,
@@ -186,9 +234,9 @@
                 () -> reply, CompletableFuture.delayedExecutor(controlMillis, TimeUnit.MILLISECONDS, traffic));
     }
 
-    private static RouteTable table() {
+    private static RouteTable table(long version, @Nullable WorkspaceTable workspaces) {
         return new RouteTable(
-                1,
+                version,
                 List.of(
                         route("safe", RouteKind.SAFE, false),
                         route("unsafe", RouteKind.UNSAFE, false),
@@ -199,7 +247,7 @@
                         new ServiceSpec(
                                 "brain", "/health", 96, new EngineSpec(64, 500_000, 18_432, 240_000, 5_000, 3_000))),
                 RequestLimits.DEFAULT,
-                null);
+                workspaces);
     }
 
     private static Route route(String name, RouteKind kind, boolean resumable) {
@@ -217,7 +265,7 @@
                 kind == RouteKind.STREAMING,
                 resumable,
                 250,
-                false);
+                name.equals("safe"));
     }
 
     /** Returns a request with a prompt of the given segments, the last of which is its own. */
--- a/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
@@ -17,6 +17,8 @@
 import org.wagtailcart.gateway.protocol.UpstreamAnnouncement;
 import org.wagtailcart.gateway.protocol.UpstreamRequestOptions;
 import org.wagtailcart.policy.placement.PrefixCacheEstimate;
+import org.wagtailcart.workspace.KeyVerdict;
+import org.wagtailcart.workspace.PresentedKey;
 
 /** Request protocol with short header names for tests. */
 final class TestProtocol implements RequestProtocol {
@@ -64,12 +66,34 @@
         if (handle != null) {
             lines.addAll(List.of("Source", handle.engine() + "/" + handle.handle()));
         }
+        if (options.priority() >= 0) {
+            lines.addAll(List.of("Rank", Integer.toString(options.priority())));
+        }
+        if (!options.workspace().isEmpty()) {
+            lines.addAll(List.of("Workspace", options.workspace()));
+        }
         if (!options.lastEventId().isEmpty()) {
             lines.addAll(List.of("After", options.lastEventId()));
         }
         return lines;
     }
 
+    @Override
+    public PresentedKey parseKey(List<String> headers) {
+        return header(headers, "Key").map(PresentedKey::of).orElseGet(() -> PresentedKey.faulty(KeyVerdict.MISSING));
+    }
+
+    @Override
+    public List<String> withoutCredentials(List<String> callerHeaders) {
+        return HeaderLines.filterByName(
+                callerHeaders, name -> !name.equalsIgnoreCase("Key") && !name.equalsIgnoreCase("Workspace"));
+    }
+
+    @Override
+    public List<String> keyRefusalHeaders() {
+        return List.of("Challenge", "key");
+    }
+
     @Override
     public ResponseMetadata parseResponse(int status, List<String> headers) {
         return new ResponseMetadata(
--- a/routes/src/main/java/org/wagtailcart/routes/RouteIndex.java
+++ b/routes/src/main/java/org/wagtailcart/routes/RouteIndex.java
@@ -6,15 +6,18 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import org.wagtailcart.workspace.WorkspaceAuthenticator;
 
 /** Index of one routing table that finds the route of a request by host and longest path prefix. Immutable. */
 public final class RouteIndex {
     private final RouteTable table;
     private final Map<String, List<Route>> routesByHost;
+    private final Optional<WorkspaceAuthenticator> authenticator;
 
     /** Builds the index of a table. */
     public RouteIndex(RouteTable table) {
         this.table = table;
+        this.authenticator = Optional.ofNullable(table.workspaces()).map(WorkspaceAuthenticator::new);
         this.routesByHost = table.routes().stream()
                 .sorted(Comparator.comparing(
                         (Route route) -> -route.pathPrefix().length()))
@@ -26,6 +29,11 @@
         return table;
     }
 
+    /** Returns the authenticator of the table's workspaces, empty if callers need no key. */
+    public Optional<WorkspaceAuthenticator> authenticator() {
+        return authenticator;
+    }
+
     /** Returns the route of the host with the longest prefix of the path, or empty when none matches. */
     public Optional<Route> find(String hostHeader, String path) {
         String host = hostHeader.replaceFirst(":[0-9]+$", "").toLowerCase(Locale.ROOT);
--- a/routes/src/main/java/org/wagtailcart/routes/RouteTableValidator.java
+++ b/routes/src/main/java/org/wagtailcart/routes/RouteTableValidator.java
@@ -1,20 +1,29 @@
 package org.wagtailcart.routes;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.workspace.Workspace;
+import org.wagtailcart.workspace.WorkspaceTable;
 
 /** Validator of routing tables. Stateless. */
 public final class RouteTableValidator {
+    /** Names of workspaces are sent in header fields. */
+    private static final Pattern NAME = Pattern.compile("[!-~]([ -~]*[!-~])?");
+
     private RouteTableValidator() {}
 
     /**
      * Validates a table.
      *
-     * @throws WagtailcartException with {@link ResultCode#ROUTES_INVALID}; the message names the route and the reason
+     * @throws WagtailcartException with {@link ResultCode#ROUTES_INVALID}; the message names the route or
+     *     the workspaces, and the reason, but no key
      */
     public static void validate(RouteTable table) {
         if (table.version() <= 0) {
@@ -34,6 +43,25 @@
                 throw invalid("route " + route.name() + ": " + reason);
             });
         });
+        WorkspaceTable workspaces = table.workspaces();
+        if (workspaces != null) {
+            validate(workspaces);
+        }
+    }
+
+    private static void validate(WorkspaceTable table) {
+        Map<String, Workspace> workspacesByDigest = new HashMap<>();
+        table.workspaces().forEach(workspace -> {
+            if (!NAME.matcher(workspace.name()).matches()) {
+                throw invalid("a workspace has a name with characters that a header field cannot carry");
+            }
+            workspace.keyDigests().stream().distinct().forEach(digest -> {
+                Workspace other = workspacesByDigest.putIfAbsent(digest, workspace);
+                if (other != null) {
+                    throw invalid("workspaces " + other.name() + " and " + workspace.name() + " have the same API key");
+                }
+            });
+        });
     }
 
     private static Optional<String> findError(Route route, Set<String> services) {
--- a/routes/src/test/java/org/wagtailcart/routes/RoutesStateTest.java
+++ b/routes/src/test/java/org/wagtailcart/routes/RoutesStateTest.java
@@ -3,16 +3,87 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.wagtailcart.wire.MessageCodec;
+import org.wagtailcart.wire.MessageType;
+import org.wagtailcart.workspace.KeyDigest;
+import org.wagtailcart.workspace.PresentedKey;
+import org.wagtailcart.workspace.RevocationPolicy;
+import org.wagtailcart.workspace.Workspace;
+import org.wagtailcart.workspace.WorkspaceAuthenticator;
+import org.wagtailcart.workspace.WorkspaceTable;
 
 /**
  * Guards against a table that is replaced by one of the same or a lower version, and against one that a snapshot loses.
  * The oracle is the first content of the highest version.
  */
 class RoutesStateTest {
+    private record OldRoute(
+            String name,
+            String hostName,
+            String pathPrefix,
+            RouteKind kind,
+            long timeoutMillis,
+            long targetLatencyMillis,
+            int priority,
+            List<TrafficSplit> splits,
+            int maxAttempts,
+            boolean prefixAffinity,
+            boolean resumable,
+            long gapTargetMillis) {}
+
+    private record OldRouteTable(
+            long version, List<OldRoute> routes, List<ServiceSpec> services, RequestLimits limits) {}
+
+    private record OldReplaceRoutes(OldRouteTable table, byte[] document) {}
+
+    /** Guards against a snapshot or log entry of the version before workspaces that cannot be read after an upgrade. */
+    @Test
+    void aTableWrittenBeforeWorkspacesNeedsNoKeys() {
+        OldRoute route = new OldRoute(
+                "a", "h", "/a/", RouteKind.SAFE, 100, 100, 3, List.of(new TrafficSplit("stock", 1)), 2, true, true, 9);
+        MessageCodec oldCodec = new MessageCodec(List.of(List.of(new MessageType(800, OldReplaceRoutes.class))));
+        byte[] snapshot = oldCodec.encode(new OldReplaceRoutes(
+                new OldRouteTable(4, List.of(route), List.of(), RequestLimits.DEFAULT), new byte[] {7}));
+        RoutesState state = new RoutesState();
+        state.restore(snapshot);
+        assertThat(state.table().version()).isEqualTo(4);
+        assertThat(state.table().workspaces()).isNull();
+        assertThat(state.table().routes().get(0).open()).isFalse();
+        assertThat(state.table().routes().get(0).gapTargetMillis()).isEqualTo(9);
+        assertThat(new RouteIndex(state.table()).authenticator()).isEmpty();
+    }
+
+    /** Guards against workspaces, their salt or the switch itself that a snapshot loses. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 80})
+    void workspacesSurviveARestart(int count) {
+        byte[] salt = KeyDigest.newSalt();
+        List<Workspace> workspaces = IntStream.range(0, count)
+                .mapToObj(i -> new Workspace("w" + i, List.of(KeyDigest.of(salt, "k" + i)), i % 2 == 0 ? i : null))
+                .toList();
+        RouteTable table =
+                new RouteTable(2, List.of(), List.of(), RequestLimits.DEFAULT, new WorkspaceTable(salt, workspaces));
+        RoutesState state = new RoutesState();
+        state.apply(new ReplaceRoutes(table, new byte[0]));
+        RoutesState restarted = new RoutesState();
+        restarted.restore(state.snapshot());
+        WorkspaceAuthenticator authenticator =
+                new RouteIndex(restarted.table()).authenticator().orElseThrow();
+        assertThat(authenticator.workspaces()).isEqualTo(workspaces);
+        for (int i = 0; i < count; i++) {
+            assertThat(authenticator
+                            .decide(PresentedKey.of("k" + i), true, 0, RevocationPolicy.LENIENT)
+                            .workspace())
+                    .hasValue(workspaces.get(i));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void theFirstContentOfTheHighestVersionIsInForceAcrossRestarts(long seed) {
--- a/routes/src/test/java/org/wagtailcart/routes/Tables.java
+++ b/routes/src/test/java/org/wagtailcart/routes/Tables.java
@@ -2,6 +2,8 @@
 
 import java.util.Arrays;
 import java.util.List;
+import org.wagtailcart.workspace.Workspace;
+import org.wagtailcart.workspace.WorkspaceTable;
 
 /** Routing tables for tests. */
 final class Tables {
@@ -12,6 +14,15 @@
                 name, host, prefix, RouteKind.SAFE, timeoutMillis, 100, 0, List.of(splits), 2, false, false, 0, false);
     }
 
+    static RouteTable withWorkspaces(Workspace... workspaces) {
+        return new RouteTable(
+                1,
+                List.of(),
+                List.of(),
+                RequestLimits.DEFAULT,
+                new WorkspaceTable(new byte[] {1}, List.of(workspaces)));
+    }
+
     static RouteTable table(long version, Route... routes) {
         return new RouteTable(
                 version,
--- a/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettings.java
+++ b/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettings.java
@@ -29,6 +29,7 @@
  * @param discovery discovery of control members that are not listed
  * @param retryBudget retry budget that all gateways share
  * @param platform addresses and limits of the users' platform, empty without one
+ * @param workspaces settings for the API keys of workspaces
  * @param operatorTokenFile file with the operators' bearer token; present with an operator listener
  * @param logLevel lowest level of logged events
  * @param logFormat format of a log line
@@ -52,6 +53,7 @@
         ControlDiscovery discovery,
         RetryBudgetSettings retryBudget,
         Optional<PlatformSettings> platform,
+        WorkspaceSettings workspaces,
         Optional<String> operatorTokenFile,
         LogLevel logLevel,
         LogFormat logFormat,
--- a/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
+++ b/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
@@ -35,6 +35,14 @@
     private static final int MAX_SHUTDOWN_GRACE_MILLIS = 600_000;
     private static final int MAX_TOLERATED_LOSSES = 1_000;
 
+    private static final String WORKSPACES = "workspaces";
+    private static final String STRICT_REVOKE = "strict-revoke";
+    private static final String REVOKE_LIMIT_MILLIS = "revoke-limit-millis";
+    /** Longer than an election and a move to another control member, so that neither refuses requests. */
+    private static final long DEFAULT_REVOKE_LIMIT_MILLIS = 5_000;
+
+    private static final long MAX_REVOKE_LIMIT_MILLIS = 3_600_000;
+
     /** Variable with the default of {@code [control] tolerated-losses}. */
     private static final String TOLERATED_LOSSES_VARIABLE = "WAGTAILCART_TOLERATED_LOSSES";
     /** Variable with the default of {@code [entry] shutdown-limit-millis}, in seconds. */
@@ -70,6 +78,7 @@
                 discovery(),
                 retryBudget(),
                 platform(),
+                workspaces(),
                 value("operator", "token-file"),
                 enumValue("log", "level", LogLevel.values(), LogLevel.INFO),
                 enumValue("log", "format", LogFormat.values(), LogFormat.TEXT),
@@ -88,6 +97,7 @@
         keys.put("control", List.of("members", "seeds", "peer-port", "found", "tolerated-losses"));
         keys.put("retry", List.of("ratio", "reserve", "window-seconds"));
         keys.put("platform", List.of("host-list", "control-listener", "order-lease-millis"));
+        keys.put(WORKSPACES, List.of(STRICT_REVOKE, REVOKE_LIMIT_MILLIS));
         keys.put("operator", List.of("token-file"));
         keys.put("log", List.of("level", "format"));
         keys.put("entry", List.of("on-control-loss", "shutdown-grace-millis", "shutdown-limit-millis"));
@@ -185,6 +195,19 @@
                         number("platform", "order-lease-millis", "3000", 0, 600_000)));
     }
 
+    private WorkspaceSettings workspaces() {
+        return new WorkspaceSettings(
+                isSet(WORKSPACES, STRICT_REVOKE) && flag(WORKSPACES, STRICT_REVOKE),
+                isSet(WORKSPACES, REVOKE_LIMIT_MILLIS)
+                        ? number(WORKSPACES, REVOKE_LIMIT_MILLIS, "", 0, MAX_REVOKE_LIMIT_MILLIS)
+                        : DEFAULT_REVOKE_LIMIT_MILLIS);
+    }
+
+    /** Returns whether a key has a value; a template renders an empty one where the platform gives none. */
+    private boolean isSet(String section, String key) {
+        return !sections.getOrDefault(section, Map.of()).getOrDefault(key, "").isBlank();
+    }
+
     private boolean flag(String section, String key) {
         String text = value(section, key).orElse("false");
         if (!List.of("true", "false").contains(text)) {
--- a/settings/src/test/java/org/wagtailcart/settings/process/ProcessSettingsTest.java
+++ b/settings/src/test/java/org/wagtailcart/settings/process/ProcessSettingsTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
@@ -143,6 +144,31 @@
         assertThat(settings.platform().orElseThrow().orderLeaseMillis()).isEqualTo(3_000);
     }
 
+    /** Guards against a template that renders empty values where the platform gives none, and is refused for them. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "'' | false | 5000",
+                "'[workspaces]\nstrict-revoke =\nrevoke-limit-millis = \n' | false | 5000",
+                "'[workspaces]\nstrict-revoke = true\nrevoke-limit-millis =\n' | true | 5000",
+                "'[workspaces]\nstrict-revoke = false\nrevoke-limit-millis = 0\n' | false | 0",
+                "'[workspaces]\nrevoke-limit-millis = 2500\n' | false | 2500"
+            })
+    void emptyWorkspaceSettingsAreNotSet(String section, boolean strictRevoke, long limitMillis) {
+        assertThat(ProcessSettings.parse(GATEWAY + section).workspaces())
+                .isEqualTo(new WorkspaceSettings(strictRevoke, limitMillis));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"strict-revoke = yes", "revoke-limit-millis = -1", "revoke-limit-millis = 5s", "revoke = true"})
+    void invalidWorkspaceSettingsAreRefused(String line) {
+        WagtailcartException error = assertThrows(
+                WagtailcartException.class, () -> ProcessSettings.parse(GATEWAY + "[workspaces]\n" + line + "\n"));
+        assertThat(error.code()).isEqualTo(ResultCode.INVALID_SETTINGS_FILE);
+    }
+
     /** Guards against a control group that is sized for other losses than its deployment tolerates. */
     @ParameterizedTest
     @CsvSource({"found = false, 2", "tolerated-losses = 1, 1", "tolerated-losses = 4, 4"})
--- /dev/null
+++ b/workspace/src/main/java/org/wagtailcart/workspace/PresentedKey.java
@@ -0,0 +1,51 @@
+package org.wagtailcart.workspace;
+
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+
+/** API key as sent by a caller, or the fault that makes it unusable. Its text form does not contain the key. */
+public final class PresentedKey {
+    /** Bounds the work for a key that is hashed before it is known; issued keys are far shorter. */
+    public static final int MAX_LENGTH = 512;
+
+    /** Visible ASCII characters, as a key in a header field has no others. */
+    private static final Pattern VISIBLE_ASCII = Pattern.compile("[!-~]+");
+
+    private final @Nullable String value;
+    private final KeyVerdict fault;
+
+    private PresentedKey(@Nullable String value, KeyVerdict fault) {
+        this.value = value;
+        this.fault = fault;
+    }
+
+    /** Returns the key with the given text, or its fault. */
+    public static PresentedKey of(String text) {
+        if (text.length() > MAX_LENGTH) {
+            return faulty(KeyVerdict.TOO_LONG);
+        }
+        return VISIBLE_ASCII.matcher(text).matches()
+                ? new PresentedKey(text, KeyVerdict.ACCEPTED)
+                : faulty(KeyVerdict.MALFORMED);
+    }
+
+    /** Returns a key that is unusable for the given reason. */
+    public static PresentedKey faulty(KeyVerdict fault) {
+        return new PresentedKey(null, fault);
+    }
+
+    Optional<String> value() {
+        return Optional.ofNullable(value);
+    }
+
+    /** Returns the reason for which the key is unusable, {@link KeyVerdict#ACCEPTED} for none. */
+    public KeyVerdict fault() {
+        return fault;
+    }
+
+    @Override
+    public String toString() {
+        return "PresentedKey[" + fault + "]";
+    }
+}
