Show the workspace of a request and why its key was refused

The log did not tell to which workspace a request belonged, nor an operator why a caller got 401.

request-sent and request-ended have the workspace, table-installed the number of workspaces. The dump of a gateway lists the workspaces with the number of their keys and says whether keys are refused at present. Counters for each workspace are left out: 10,000 names would not fit the metrics.

--- a/cli/src/test/java/org/wagtailcart/cli/ExplainCommandTest.java
+++ b/cli/src/test/java/org/wagtailcart/cli/ExplainCommandTest.java
@@ -53,6 +53,24 @@
         assertThat(err.toString(StandardCharsets.UTF_8)).contains("skipped 2 lines that are not JSON log events");
     }
 
+    /** Guards against an explanation that does not tell the workspace, or the table by which a key was refused. */
+    @Test
+    void tellsTheWorkspaceAndTheTableThatRefusedAKey() throws IOException {
+        Path file = folder.resolve("g1.log");
+        Files.writeString(
+                file,
+                ENDED.replace("\"code\":6011", "\"workspace\":\"hule\",\"code\":0")
+                        + ENDED.replace("r-1", "r-2")
+                                .replace("\"code\":6011", "\"workspace\":\"\",\"code\":1006,\"table-version\":7"));
+        assertThat(run("explain", "r-1", file.toString())).isEqualTo(ExitCode.OK);
+        assertThat(run("explain", "r-2", file.toString())).isEqualTo(ExitCode.OK);
+        assertThat(out.toString(StandardCharsets.UTF_8).lines().toList())
+                .containsExactly(
+                        "2026-06-03T16:54:35.400Z g1.log request-ended workspace=hule code=0",
+                        "2026-06-03T16:54:35.400Z g1.log request-ended workspace=\"\" code=1006 table-version=7")
+                .inOrder();
+    }
+
     /** Guards against a wrong exit code for an unknown request, a missing argument or an unreadable file. */
     @Test
     void reportsUnknownRequest() throws IOException {
--- a/common/src/main/java/org/wagtailcart/common/LogEventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEventKind.java
@@ -15,6 +15,7 @@
             true,
             "request",
             "route",
+            "workspace",
             "step",
             "upstream",
             "attempt",
@@ -46,6 +47,7 @@
             true,
             "request",
             "route",
+            "workspace",
             "code",
             "status",
             "run-state",
@@ -71,7 +73,7 @@
     /** A process refuses requests with a prompt segment that makes engines crash. */
     SEGMENT_QUARANTINED(false, "segment", "offences", "for-millis", "source"),
     /** A gateway installed a newer routing table. */
-    TABLE_INSTALLED(false, "version", "routes", "member", "age-millis"),
+    TABLE_INSTALLED(false, "version", "routes", "workspaces", "member", "age-millis"),
     /** A control member is unreachable from a gateway. */
     CONTROL_LOST(false, "member", "reason"),
     /** A control member that was unreachable replied again. */
--- a/control/src/test/java/org/wagtailcart/control/ControlStateTest.java
+++ b/control/src/test/java/org/wagtailcart/control/ControlStateTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
@@ -22,9 +23,22 @@
 import org.wagtailcart.fleet.IssueOrder;
 import org.wagtailcart.fleet.RegisterSidecar;
 import org.wagtailcart.fleet.SetLifecycle;
+import org.wagtailcart.routes.ReadRoutes;
+import org.wagtailcart.routes.ReplaceRoutes;
+import org.wagtailcart.routes.RequestLimits;
+import org.wagtailcart.routes.RouteIndex;
+import org.wagtailcart.routes.RouteTable;
+import org.wagtailcart.routes.RoutesDocument;
 import org.wagtailcart.settings.ApplySettings;
 import org.wagtailcart.settings.ApplySettingsResult;
 import org.wagtailcart.settings.SettingsEdit;
+import org.wagtailcart.workspace.KeyDigest;
+import org.wagtailcart.workspace.KeyVerdict;
+import org.wagtailcart.workspace.PresentedKey;
+import org.wagtailcart.workspace.RevocationPolicy;
+import org.wagtailcart.workspace.Workspace;
+import org.wagtailcart.workspace.WorkspaceAuthenticator;
+import org.wagtailcart.workspace.WorkspaceTable;
 
 /** Guards against conflicting changes that are both accepted and against commands that stop the control group. */
 class ControlStateTest {
@@ -37,6 +51,40 @@
                 : ((FleetResult) result).codeNumber();
     }
 
+    /** Guards against keys that are off, or withdrawn keys that are valid again, after a restart from a snapshot. */
+    @Test
+    void workspacesAreRestoredFromASnapshotAndNeverReverted() {
+        byte[] salt = KeyDigest.newSalt();
+        String kept = KeyDigest.of(salt, "kept");
+        RouteTable withdrawn = table(7, salt, List.of(kept));
+        state.apply(1, 1, Samples.encode(new ReplaceRoutes(withdrawn, "document".getBytes(StandardCharsets.UTF_8))));
+        ControlState restarted = new ControlState(Samples.CODEC, new EmptyKeyStateMachine());
+        restarted.restore(state.snapshot());
+        RouteTable older = table(6, salt, List.of(kept, KeyDigest.of(salt, "withdrawn")));
+        restarted.apply(2, 1, Samples.encode(new ReplaceRoutes(older, new byte[0])));
+        WorkspaceAuthenticator authenticator =
+                new RouteIndex(restarted.routes()).authenticator().orElseThrow();
+        assertThat(authenticator
+                        .decide(PresentedKey.of("kept"), true, 0, RevocationPolicy.LENIENT)
+                        .workspace())
+                .hasValue(new Workspace("hule", List.of(kept), 1));
+        assertThat(authenticator
+                        .decide(PresentedKey.of("withdrawn"), true, 0, RevocationPolicy.LENIENT)
+                        .verdict())
+                .isEqualTo(KeyVerdict.UNKNOWN);
+        assertThat(((RoutesDocument) restarted.lookup(new ReadRoutes("o"))).document())
+                .isEqualTo("document".getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static RouteTable table(long version, byte[] salt, List<String> digests) {
+        return new RouteTable(
+                version,
+                List.of(),
+                List.of(),
+                RequestLimits.DEFAULT,
+                new WorkspaceTable(salt, List.of(new Workspace("hule", digests, 1))));
+    }
+
     /** Guards against two operators whose concurrent changes of the same revision are both accepted. */
     @Test
     @Timeout(60)
--- a/control/src/test/java/org/wagtailcart/control/Samples.java
+++ b/control/src/test/java/org/wagtailcart/control/Samples.java
@@ -7,14 +7,19 @@
 import org.wagtailcart.control.client.ControlMessages;
 import org.wagtailcart.fleet.FleetMessages;
 import org.wagtailcart.once.KeyMessages;
+import org.wagtailcart.routes.RoutesMessages;
 import org.wagtailcart.settings.SettingsEdit;
 import org.wagtailcart.settings.SettingsMessages;
 import org.wagtailcart.wire.MessageCodec;
 
 /** Codec, commands and settings edits shared by the tests of this module. */
 public final class Samples {
-    public static final MessageCodec CODEC = new MessageCodec(
-            List.of(SettingsMessages.TYPES, KeyMessages.TYPES, FleetMessages.TYPES, ControlMessages.TYPES));
+    public static final MessageCodec CODEC = new MessageCodec(List.of(
+            SettingsMessages.TYPES,
+            KeyMessages.TYPES,
+            FleetMessages.TYPES,
+            ControlMessages.TYPES,
+            RoutesMessages.TYPES));
 
     private Samples() {}
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayDump.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayDump.java
@@ -19,6 +19,7 @@
  * @param upstreams upstreams in the host list
  * @param work requests and queued prompt tokens of this gateway at each upstream
  * @param quarantined prompt segments whose requests are refused
+ * @param keys workspaces and the check of their keys
  */
 public record GatewayDump(
         boolean ready,
@@ -31,4 +32,5 @@
         int retriesLeft,
         List<UpstreamState> upstreams,
         List<OutstandingWork> work,
-        List<SegmentQuarantineEntry> quarantined) {}
+        List<SegmentQuarantineEntry> quarantined,
+        KeyDump keys) {}
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayMetrics.java
@@ -18,6 +18,11 @@
                 "gateway.table.version",
                 () -> context.routeWatcher().routes().table().version());
         gauge(registry, "gateway.table.age-millis", () -> context.routeWatcher().ageMillis());
+        gauge(registry, "gateway.workspaces", () -> context.routeWatcher()
+                .routes()
+                .authenticator()
+                .map(authenticator -> authenticator.workspaces().size())
+                .orElse(-1));
         gauge(registry, "gateway.list.age-millis", () -> context.registry().listAgeMillis());
         gauge(registry, "gateway.gateways", () -> context.routeWatcher().gatewayCount());
         gauge(registry, "gateway.retries.left", () -> context.retryBudgets()
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -233,7 +233,11 @@
                 context.retryBudgets().minRemaining(gateways, context.clock().nowMillis()),
                 context.registry().states(),
                 context.registry().ownWork(),
-                context.quarantine().entries());
+                context.quarantine().entries(),
+                KeyDump.of(
+                        context.routeWatcher().routes().authenticator().orElse(null),
+                        options.revocation(),
+                        context.routeWatcher().ageMillis()));
     }
 
     @Override
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/CallFactory.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallFactory.java
@@ -31,6 +31,7 @@
                 Level.INFO,
                 requestId,
                 path,
+                "",
                 error.code().number(),
                 error.code().httpStatus(),
                 SettingNames.of(error.runState()),
--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
@@ -27,6 +27,7 @@
 import org.wagtailcart.gateway.report.GatewayReports;
 import org.wagtailcart.routes.RouteIndex;
 import org.wagtailcart.routes.RouteTable;
+import org.wagtailcart.workspace.WorkspaceTable;
 
 /**
  * Long-polling client that fetches the routing table, the host list, prefix cache updates and the quarantine from one
@@ -267,7 +268,12 @@
         registry.services(table.services());
         routes = new RouteIndex(table);
         LogEventKind.TABLE_INSTALLED.log(
-                LOG, Level.INFO, table.version(), table.routes().size(), member, ageMillis);
+                LOG, Level.INFO, table.version(), table.routes().size(), workspaceCount(table), member, ageMillis);
+    }
+
+    private static int workspaceCount(RouteTable table) {
+        WorkspaceTable workspaces = table.workspaces();
+        return workspaces == null ? -1 : workspaces.workspaces().size();
     }
 
     private void applyHostList(long sentAtMillis, WatchReply reply) {
