Add the account of usage windows

The platform of deployment A expects for each window of 5 s the requests that upstreams began to run for each workspace, within 5% and never twice with different counts. Nothing counted them.

--- /dev/null
+++ b/usage/src/main/java/org/wagtailcart/usage/UsageObservation.java
@@ -0,0 +1,19 @@
+package org.wagtailcart.usage;
+
+import java.util.OptionalLong;
+
+/**
+ * What the leader knows when it plans.
+ *
+ * @param nowMillis monotonic time
+ * @param trueTimeMillis estimate of the true time, empty for none
+ * @param observedSinceMillis monotonic time since which the gateways send their counts to this member
+ * @param completeUntilMillis true time until which the counts of all gateways are complete
+ * @param earliestWindow oldest window with a count
+ */
+public record UsageObservation(
+        long nowMillis,
+        OptionalLong trueTimeMillis,
+        long observedSinceMillis,
+        long completeUntilMillis,
+        OptionalLong earliestWindow) {}
--- /dev/null
+++ b/usage/src/main/java/org/wagtailcart/usage/UsagePlanner.java
@@ -0,0 +1,100 @@
+package org.wagtailcart.usage;
+
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * Decides when the leader closes a window and which closed window it reports. It accesses no clock. Not thread safe.
+ */
+public final class UsagePlanner {
+    /**
+     * Time after the end of a window at which it may be closed. The last counts arrive with the next poll, after at most
+     * 250 ms, or 700 ms after the loss of one; errors of the estimates of true time are small against the rest.
+     */
+    static final long MIN_GRACE_MILLIS = 2_000;
+    /** Time after the end of a window at which it is closed though counts are missing; half of what a report has. */
+    static final long MAX_GRACE_MILLIS = 5_000;
+    /**
+     * Time for which a new leader collects counts before it closes a window, since it does not know which gateways exist.
+     * A gateway gives up a poll of the former leader after 700 ms, and sends all its counts with its second poll; two
+     * more polls may be lost. After an election of 3 s a report that has 10 s is still in time.
+     */
+    static final long MIN_OBSERVE_MILLIS = 3_000;
+    /** Time after which a new leader closes a window though counts are missing. */
+    static final long MAX_OBSERVE_MILLIS = 4_000;
+    /** Number of windows that are closed late; gateways keep the counts of 30 s. */
+    static final long MAX_OPEN_WINDOWS = 12;
+
+    private final long windowMillis;
+    private final long lateMillis;
+    private OptionalLong firstWindow = OptionalLong.empty();
+    private long nextCallMillis = Long.MIN_VALUE;
+    private int failures;
+
+    /**
+     * Creates a planner.
+     *
+     * @param lateMillis time after the end of a window at which its report is late
+     */
+    public UsagePlanner(long windowMillis, long lateMillis) {
+        this.windowMillis = windowMillis;
+        this.lateMillis = lateMillis;
+    }
+
+    /** Returns what to do now. */
+    public UsagePlan plan(UsageObservation observation, UsageState state) {
+        if (observation.trueTimeMillis().isEmpty()) {
+            return UsagePlan.NONE;
+        }
+        long trueMillis = observation.trueTimeMillis().getAsLong();
+        long next = nextWindow(observation, state, Math.floorDiv(trueMillis, windowMillis));
+        return new UsagePlan(
+                mayClose(next, observation, trueMillis) ? OptionalLong.of(next) : OptionalLong.empty(),
+                observation.nowMillis() < nextCallMillis ? Optional.empty() : mostUrgent(state, trueMillis));
+    }
+
+    private long nextWindow(UsageObservation observation, UsageState state, long currentWindow) {
+        if (firstWindow.isEmpty()) {
+            firstWindow = OptionalLong.of(currentWindow);
+        }
+        long oldest = currentWindow - MAX_OPEN_WINDOWS;
+        OptionalLong last = state.lastWindow();
+        long next = last.isPresent()
+                ? last.getAsLong() + 1
+                : Math.min(firstWindow.getAsLong(), observation.earliestWindow().orElse(Long.MAX_VALUE));
+        return Math.max(oldest, next);
+    }
+
+    private boolean mayClose(long window, UsageObservation observation, long trueMillis) {
+        long end = endMillis(window);
+        boolean complete = observation.completeUntilMillis() >= end;
+        long observedMillis = observation.nowMillis() - observation.observedSinceMillis();
+        return observedMillis >= (complete ? MIN_OBSERVE_MILLIS : MAX_OBSERVE_MILLIS)
+                && trueMillis >= end + (complete ? MIN_GRACE_MILLIS : MAX_GRACE_MILLIS);
+    }
+
+    /** Returns the oldest window whose report can be in time, or else the oldest one. */
+    private Optional<ClosedUsageWindow> mostUrgent(UsageState state, long trueMillis) {
+        return state.windows().stream()
+                .filter(closed -> !closed.reported())
+                .min(Comparator.comparing((ClosedUsageWindow closed) -> latenessMillis(closed.window(), trueMillis) > 0)
+                        .thenComparing(ClosedUsageWindow::window));
+    }
+
+    /** Records the outcome of a report, which determines when the next call is made. */
+    public void recordOutcome(UsageReportOutcome outcome, long nowMillis) {
+        failures = outcome.accepted() ? 0 : failures + 1;
+        nextCallMillis = nowMillis + outcome.delayMillis(failures);
+    }
+
+    /** Returns the true time at which a window ends. */
+    public long endMillis(long window) {
+        return (window + 1) * windowMillis;
+    }
+
+    /** Returns by how much a report of a window is late, negative if it is in time. */
+    public long latenessMillis(long window, long trueMillis) {
+        return trueMillis - endMillis(window) - lateMillis;
+    }
+}
--- /dev/null
+++ b/usage/src/test/java/org/wagtailcart/usage/UsageAccountTest.java
@@ -0,0 +1,110 @@
+package org.wagtailcart.usage;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against requests that are counted twice or not at all in what the platform accepts. */
+class UsageAccountTest {
+    private static final long TRAFFIC_MILLIS = 90_000;
+    private static final long END_MILLIS = 120_000;
+    private static final int HOSTS = 9;
+    private static final double LOSS = 0.1;
+
+    private static void assertNoTwoReports(UsageModel model) {
+        Map<Long, Map<String, Long>> first = new HashMap<>();
+        model.accepted.forEach(window -> assertWithMessage("reports of window %s", window.window())
+                .that(first.computeIfAbsent(window.window(), number -> window.countByWorkspace()))
+                .isEqualTo(window.countByWorkspace()));
+    }
+
+    /** Returns the largest error of a count, in requests beyond 5% of the true number. */
+    private static double maxErrorBeyondTolerance(UsageModel model) {
+        Map<Long, Map<String, Long>> accepted = model.acceptedCounts();
+        return model.truth.entrySet().stream()
+                .flatMap(window -> window.getValue().entrySet().stream().map(count -> {
+                    long reported =
+                            accepted.getOrDefault(window.getKey(), Map.of()).getOrDefault(count.getKey(), 0L);
+                    return Math.abs(reported - count.getValue()) - 0.05 * count.getValue();
+                }))
+                .mapToDouble(Double::doubleValue)
+                .max()
+                .orElse(0);
+    }
+
+    /** Guards against counts that lost, repeated or reordered polls and lost responses of the platform change. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void lossAndRepetitionLeaveTheSumExact(long seed) {
+        UsageModel model = new UsageModel(seed, HOSTS, LOSS, TRAFFIC_MILLIS);
+        model.runUntil(END_MILLIS);
+        assertThat(UsageModel.total(model.acceptedCounts())).isEqualTo(UsageModel.total(model.truth));
+        assertThat(maxErrorBeyondTolerance(model)).isAtMost(0);
+        assertThat(model.lateReports).isEqualTo(0);
+        assertNoTwoReports(model);
+    }
+
+    /** Guards against a restarted gateway whose new counts replace or repeat those of the killed process. */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15, 16})
+    void killedGatewaysLoseOnlyWhatTheyHadNotSent(long seed) {
+        UsageModel model = new UsageModel(seed, HOSTS, LOSS, TRAFFIC_MILLIS);
+        for (long atMillis = 7_000; atMillis < TRAFFIC_MILLIS; atMillis += 9_300) {
+            model.killGatewayAt(atMillis);
+        }
+        model.runUntil(END_MILLIS);
+        assertLossWithinBound(model);
+    }
+
+    /** Guards against a successor of the leader that reports an open window without the counts of live gateways. */
+    @ParameterizedTest
+    @ValueSource(longs = {21, 22, 23, 24, 25, 26})
+    void leaderChangeWithAnOpenWindowLosesNothingOfLiveGateways(long seed) {
+        UsageModel model = new UsageModel(seed, HOSTS, LOSS, TRAFFIC_MILLIS);
+        for (long atMillis = 12_400; atMillis < TRAFFIC_MILLIS; atMillis += 13_700) {
+            model.changeLeaderAt(atMillis);
+        }
+        model.runUntil(END_MILLIS);
+        assertThat(UsageModel.total(model.acceptedCounts())).isEqualTo(UsageModel.total(model.truth));
+        assertThat(maxErrorBeyondTolerance(model)).isAtMost(0);
+        assertNoTwoReports(model);
+    }
+
+    /** Guards against errors that appear only when gateways and leaders are killed in turn. */
+    @ParameterizedTest
+    @ValueSource(longs = {31, 32, 33, 34, 35, 36})
+    void killsOfGatewaysAndLeadersNeverCountTwice(long seed) {
+        UsageModel model = new UsageModel(seed, HOSTS, LOSS, TRAFFIC_MILLIS);
+        for (long atMillis = 6_000; atMillis < TRAFFIC_MILLIS; atMillis += 11_900) {
+            model.killGatewayAt(atMillis);
+            model.changeLeaderAt(atMillis + 4_100);
+        }
+        model.runUntil(END_MILLIS);
+        assertLossWithinBound(model);
+    }
+
+    /** Guards against clocks of a third of the hosts that jump by 2,400 s and move requests to other windows. */
+    @ParameterizedTest
+    @ValueSource(longs = {41, 42, 43, 44})
+    void steppedClocksOfAThirdOfTheHostsMoveNoCounts(long seed) {
+        UsageModel model = new UsageModel(seed, HOSTS, LOSS, TRAFFIC_MILLIS);
+        model.stepClocks(20_000, 60_000);
+        model.changeLeaderAt(33_000);
+        model.runUntil(END_MILLIS);
+        assertThat(UsageModel.total(model.acceptedCounts())).isEqualTo(UsageModel.total(model.truth));
+        assertThat(maxErrorBeyondTolerance(model)).isAtMost(0);
+        assertThat(model.lateReports).isEqualTo(0);
+        assertNoTwoReports(model);
+    }
+
+    private static void assertLossWithinBound(UsageModel model) {
+        long lost = UsageModel.total(model.truth) - UsageModel.total(model.acceptedCounts());
+        assertThat(lost).isAtLeast(0);
+        assertThat(lost).isAtMost(model.maxLost);
+        assertNoTwoReports(model);
+    }
+}
--- /dev/null
+++ b/usage/src/test/java/org/wagtailcart/usage/UsageModel.java
@@ -0,0 +1,245 @@
+package org.wagtailcart.usage;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/** Model in virtual time of gateways that count, leaders that close and report windows, and the platform. */
+final class UsageModel {
+    static final long WINDOW_MILLIS = 5_000;
+    static final long LATE_MILLIS = 10_000;
+    static final long TRUE_START_MILLIS = 1_767_225_600_000L;
+    static final long STEP_MILLIS = 2_400_000;
+    private static final long POLL_MILLIS = 250;
+    private static final long POLL_TIMEOUT_MILLIS = 700;
+    private static final int WORKSPACES = 4;
+    private static final long BEGIN_INTERVAL_MILLIS = 15;
+    private static final int MAX_SKEW_MILLIS = 15;
+
+    private record Event(long atMillis, long order, Runnable action) {}
+
+    /** One run of a gateway process. Its monotonic clock has an origin of its own. */
+    private final class Gateway {
+        private final int host;
+        private final long originMillis = random.nextInt(1_000_000);
+        private final UsageCounter counter = new UsageCounter(WINDOW_MILLIS, 1 + random.nextLong(1L << 61));
+        private final List<Long> begins = new ArrayList<>();
+        private boolean killed;
+
+        Gateway(int host) {
+            this.host = host;
+        }
+
+        long monotonicMillis() {
+            return nowMillis + originMillis;
+        }
+
+        void begin() {
+            if (killed || nowMillis >= trafficEndsMillis) {
+                return;
+            }
+            String workspace = "w" + random.nextInt(WORKSPACES);
+            counter.recordBegin(workspace, monotonicMillis());
+            begins.add(nowMillis);
+            truth.computeIfAbsent(Math.floorDiv(trueMillis(), WINDOW_MILLIS), window -> new HashMap<>())
+                    .merge(workspace, 1L, Long::sum);
+            after(1 + random.nextInt((int) (2 * BEGIN_INTERVAL_MILLIS)), this::begin);
+        }
+
+        void poll() {
+            if (killed) {
+                return;
+            }
+            long wallMillis = trueMillis() + skewMillis[host] + (isStepped(host) ? STEP_MILLIS : 0);
+            Optional<UsageBatch> batch = counter.nextBatch(monotonicMillis(), monotonicMillis());
+            Member member = leader;
+            Runnable deliver = () -> member.receive("g" + host, wallMillis, batch);
+            if (random.nextDouble() < lossShare) {
+                after(POLL_TIMEOUT_MILLIS, this::poll);
+                return;
+            }
+            if (random.nextDouble() < lossShare) {
+                after(random.nextInt(4_000), deliver);
+            }
+            after(random.nextInt(10), () -> {
+                deliver.run();
+                boolean replyLost = random.nextDouble() < lossShare;
+                after(replyLost ? POLL_TIMEOUT_MILLIS : POLL_MILLIS, () -> {
+                    if (!replyLost && !killed) {
+                        counter.applyReply(
+                                member.trueTime.at(nowMillis).orElse(0),
+                                member.ledger.acknowledged("g" + host),
+                                monotonicMillis());
+                    }
+                    poll();
+                });
+            });
+        }
+    }
+
+    /** A control member while it leads. */
+    private final class Member {
+        private final TrueTime trueTime = new TrueTime();
+        private final UsageLedger ledger = new UsageLedger();
+        private final UsagePlanner planner = new UsagePlanner(WINDOW_MILLIS, LATE_MILLIS);
+        private final long sinceMillis = nowMillis;
+
+        void receive(String processId, long wallMillis, Optional<UsageBatch> batch) {
+            trueTime.record(processId, wallMillis, nowMillis);
+            batch.ifPresentOrElse(
+                    counts -> ledger.record(processId, counts, nowMillis),
+                    () -> ledger.recordPoll(processId, nowMillis));
+        }
+
+        void plan() {
+            if (leader != this) {
+                return;
+            }
+            UsagePlan plan = planner.plan(
+                    new UsageObservation(
+                            nowMillis,
+                            trueTime.at(nowMillis),
+                            sinceMillis,
+                            ledger.completeUntilMillis(nowMillis),
+                            ledger.earliestWindow()),
+                    state);
+            plan.close().ifPresent(window -> {
+                state = state.apply(new CloseUsageWindow(window, ledger.totals(window)));
+                ledger.drop(window, nowMillis);
+            });
+            plan.report().ifPresent(this::report);
+            after(100, this::plan);
+        }
+
+        private void report(ClosedUsageWindow window) {
+            if (random.nextDouble() < lossShare) {
+                planner.recordOutcome(UsageReportOutcome.UNKNOWN, nowMillis);
+                return;
+            }
+            accepted.add(window);
+            lateReports += planner.latenessMillis(window.window(), trueMillis()) > 0 ? 1 : 0;
+            // The response is lost, or the holder is killed before the mark.
+            boolean marked = random.nextDouble() >= lossShare;
+            planner.recordOutcome(marked ? UsageReportOutcome.ACCEPTED : UsageReportOutcome.UNKNOWN, nowMillis);
+            if (marked) {
+                state = state.apply(new MarkUsageReported(window.window()));
+            }
+        }
+    }
+
+    private final Random random;
+    private final double lossShare;
+    private final long trafficEndsMillis;
+    private final long[] skewMillis;
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
+    private final List<Gateway> gateways = new ArrayList<>();
+    private final List<Gateway> ended = new ArrayList<>();
+    private long nowMillis;
+    private long eventCount;
+    private Member leader;
+    private UsageState state = UsageState.EMPTY;
+    private long steppedFromMillis = Long.MAX_VALUE;
+    private long steppedUntilMillis = Long.MAX_VALUE;
+
+    final Map<Long, Map<String, Long>> truth = new HashMap<>();
+    final List<ClosedUsageWindow> accepted = new ArrayList<>();
+    /** Upper bound of the requests whose counts may be lost. */
+    long maxLost;
+
+    long lateReports;
+
+    UsageModel(long seed, int hosts, double lossShare, long trafficMillis) {
+        this.random = new Random(seed);
+        this.lossShare = lossShare;
+        this.trafficEndsMillis = trafficMillis;
+        this.skewMillis = random.ints(hosts, -MAX_SKEW_MILLIS, MAX_SKEW_MILLIS + 1)
+                .asLongStream()
+                .toArray();
+        this.leader = new Member();
+        leader.plan();
+        for (int host = 0; host < hosts; host++) {
+            startGateway(host);
+        }
+    }
+
+    private void startGateway(int host) {
+        Gateway gateway = new Gateway(host);
+        gateways.add(gateway);
+        gateway.poll();
+        gateway.begin();
+    }
+
+    private void after(long delayMillis, Runnable action) {
+        events.add(new Event(nowMillis + delayMillis, eventCount++, action));
+    }
+
+    private long trueMillis() {
+        return TRUE_START_MILLIS + nowMillis;
+    }
+
+    private boolean isStepped(int host) {
+        return host % 3 == 0 && nowMillis >= steppedFromMillis && nowMillis < steppedUntilMillis;
+    }
+
+    /** Kills a gateway at a time; its successor starts at once. */
+    void killGatewayAt(long atMillis) {
+        events.add(new Event(atMillis, eventCount++, () -> {
+            Gateway gateway = gateways.remove(random.nextInt(gateways.size()));
+            gateway.killed = true;
+            ended.add(gateway);
+            // Several polls in a row may be lost, each of which takes 700 ms.
+            maxLost += begunSince(gateway, nowMillis - 4 * POLL_TIMEOUT_MILLIS);
+            startGateway(gateway.host);
+        }));
+    }
+
+    /** Replaces the leader at a time; its successor knows the replicated state only. */
+    void changeLeaderAt(long atMillis) {
+        events.add(new Event(atMillis, eventCount++, () -> {
+            maxLost += ended.stream()
+                    .mapToLong(gateway ->
+                            begunSince(gateway, nowMillis - 2 * WINDOW_MILLIS - UsagePlanner.MAX_GRACE_MILLIS))
+                    .sum();
+            leader = new Member();
+            leader.plan();
+        }));
+    }
+
+    /** Steps the clocks of a third of the hosts for a time. */
+    void stepClocks(long fromMillis, long untilMillis) {
+        steppedFromMillis = fromMillis;
+        steppedUntilMillis = untilMillis;
+    }
+
+    private static long begunSince(Gateway gateway, long sinceMillis) {
+        return gateway.begins.stream().filter(begin -> begin >= sinceMillis).count();
+    }
+
+    void runUntil(long endMillis) {
+        while (!events.isEmpty() && events.element().atMillis() <= endMillis) {
+            Event event = events.remove();
+            nowMillis = event.atMillis();
+            event.action().run();
+        }
+    }
+
+    /** Returns the accepted counts of each window. */
+    Map<Long, Map<String, Long>> acceptedCounts() {
+        Map<Long, Map<String, Long>> counts = new HashMap<>();
+        accepted.forEach(window -> counts.put(window.window(), window.countByWorkspace()));
+        return counts;
+    }
+
+    static long total(Map<Long, Map<String, Long>> counts) {
+        return counts.values().stream()
+                .flatMap(window -> window.values().stream())
+                .mapToLong(Long::longValue)
+                .sum();
+    }
+}
