Report usage windows to the platform

Deployment A lists usage_report among its duties, and all its reports were missing.

Gateways count the begin of each run and send the counts with each poll; the reply carries the true time and the batch that the member has. The leader closes windows in the replicated log and reports only what is stored there, so that a successor sends the same. UsageReporter has its own thread. The lease handling of EngineRoleController is now in OrderLeaseHolder, which both share with one fencing token; the waiting time of a new holder and the confirmation before each call are as before. A call has a time by which it must be written, which SendGuard checks after connecting: a holder that was frozen sends nothing. Everything is off unless [platform] duties contains usage_report.

Ruled out: a second election or lease for reports.

--- a/common/src/main/java/org/wagtailcart/common/LogEventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEventKind.java
@@ -88,6 +88,11 @@
     TABLE_OFFERED(false, "version", "status", "code", "after-millis", "reason"),
     /** The leader queried an engine for the prompt segments in its KV cache. */
     CACHE_SURVEYED(false, "engine", "parts", "reason"),
+    /** The leader closed a usage window: its counts no longer change. */
+    USAGE_CLOSED(false, "window", "workspaces", "requests", "gateways", "clocks", "after-end-millis"),
+    /** The leader sent the report of a usage window to the platform. */
+    USAGE_REPORTED(
+            false, "window", "holder", "token", "workspaces", "requests", "outcome", "after-end-millis", "call-millis"),
     /** A process reloaded its settings file. */
     SETTINGS_RELOADED(false, "file", "seeds"),
     /** Log lines of a kind were dropped to limit the log volume. */
--- a/control/src/main/java/org/wagtailcart/control/CommandHandler.java
+++ b/control/src/main/java/org/wagtailcart/control/CommandHandler.java
@@ -100,6 +100,8 @@
                 || typeNumber == 520
                 || typeNumber == 800
                 || typeNumber == 802
+                || typeNumber == 900
+                || typeNumber == 901
                 || (typeNumber >= 300 && typeNumber <= 304)
                 || typeNumber == 400
                 || (typeNumber >= 402 && typeNumber <= 405);
--- a/control/src/main/java/org/wagtailcart/control/ControlRole.java
+++ b/control/src/main/java/org/wagtailcart/control/ControlRole.java
@@ -35,7 +35,13 @@
 import org.wagtailcart.control.http.OperatorServer;
 import org.wagtailcart.control.orders.AcquireOrderLease;
 import org.wagtailcart.control.orders.EngineRoleController;
+import org.wagtailcart.control.orders.Leadership;
 import org.wagtailcart.control.orders.OrderLease;
+import org.wagtailcart.control.orders.OrderLeaseHolder;
+import org.wagtailcart.control.usage.UsageBackend;
+import org.wagtailcart.control.usage.UsageObserver;
+import org.wagtailcart.control.usage.UsageReportClient;
+import org.wagtailcart.control.usage.UsageReporter;
 import org.wagtailcart.control.watch.HostListCache;
 import org.wagtailcart.control.watch.WatchHandler;
 import org.wagtailcart.coordination.Member;
@@ -44,6 +50,10 @@
 import org.wagtailcart.coordination.RaftStatus;
 import org.wagtailcart.coordination.ReplicatedLog;
 import org.wagtailcart.directory.ListedUpstream;
+import org.wagtailcart.usage.CloseUsageWindow;
+import org.wagtailcart.usage.ClosedUsageWindow;
+import org.wagtailcart.usage.MarkUsageReported;
+import org.wagtailcart.usage.UsageState;
 import org.wagtailcart.wire.Exchange;
 import org.wagtailcart.wire.MessageCodec;
 import org.wagtailcart.wire.PeerClient;
@@ -75,6 +85,7 @@
     private final SyncReplyBuilder syncReplyBuilder;
     private final LeaderTasks leaderTasks;
     private final HostListCache hostListCache = new HostListCache();
+    private final UsageObserver usageObserver;
     private final WatchHandler watchHandler;
     private final Meter syncMeter;
     private final Meter commandMeter;
@@ -118,8 +129,9 @@
         this.commandHandler = new CommandHandler(log, state, codec);
         this.syncReplyBuilder = new SyncReplyBuilder(codec);
         this.leaderTasks = new LeaderTasks(commandHandler, state, processTracker, planner, clock);
-        this.watchHandler =
-                new WatchHandler(state::routes, log::status, this::confirmationAgeMillis, hostListCache, clock);
+        this.usageObserver = new UsageObserver(log.status().self().memberId(), MillisClock.wall());
+        this.watchHandler = new WatchHandler(
+                state::routes, log::status, this::confirmationAgeMillis, hostListCache, usageObserver, clock);
         this.syncMeter = registry.meter("control.syncs");
         this.commandMeter = registry.meter("control.commands");
     }
@@ -221,9 +233,9 @@
         return log.changeMembership(change);
     }
 
-    /** Returns the leadership and order lease of this member, as required by the engine role controller. */
-    public EngineRoleController.Leadership leadership() {
-        return new EngineRoleController.Leadership() {
+    /** Returns the leadership and order lease of this member, as required by the holder of the lease. */
+    public Leadership leadership() {
+        return new Leadership() {
             @Override
             public boolean isLeader() {
                 return started && commandHandler.isLeader();
@@ -246,6 +258,39 @@
         };
     }
 
+    /**
+     * Returns a reporter of the usage that gateways report to this member.
+     *
+     * @param holder name of this process, which is sent with each report
+     * @param lease order lease of this member
+     * @param platform receives the reports
+     * @param lateMillis time after the end of a window at which its report is late
+     */
+    public UsageReporter usageReporter(
+            String holder, OrderLeaseHolder lease, UsageReportClient platform, long windowMillis, long lateMillis) {
+        return new UsageReporter(
+                holder, lease, usageBackend(), usageObserver, platform, windowMillis, lateMillis, registry, clock);
+    }
+
+    private UsageBackend usageBackend() {
+        return new UsageBackend() {
+            @Override
+            public UsageState state() {
+                return state.usage();
+            }
+
+            @Override
+            public CompletableFuture<ClosedUsageWindow> close(CloseUsageWindow command) {
+                return commandHandler.propose(command).thenApply(ClosedUsageWindow.class::cast);
+            }
+
+            @Override
+            public CompletableFuture<ClosedUsageWindow> mark(MarkUsageReported command) {
+                return commandHandler.propose(command).thenApply(ClosedUsageWindow.class::cast);
+            }
+        };
+    }
+
     /** Returns the publisher that forwards host lists and prefix updates to the watching gateways. */
     public EngineRoleController.GatewayPublisher gatewayPublisher() {
         return new EngineRoleController.GatewayPublisher() {
--- a/control/src/main/java/org/wagtailcart/control/ControlState.java
+++ b/control/src/main/java/org/wagtailcart/control/ControlState.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.List;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.ResultCode;
@@ -26,22 +27,27 @@
 import org.wagtailcart.settings.ApplySettings;
 import org.wagtailcart.settings.ApplySettingsResult;
 import org.wagtailcart.settings.SettingsState;
+import org.wagtailcart.usage.CloseUsageWindow;
+import org.wagtailcart.usage.ClosedUsageWindow;
+import org.wagtailcart.usage.MarkUsageReported;
+import org.wagtailcart.usage.UsageState;
 import org.wagtailcart.wire.MessageCodec;
 import org.wagtailcart.wire.MessageType;
 
 /**
- * Replicated state machine of the control group, composed of settings, fleet, idempotency keys, routes and the order
- * lease. Commands are encoded {@link CommandRequest}s.
+ * Replicated state machine of the control group, composed of settings, fleet, idempotency keys, routes, the order
+ * lease and usage windows. Commands are encoded {@link CommandRequest}s.
  */
 public final class ControlState implements StateMachine {
-    /** Encoded snapshot. Routes and order lease are null in snapshots written before they were part of the state. */
+    /** Encoded snapshot. The nullable parts are null in snapshots written before they were part of the state. */
     record Snapshot(
             long appliedIndex,
             byte[] settings,
             byte[] fleet,
             byte[] keys,
             byte @Nullable [] routes,
-            @Nullable OrderLease orderLease) {}
+            @Nullable OrderLease orderLease,
+            @Nullable UsageState usage) {}
 
     private static final Logger LOG = System.getLogger(ControlState.class.getName());
     private static final int ENVELOPE_TYPE = 502;
@@ -56,6 +62,7 @@
     private final RoutesState routes = new RoutesState();
     private volatile RouteTable publishedRoutes = RouteTable.EMPTY;
     private volatile OrderLease orderLease = OrderLease.NONE;
+    private volatile UsageState usage = UsageState.EMPTY;
     private volatile Runnable routesListener = () -> {};
     private volatile PublishedState published = new PublishedState(0, settings.history(), fleet.view());
 
@@ -84,6 +91,11 @@
         return orderLease;
     }
 
+    /** Returns the closed usage windows. May be called by any thread. */
+    public UsageState usage() {
+        return usage;
+    }
+
     /**
      * Sets the action that runs after each change of the routing table, replacing any earlier one. It runs on the
      * control thread and must not block.
@@ -125,7 +137,8 @@
                 fleet.snapshot(),
                 keys.snapshot(),
                 routes.snapshot(),
-                orderLease));
+                orderLease,
+                usage));
     }
 
     @Override
@@ -138,6 +151,8 @@
         routes.restore(savedRoutes == null ? new byte[0] : savedRoutes);
         OrderLease savedLease = snapshot.orderLease();
         orderLease = savedLease == null ? OrderLease.NONE : savedLease;
+        UsageState savedUsage = snapshot.usage();
+        usage = savedUsage == null ? UsageState.EMPTY : savedUsage;
         published = new PublishedState(snapshot.appliedIndex(), settings.history(), fleet.view());
         publishRoutes();
     }
@@ -160,6 +175,14 @@
             orderLease = orderLease.grantedTo(acquire.holder());
             return orderLease;
         }
+        if (command instanceof CloseUsageWindow close) {
+            usage = usage.apply(close);
+            return closedWindow(close.window());
+        }
+        if (command instanceof MarkUsageReported mark) {
+            usage = usage.apply(mark);
+            return closedWindow(mark.window());
+        }
         if (command instanceof RegisterSidecar register) {
             return fleet.apply(index, register);
         }
@@ -178,6 +201,11 @@
         return keys.apply(index, timeMillis, command);
     }
 
+    /** Returns the stored window; one that is not closed has no counts. */
+    private ClosedUsageWindow closedWindow(long window) {
+        return usage.find(window).orElseGet(() -> new ClosedUsageWindow(window, Map.of(), false));
+    }
+
     private ApplySettingsResult applySettings(long index, long timeMillis, ApplySettings command) {
         ApplySettingsResult result = settings.apply(timeMillis, command, fleet);
         fleet.applySettings(index, settings.tree());
--- a/control/src/main/java/org/wagtailcart/control/orders/EngineRoleController.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/EngineRoleController.java
@@ -7,14 +7,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -49,14 +46,10 @@
     private static final long CHECK_INTERVAL_MILLIS = 100;
 
     private static final int SCAN_THREADS = 4;
-
-    private static final long CONFIRM_TIMEOUT_MILLIS = 500;
     /** Delay between publishing a role change and sending the order, in which the gateways receive the change. */
     private static final long ANNOUNCE_DELAY_MILLIS = 60;
     /** Time for which a role change is pending; it takes seconds, and the host list shows it a little later. */
     private static final long ROLE_CHANGE_TIMEOUT_MILLIS = 6_000;
-    /** Longest time between the leadership confirmation of a holder and the arrival of its order at the engine. */
-    private static final long MAX_ORDER_DELAY_MILLIS = 1_500;
     /** An order without a reply may still be executed for this long; the engine gets no other order until then. */
     private static final long UNKNOWN_ORDER_COOLDOWN_MILLIS = 15_000;
 
@@ -72,23 +65,8 @@
         void publishCachedSegments(PrefixCacheUpdate update);
     }
 
-    /** Leadership and order lease of the control member that runs the controller. */
-    public interface Leadership {
-        /** Returns whether this member considers itself the leader. */
-        boolean isLeader();
-
-        /** Confirms with a quorum that this member is the leader. */
-        CompletableFuture<Long> confirmLeadership();
-
-        /** Returns the order lease of the replicated state. */
-        OrderLease orderLease();
-
-        /** Acquires the order lease for this member. */
-        CompletableFuture<OrderLease> acquireOrderLease(String holder);
-    }
-
     private final String memberId;
-    private final Leadership leadership;
+    private final OrderLeaseHolder lease;
     private final Supplier<RouteTable> table;
     private final Regions regions;
     private final Supplier<Boolean> trafficSeen;
@@ -108,8 +86,6 @@
     private List<ListedUpstream> latestUpstreams = List.of();
     private long latestReadAtMillis;
     private long nextReadMillis = Long.MIN_VALUE;
-    private long ordersAllowedFromMillis = Long.MAX_VALUE;
-    private long leaseFencingToken;
 
     /**
      * Creates a controller. It must be started.
@@ -117,11 +93,12 @@
      * @param regions mapping of failure domains to regions
      * @param trafficSeen whether callers are being served; until then all engines may change their role at once
      * @param gatewayPublisher receives the host lists and the cached segments of engines
-     * @param leaseMillis minimum time between the orders of two holders
+     * @param lease order lease of this member
+     * @param leaseMillis time for which an engine gets no further order after a refused one
      */
     public EngineRoleController(
             String memberId,
-            Leadership leadership,
+            OrderLeaseHolder lease,
             Supplier<RouteTable> table,
             Regions regions,
             Supplier<Boolean> trafficSeen,
@@ -130,7 +107,7 @@
             EngineControlClient engines,
             long leaseMillis) {
         this.memberId = memberId;
-        this.leadership = leadership;
+        this.lease = lease;
         this.table = table;
         this.regions = regions;
         this.trafficSeen = trafficSeen;
@@ -162,9 +139,7 @@
     }
 
     private void runOnce() {
-        if (!leadership.isLeader()) {
-            ordersAllowedFromMillis = Long.MAX_VALUE;
-            leaseFencingToken = 0;
+        if (!lease.checkLeader()) {
             nextReadMillis = Long.MIN_VALUE;
             cacheScanner.reset();
             return;
@@ -181,7 +156,7 @@
         upstreams.forEach(upstream -> pendingRoleChanges.remove(upstream.instanceId(), completedChange(upstream)));
         gatewayPublisher.publishHostList(withoutChangingRoles(upstreams), readAtMillis);
         cacheScanner.scan(upstreams);
-        ensureLease();
+        lease.ensure();
         Set<String> services = table.get().services().stream()
                 .filter(service -> service.engine() != null)
                 .map(ServiceSpec::name)
@@ -223,7 +198,7 @@
                 planner.plan(engines, slots(service), trafficSeen.get(), nowMillis);
         changes.stream()
                 .filter(change -> !orderCooldownUntilMillis.containsKey(change.engineId()))
-                .takeWhile(change -> mayOrder())
+                .takeWhile(change -> lease.mayCall())
                 .forEach(change -> upstreams.stream()
                         .filter(upstream -> upstream.instanceId().equals(change.engineId()))
                         .findFirst()
@@ -248,46 +223,6 @@
         return regions.hasMultiple() ? regions.regionOf(domain) : domain;
     }
 
-    /**
-     * Acquires the lease before any order is due, because a new holder must wait out the orders of the previous one.
-     */
-    private void ensureLease() {
-        OrderLease lease = leadership.orderLease();
-        if (!holdsLease(lease)) {
-            acquireLease(lease);
-        }
-    }
-
-    /** Returns whether this member holds the lease and no other member can still send orders. */
-    private boolean mayOrder() {
-        return holdsLease(leadership.orderLease()) && clock.nowMillis() >= ordersAllowedFromMillis;
-    }
-
-    private boolean holdsLease(OrderLease lease) {
-        return leaseFencingToken != 0 && lease.holder().equals(memberId) && leaseFencingToken == lease.fencingToken();
-    }
-
-    private void acquireLease(OrderLease before) {
-        Optional<OrderLease> acquired = await(leadership.acquireOrderLease(memberId), leaseMillis);
-        acquired.ifPresent(lease -> {
-            // The reply to an earlier acquisition may have been lost, so this member may already be the holder. Only
-            // the last holder other than this member shows whether there is anyone to wait for.
-            boolean first = before.grantedTo(memberId).previousHolder().isEmpty();
-            leaseFencingToken = lease.fencingToken();
-            ordersAllowedFromMillis = clock.nowMillis() + (first ? 0 : leaseMillis + MAX_ORDER_DELAY_MILLIS);
-            LOG.log(
-                    Level.INFO,
-                    LogEvent.of(
-                            "order-lease-taken",
-                            "holder",
-                            memberId,
-                            "token",
-                            leaseFencingToken,
-                            "before",
-                            before.holder()));
-        });
-    }
-
     private void sendOrder(ListedUpstream engine, EngineRole role) {
         ReportedEngineState report;
         try {
@@ -301,13 +236,12 @@
             return;
         }
         announceRoleChange(engine, role);
-        long confirmedByMillis = clock.nowMillis() + CONFIRM_TIMEOUT_MILLIS;
-        if (await(leadership.confirmLeadership(), CONFIRM_TIMEOUT_MILLIS).isEmpty()
-                || clock.nowMillis() > confirmedByMillis
-                || leadership.orderLease().fencingToken() != leaseFencingToken) {
+        Optional<OrderLeaseHolder.Permit> permit = lease.confirm();
+        if (permit.isEmpty()) {
             return;
         }
-        OrderOutcome outcome = engines.changeRole(engine, role, memberId, leaseFencingToken, report.orderCount());
+        long fencingToken = permit.get().fencingToken();
+        OrderOutcome outcome = engines.changeRole(engine, role, memberId, fencingToken, report.orderCount());
         LOG.log(
                 Level.INFO,
                 LogEvent.of(
@@ -317,7 +251,7 @@
                         "role",
                         role,
                         "token",
-                        leaseFencingToken,
+                        fencingToken,
                         "order-count",
                         report.orderCount(),
                         "outcome",
@@ -325,8 +259,7 @@
         long cooldownMillis = outcome == OrderOutcome.UNKNOWN ? UNKNOWN_ORDER_COOLDOWN_MILLIS : 2 * leaseMillis;
         orderCooldownUntilMillis.put(engine.instanceId(), clock.nowMillis() + cooldownMillis);
         if (outcome == OrderOutcome.FENCED) {
-            leaseFencingToken = 0;
-            ordersAllowedFromMillis = Long.MAX_VALUE;
+            lease.lose(fencingToken);
         }
     }
 
@@ -344,17 +277,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    private static <T> Optional<T> await(CompletableFuture<T> future, long timeoutMillis) {
-        try {
-            @Nullable T value = future.get(timeoutMillis, TimeUnit.MILLISECONDS);
-            return Optional.ofNullable(value);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return Optional.empty();
-        } catch (ExecutionException | TimeoutException e) {
-            LOG.log(Level.INFO, LogEvent.of("authority-not-confirmed", "reason", e));
-            return Optional.empty();
-        }
-    }
 }
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
@@ -0,0 +1,218 @@
+package org.wagtailcart.control.usage;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.wagtailcart.common.DaemonThreads;
+import org.wagtailcart.common.LogEvent;
+import org.wagtailcart.common.LogEventKind;
+import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.SettingNames;
+import org.wagtailcart.control.orders.OrderLeaseHolder;
+import org.wagtailcart.usage.CloseUsageWindow;
+import org.wagtailcart.usage.ClosedUsageWindow;
+import org.wagtailcart.usage.MarkUsageReported;
+import org.wagtailcart.usage.UsageObservation;
+import org.wagtailcart.usage.UsagePlan;
+import org.wagtailcart.usage.UsagePlanner;
+import org.wagtailcart.usage.UsageReportOutcome;
+
+/**
+ * Closes usage windows and reports them to the platform while this member is the leader. It has its own thread, so that
+ * a platform that does not respond delays nothing but reports.
+ */
+public final class UsageReporter implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(UsageReporter.class.getName());
+    /** Interval of planning; small against the time that a report has. */
+    private static final long CHECK_INTERVAL_MILLIS = 100;
+    /** Time limit of a command; the command may still be applied, which the next plan shows. */
+    private static final long COMMAND_TIMEOUT_MILLIS = 2_000;
+
+    private final String holder;
+    private final OrderLeaseHolder lease;
+    private final UsageBackend backend;
+    private final UsageObserver observer;
+    private final UsageReportClient platform;
+    private final long windowMillis;
+    private final long lateMillis;
+    private final MillisClock clock;
+    private final Counter reported;
+    private final Counter late;
+    private final Counter refused;
+    private final Counter unanswered;
+    private final ScheduledExecutorService scheduler =
+            Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("usage-reports"));
+    private UsagePlanner planner;
+    private long leadingSinceMillis = Long.MAX_VALUE;
+
+    /**
+     * Creates a reporter. It must be started.
+     *
+     * @param holder name of this process, which is sent with each report
+     * @param lateMillis time after the end of a window at which its report is late
+     */
+    public UsageReporter(
+            String holder,
+            OrderLeaseHolder lease,
+            UsageBackend backend,
+            UsageObserver observer,
+            UsageReportClient platform,
+            long windowMillis,
+            long lateMillis,
+            MetricRegistry registry,
+            MillisClock clock) {
+        this.holder = holder;
+        this.lease = lease;
+        this.backend = backend;
+        this.observer = observer;
+        this.platform = platform;
+        this.windowMillis = windowMillis;
+        this.lateMillis = lateMillis;
+        this.clock = clock;
+        this.planner = new UsagePlanner(windowMillis, lateMillis);
+        this.reported = registry.counter("usage.windows-reported");
+        this.late = registry.counter("usage.windows-late");
+        this.refused = registry.counter("usage.reports-refused");
+        this.unanswered = registry.counter("usage.reports-unanswered");
+        registry.registerGauge("usage.windows-unreported", () -> backend.state().windows().stream()
+                .filter(window -> !window.reported())
+                .count());
+        registry.registerGauge("usage.clocks", observer::clocks);
+    }
+
+    /** Starts the periodic checks. */
+    public void start() {
+        ScheduledFuture<?> unused = scheduler.scheduleWithFixedDelay(
+                this::runSafely, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        scheduler.shutdownNow();
+    }
+
+    private void runSafely() {
+        try {
+            runOnce();
+        } catch (RuntimeException e) {
+            LOG.log(Level.WARNING, LogEvent.of("usage-report-failed", "reason", e), e);
+        }
+    }
+
+    /** Closes and reports at most one window. */
+    void runOnce() {
+        long nowMillis = clock.nowMillis();
+        if (!lease.checkLeader()) {
+            leadingSinceMillis = Long.MAX_VALUE;
+            planner = new UsagePlanner(windowMillis, lateMillis);
+            backend.state().lastWindow().ifPresent(window -> observer.ledger().drop(window, nowMillis));
+            return;
+        }
+        leadingSinceMillis = Math.min(leadingSinceMillis, nowMillis);
+        lease.ensure();
+        UsagePlan plan = planner.plan(observation(nowMillis), backend.state());
+        plan.close().ifPresent(window -> closeWindow(window, nowMillis));
+        plan.report().filter(window -> lease.mayCall()).ifPresent(this::report);
+    }
+
+    private UsageObservation observation(long nowMillis) {
+        return new UsageObservation(
+                nowMillis,
+                observer.trueTimeMillis(nowMillis),
+                leadingSinceMillis,
+                observer.ledger().completeUntilMillis(nowMillis),
+                observer.ledger().earliestWindow());
+    }
+
+    private void closeWindow(long window, long nowMillis) {
+        CloseUsageWindow command =
+                new CloseUsageWindow(window, observer.ledger().totals(window));
+        await(backend.close(command)).ifPresent(closed -> {
+            observer.ledger().drop(window, nowMillis);
+            LogEventKind.USAGE_CLOSED.log(
+                    LOG,
+                    Level.INFO,
+                    window,
+                    closed.countByWorkspace().size(),
+                    closed.total(),
+                    observer.ledger().activeGateways(nowMillis),
+                    observer.clocks(),
+                    afterEndMillis(window));
+        });
+    }
+
+    private void report(ClosedUsageWindow window) {
+        Optional<OrderLeaseHolder.Permit> permit = lease.confirm();
+        if (permit.isEmpty()) {
+            planner.recordOutcome(UsageReportOutcome.NOT_SENT, clock.nowMillis());
+            return;
+        }
+        long fencingToken = permit.get().fencingToken();
+        long startMillis = clock.nowMillis();
+        UsageReportOutcome outcome =
+                platform.report(holder, fencingToken, window, permit.get().sendByMillis());
+        long doneMillis = clock.nowMillis();
+        planner.recordOutcome(outcome, doneMillis);
+        recordOutcome(window, outcome);
+        LogEventKind.USAGE_REPORTED.log(
+                LOG,
+                outcome.accepted() ? Level.INFO : Level.WARNING,
+                window.window(),
+                holder,
+                fencingToken,
+                window.countByWorkspace().size(),
+                window.total(),
+                SettingNames.of(outcome),
+                afterEndMillis(window.window()),
+                doneMillis - startMillis);
+        if (outcome == UsageReportOutcome.FENCED) {
+            lease.lose(fencingToken);
+        }
+        if (outcome.accepted()) {
+            await(backend.mark(new MarkUsageReported(window.window())));
+        }
+    }
+
+    private void recordOutcome(ClosedUsageWindow window, UsageReportOutcome outcome) {
+        switch (outcome) {
+            case ACCEPTED -> {
+                reported.inc();
+                if (afterEndMillis(window.window()) > lateMillis) {
+                    late.inc();
+                }
+            }
+            case FENCED, THROTTLED, REFUSED -> refused.inc();
+            case UNKNOWN -> unanswered.inc();
+            case NOT_SENT -> {}
+        }
+    }
+
+    /** Returns the time since the end of a window, -1 without an estimate of true time. */
+    private long afterEndMillis(long window) {
+        return observer.trueTimeMillis(clock.nowMillis()).stream()
+                .map(trueMillis -> trueMillis - planner.endMillis(window))
+                .findFirst()
+                .orElse(-1);
+    }
+
+    private static <T> Optional<T> await(CompletableFuture<T> future) {
+        try {
+            return Optional.of(future.get(COMMAND_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.log(Level.INFO, LogEvent.of("usage-command-failed", "reason", e));
+            return Optional.empty();
+        }
+    }
+}
--- a/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
@@ -3,14 +3,24 @@
 import java.util.List;
 import org.wagtailcart.control.client.FleetReport;
 import org.wagtailcart.control.client.GatewayReport;
+import org.wagtailcart.control.usage.UsageObserver;
 
 /** Collects the reports of gateways and derives from them what all gateways are told. Not thread safe. */
 final class FleetReports {
+    private final UsageObserver usage;
+
+    FleetReports(UsageObserver usage) {
+        this.usage = usage;
+    }
+
     /** Records the report of a gateway. */
-    void record(String processId, GatewayReport report, long nowMillis) {}
+    void record(String processId, GatewayReport report, long nowMillis) {
+        usage.record(processId, report.wallClockMillis(), report.usage(), nowMillis);
+    }
 
     /** Returns the reply to a gateway. */
     FleetReport replyTo(String processId, long nowMillis) {
-        return new FleetReport(0, 0, List.of(), List.of());
+        return new FleetReport(
+                usage.trueTimeMillis(nowMillis).orElse(0), usage.acknowledged(processId), List.of(), List.of());
     }
 }
--- a/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
@@ -10,6 +10,7 @@
 import org.wagtailcart.control.client.QuarantineUpdate;
 import org.wagtailcart.control.client.WatchReply;
 import org.wagtailcart.control.client.WatchRequest;
+import org.wagtailcart.control.usage.UsageObserver;
 import org.wagtailcart.coordination.Member;
 import org.wagtailcart.coordination.RaftStatus;
 import org.wagtailcart.routes.RouteTable;
@@ -30,25 +31,28 @@
     private final GatewayTracker gatewayTracker = new GatewayTracker();
     private final PrefixUpdateLog prefixUpdates = new PrefixUpdateLog();
     private final QuarantineTracker quarantine = new QuarantineTracker();
-    private final FleetReports fleetReports = new FleetReports();
+    private final FleetReports fleetReports;
     private List<PendingWatch> pendingWatches = new ArrayList<>();
 
     /**
      * Creates a handler without pending polls.
      *
      * @param confirmationAgeMillis time since this member was confirmed; read before the table
+     * @param usageObserver receives the clocks and usage counts of gateways
      */
     public WatchHandler(
             Supplier<RouteTable> table,
             Supplier<RaftStatus> status,
             Supplier<Long> confirmationAgeMillis,
             HostListCache hostListCache,
+            UsageObserver usageObserver,
             MillisClock clock) {
         this.table = table;
         this.status = status;
         this.confirmationAgeMillis = confirmationAgeMillis;
         this.hostListCache = hostListCache;
         this.clock = clock;
+        this.fleetReports = new FleetReports(usageObserver);
     }
 
     /** Replies to a poll when there is a newer table, host list or quarantine, or when it has timed out. */
--- a/control/src/test/java/org/wagtailcart/control/ControlStateTest.java
+++ b/control/src/test/java/org/wagtailcart/control/ControlStateTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -14,6 +15,7 @@
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.control.client.CommandError;
 import org.wagtailcart.control.client.CommandRequest;
+import org.wagtailcart.control.orders.OrderLease;
 import org.wagtailcart.coordination.Member;
 import org.wagtailcart.coordination.SingleMemberLog;
 import org.wagtailcart.fleet.BeginOrder;
@@ -25,6 +27,12 @@
 import org.wagtailcart.settings.ApplySettings;
 import org.wagtailcart.settings.ApplySettingsResult;
 import org.wagtailcart.settings.SettingsEdit;
+import org.wagtailcart.usage.CloseUsageWindow;
+import org.wagtailcart.usage.ClosedUsageWindow;
+import org.wagtailcart.usage.MarkUsageReported;
+import org.wagtailcart.usage.UsageState;
+import org.wagtailcart.wire.MessageCodec;
+import org.wagtailcart.wire.MessageType;
 
 /** Guards against conflicting changes that are both accepted and against commands that stop the control group. */
 class ControlStateTest {
@@ -120,4 +128,33 @@
         Object unknown = state.apply(2, 1, Samples.CODEC.encode(new CommandRequest(9999, new byte[0])));
         assertThat(((CommandError) unknown).codeNumber()).isEqualTo(ResultCode.UNKNOWN_MESSAGE.number());
     }
+
+    /**
+     * Guards against a window whose counts change after its close, before or after a restart, and against a snapshot of
+     * a version without usage windows that cannot be read.
+     */
+    @Test
+    void firstCloseOfAUsageWindowWins() {
+        state.apply(1, 1, Samples.encode(new CloseUsageWindow(7, Map.of("hule930", 4L))));
+        state.restore(state.snapshot());
+        Object repeated = state.apply(2, 1, Samples.encode(new CloseUsageWindow(7, Map.of("hule930", 9L))));
+        assertThat(repeated).isEqualTo(new ClosedUsageWindow(7, Map.of("hule930", 4L), false));
+        state.apply(3, 1, Samples.encode(new MarkUsageReported(7)));
+        state.restore(state.snapshot());
+        assertThat(state.usage().windows()).containsExactly(new ClosedUsageWindow(7, Map.of("hule930", 4L), true));
+    }
+
+    /** Guards against a member that cannot read the snapshot of a version without usage windows. */
+    @Test
+    void olderSnapshotHasNoUsageWindows() {
+        MessageCodec older = new MessageCodec(List.of(List.of(new MessageType(1, OlderSnapshot.class))));
+        byte[] empty = state.snapshot();
+        state.apply(1, 1, Samples.encode(new CloseUsageWindow(7, Map.of())));
+        state.restore(older.encode(older.decode(1, empty)));
+        assertThat(state.usage()).isEqualTo(UsageState.EMPTY);
+    }
+
+    /** Snapshot before usage windows were part of the state. */
+    record OlderSnapshot(
+            long appliedIndex, byte[] settings, byte[] fleet, byte[] keys, byte[] routes, OrderLease orderLease) {}
 }
--- a/control/src/test/java/org/wagtailcart/control/Samples.java
+++ b/control/src/test/java/org/wagtailcart/control/Samples.java
@@ -9,12 +9,17 @@
 import org.wagtailcart.once.KeyMessages;
 import org.wagtailcart.settings.SettingsEdit;
 import org.wagtailcart.settings.SettingsMessages;
+import org.wagtailcart.usage.UsageMessages;
 import org.wagtailcart.wire.MessageCodec;
 
 /** Codec, commands and settings edits shared by the tests of this module. */
 public final class Samples {
-    public static final MessageCodec CODEC = new MessageCodec(
-            List.of(SettingsMessages.TYPES, KeyMessages.TYPES, FleetMessages.TYPES, ControlMessages.TYPES));
+    public static final MessageCodec CODEC = new MessageCodec(List.of(
+            SettingsMessages.TYPES,
+            KeyMessages.TYPES,
+            FleetMessages.TYPES,
+            ControlMessages.TYPES,
+            UsageMessages.TYPES));
 
     private Samples() {}
 
--- a/control/src/test/java/org/wagtailcart/control/orders/EngineRoleControllerTest.java
+++ b/control/src/test/java/org/wagtailcart/control/orders/EngineRoleControllerTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.Regions;
 import org.wagtailcart.control.client.PrefixCacheUpdate;
 import org.wagtailcart.directory.CachedPromptSegment;
@@ -24,7 +25,7 @@
     private final AtomicInteger acquisitions = new AtomicInteger();
 
     /** Leadership of a group in which another member, the former leader, holds the lease. */
-    private final class FakeLeadership implements EngineRoleController.Leadership {
+    private final class FakeLeadership implements Leadership {
         private volatile OrderLease lease = new OrderLease("former", 4, "");
 
         @Override
@@ -82,7 +83,7 @@
         FakeLeadership leadership = new FakeLeadership();
         EngineRoleController controller = new EngineRoleController(
                 "new",
-                leadership,
+                new OrderLeaseHolder("new", leadership, LEASE_MILLIS, MillisClock.monotonic()),
                 () -> RouteTable.EMPTY,
                 Regions.SINGLE,
                 () -> true,
--- a/daemon/src/main/java/org/wagtailcart/daemon/ProcessModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/ProcessModule.java
@@ -18,6 +18,7 @@
 import org.wagtailcart.settings.SettingsMessages;
 import org.wagtailcart.settings.process.ProcessSettings;
 import org.wagtailcart.sidecar.message.SidecarMessages;
+import org.wagtailcart.usage.UsageMessages;
 import org.wagtailcart.wire.IoLoop;
 import org.wagtailcart.wire.MessageCodec;
 import org.wagtailcart.wire.PeerClient;
@@ -46,6 +47,7 @@
                 ControlMessages.TYPES,
                 OrderLeaseMessages.TYPES,
                 RoutesMessages.TYPES,
+                UsageMessages.TYPES,
                 SidecarMessages.TYPES));
     }
 
--- a/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -26,6 +26,8 @@
 import org.wagtailcart.control.client.SyncLoop;
 import org.wagtailcart.control.client.WatchReply;
 import org.wagtailcart.control.orders.EngineRoleController;
+import org.wagtailcart.control.orders.OrderLeaseHolder;
+import org.wagtailcart.control.usage.UsageReporter;
 import org.wagtailcart.coordination.InitialMember;
 import org.wagtailcart.coordination.RaftLog;
 import org.wagtailcart.coordination.RaftOptions;
@@ -45,11 +47,13 @@
 import org.wagtailcart.platform.PlatformEngineControlClient;
 import org.wagtailcart.platform.PlatformHostList;
 import org.wagtailcart.platform.PlatformRequestProtocol;
+import org.wagtailcart.platform.PlatformUsageClient;
 import org.wagtailcart.policy.placement.Location;
 import org.wagtailcart.policy.routing.LoadAwareRouter;
 import org.wagtailcart.settings.process.MemberAddress;
 import org.wagtailcart.settings.process.PlatformSettings;
 import org.wagtailcart.settings.process.ProcessSettings;
+import org.wagtailcart.settings.process.UsageReportSettings;
 import org.wagtailcart.sidecar.SidecarOptions;
 import org.wagtailcart.sidecar.SidecarRole;
 import org.wagtailcart.wire.MessageCodec;
@@ -199,9 +203,11 @@
             PlatformHostList list,
             ExecutorService traffic) {
         PlatformSettings platform = platform(settings);
+        OrderLeaseHolder lease = new OrderLeaseHolder(
+                memberId(settings), control.leadership(), platform.orderLeaseMillis(), MillisClock.monotonic());
         EngineRoleController roleController = new EngineRoleController(
                 memberId(settings),
-                control.leadership(),
+                lease,
                 state::routes,
                 settings.regions(),
                 control::trafficSeen,
@@ -210,7 +216,15 @@
                 new PlatformEngineControlClient(client),
                 platform.orderLeaseMillis());
         Address listen = required(platform.controlListener(), "platform", "control-listener");
-        return new PlatformControlService(new ConfigApi(settings.id(), listen, control, traffic), roleController, list);
+        Optional<UsageReporter> usageReporter = platform.usageReports()
+                .map(usage -> control.usageReporter(
+                        settings.id(),
+                        lease,
+                        new PlatformUsageClient(client, platform.hostListAddress()),
+                        usage.windowMillis(),
+                        usage.lateMillis()));
+        return new PlatformControlService(
+                new ConfigApi(settings.id(), listen, control, traffic), roleController, usageReporter, list);
     }
 
     @Provides
@@ -232,7 +246,10 @@
                 settings.retryBudget().reserve(),
                 settings.retryBudget().windowMillis(),
                 settings.shutdownGraceMillis(),
-                settings.shutdownLimitMillis());
+                settings.shutdownLimitMillis(),
+                platform(settings).usageReports().stream()
+                        .mapToLong(UsageReportSettings::windowMillis)
+                        .findFirst());
         return new GatewayRole(
                 options,
                 (member, request, timeoutMillis) -> peers.call(member, request, WatchReply.class, timeoutMillis),
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayOptions.java
@@ -18,6 +18,7 @@
  * @param retryWindowMillis window over which requests and retries are counted
  * @param shutdownGraceMillis time for which new requests are still accepted after the readiness probe fails
  * @param shutdownLimitMillis time after the start of a shutdown at which the process is killed, empty if it is not
+ * @param usageWindowMillis length of the windows for which requests are counted, empty if they are not
  */
 public record GatewayOptions(
         String processId,
@@ -29,4 +30,5 @@
         int retryReserve,
         long retryWindowMillis,
         long shutdownGraceMillis,
-        OptionalLong shutdownLimitMillis) {}
+        OptionalLong shutdownLimitMillis,
+        OptionalLong usageWindowMillis) {}
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -7,7 +7,9 @@
 import io.undertow.server.HttpServerExchange;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.security.SecureRandom;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.ScheduledExecutorService;
@@ -31,10 +33,13 @@
 import org.wagtailcart.gateway.quarantine.EngineCrashDetector;
 import org.wagtailcart.gateway.quarantine.PromptQuarantine;
 import org.wagtailcart.gateway.report.GatewayReports;
+import org.wagtailcart.gateway.report.RunListener;
+import org.wagtailcart.gateway.report.UsageMeter;
 import org.wagtailcart.gateway.send.SuspectUpstreams;
 import org.wagtailcart.gateway.send.UnexpectedResponseLog;
 import org.wagtailcart.gateway.send.UpstreamHttpClient;
 import org.wagtailcart.gateway.watch.RouteTableWatcher;
+import org.wagtailcart.usage.UsageCounter;
 
 /** HTTP gateway that routes the requests of callers to upstreams by host name and path. */
 public final class GatewayRole implements RoleService {
@@ -47,6 +52,8 @@
     private static final int MAX_HEAD_BYTES = 64 << 10;
     /** Time before the process is killed in which the error responses to its open requests are sent. */
     private static final long ERROR_RESPONSE_MILLIS = 500;
+    /** Limit on the random incarnation, above which the numbers of usage batches would overflow. */
+    private static final long MAX_INCARNATION = 1L << 62;
 
     private final GatewayOptions options;
     private final GatewayContext context;
@@ -81,13 +88,19 @@
         this.options = options;
         UpstreamRegistry upstreams = new UpstreamRegistry(options.location(), clock);
         PromptQuarantine quarantine = new PromptQuarantine(clock);
+        Optional<UsageMeter> usage = options.usageWindowMillis().stream()
+                .mapToObj(windowMillis -> new UsageMeter(
+                        new UsageCounter(windowMillis, new SecureRandom().nextLong(1, MAX_INCARNATION)),
+                        clock,
+                        registry))
+                .findFirst();
         RouteTableWatcher routeWatcher = new RouteTableWatcher(
                 options.processId(),
                 options.controlSeeds(),
                 control,
                 upstreams,
                 quarantine,
-                new GatewayReports(),
+                usage.map(GatewayReports::new).orElseGet(GatewayReports::new),
                 timer,
                 clock);
         SuspectUpstreams suspects = new SuspectUpstreams(clock);
@@ -104,6 +117,7 @@
                 quarantine,
                 new EngineCrashDetector(quarantine, client::refusesConnections, traffic, timer, clock),
                 new OpenCalls(),
+                usage.<RunListener>map(meter -> meter).orElse(RunListener.NONE),
                 new RequestMetrics(registry),
                 traffic,
                 timer,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayContext.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayContext.java
@@ -7,6 +7,7 @@
 import org.wagtailcart.gateway.protocol.RequestProtocol;
 import org.wagtailcart.gateway.quarantine.EngineCrashDetector;
 import org.wagtailcart.gateway.quarantine.PromptQuarantine;
+import org.wagtailcart.gateway.report.RunListener;
 import org.wagtailcart.gateway.send.UnexpectedResponseLog;
 import org.wagtailcart.gateway.send.UpstreamHttpClient;
 import org.wagtailcart.gateway.watch.RouteTableWatcher;
@@ -23,6 +24,7 @@
  * @param quarantine prompt segments whose requests are refused
  * @param crashDetector detector of engines that end under a request
  * @param openCalls calls that have not ended
+ * @param runs learns when upstreams begin to run requests
  * @param metrics metrics of ended requests and failed attempts
  * @param requestExecutor executor of the blocking calls to upstreams
  * @param timer runs short delayed tasks
@@ -38,6 +40,7 @@
         PromptQuarantine quarantine,
         EngineCrashDetector crashDetector,
         OpenCalls openCalls,
+        RunListener runs,
         RequestMetrics metrics,
         Executor requestExecutor,
         ScheduledExecutorService timer,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -13,6 +13,7 @@
 import org.wagtailcart.gateway.list.UpstreamOutcome;
 import org.wagtailcart.gateway.protocol.ResponseMetadata;
 import org.wagtailcart.gateway.protocol.UpstreamRequestOptions;
+import org.wagtailcart.gateway.report.RunListener;
 import org.wagtailcart.gateway.send.UpstreamRequest;
 import org.wagtailcart.gateway.send.UpstreamResponse;
 import org.wagtailcart.gateway.send.UpstreamTimeouts;
@@ -72,10 +73,12 @@
         boolean ranBefore = mayHaveRun();
         long sentAtMillis = nowMillis();
         logSent(STEP, upstream, context().registry().meanLatencyMillis(upstream), 0, 0);
+        RunListener.PlainRun run = context().runs().plainSent(request().workspace(), upstream.id(), sentAtMillis);
         try {
             UpstreamRequest upstreamRequest = prepare(upstream, options(upstream), timeouts(), true);
             try (UpstreamResponse response = upstreamRequest.execute()) {
                 ResponseMetadata metadata = parseHead(response);
+                run.ended(metadata.notRun() ? RunState.NOT_RUN : RunState.RAN, nowMillis());
                 return handleResponse(
                         inFlight,
                         metadata,
@@ -84,8 +87,10 @@
                         sentAtMillis);
             }
         } catch (WagtailcartException e) {
+            run.ended(e.runState(), nowMillis());
             return handleFailure(inFlight, e, ranBefore, sentAtMillis);
         } finally {
+            run.ended(RunState.NOT_RUN, nowMillis());
             inFlight.end();
         }
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -52,6 +52,8 @@
     private int deliveredAttempts;
 
     private int runs;
+    /** Whether an event of the response has arrived. */
+    private boolean begun;
     /** Monotonic time of the latest bytes of the current stream, -1 before its head. */
     private long lastReadAtMillis = -1;
     /** Content type of the response that was started. */
@@ -394,6 +396,7 @@
             byte[] completeEvents = events.accept(chunk);
             if (completeEvents.length > 0) {
                 inFlight.recordFirstOutput();
+                recordBegin();
                 write(completeEvents);
             }
             if (isEnded()) {
@@ -409,6 +412,14 @@
         return StreamEnd.DONE;
     }
 
+    /** Records the first event of the response; a stream that continues at another engine has begun before. */
+    private void recordBegin() {
+        if (!begun) {
+            begun = true;
+            context().runs().streamBegan(request().workspace(), nowMillis());
+        }
+    }
+
     private StreamEnd relayFailure(
             InFlightRequest inFlight, ResponseMetadata metadata, UpstreamResponse response, long sentAtMillis) {
         byte[] body = response.readAll();
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -90,7 +90,8 @@
                 RETRY_RESERVE,
                 10_000,
                 shutdownGraceMillis,
-                shutdownLimitMillis);
+                shutdownLimitMillis,
+                OptionalLong.empty());
         role = new GatewayRole(
                 options,
                 (member, request, timeoutMillis) -> reply(request),
--- a/settings/src/main/java/org/wagtailcart/settings/process/PlatformSettings.java
+++ b/settings/src/main/java/org/wagtailcart/settings/process/PlatformSettings.java
@@ -10,5 +10,10 @@
  * @param controlListener listener for calls of the platform's operator, empty for processes without the control
  *     role
  * @param orderLeaseMillis shortest time between orders of two successive lease holders
+ * @param usageReports reports of usage, empty if the platform asks for none
  */
-public record PlatformSettings(Address hostListAddress, Optional<Address> controlListener, long orderLeaseMillis) {}
+public record PlatformSettings(
+        Address hostListAddress,
+        Optional<Address> controlListener,
+        long orderLeaseMillis,
+        Optional<UsageReportSettings> usageReports) {}
--- a/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
+++ b/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
@@ -32,6 +32,11 @@
     private static final String DEFAULT_SHUTDOWN_GRACE_MILLIS = "3000";
     private static final String DEFAULT_RETRY_RATIO = "0.1";
     private static final long MILLIS_PER_SECOND = 1_000;
+    /** Duty of a system whose platform expects usage reports. */
+    private static final String USAGE_DUTY = "usage_report";
+
+    private static final String DEFAULT_USAGE_WINDOW_SECONDS = "5";
+    private static final String DEFAULT_USAGE_LATE_SECONDS = "10";
     private static final int MAX_SHUTDOWN_GRACE_MILLIS = 600_000;
     private static final int MAX_TOLERATED_LOSSES = 1_000;
 
@@ -87,7 +92,15 @@
         keys.put("listen", List.of("peer", "caller", "ready", "metrics", "operator"));
         keys.put("control", List.of("members", "seeds", "peer-port", "found", "tolerated-losses"));
         keys.put("retry", List.of("ratio", "reserve", "window-seconds"));
-        keys.put("platform", List.of("host-list", "control-listener", "order-lease-millis"));
+        keys.put(
+                "platform",
+                List.of(
+                        "host-list",
+                        "control-listener",
+                        "order-lease-millis",
+                        "duties",
+                        "usage-window-seconds",
+                        "usage-late-seconds"));
         keys.put("operator", List.of("token-file"));
         keys.put("log", List.of("level", "format"));
         keys.put("entry", List.of("on-control-loss", "shutdown-grace-millis", "shutdown-limit-millis"));
@@ -182,7 +195,32 @@
                         value("platform", "control-listener")
                                 .map(listener ->
                                         address("platform", "control-listener", listener, listener, "IP:PORT")),
-                        number("platform", "order-lease-millis", "3000", 0, 600_000)));
+                        number("platform", "order-lease-millis", "3000", 0, 600_000),
+                        usageReports()));
+    }
+
+    private Optional<UsageReportSettings> usageReports() {
+        boolean due = optionalValue("platform", "duties").stream()
+                .flatMap(ProcessSettingsReader::splitList)
+                .anyMatch(USAGE_DUTY::equals);
+        UsageReportSettings reports = new UsageReportSettings(
+                secondsAsMillis("platform", "usage-window-seconds", DEFAULT_USAGE_WINDOW_SECONDS),
+                secondsAsMillis("platform", "usage-late-seconds", DEFAULT_USAGE_LATE_SECONDS));
+        return due ? Optional.of(reports) : Optional.empty();
+    }
+
+    private long secondsAsMillis(String section, String key, String defaultText) {
+        String text = optionalValue(section, key).orElse(defaultText);
+        if (!text.matches("[0-9]{1,4}(\\.[0-9]{1,3})?") || Double.parseDouble(text) < 1) {
+            throw invalid(section, key, text, "a number of seconds from 1 to 9999");
+        }
+        return Math.round(MILLIS_PER_SECOND * Double.parseDouble(text));
+    }
+
+    /** Returns a value that a template may render as empty, which means that it is not set. */
+    private Optional<String> optionalValue(String section, String key) {
+        return Optional.ofNullable(sections.getOrDefault(section, Map.of()).get(key))
+                .filter(text -> !text.isBlank());
     }
 
     private boolean flag(String section, String key) {
