--- a/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
+++ b/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -37,6 +38,28 @@
     /** Time limit of a command; the command may still be applied, which the next plan shows. */
     private static final long COMMAND_TIMEOUT_MILLIS = 2_000;
 
+    /**
+     * State for operators.
+     *
+     * @param leading whether this member closes and reports windows
+     * @param fencingToken token of the lease of this member, 0 for none
+     * @param trueTimeMillis estimate of the true time, 0 for none
+     * @param clocks number of hosts whose clock was read lately
+     * @param gateways number of gateways that poll this member
+     * @param incompleteMillis age of the counts of the gateway that is furthest behind, -1 if unknown
+     * @param unreportedWindows closed windows that the platform has not accepted
+     * @param lastOutcome outcome of the last report of this member, empty for none
+     */
+    public record Dump(
+            boolean leading,
+            long fencingToken,
+            long trueTimeMillis,
+            int clocks,
+            long gateways,
+            long incompleteMillis,
+            List<Long> unreportedWindows,
+            String lastOutcome) {}
+
     private final String holder;
     private final OrderLeaseHolder lease;
     private final UsageBackend backend;
@@ -52,7 +75,8 @@
     private final ScheduledExecutorService scheduler =
             Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("usage-reports"));
     private UsagePlanner planner;
-    private long leadingSinceMillis = Long.MAX_VALUE;
+    private volatile long leadingSinceMillis = Long.MAX_VALUE;
+    private volatile String lastOutcome = "";
 
     /**
      * Creates a reporter. It must be started.
@@ -108,13 +132,33 @@
         }
     }
 
+    /** Returns the state for operators. */
+    public Dump dump() {
+        long nowMillis = clock.nowMillis();
+        long trueMillis = observer.trueTimeMillis(nowMillis).orElse(0);
+        long completeMillis = observer.ledger().completeUntilMillis(nowMillis);
+        boolean known = trueMillis != 0 && completeMillis != Long.MIN_VALUE && completeMillis != Long.MAX_VALUE;
+        return new Dump(
+                leadingSinceMillis != Long.MAX_VALUE,
+                lease.fencingToken(),
+                trueMillis,
+                observer.clocks(),
+                observer.ledger().activeGateways(nowMillis),
+                known ? trueMillis - completeMillis : -1,
+                backend.state().windows().stream()
+                        .filter(window -> !window.reported())
+                        .map(ClosedUsageWindow::window)
+                        .toList(),
+                lastOutcome);
+    }
+
     /** Closes and reports at most one window. */
     void runOnce() {
         long nowMillis = clock.nowMillis();
+        dropOldCounts(nowMillis);
         if (!lease.checkLeader()) {
             leadingSinceMillis = Long.MAX_VALUE;
             planner = new UsagePlanner(windowMillis, lateMillis);
-            backend.state().lastWindow().ifPresent(window -> observer.ledger().drop(window, nowMillis));
             return;
         }
         leadingSinceMillis = Math.min(leadingSinceMillis, nowMillis);
@@ -124,6 +168,11 @@
         plan.report().filter(window -> lease.mayCall()).ifPresent(this::report);
     }
 
+    private void dropOldCounts(long nowMillis) {
+        observer.trueTimeMillis(nowMillis).ifPresent(trueMillis -> observer.ledger()
+                .drop(Math.floorDiv(trueMillis, windowMillis) - UsagePlanner.MAX_OPEN_WINDOWS - 1, nowMillis));
+    }
+
     private UsageObservation observation(long nowMillis) {
         return new UsageObservation(
                 nowMillis,
@@ -137,7 +186,6 @@
         CloseUsageWindow command =
                 new CloseUsageWindow(window, observer.ledger().totals(window));
         await(backend.close(command)).ifPresent(closed -> {
-            observer.ledger().drop(window, nowMillis);
             LogEventKind.USAGE_CLOSED.log(
                     LOG,
                     Level.INFO,
@@ -183,6 +231,7 @@
     }
 
     private void recordOutcome(ClosedUsageWindow window, UsageReportOutcome outcome) {
+        lastOutcome = SettingNames.of(outcome);
         switch (outcome) {
             case ACCEPTED -> {
                 reported.inc();
--- a/control/src/test/java/org/wagtailcart/control/usage/UsageReporterTest.java
+++ b/control/src/test/java/org/wagtailcart/control/usage/UsageReporterTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.control.orders.Leadership;
@@ -71,7 +72,11 @@
     private final class Member implements Leadership, AutoCloseable {
         private final String id;
         private long sequence = 1;
-        private long frozenMillis;
+        /** Time for which the process is frozen while its leadership is confirmed. */
+        private long frozenInConfirmMillis;
+        /** Time for which the process is frozen after the confirmation, before it sends. */
+        private long frozenBeforeSendMillis;
+
         private UsageReportOutcome outcome = UsageReportOutcome.ACCEPTED;
         private final UsageObserver observer = new UsageObserver("m", () -> TRUE_START_MILLIS + group.nowMillis);
         private final UsageReporter reporter;
@@ -92,6 +97,7 @@
         }
 
         private UsageReportOutcome report(String holder, long token, ClosedUsageWindow window, long sendByMillis) {
+            group.nowMillis += frozenBeforeSendMillis;
             if (group.nowMillis > sendByMillis) {
                 return UsageReportOutcome.NOT_SENT;
             }
@@ -121,7 +127,7 @@
 
         @Override
         public CompletableFuture<Long> confirmLeadership() {
-            group.nowMillis += frozenMillis;
+            group.nowMillis += frozenInConfirmMillis;
             return isLeader()
                     ? CompletableFuture.completedFuture(1L)
                     : CompletableFuture.failedFuture(new IllegalStateException("not the leader"));
@@ -176,12 +182,15 @@
     }
 
     /** Guards against a holder that is frozen after its decision and calls when a successor already reports. */
-    @Test
-    void holderFrozenBeforeItsCallDoesNotCall() {
+    @ParameterizedTest
+    @CsvSource({"30000, 0", "0, 30000", "600, 0", "0, 1100"})
+    void holderFrozenBeforeItsCallDoesNotCall(long inConfirmMillis, long beforeSendMillis) {
         try (Member frozen = leader("a")) {
-            frozen.frozenMillis = 30_000;
+            frozen.frozenInConfirmMillis = inConfirmMillis;
+            frozen.frozenBeforeSendMillis = beforeSendMillis;
             frozen.run(20_000, 3);
             assertThat(group.calls).isEmpty();
+            assertThat(group.state.windows()).isNotEmpty();
         }
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayDump.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayDump.java
@@ -1,9 +1,11 @@
 package org.wagtailcart.gateway;
 
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.wagtailcart.control.client.OutstandingWork;
 import org.wagtailcart.control.client.SegmentQuarantineEntry;
 import org.wagtailcart.gateway.list.UpstreamState;
+import org.wagtailcart.gateway.report.UsageMeter;
 
 /**
  * Snapshot of a gateway's state for operators.
@@ -19,6 +21,7 @@
  * @param upstreams upstreams in the host list
  * @param work requests and queued prompt tokens of this gateway at each upstream
  * @param quarantined prompt segments whose requests are refused
+ * @param usage counts of requests that began to run, null if they are not counted
  */
 public record GatewayDump(
         boolean ready,
@@ -31,4 +34,5 @@
         int retriesLeft,
         List<UpstreamState> upstreams,
         List<OutstandingWork> work,
-        List<SegmentQuarantineEntry> quarantined) {}
+        List<SegmentQuarantineEntry> quarantined,
+        UsageMeter.@Nullable Dump usage) {}
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -57,6 +57,7 @@
 
     private final GatewayOptions options;
     private final GatewayContext context;
+    private final Optional<UsageMeter> usage;
     private final HostListReader listReader;
     private final ReadDelayMonitor readDelay;
     private final InboundHandler handler;
@@ -88,7 +89,7 @@
         this.options = options;
         UpstreamRegistry upstreams = new UpstreamRegistry(options.location(), clock);
         PromptQuarantine quarantine = new PromptQuarantine(clock);
-        Optional<UsageMeter> usage = options.usageWindowMillis().stream()
+        this.usage = options.usageWindowMillis().stream()
                 .mapToObj(windowMillis -> new UsageMeter(
                         new UsageCounter(windowMillis, new SecureRandom().nextLong(1, MAX_INCARNATION)),
                         clock,
@@ -247,7 +248,8 @@
                 context.retryBudgets().minRemaining(gateways, context.clock().nowMillis()),
                 context.registry().states(),
                 context.registry().ownWork(),
-                context.quarantine().entries());
+                context.quarantine().entries(),
+                usage.map(UsageMeter::dump).orElse(null));
     }
 
     @Override
--- a/gateway/src/main/java/org/wagtailcart/gateway/report/UsageMeter.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/report/UsageMeter.java
@@ -11,6 +11,16 @@
 
 /** Counts the requests that upstreams began to run, and exchanges the counts with the control group. Thread safe. */
 public final class UsageMeter implements RunListener, UsageReports {
+    /**
+     * State for operators.
+     *
+     * @param hasTrueTime whether a member has sent its estimate of true time; until then nothing is sent
+     * @param windows number of windows with counts
+     * @param openAttempts number of plain calls whose begin is not known yet
+     * @param unacknowledgedBatches number of batches since the last one that the member acknowledged
+     */
+    public record Dump(boolean hasTrueTime, int windows, int openAttempts, long unacknowledgedBatches) {}
+
     private final UsageCounter counter;
     private final MillisClock clock;
     private final ServiceTimes serviceTimes = new ServiceTimes();
@@ -56,6 +66,11 @@
         }
     }
 
+    /** Returns the state for operators. */
+    public Dump dump() {
+        return new Dump(counter.hasTrueTime(), counter.windows(), openAttempts.size(), counter.unacknowledgedBatches());
+    }
+
     @Override
     public PlainRun plainSent(String workspace, String upstreamId, long sentAtMillis) {
         PlainAttempt attempt = new PlainAttempt(workspace, upstreamId, sentAtMillis);
--- a/review/src/Fleet.java
+++ b/review/src/Fleet.java
@@ -118,6 +118,9 @@
         values.put("seeds", seeds());
         values.put("bootstrap", String.valueOf(bootstrap));
         values.put("cloud_api.address", hosts.address());
+        values.put("cloud_api.duties", "");
+        values.put("bounds.report_window_s", "");
+        values.put("bounds.usage_late_s", "");
         values.put("bounds.lease_ms", "3000");
         values.put("bounds.retry_budget_ratio", "0.2");
         values.put("bounds.budget_slack", "54");
--- a/usage/src/main/java/org/wagtailcart/usage/UsageCounter.java
+++ b/usage/src/main/java/org/wagtailcart/usage/UsageCounter.java
@@ -133,6 +133,11 @@
         return countsByWindow.size();
     }
 
+    /** Returns the number of batches since the last one that the member acknowledged, for operators. */
+    public synchronized long unacknowledgedBatches() {
+        return lastSequence - Math.max(incarnation, acknowledgedSequence);
+    }
+
     /** Returns whether the counter has an estimate of true time. */
     public synchronized boolean hasTrueTime() {
         return offset.get().isPresent();
--- a/usage/src/main/java/org/wagtailcart/usage/UsageLedger.java
+++ b/usage/src/main/java/org/wagtailcart/usage/UsageLedger.java
@@ -119,7 +119,7 @@
                 .min();
     }
 
-    /** Removes the counts of closed windows and of processes that ended. */
+    /** Removes the counts of windows that no longer matter and of processes that ended. */
     public synchronized void drop(long throughWindow, long nowMillis) {
         droppedThrough = Math.max(droppedThrough, throughWindow);
         countsByIncarnation.values().forEach(counts -> counts.headMap(throughWindow, true)
--- a/usage/src/main/java/org/wagtailcart/usage/UsagePlanner.java
+++ b/usage/src/main/java/org/wagtailcart/usage/UsagePlanner.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.LongStream;
 
 /**
  * Decides when the leader closes a window and which closed window it reports. It accesses no clock. Not thread safe.
@@ -24,7 +25,7 @@
     /** Time after which a new leader closes a window though counts are missing. */
     static final long MAX_OBSERVE_MILLIS = 4_000;
     /** Number of windows that are closed late; gateways keep the counts of 30 s. */
-    static final long MAX_OPEN_WINDOWS = 12;
+    public static final long MAX_OPEN_WINDOWS = 12;
 
     private final long windowMillis;
     private final long lateMillis;
@@ -54,16 +55,22 @@
                 observation.nowMillis() < nextCallMillis ? Optional.empty() : mostUrgent(state, trueMillis));
     }
 
+    /**
+     * Returns the oldest window that is not closed. Windows after the current one, which a wrong estimate of true time
+     * may have closed, do not keep the others open.
+     */
     private long nextWindow(UsageObservation observation, UsageState state, long currentWindow) {
         if (firstWindow.isEmpty()) {
             firstWindow = OptionalLong.of(currentWindow);
         }
-        long oldest = currentWindow - MAX_OPEN_WINDOWS;
-        OptionalLong last = state.lastWindow();
-        long next = last.isPresent()
-                ? last.getAsLong() + 1
-                : Math.min(firstWindow.getAsLong(), observation.earliestWindow().orElse(Long.MAX_VALUE));
-        return Math.max(oldest, next);
+        long begin =
+                Math.min(firstWindow.getAsLong(), observation.earliestWindow().orElse(Long.MAX_VALUE));
+        long known = state.firstWindow().orElse(Long.MAX_VALUE);
+        long oldest = Math.max(currentWindow - MAX_OPEN_WINDOWS, known <= currentWindow ? known : begin);
+        return LongStream.rangeClosed(oldest, currentWindow)
+                .filter(window -> state.find(window).isEmpty())
+                .findFirst()
+                .orElse(currentWindow + 1);
     }
 
     private boolean mayClose(long window, UsageObservation observation, long trueMillis) {
@@ -77,7 +84,7 @@
     /** Returns the oldest window whose report can be in time, or else the oldest one. */
     private Optional<ClosedUsageWindow> mostUrgent(UsageState state, long trueMillis) {
         return state.windows().stream()
-                .filter(closed -> !closed.reported())
+                .filter(closed -> !closed.reported() && endMillis(closed.window()) <= trueMillis)
                 .min(Comparator.comparing((ClosedUsageWindow closed) -> latenessMillis(closed.window(), trueMillis) > 0)
                         .thenComparing(ClosedUsageWindow::window));
     }
--- a/usage/src/main/java/org/wagtailcart/usage/UsageState.java
+++ b/usage/src/main/java/org/wagtailcart/usage/UsageState.java
@@ -25,12 +25,14 @@
     /** Limit on the stored counts; a snapshot of this size has about 1 MB. */
     static final int MAX_COUNTS = 40_000;
 
-    /** Returns the number of the newest closed window. */
-    public OptionalLong lastWindow() {
-        if (windows.isEmpty()) {
-            return droppedThrough == Long.MIN_VALUE ? OptionalLong.empty() : OptionalLong.of(droppedThrough);
+    /** Returns the number of the oldest window that is kept, or of the newest one that was removed. */
+    public OptionalLong firstWindow() {
+        if (droppedThrough != Long.MIN_VALUE) {
+            return OptionalLong.of(droppedThrough);
         }
-        return OptionalLong.of(windows.get(windows.size() - 1).window());
+        return windows.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(windows.get(0).window());
     }
 
     /** Returns a closed window; one that was removed appears as reported and without counts. */
--- a/usage/src/test/java/org/wagtailcart/usage/UsageModel.java
+++ b/usage/src/test/java/org/wagtailcart/usage/UsageModel.java
@@ -110,7 +110,7 @@
                     state);
             plan.close().ifPresent(window -> {
                 state = state.apply(new CloseUsageWindow(window, ledger.totals(window)));
-                ledger.drop(window, nowMillis);
+                ledger.drop(window - UsagePlanner.MAX_OPEN_WINDOWS, nowMillis);
             });
             plan.report().ifPresent(this::report);
             after(100, this::plan);
