--- a/control/src/test/java/org/wagtailcart/control/Samples.java
+++ b/control/src/test/java/org/wagtailcart/control/Samples.java
@@ -10,6 +10,7 @@
 import org.wagtailcart.routes.RoutesMessages;
 import org.wagtailcart.settings.SettingsEdit;
 import org.wagtailcart.settings.SettingsMessages;
+import org.wagtailcart.usage.UsageMessages;
 import org.wagtailcart.wire.MessageCodec;
 
 /** Codec, commands and settings edits shared by the tests of this module. */
@@ -19,7 +20,8 @@
             KeyMessages.TYPES,
             FleetMessages.TYPES,
             ControlMessages.TYPES,
-            RoutesMessages.TYPES));
+            RoutesMessages.TYPES,
+            UsageMessages.TYPES));
 
     private Samples() {}
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayDump.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayDump.java
@@ -1,9 +1,11 @@
 package org.wagtailcart.gateway;
 
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.wagtailcart.control.client.OutstandingWork;
 import org.wagtailcart.control.client.SegmentQuarantineEntry;
 import org.wagtailcart.gateway.list.UpstreamState;
+import org.wagtailcart.gateway.report.UsageMeter;
 
 /**
  * Snapshot of a gateway's state for operators.
@@ -20,6 +22,7 @@
  * @param work requests and queued prompt tokens of this gateway at each upstream
  * @param quarantined prompt segments whose requests are refused
  * @param keys workspaces and the check of their keys
+ * @param usage counts of requests that began to run, null if they are not counted
  */
 public record GatewayDump(
         boolean ready,
@@ -33,4 +36,5 @@
         List<UpstreamState> upstreams,
         List<OutstandingWork> work,
         List<SegmentQuarantineEntry> quarantined,
-        KeyDump keys) {}
+        KeyDump keys,
+        UsageMeter.@Nullable Dump usage) {}
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayOptions.java
@@ -20,6 +20,7 @@
  * @param shutdownGraceMillis time for which new requests are still accepted after the readiness probe fails
  * @param shutdownLimitMillis time after the start of a shutdown at which the process is killed, empty if it is not
  * @param revocation policy on API keys while the gateway is out of contact
+ * @param usageWindowMillis length of the windows for which requests are counted, empty if they are not
  */
 public record GatewayOptions(
         String processId,
@@ -32,4 +33,5 @@
         long retryWindowMillis,
         long shutdownGraceMillis,
         OptionalLong shutdownLimitMillis,
-        RevocationPolicy revocation) {}
+        RevocationPolicy revocation,
+        OptionalLong usageWindowMillis) {}
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -112,7 +112,8 @@
                 10_000,
                 shutdownGraceMillis,
                 shutdownLimitMillis,
-                revocation);
+                revocation,
+                OptionalLong.empty());
         role = new GatewayRole(
                 options,
                 (member, request, timeoutMillis) -> reply(request),
--- a/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
+++ b/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
@@ -32,6 +32,11 @@
     private static final String DEFAULT_SHUTDOWN_GRACE_MILLIS = "3000";
     private static final String DEFAULT_RETRY_RATIO = "0.1";
     private static final long MILLIS_PER_SECOND = 1_000;
+    /** Duty of a system whose platform expects usage reports. */
+    private static final String USAGE_DUTY = "usage_report";
+
+    private static final String DEFAULT_USAGE_WINDOW_SECONDS = "5";
+    private static final String DEFAULT_USAGE_LATE_SECONDS = "10";
     private static final int MAX_SHUTDOWN_GRACE_MILLIS = 600_000;
     private static final int MAX_TOLERATED_LOSSES = 1_000;
 
@@ -39,7 +44,7 @@
     private static final String STRICT_REVOKE = "strict-revoke";
     private static final String REVOKE_LIMIT_MILLIS = "revoke-limit-millis";
     /** Longer than an election and a move to another control member, so that neither refuses requests. */
-    private static final long DEFAULT_REVOKE_LIMIT_MILLIS = 5_000;
+    private static final String DEFAULT_REVOKE_LIMIT_MILLIS = "5000";
 
     private static final long MAX_REVOKE_LIMIT_MILLIS = 3_600_000;
 
@@ -48,6 +53,17 @@
     /** Variable with the default of {@code [entry] shutdown-limit-millis}, in seconds. */
     private static final String SHUTDOWN_LIMIT_VARIABLE = "WAGTAILCART_SHUTDOWN_LIMIT_SECONDS";
 
+    /** Variable with the default of {@code [platform] duties}. */
+    private static final String DUTIES_VARIABLE = "WAGTAILCART_DUTIES";
+    /** Variable with the default of {@code [platform] usage-window-seconds}. */
+    private static final String USAGE_WINDOW_VARIABLE = "WAGTAILCART_USAGE_WINDOW_SECONDS";
+    /** Variable with the default of {@code [platform] usage-late-seconds}. */
+    private static final String USAGE_LATE_VARIABLE = "WAGTAILCART_USAGE_LATE_SECONDS";
+    /** Variable with the default of {@code [workspaces] strict-revoke}. */
+    private static final String STRICT_REVOKE_VARIABLE = "WAGTAILCART_STRICT_REVOKE";
+    /** Variable with the default of {@code [workspaces] revoke-limit-millis}. */
+    private static final String REVOKE_LIMIT_VARIABLE = "WAGTAILCART_REVOKE_LIMIT_MILLIS";
+
     private final Map<String, Map<String, String>> sections;
     private final Map<String, String> environment;
 
@@ -96,8 +112,16 @@
         keys.put("listen", List.of("peer", "caller", "ready", "metrics", "operator"));
         keys.put("control", List.of("members", "seeds", "peer-port", "found", "tolerated-losses"));
         keys.put("retry", List.of("ratio", "reserve", "window-seconds"));
-        keys.put("platform", List.of("host-list", "control-listener", "order-lease-millis"));
         keys.put(WORKSPACES, List.of(STRICT_REVOKE, REVOKE_LIMIT_MILLIS));
+        keys.put(
+                "platform",
+                List.of(
+                        "host-list",
+                        "control-listener",
+                        "order-lease-millis",
+                        "duties",
+                        "usage-window-seconds",
+                        "usage-late-seconds"));
         keys.put("operator", List.of("token-file"));
         keys.put("log", List.of("level", "format"));
         keys.put("entry", List.of("on-control-loss", "shutdown-grace-millis", "shutdown-limit-millis"));
@@ -192,24 +216,53 @@
                         value("platform", "control-listener")
                                 .map(listener ->
                                         address("platform", "control-listener", listener, listener, "IP:PORT")),
-                        number("platform", "order-lease-millis", "3000", 0, 600_000)));
+                        number("platform", "order-lease-millis", "3000", 0, 600_000),
+                        usageReports()));
+    }
+
+    private Optional<UsageReportSettings> usageReports() {
+        boolean due = valueOrVariable("platform", "duties", DUTIES_VARIABLE).stream()
+                .flatMap(ProcessSettingsReader::splitList)
+                .anyMatch(USAGE_DUTY::equals);
+        UsageReportSettings reports = new UsageReportSettings(
+                secondsAsMillis("usage-window-seconds", USAGE_WINDOW_VARIABLE, DEFAULT_USAGE_WINDOW_SECONDS),
+                secondsAsMillis("usage-late-seconds", USAGE_LATE_VARIABLE, DEFAULT_USAGE_LATE_SECONDS));
+        return due ? Optional.of(reports) : Optional.empty();
+    }
+
+    private long secondsAsMillis(String key, String variable, String defaultText) {
+        String text = valueOrVariable("platform", key, variable).orElse(defaultText);
+        if (!text.matches("[0-9]{1,4}(\\.[0-9]{1,3})?") || Double.parseDouble(text) < 1) {
+            throw invalid("platform", key, text, "a number of seconds from 1 to 9999");
+        }
+        return Math.round(MILLIS_PER_SECOND * Double.parseDouble(text));
     }
 
     private WorkspaceSettings workspaces() {
+        String strictRevoke = valueOrVariable(WORKSPACES, STRICT_REVOKE, STRICT_REVOKE_VARIABLE)
+                .orElse("false");
+        String limit = valueOrVariable(WORKSPACES, REVOKE_LIMIT_MILLIS, REVOKE_LIMIT_VARIABLE)
+                .orElse(DEFAULT_REVOKE_LIMIT_MILLIS);
         return new WorkspaceSettings(
-                isSet(WORKSPACES, STRICT_REVOKE) && flag(WORKSPACES, STRICT_REVOKE),
-                isSet(WORKSPACES, REVOKE_LIMIT_MILLIS)
-                        ? number(WORKSPACES, REVOKE_LIMIT_MILLIS, "", 0, MAX_REVOKE_LIMIT_MILLIS)
-                        : DEFAULT_REVOKE_LIMIT_MILLIS);
+                flag(WORKSPACES, STRICT_REVOKE, strictRevoke),
+                integer(WORKSPACES, REVOKE_LIMIT_MILLIS, limit, 0, MAX_REVOKE_LIMIT_MILLIS));
     }
 
-    /** Returns whether a key has a value; a template renders an empty one where the platform gives none. */
-    private boolean isSet(String section, String key) {
-        return !sections.getOrDefault(section, Map.of()).getOrDefault(key, "").isBlank();
+    /**
+     * Returns the value of a key, or else that of an environment variable. Either may be empty, which means that it is
+     * not set, since the platform fills in nothing for a value that it does not have.
+     */
+    private Optional<String> valueOrVariable(String section, String key, String variable) {
+        return Optional.ofNullable(sections.getOrDefault(section, Map.of()).get(key))
+                .filter(text -> !text.isBlank())
+                .or(() -> Optional.ofNullable(environment.get(variable)).filter(text -> !text.isBlank()));
     }
 
     private boolean flag(String section, String key) {
-        String text = value(section, key).orElse("false");
+        return flag(section, key, value(section, key).orElse("false"));
+    }
+
+    private static boolean flag(String section, String key, String text) {
         if (!List.of("true", "false").contains(text)) {
             throw invalid(section, key, text, "true or false");
         }
@@ -220,9 +273,12 @@
         String expected = "an integer from " + min + " to " + max;
         Optional<String> text =
                 value(section, key).or(() -> Optional.of(defaultText)).filter(candidate -> !candidate.isEmpty());
-        String digits = text.orElseThrow(() -> missing(section, key, expected));
+        return integer(section, key, text.orElseThrow(() -> missing(section, key, expected)), min, max);
+    }
+
+    private static long integer(String section, String key, String digits, long min, long max) {
         if (!digits.matches("[0-9]{1,9}") || Long.parseLong(digits) < min || Long.parseLong(digits) > max) {
-            throw invalid(section, key, digits, expected);
+            throw invalid(section, key, digits, "an integer from " + min + " to " + max);
         }
         return Long.parseLong(digits);
     }
