Learn the prefill rate of each engine and place prompts by it

Placement assumed 50 prompt tokens per ms for every engine. On a deployment with engines of 0.7 and 1.7 times the base speed, estimates, queues and affinity owners ignored the difference.

PrefillRateEstimate takes the upper quartile of the samples of 20 s, and FleetRates the median of a service with a dead band of 20%. Gateways send the new samples with each poll; the member merges them (EngineRateLog) and replies with the rates that changed by more than 5%. After a change of member a gateway sends all rates that it knows, marked with 0 samples. Queue and prefill estimates, the overdue bound and the choice of the decode engine use the own rate; affinity owners are chosen by weighted rendezvous hashing, whose order is the former one where speeds are equal.

Ruled out: the median of the samples. Hidden queues made engines of a uniform fleet differ by more than the dead band in the test. Also ruled out: the preference of 4 times the segment for the owner of an uncached segment where speeds differ, because it outweighs what a fast engine saves.

A uniform fleet of the default speed gets the same engine for each prompt as without learning.

--- a/control/src/main/java/org/wagtailcart/control/client/FleetReport.java
+++ b/control/src/main/java/org/wagtailcart/control/client/FleetReport.java
@@ -9,8 +9,13 @@
  *
  * @param trueTimeMillis estimate of the true time of day when the member replied, 0 when it has none
  * @param usageSequence number of the last usage batch of the gateway that the member has, 0 for none
- * @param engineRates prefill rates of all engines that gateways have reported
+ * @param engineRates prefill rates of engines that changed since the version that the gateway has
  * @param shares limits on the workspaces that exceed their share; valid for a short time only
+ * @param engineRatesVersion version of the prefill rates that the gateway has with this reply, 0 for none
  */
 public record FleetReport(
-        long trueTimeMillis, long usageSequence, List<EngineRate> engineRates, List<WorkspaceShare> shares) {}
+        long trueTimeMillis,
+        long usageSequence,
+        List<EngineRate> engineRates,
+        List<WorkspaceShare> shares,
+        long engineRatesVersion) {}
--- a/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
@@ -6,11 +6,16 @@
 
 /** Collects the reports of gateways and derives from them what all gateways are told. Not thread safe. */
 final class FleetReports {
+    private final EngineRateLog engineRates = new EngineRateLog();
+
     /** Records the report of a gateway. */
-    void record(String processId, GatewayReport report, long nowMillis) {}
+    void record(String processId, GatewayReport report, long nowMillis) {
+        engineRates.record(processId, report.engineRates(), report.engineRatesVersion(), nowMillis);
+    }
 
     /** Returns the reply to a gateway. */
     FleetReport replyTo(String processId, long nowMillis) {
-        return new FleetReport(0, 0, List.of(), List.of());
+        EngineRateLog.Page rates = engineRates.pageFor(processId);
+        return new FleetReport(0, 0, rates.rates(), List.of(), rates.version());
     }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -87,7 +87,7 @@
                 control,
                 upstreams,
                 quarantine,
-                new GatewayReports(),
+                new GatewayReports(upstreams),
                 timer,
                 clock);
         SuspectUpstreams suspects = new SuspectUpstreams(clock);
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -166,13 +166,7 @@
                 placement.times().firstTokenMillis(),
                 placement.queuedTokens(),
                 placement.prefillTokens());
-        InFlightRequest inFlight = context()
-                .registry()
-                .startPrefill(
-                        engine,
-                        prompt,
-                        placement.prefillTokens(),
-                        placement.times().prefillMillis());
+        InFlightRequest inFlight = context().registry().startPrefill(engine, prompt, placement);
         try {
             long timeoutMillis = Math.max(1, remainingMillis());
             UpstreamRequestOptions prefillOptions = new UpstreamRequestOptions(
@@ -315,13 +309,7 @@
                     .map(prefillEngine -> registry.startDecode(engine, prefillEngine))
                     .orElseGet(() -> registry.startRequest(engine));
         }
-        return prompt == null
-                ? registry.startRequest(engine)
-                : registry.startPrefill(
-                        engine,
-                        prompt,
-                        placement.prefillTokens(),
-                        placement.times().prefillMillis());
+        return prompt == null ? registry.startRequest(engine) : registry.startPrefill(engine, prompt, placement);
     }
 
     /**
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/InFlightRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/InFlightRequest.java
@@ -1,6 +1,7 @@
 package org.wagtailcart.gateway.list;
 
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.policy.placement.PrefillRateEstimate;
 import org.wagtailcart.policy.placement.PrefillSlowdown;
 import org.wagtailcart.policy.placement.StreamStartDelay;
 
@@ -20,10 +21,17 @@
      *
      * @param prefillTokens prompt tokens that it has to prefill, 0 for none
      * @param prefillMillis estimated duration of the prefill, including its queue time
+     * @param queuedTokens prompt tokens queued before it
+     * @param fetchMillis part of that time in which KV cache is fetched
      * @param prefillEngine engine that ran the prefill for it, null if there is none
      */
-    record Work(long prefillTokens, double prefillMillis, @Nullable Upstream prefillEngine) {
-        static final Work NO_PROMPT = new Work(0, 0, null);
+    record Work(
+            long prefillTokens,
+            double prefillMillis,
+            long queuedTokens,
+            double fetchMillis,
+            @Nullable Upstream prefillEngine) {
+        static final Work NO_PROMPT = new Work(0, 0, 0, 0, null);
     }
 
     InFlightRequest(UpstreamRegistry registry, Upstream upstream, Work work, long startMillis, long dueMillis) {
@@ -110,6 +118,9 @@
     public void endPrefill(long nowMillis) {
         synchronized (registry) {
             upstream.prefillSlowdown().record(elapsedMillis(nowMillis), work.prefillMillis(), nowMillis);
+            PrefillRateEstimate.sample(
+                            work.prefillTokens(), work.queuedTokens(), elapsedMillis(nowMillis) - work.fetchMillis())
+                    .ifPresent(rate -> registry.recordRate(upstream, rate, nowMillis));
             upstream.prefillCompleted(prefilled ? 0 : work.prefillTokens());
             prefilled = true;
         }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -68,7 +68,7 @@
         return listEntry;
     }
 
-    UpstreamState state(long nowMillis) {
+    UpstreamState state(double tokensPerMilli, int rateSamples, long nowMillis) {
         return new UpstreamState(
                 id(),
                 listEntry.service(),
@@ -77,7 +77,9 @@
                 leaving(),
                 Math.max(0, refusesUntilMillis - nowMillis),
                 isAvailable(nowMillis),
-                inFlight());
+                inFlight(),
+                tokensPerMilli,
+                rateSamples);
     }
 
     /** Returns whether it is about to stop, according to the host list or to itself. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -24,6 +24,8 @@
 import org.wagtailcart.gateway.protocol.Prompt;
 import org.wagtailcart.gateway.protocol.UpstreamAnnouncement;
 import org.wagtailcart.policy.placement.EngineCandidate;
+import org.wagtailcart.policy.placement.EngineRate;
+import org.wagtailcart.policy.placement.FleetRates;
 import org.wagtailcart.policy.placement.Location;
 import org.wagtailcart.policy.placement.PrefixCacheEstimate;
 import org.wagtailcart.policy.placement.PromptPlacement;
@@ -38,8 +40,6 @@
  */
 public final class UpstreamRegistry {
     private static final Logger LOG = System.getLogger(UpstreamRegistry.class.getName());
-    /** Prefill rate of an engine in the prefill role, in prompt tokens per millisecond. */
-    private static final double PREFILL_TOKENS_PER_MILLI = 50;
     /** Assumed latency of an upstream without a response so far. */
     private static final double INITIAL_LATENCY_MILLIS = 20;
     /** Maximum age of a latency sample; an older one no longer reflects the current load. */
@@ -55,6 +55,9 @@
     /** Fraction of an engine's KV cache available to shared prompt segments; running requests need the rest. */
     private static final double SHARED_CACHE_FRACTION = 0.8;
 
+    /** Time for which the rates of a service are cached; replies of the control group come as often. */
+    private static final long RATES_VALIDITY_MILLIS = 250;
+
     /** Bits transferred per millisecond at 1 Mbit/s. */
     private static final double BITS_PER_MEGABIT_AND_MILLI = 1_000;
 
@@ -64,6 +67,8 @@
     private final Location place;
     private final MillisClock clock;
     private final Map<String, Upstream> upstreamsById = new HashMap<>();
+    private final LearnedEngineRates learnedRates = new LearnedEngineRates();
+    private final Map<String, CachedRates> ratesByService = new HashMap<>();
     private List<PrefixCacheUpdate> pendingPrefixUpdates = new ArrayList<>();
     private Map<String, ServiceSpec> services = Map.of();
     private long listedAtMillis = Long.MIN_VALUE / 4;
@@ -74,6 +79,8 @@
         this.clock = clock;
     }
 
+    private record CachedRates(FleetRates rates, long expiresAtMillis) {}
+
     /**
      * Placement of an inference request on engines.
      *
@@ -114,6 +121,7 @@
                 .sorted()
                 .toList();
         removed.forEach(upstreamsById::remove);
+        learnedRates.retain(ids);
         List<String> added = new ArrayList<>();
         List<String> leaving = new ArrayList<>();
         latest.forEach(listed -> updateListing(listed, added, leaving));
@@ -180,7 +188,10 @@
     public synchronized List<UpstreamState> states() {
         long nowMillis = clock.nowMillis();
         return upstreamsById.values().stream()
-                .map(upstream -> upstream.state(nowMillis))
+                .map(upstream -> upstream.state(
+                        upstream.listEntry().role() == null ? 0 : tokensPerMilli(upstream, nowMillis),
+                        learnedRates.ownSamples(upstream.id(), nowMillis),
+                        nowMillis))
                 .sorted(Comparator.comparing(UpstreamState::instanceId))
                 .toList();
     }
@@ -237,7 +248,7 @@
         int sharedTokens =
                 shared.stream().mapToInt(PrefixCacheEstimate.Segment::tokens).sum();
         PromptPlacement.PromptSize size = new PromptPlacement.PromptSize(prompt.promptTokens(), sharedTokens, affinity);
-        return PromptPlacement.choose(candidates, size, engineRates(service), place)
+        return PromptPlacement.choose(candidates, size, engineRates(service, nowMillis), place)
                 .map(choice -> {
                     EngineCandidate prefillEngine = choice.prefill() == null ? choice.decode() : choice.prefill();
                     return new Placement(
@@ -278,18 +289,22 @@
     /**
      * Starts a request at an engine that runs the prefill of a prompt.
      *
-     * @param prefillTokens prompt tokens that it has to prefill
-     * @param prefillMillis estimated duration of the prefill, including its queue time
+     * @param placement tokens that it has to prefill and the estimated times
      */
-    public synchronized InFlightRequest startPrefill(
-            Upstream engine, Prompt prompt, int prefillTokens, double prefillMillis) {
+    public synchronized InFlightRequest startPrefill(Upstream engine, Prompt prompt, Placement placement) {
         addPrefixUpdate(engine, prompt.sharedSegments());
-        return startRequest(engine, new InFlightRequest.Work(prefillTokens, prefillMillis, null), prompt.segments());
+        InFlightRequest.Work work = new InFlightRequest.Work(
+                placement.prefillTokens(),
+                placement.times().prefillMillis(),
+                engine.queuedTokens(),
+                placement.times().fetchMillis(),
+                null);
+        return startRequest(engine, work, prompt.segments());
     }
 
     /** Starts a request at an engine that decodes from the KV cache of another engine. */
     public synchronized InFlightRequest startDecode(Upstream engine, Upstream prefillEngine) {
-        return startRequest(engine, new InFlightRequest.Work(0, 0, prefillEngine), List.of());
+        return startRequest(engine, new InFlightRequest.Work(0, 0, 0, 0, prefillEngine), List.of());
     }
 
     private void addPrefixUpdate(Upstream engine, List<PrefixCacheEstimate.Segment> shared) {
@@ -402,15 +417,69 @@
         }
     }
 
-    private PromptPlacement.EngineRates engineRates(String service) {
+    private PromptPlacement.EngineRates engineRates(String service, long nowMillis) {
+        double tokensPerMilli = fleetRates(service, nowMillis).serviceTokensPerMilli();
         ServiceSpec spec = services.get(service);
         EngineSpec engine = spec == null ? null : spec.engine();
         if (engine == null || engine.linkMegabitsPerSecond() <= 0 || engine.kvBytesPerToken() <= 0) {
-            return new PromptPlacement.EngineRates(PREFILL_TOKENS_PER_MILLI, Double.MIN_VALUE);
+            return new PromptPlacement.EngineRates(tokensPerMilli, Double.MIN_VALUE);
         }
         double fetchTokensPerMilli =
                 engine.linkMegabitsPerSecond() * BITS_PER_MEGABIT_AND_MILLI / (engine.kvBytesPerToken() * Byte.SIZE);
-        return new PromptPlacement.EngineRates(PREFILL_TOKENS_PER_MILLI, fetchTokensPerMilli);
+        return new PromptPlacement.EngineRates(tokensPerMilli, fetchTokensPerMilli);
+    }
+
+    /** Returns the prompt tokens that an engine prefills in a millisecond, in its role. */
+    private double tokensPerMilli(Upstream engine, long nowMillis) {
+        double tokensPerMilli =
+                fleetRates(engine.listEntry().service(), nowMillis).tokensPerMilli(engine.id());
+        return engine.listEntry().role() == EngineRole.DECODE
+                ? PromptPlacement.DECODE_PREFILL_SPEED_RATIO * tokensPerMilli
+                : tokensPerMilli;
+    }
+
+    /** Returns the rates of a service, which are computed anew a few times a second. */
+    private FleetRates fleetRates(String service, long nowMillis) {
+        CachedRates cached = ratesByService.get(service);
+        if (cached != null && nowMillis < cached.expiresAtMillis()) {
+            return cached.rates();
+        }
+        Map<String, Double> known = new HashMap<>();
+        upstreamsById.values().stream()
+                .filter(upstream -> upstream.listEntry().service().equals(service))
+                .forEach(upstream -> learnedRates
+                        .tokensPerMilli(upstream.id(), nowMillis)
+                        .ifPresent(rate -> known.put(upstream.id(), rate)));
+        FleetRates rates = FleetRates.of(known);
+        ratesByService.put(service, new CachedRates(rates, nowMillis + RATES_VALIDITY_MILLIS));
+        return rates;
+    }
+
+    void recordRate(Upstream engine, double tokensPerMilli, long nowMillis) {
+        learnedRates.record(engine.id(), tokensPerMilli, nowMillis);
+    }
+
+    /** Removes and returns the news about the rates of engines for the polled control member. */
+    public synchronized List<EngineRate> drainEngineRates() {
+        return learnedRates.drainNews(clock.nowMillis());
+    }
+
+    /** Returns the version of the rates in the last reply of the polled control member, 0 for none. */
+    public synchronized long engineRatesVersion() {
+        return learnedRates.version();
+    }
+
+    /** Applies the rates in the reply of a control member. */
+    public synchronized void applyEngineRates(List<EngineRate> rates, long version) {
+        learnedRates.apply(rates, version, clock.nowMillis());
+        if (!rates.isEmpty()) {
+            ratesByService.clear();
+        }
+    }
+
+    /** Sends all known rates with the next poll, because another control member is polled or a poll failed. */
+    public synchronized void controlMemberChanged() {
+        learnedRates.memberChanged();
     }
 
     private Upstream requireUpstream(String id) {
@@ -422,7 +491,7 @@
         long nowMillis = clock.nowMillis();
         double usualMillis = work.prefillTokens() == 0
                 ? upstream.latencyMillis()
-                : (upstream.queuedTokens() + work.prefillTokens()) / PREFILL_TOKENS_PER_MILLI;
+                : (upstream.queuedTokens() + work.prefillTokens()) / tokensPerMilli(upstream, nowMillis);
         long dueMillis = nowMillis + Math.round(OVERDUE_FACTOR * usualMillis) + OVERDUE_SLACK_MILLIS;
         InFlightRequest request = new InFlightRequest(this, upstream, work, nowMillis, dueMillis);
         upstream.started(request, work.prefillTokens(), segments);
@@ -444,8 +513,7 @@
         return healthy.isEmpty() ? present : healthy;
     }
 
-    private static EngineCandidate toCandidate(
-            Upstream upstream, List<PrefixCacheEstimate.Segment> segments, long nowMillis) {
+    private EngineCandidate toCandidate(Upstream upstream, List<PrefixCacheEstimate.Segment> segments, long nowMillis) {
         return new EngineCandidate(
                 upstream.id(),
                 upstream.listEntry().failureDomain(),
@@ -455,7 +523,8 @@
                 upstream.queuedTokens(),
                 upstream.cachedTokens(segments),
                 upstream.slowdown(nowMillis),
-                upstream.startDelayMillis(nowMillis));
+                upstream.startDelayMillis(nowMillis),
+                fleetRates(upstream.listEntry().service(), nowMillis).speed(upstream.id()));
     }
 
     private static double currentLatency(Upstream upstream, double meanMillis, long nowMillis) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamState.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamState.java
@@ -15,6 +15,8 @@
  * @param refusesForMillis time for which it has asked for no requests
  * @param available whether it receives new requests
  * @param inFlight requests of all gateways that are in flight at it
+ * @param tokensPerMilli prompt tokens that an engine is assumed to prefill in a millisecond, 0 for a plain service
+ * @param rateSamples recent prefills of this gateway from which its rate was learned
  */
 public record UpstreamState(
         String instanceId,
@@ -24,4 +26,6 @@
         boolean leaving,
         long refusesForMillis,
         boolean available,
-        int inFlight) {}
+        int inFlight,
+        double tokensPerMilli,
+        int rateSamples) {}
--- a/gateway/src/main/java/org/wagtailcart/gateway/report/GatewayReports.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/report/GatewayReports.java
@@ -3,12 +3,25 @@
 import java.util.List;
 import org.wagtailcart.control.client.FleetReport;
 import org.wagtailcart.control.client.GatewayReport;
+import org.wagtailcart.gateway.list.UpstreamRegistry;
 
 /** Composes the report of this gateway for each poll, and applies what the control group replies. Thread safe. */
 public final class GatewayReports {
+    private final UpstreamRegistry upstreams;
+
+    /** Creates the reports of a gateway. */
+    public GatewayReports(UpstreamRegistry upstreams) {
+        this.upstreams = upstreams;
+    }
+
     /** Returns the report for the next poll. */
     public GatewayReport collect() {
-        return new GatewayReport(System.currentTimeMillis(), null, List.of(), List.of());
+        return new GatewayReport(
+                System.currentTimeMillis(),
+                null,
+                upstreams.drainEngineRates(),
+                List.of(),
+                upstreams.engineRatesVersion());
     }
 
     /**
@@ -16,5 +29,7 @@
      *
      * @param receivedAtMillis monotonic time at which the reply arrived
      */
-    public void apply(FleetReport fleet, long receivedAtMillis) {}
+    public void apply(FleetReport fleet, long receivedAtMillis) {
+        upstreams.applyEngineRates(fleet.engineRates(), fleet.engineRatesVersion());
+    }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
@@ -225,6 +225,7 @@
         hostListVersion = 0;
         prefixUpdateCursor = 0;
         quarantineVersion = 0;
+        registry.controlMemberChanged();
     }
 
     private synchronized void applyReply(Address member, long sentAtMillis, WatchReply reply) {
--- a/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
@@ -35,13 +35,15 @@
     private final Map<Address, MemberReply> replies = new ConcurrentHashMap<>();
     private final List<Long> timeoutsMillis = new CopyOnWriteArrayList<>();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+    private final UpstreamRegistry registry =
+            new UpstreamRegistry(new Location("fes", Regions.SINGLE), MillisClock.monotonic());
     private final RouteTableWatcher watcher = new RouteTableWatcher(
             "g",
             List.of(A, B),
             this::call,
-            new UpstreamRegistry(new Location("fes", Regions.SINGLE), MillisClock.monotonic()),
+            registry,
             new PromptQuarantine(MillisClock.monotonic()),
-            new GatewayReports(),
+            new GatewayReports(registry),
             timer,
             MillisClock.monotonic());
 
--- a/policy/src/main/java/org/wagtailcart/policy/placement/EngineCandidate.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/EngineCandidate.java
@@ -12,6 +12,7 @@
  * @param cachedTokens tokens of this prompt that it is estimated to have cached
  * @param slowdown execution time relative to its peers, 1 when it is as fast as they are
  * @param startDelayMillis delay beyond the usual at the start of streams that it decodes or whose prompt it prefilled
+ * @param speed prefill rate relative to that of its service
  */
 public record EngineCandidate(
         String id,
@@ -22,4 +23,34 @@
         long queuedTokens,
         int cachedTokens,
         double slowdown,
-        double startDelayMillis) {}
+        double startDelayMillis,
+        double speed) {
+    /** Creates a candidate with the prefill rate of its service. */
+    public EngineCandidate(
+            String id,
+            String failureDomain,
+            boolean prefillRole,
+            int slots,
+            int inFlight,
+            long queuedTokens,
+            int cachedTokens,
+            double slowdown,
+            double startDelayMillis) {
+        this(
+                id,
+                failureDomain,
+                prefillRole,
+                slots,
+                inFlight,
+                queuedTokens,
+                cachedTokens,
+                slowdown,
+                startDelayMillis,
+                1);
+    }
+
+    /** Returns the prompt tokens that it prefills in a millisecond, in its role and without a slowdown. */
+    double tokensPerMilli(PromptPlacement.EngineRates rates) {
+        return rates.prefillTokensPerMilli() * speed * (prefillRole ? 1 : PromptPlacement.DECODE_PREFILL_SPEED_RATIO);
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/FleetRates.java
@@ -0,0 +1,83 @@
+package org.wagtailcart.policy.placement;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/**
+ * Prefill rates of all engines of a service. Differences too small to matter are removed, so that a uniform fleet is
+ * served as if nothing had been learned. Immutable.
+ */
+public final class FleetRates {
+    /** Rate of an engine in the prefill role of a service of which nothing is known, in prompt tokens per millisecond. */
+    public static final double DEFAULT_TOKENS_PER_MILLI = 50;
+
+    /** Rates of a service of which nothing is known. */
+    public static final FleetRates DEFAULT = new FleetRates(Map.of(), DEFAULT_TOKENS_PER_MILLI);
+
+    /** Relative difference up to which two rates count as equal; hidden queues shift a median by up to this much. */
+    static final double DEAD_BAND = 0.2;
+
+    /** Bound on the ratio of an engine's rate to the median of its service; a larger one indicates wrong samples. */
+    static final double MAX_RATIO = 4;
+
+    /** Engines with a known rate needed for a median of the service. */
+    static final int MIN_ENGINES = 3;
+
+    private final Map<String, Double> speedById;
+    private final double serviceTokensPerMilli;
+
+    private FleetRates(Map<String, Double> speedById, double serviceTokensPerMilli) {
+        this.speedById = speedById;
+        this.serviceTokensPerMilli = serviceTokensPerMilli;
+    }
+
+    /**
+     * Returns the rates of a service.
+     *
+     * @param tokensPerMilliById learned rates; engines of which nothing is known are missing
+     */
+    public static FleetRates of(Map<String, Double> tokensPerMilliById) {
+        if (tokensPerMilliById.isEmpty()) {
+            return DEFAULT;
+        }
+        double median = tokensPerMilliById.size() < MIN_ENGINES
+                ? DEFAULT_TOKENS_PER_MILLI
+                : median(tokensPerMilliById.values());
+        double service = withinDeadBand(median / DEFAULT_TOKENS_PER_MILLI) ? DEFAULT_TOKENS_PER_MILLI : median;
+        return new FleetRates(
+                tokensPerMilliById.entrySet().stream()
+                        .collect(Collectors.toUnmodifiableMap(
+                                Map.Entry::getKey, entry -> speed(entry.getValue() / service))),
+                service);
+    }
+
+    /** Returns the median rate, which is assumed for an engine of which nothing is known. */
+    public double serviceTokensPerMilli() {
+        return serviceTokensPerMilli;
+    }
+
+    /** Returns the rate of an engine relative to the median, 1 when they are about equal. */
+    public double speed(String engineId) {
+        return speedById.getOrDefault(engineId, 1.0);
+    }
+
+    /** Returns the rate of an engine in the prefill role. */
+    public double tokensPerMilli(String engineId) {
+        return serviceTokensPerMilli * speed(engineId);
+    }
+
+    private static double speed(double ratio) {
+        return withinDeadBand(ratio) ? 1 : Math.max(1 / MAX_RATIO, Math.min(MAX_RATIO, ratio));
+    }
+
+    private static boolean withinDeadBand(double ratio) {
+        return Math.abs(ratio - 1) <= DEAD_BAND;
+    }
+
+    private static double median(Collection<Double> rates) {
+        double[] sorted =
+                rates.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+        return sorted[(sorted.length - 1) / 2];
+    }
+}
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -25,6 +25,12 @@
     /** Share that applies instead while no engine has the shared segments cached. */
     static final double UNCACHED_AFFINITY_PREFERENCE = 4;
 
+    /**
+     * Share that applies instead while no engine has the shared segments cached and engines differ in speed. A fast
+     * engine then saves more than a second prefill of the segment elsewhere costs.
+     */
+    static final double UNEQUAL_UNCACHED_AFFINITY_PREFERENCE = 0.7;
+
     /** Time to transfer a prompt's KV cache and to run its first decode step. */
     static final double TRANSFER_MILLIS = 25;
 
@@ -41,7 +47,7 @@
     static final double LOAD_PER_QUEUED_TOKEN = 1.0 / 20_000;
 
     /** Prefill speed of a decode engine, relative to an engine in the prefill role. */
-    static final double DECODE_PREFILL_SPEED_RATIO = 0.5;
+    public static final double DECODE_PREFILL_SPEED_RATIO = 0.5;
 
     /** Time to first token, relative to separate prefill, below which the decode engine prefills a prompt itself. */
     static final double MAX_LOCAL_TIME_RATIO = 0.8;
@@ -52,6 +58,11 @@
     /** Share of a decode engine's slots in use up to which it also prefills prompts. */
     static final double MAX_LOCAL_LOAD = 0.25;
 
+    /** Queue of an owner, relative to the mean of the prefill engines, above which another engine becomes the owner. */
+    static final double MAX_OWNER_QUEUE_RATIO = 2;
+
+    private static final double MAX_RENDEZVOUS_WEIGHT = 0x1p63;
+
     private PromptPlacement() {}
 
     /**
@@ -66,7 +77,7 @@
     /**
      * Speeds of the engines.
      *
-     * @param prefillTokensPerMilli prompt tokens that an engine in the prefill role processes in a millisecond
+     * @param prefillTokensPerMilli prompt tokens that an engine of speed 1 in the prefill role processes in a millisecond
      * @param kvFetchTokensPerMilli tokens of KV cache that an engine fetches from another in a millisecond
      */
     public record EngineRates(double prefillTokensPerMilli, double kvFetchTokensPerMilli) {}
@@ -93,10 +104,12 @@
      * @param prefillMillis time until the prefill ends
      * @param firstTokenMillis time to the first token
      * @param unloadedFirstTokenMillis time to the first token without queueing
+     * @param fetchMillis part of the prefill time in which KV cache is fetched
      */
-    public record TimeEstimate(double prefillMillis, double firstTokenMillis, double unloadedFirstTokenMillis) {
+    public record TimeEstimate(
+            double prefillMillis, double firstTokenMillis, double unloadedFirstTokenMillis, double fetchMillis) {
         /** Times of a request without a prompt. */
-        public static final TimeEstimate NONE = new TimeEstimate(0, 0, 0);
+        public static final TimeEstimate NONE = new TimeEstimate(0, 0, 0, 0);
     }
 
     /** Prefill of a prompt at one engine: prefix source, tokens to prefill, and time with and without queueing. */
@@ -105,17 +118,21 @@
             @Nullable EngineCandidate prefixSource,
             int prefillTokens,
             double millis,
-            double unloadedMillis) {}
+            double unloadedMillis,
+            double fetchMillis) {}
 
     /** Returns the engines for a prompt, or empty when there is no decode engine. */
     public static Optional<Choice> choose(
             List<EngineCandidate> engines, PromptSize size, EngineRates rates, Location gateway) {
-        Optional<EngineCandidate> owner = affinityOwner(engines, size.affinityKey(), gateway);
+        Optional<EngineCandidate> owner = affinityOwner(engines, size, rates, gateway);
         List<EngineCandidate> prefixSources = prefixSources(engines, owner, gateway);
+        double uncachedPreference =
+                differInSpeed(engines) ? UNEQUAL_UNCACHED_AFFINITY_PREFERENCE : UNCACHED_AFFINITY_PREFERENCE;
         Optional<Choice> split = engines.stream()
                 .filter(EngineCandidate::prefillRole)
                 .map(engine -> prefillPlan(engine, prefixSources, size, rates, gateway))
-                .min(Comparator.comparing((PrefillPlan plan) -> prefillCost(plan, owner, size, rates, gateway))
+                .min(Comparator.comparing((PrefillPlan plan) ->
+                                prefillCost(plan, owner, size, rates, uncachedPreference, gateway))
                         .thenComparing(plan -> plan.engine().id()))
                 .flatMap(plan -> chooseDecode(engines, plan.engine(), gateway)
                         .map(decode -> new Choice(
@@ -146,18 +163,54 @@
 
     /** Returns the preferred engine of a segment; all gateways of a region find the same one without communication. */
     private static Optional<EngineCandidate> affinityOwner(
-            List<EngineCandidate> engines, String affinity, Location gateway) {
+            List<EngineCandidate> engines, PromptSize size, EngineRates rates, Location gateway) {
+        String affinity = size.affinityKey();
         if (affinity.isEmpty()) {
             return Optional.empty();
         }
+        double maxQueueMillis = maxOwnerQueueMillis(engines, size, rates);
         return engines.stream()
                 .filter(EngineCandidate::prefillRole)
                 .max(Comparator.comparing(
                                 (EngineCandidate engine) -> gateway.distanceTo(engine) != Distance.OTHER_REGION)
+                        .thenComparing(engine -> queueMillis(engine, rates) <= maxQueueMillis)
+                        .thenComparing(engine -> weightedScore(affinity, engine))
                         .thenComparing(engine -> rendezvousWeight(affinity, engine.id()))
                         .thenComparing(EngineCandidate::id));
     }
 
+    /**
+     * Returns the queue above which an engine does not become the owner of a segment. Where engines differ in speed, a
+     * segment that no engine has cached goes to the next owner in the order rather than behind a long queue.
+     */
+    private static double maxOwnerQueueMillis(List<EngineCandidate> engines, PromptSize size, EngineRates rates) {
+        boolean cached = engines.stream().anyMatch(engine -> engine.cachedTokens() >= size.sharedTokens());
+        if (cached || !differInSpeed(engines)) {
+            return Double.MAX_VALUE;
+        }
+        double meanMillis = engines.stream()
+                .filter(EngineCandidate::prefillRole)
+                .mapToDouble(engine -> queueMillis(engine, rates))
+                .average()
+                .orElse(0);
+        return Math.max(MAX_OWNER_QUEUE_RATIO * meanMillis, size.sharedTokens() / rates.prefillTokensPerMilli());
+    }
+
+    private static double queueMillis(EngineCandidate engine, EngineRates rates) {
+        return engine.slowdown() * engine.queuedTokens() / engine.tokensPerMilli(rates);
+    }
+
+    private static boolean differInSpeed(List<EngineCandidate> engines) {
+        return engines.stream().mapToDouble(EngineCandidate::speed).distinct().count() > 1;
+    }
+
+    /** Returns the score of an engine in weighted rendezvous hashing; it owns segments in proportion to its speed. */
+    private static double weightedScore(String affinity, EngineCandidate engine) {
+        double hash =
+                Math.min(Math.nextDown(1.0), (rendezvousWeight(affinity, engine.id()) + 1.0) / MAX_RENDEZVOUS_WEIGHT);
+        return -engine.speed() / Math.log(hash);
+    }
+
     /** Returns for each region the engine with the most cached tokens of the prompt. */
     private static List<EngineCandidate> prefixSources(
             List<EngineCandidate> engines, Optional<EngineCandidate> owner, Location gateway) {
@@ -175,12 +228,12 @@
             PromptSize size,
             EngineRates rates,
             Location gateway) {
-        double tokensPerMilli = rates.prefillTokensPerMilli() * (engine.prefillRole() ? 1 : DECODE_PREFILL_SPEED_RATIO);
+        double tokensPerMilli = engine.tokensPerMilli(rates);
         int uncached = Math.max(0, size.promptTokens() - engine.cachedTokens());
-        double queueMillis = engine.slowdown() * engine.queuedTokens() / tokensPerMilli;
+        double queueMillis = queueMillis(engine, rates);
         double unloadedMillis = engine.slowdown() * uncached / tokensPerMilli;
         PrefillPlan withoutFetch =
-                new PrefillPlan(engine, null, uncached, queueMillis + unloadedMillis, unloadedMillis);
+                new PrefillPlan(engine, null, uncached, queueMillis + unloadedMillis, unloadedMillis, 0);
         return prefixSources.stream()
                 .filter(source -> !source.equals(engine))
                 .map(source -> {
@@ -195,7 +248,8 @@
                             source,
                             uncached - fetched,
                             queueMillis + fetchAndPrefillMillis,
-                            fetchAndPrefillMillis);
+                            fetchAndPrefillMillis,
+                            fetchMillis);
                 })
                 .filter(plan -> plan.unloadedMillis() + MIN_FETCH_GAIN_MILLIS < unloadedMillis)
                 .min(Comparator.comparing(PrefillPlan::millis))
@@ -203,7 +257,8 @@
     }
 
     private static TimeEstimate times(PrefillPlan plan, double startMillis) {
-        return new TimeEstimate(plan.millis(), plan.millis() + startMillis, plan.unloadedMillis() + startMillis);
+        return new TimeEstimate(
+                plan.millis(), plan.millis() + startMillis, plan.unloadedMillis() + startMillis, plan.fetchMillis());
     }
 
     /**
@@ -221,17 +276,22 @@
      * Returns the prefill time with penalties, less a bonus for the owner that keeps a segment cached on one engine.
      */
     private static double prefillCost(
-            PrefillPlan plan, Optional<EngineCandidate> owner, PromptSize size, EngineRates rates, Location gateway) {
+            PrefillPlan plan,
+            Optional<EngineCandidate> owner,
+            PromptSize size,
+            EngineRates rates,
+            double uncachedPreference,
+            Location gateway) {
         boolean owned = owner.filter(plan.engine()::equals).isPresent();
         // A segment that no engine has cached is prefilled where all gateways will look for it.
         double preference = plan.prefillTokens() > size.promptTokens() - size.sharedTokens()
-                ? UNCACHED_AFFINITY_PREFERENCE
+                ? uncachedPreference
                 : AFFINITY_PREFERENCE;
         double distancePenaltyMillis = gateway.distanceTo(plan.engine()).penaltyMillis();
         double startMillis = plan.millis() + plan.engine().startDelayMillis();
         return startMillis
                 + distancePenaltyMillis
-                - (owned ? preference * size.sharedTokens() / rates.prefillTokensPerMilli() : 0);
+                - (owned ? preference * size.sharedTokens() / plan.engine().tokensPerMilli(rates) : 0);
     }
 
     /** Returns the engine that decodes the output of a prompt that another engine prefills, or empty for none. */
@@ -240,9 +300,10 @@
         return engines.stream()
                 .filter(engine -> !engine.prefillRole())
                 .min(Comparator.comparing((EngineCandidate engine) -> {
-                            double load = engine.slowdown() * (engine.inFlight() + 1) / engine.slots()
-                                    + engine.queuedTokens() * LOAD_PER_QUEUED_TOKEN
-                                    + engine.startDelayMillis() / START_DELAY_PER_LOAD_MILLIS;
+                            double load =
+                                    engine.slowdown() * (engine.inFlight() + 1) / (engine.slots() * engine.speed())
+                                            + engine.queuedTokens() * LOAD_PER_QUEUED_TOKEN
+                                            + engine.startDelayMillis() / START_DELAY_PER_LOAD_MILLIS;
                             return load
                                     + gateway.distanceBetween(prefill, engine).loadPenalty();
                         })
--- /dev/null
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/FleetRatesTest.java
@@ -0,0 +1,48 @@
+package org.wagtailcart.policy.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against differences in speed that are only noise, and against rates that wrong samples make extreme. */
+class FleetRatesTest {
+    /** Guards against a uniform fleet that is served differently than without learned rates. */
+    @ParameterizedTest
+    @CsvSource({"50, 50", "41, 50", "59, 50", "36.7, 36.7", "70, 70"})
+    void aUniformFleetHasOneRate(double tokensPerMilli, double serviceTokensPerMilli) {
+        FleetRates rates =
+                FleetRates.of(Map.of("a", tokensPerMilli, "b", 0.93 * tokensPerMilli, "c", 1.07 * tokensPerMilli));
+        assertThat(rates.serviceTokensPerMilli()).isEqualTo(serviceTokensPerMilli);
+        assertThat(rates.speed("a")).isEqualTo(1);
+        assertThat(rates.speed("unknown")).isEqualTo(1);
+    }
+
+    /** Guards against estimates that ignore a third of the engines being 2.4 times as fast. */
+    @Test
+    void enginesOfTwoSpeedsKeepTheirOwnRates() {
+        FleetRates rates = FleetRates.of(Map.of("a", 35.8, "b", 35.0, "c", 86.9));
+        assertThat(rates.tokensPerMilli("a")).isEqualTo(35.8);
+        assertThat(rates.tokensPerMilli("b")).isEqualTo(35.8);
+        assertThat(rates.tokensPerMilli("c")).isWithin(0.01).of(86.9);
+        assertThat(rates.tokensPerMilli("new")).isEqualTo(35.8);
+    }
+
+    /** Guards against the first engine with samples determining the rate assumed for all others. */
+    @Test
+    void oneEngineDoesNotDetermineTheRateOfTheService() {
+        FleetRates rates = FleetRates.of(Map.of("c", 86.9));
+        assertThat(rates.serviceTokensPerMilli()).isEqualTo(50);
+        assertThat(rates.tokensPerMilli("c")).isWithin(0.01).of(86.9);
+    }
+
+    /** Guards against an engine that wrong samples exclude, or make take everything. */
+    @Test
+    void ratesAreClampedRelativeToTheMedian() {
+        FleetRates rates = FleetRates.of(Map.of("a", 50.0, "b", 50.0, "c", 1.0, "d", 900.0, "e", 50.0));
+        assertThat(rates.tokensPerMilli("c")).isEqualTo(12.5);
+        assertThat(rates.tokensPerMilli("d")).isEqualTo(200);
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/PrefillRateEstimateTest.java
@@ -0,0 +1,74 @@
+package org.wagtailcart.policy.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against a learned prefill rate that follows queues, faults or single wrong samples. */
+class PrefillRateEstimateTest {
+    private final PrefillRateEstimate estimate = new PrefillRateEstimate();
+
+    private void record(double tokensPerMilli, int count, long fromMillis, long intervalMillis) {
+        for (int i = 0; i < count; i++) {
+            estimate.record(tokensPerMilli, 1, fromMillis + i * intervalMillis);
+        }
+    }
+
+    /** Guards against samples whose time depends on the queue or on fixed delays rather than on the engine. */
+    @ParameterizedTest
+    @CsvSource({
+        "17000, 0, 480, 35.4",
+        "17000, 0, 200, 85",
+        "4000, 1000, 100, 50",
+        "4000, 1001, 100, -1",
+        "2499, 0, 50, -1",
+        "17000, 0, 0, -1"
+    })
+    void onlyPrefillsThatAreMostlyOwnWorkAreSampled(
+            long tokens, long queuedTokens, double elapsedMillis, double expectedTokensPerMilli) {
+        assertThat(PrefillRateEstimate.sample(tokens, queuedTokens, elapsedMillis)
+                        .orElse(-1))
+                .isWithin(0.1)
+                .of(expectedTokensPerMilli);
+    }
+
+    /** Guards against a rate that samples behind hidden queues, or one with a wrongly estimated cache, determine. */
+    @Test
+    void samplesBehindHiddenQueuesDoesNotChangeTheRate() {
+        record(86, 4, 0, 300);
+        record(20, 3, 1_200, 300);
+        record(350, 1, 2_100, 300);
+        assertThat(estimate.tokensPerMilli(2_400).orElseThrow()).isEqualTo(86);
+    }
+
+    /** Guards against a rate that is used before a single wrong sample can be outvoted. */
+    @Test
+    void aFewSamplesDoNotReplaceTheKnownRate() {
+        estimate.recordKnown(86);
+        record(20, 3, 0, 100);
+        assertThat(estimate.tokensPerMilli(200).orElseThrow()).isEqualTo(86);
+        record(20, 1, 300, 100);
+        assertThat(estimate.tokensPerMilli(300).orElseThrow()).isEqualTo(20);
+    }
+
+    /** Guards against a fault of some seconds that lowers the rate, and against a rate that never follows a change. */
+    @ParameterizedTest
+    @CsvSource({"5, 86", "17, 30"})
+    void aFaultOfSecondsIsIgnoredAndALastingChangeIsFollowed(int seconds, double expectedTokensPerMilli) {
+        record(86, 60, 0, 333);
+        record(30, 3 * seconds, 20_000, 333);
+        assertThat(estimate.tokensPerMilli(20_000 + 1_000L * seconds).orElseThrow())
+                .isEqualTo(expectedTokensPerMilli);
+    }
+
+    /** Guards against an engine that loses its rate because it gets no prompts. */
+    @Test
+    void theLastRateStaysKnownWithoutSamples() {
+        record(86, 5, 0, 300);
+        assertThat(estimate.tokensPerMilli(2_000).orElseThrow()).isEqualTo(86);
+        assertThat(estimate.tokensPerMilli(100_000).orElseThrow()).isEqualTo(86);
+        assertThat(estimate.samples(100_000)).isEqualTo(0);
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/UnequalEnginesTest.java
@@ -0,0 +1,296 @@
+package org.wagtailcart.policy.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtailcart.common.Regions;
+
+/**
+ * Guards against placement that loses requests' targets because it does not know the speeds of engines, and against a
+ * loss where the speeds are equal. Fake engines prefill prompts one after another; each load is served once with equal
+ * speeds assumed, once with the true speeds and once with learned ones.
+ */
+class UnequalEnginesTest {
+    private static final Logger LOG = System.getLogger(UnequalEnginesTest.class.getName());
+    private static final double BASE_TOKENS_PER_MILLI = 51.1;
+    private static final int PREFILL_ENGINES = 24;
+    private static final int CACHED_SEGMENTS = 30;
+    private static final long DURATION_MILLIS = 60_000;
+    /** Interval at which a gateway learns the queues of the others. */
+    private static final long REPORT_MILLIS = 250;
+
+    private static final int GATEWAYS = 4;
+    private static final double FETCH_TOKENS_PER_MILLI = 1_000;
+    private static final Location LOCATION = new Location("fes", Regions.SINGLE);
+
+    /** Kinds of prompts of deployment B. */
+    private enum Kind {
+        LONG(27.6, 13_300, 3_720, 640, 1_500),
+        MEDIUM(20.3, 6_300, 2_890, 1_000, 1_500),
+        SHORT(40.5, 350, 1_110, 1_200, 60);
+
+        private final double perSecond;
+        private final int sharedTokens;
+        private final int ownTokens;
+        private final double targetMillis;
+        private final int segments;
+
+        Kind(double perSecond, int sharedTokens, int ownTokens, double targetMillis, int segments) {
+            this.perSecond = perSecond;
+            this.sharedTokens = sharedTokens;
+            this.ownTokens = ownTokens;
+            this.targetMillis = targetMillis;
+            this.segments = segments;
+        }
+    }
+
+    /** What placement knows of the speeds. */
+    private enum Knowledge {
+        NONE,
+        TRUE,
+        LEARNED
+    }
+
+    /** True rate of an engine at a time. */
+    private interface Speeds {
+        double tokensPerMilli(int engine, double nowMillis);
+    }
+
+    /** Prefill that an engine will have finished at a known time. */
+    private record Prefill(int gateway, double sentAtMillis, double endMillis, long tokens, double rate) {}
+
+    private static final class FakeEngine {
+        private final String id;
+        private final int index;
+        private final LinkedHashSet<String> cache = new LinkedHashSet<>();
+        private final List<Prefill> pending = new ArrayList<>();
+        private final PrefillRateEstimate estimate = new PrefillRateEstimate();
+        private double freeAtMillis;
+        private long reportedTokens;
+
+        FakeEngine(int index) {
+            this.index = index;
+            this.id = "e" + index;
+        }
+
+        long queuedTokens(int gateway, double nowMillis, double reportedAtMillis) {
+            long own = pending.stream()
+                    .filter(prefill -> prefill.gateway() == gateway && prefill.endMillis() > nowMillis)
+                    .mapToLong(Prefill::tokens)
+                    .sum();
+            long others = pending.stream()
+                    .filter(prefill -> prefill.gateway() != gateway
+                            && prefill.sentAtMillis() <= reportedAtMillis
+                            && prefill.endMillis() > reportedAtMillis)
+                    .mapToLong(Prefill::tokens)
+                    .sum();
+            return own + others;
+        }
+
+        void use(String segment) {
+            cache.remove(segment);
+            cache.add(segment);
+            if (cache.size() > CACHED_SEGMENTS) {
+                cache.remove(cache.iterator().next());
+            }
+        }
+    }
+
+    private record Outcome(double goodput, List<String> engines) {}
+
+    private static Outcome serve(Speeds speeds, double noise, double load, Knowledge knowledge, long seed) {
+        Random arrivals = new Random(seed);
+        Random delays = new Random(seed + 1);
+        List<FakeEngine> engines =
+                IntStream.range(0, PREFILL_ENGINES).mapToObj(FakeEngine::new).toList();
+        double perSecond = load
+                * java.util.Arrays.stream(Kind.values())
+                        .mapToDouble(kind -> kind.perSecond)
+                        .sum();
+        double nowMillis = 0;
+        int inTime = 0;
+        List<String> chosen = new ArrayList<>();
+        while (nowMillis < DURATION_MILLIS) {
+            nowMillis += -Math.log(1 - arrivals.nextDouble()) * 1_000 / perSecond;
+            Kind kind = kind(arrivals);
+            String segment = kind + "-" + arrivals.nextInt(kind.segments);
+            int gateway = arrivals.nextInt(GATEWAYS);
+            double noiseFactor = Math.exp(noise * delays.nextGaussian());
+            PromptPlacement.Choice choice = place(engines, speeds, knowledge, kind, segment, gateway, nowMillis);
+            FakeEngine engine = engines.get(Integer.parseInt(
+                    java.util.Objects.requireNonNull(choice.prefill()).id().substring(1)));
+            double startMillis = Math.max(nowMillis, engine.freeAtMillis);
+            double endMillis = startMillis
+                    + choice.times().fetchMillis()
+                    + choice.prefillTokens() / (noiseFactor * speeds.tokensPerMilli(engine.index, startMillis));
+            long queued = engine.queuedTokens(gateway, nowMillis, reportedAtMillis(nowMillis));
+            double rate = PrefillRateEstimate.sample(
+                            choice.prefillTokens(),
+                            queued,
+                            endMillis - nowMillis - choice.times().fetchMillis())
+                    .orElse(0);
+            engine.freeAtMillis = endMillis;
+            engine.pending.add(new Prefill(gateway, nowMillis, endMillis, choice.prefillTokens(), rate));
+            engine.use(segment);
+            chosen.add(engine.id);
+            inTime += endMillis + PromptPlacement.TRANSFER_MILLIS - nowMillis <= kind.targetMillis ? 1 : 0;
+        }
+        return new Outcome((double) inTime / chosen.size(), chosen);
+    }
+
+    private static double reportedAtMillis(double nowMillis) {
+        return Math.floor(nowMillis / REPORT_MILLIS) * REPORT_MILLIS;
+    }
+
+    private static Kind kind(Random random) {
+        double total = 0;
+        double drawn = random.nextDouble()
+                * java.util.Arrays.stream(Kind.values())
+                        .mapToDouble(kind -> kind.perSecond)
+                        .sum();
+        for (Kind kind : Kind.values()) {
+            total += kind.perSecond;
+            if (drawn < total) {
+                return kind;
+            }
+        }
+        return Kind.SHORT;
+    }
+
+    private static PromptPlacement.Choice place(
+            List<FakeEngine> engines,
+            Speeds speeds,
+            Knowledge knowledge,
+            Kind kind,
+            String segment,
+            int gateway,
+            double nowMillis) {
+        FleetRates rates = rates(engines, speeds, knowledge, nowMillis);
+        List<EngineCandidate> candidates = engines.stream()
+                .map(engine -> new EngineCandidate(
+                        engine.id,
+                        "fes",
+                        true,
+                        64,
+                        0,
+                        engine.queuedTokens(gateway, nowMillis, reportedAtMillis(nowMillis)),
+                        engine.cache.contains(segment) ? kind.sharedTokens : 0,
+                        1,
+                        0,
+                        rates.speed(engine.id)))
+                .collect(Collectors.toCollection(ArrayList::new));
+        candidates.add(new EngineCandidate("decode", "fes", false, 64, 64, 0, 0, 1, 0));
+        return PromptPlacement.choose(
+                        candidates,
+                        new PromptPlacement.PromptSize(kind.sharedTokens + kind.ownTokens, kind.sharedTokens, segment),
+                        new PromptPlacement.EngineRates(rates.serviceTokensPerMilli(), FETCH_TOKENS_PER_MILLI),
+                        LOCATION)
+                .orElseThrow();
+    }
+
+    private static FleetRates rates(List<FakeEngine> engines, Speeds speeds, Knowledge knowledge, double nowMillis) {
+        long now = Math.round(nowMillis);
+        engines.forEach(engine -> engine.pending.removeIf(prefill -> {
+            boolean done = prefill.endMillis() + REPORT_MILLIS <= nowMillis;
+            if (done && prefill.rate() > 0) {
+                engine.estimate.record(prefill.rate(), 1, Math.round(prefill.endMillis()));
+            }
+            return done;
+        }));
+        Map<String, Double> known = new HashMap<>();
+        switch (knowledge) {
+            case NONE -> {}
+            case TRUE ->
+                engines.forEach(engine -> known.put(engine.id, speeds.tokensPerMilli(engine.index, nowMillis)));
+            case LEARNED ->
+                engines.forEach(
+                        engine -> engine.estimate.tokensPerMilli(now).ifPresent(rate -> known.put(engine.id, rate)));
+        }
+        return FleetRates.of(known);
+    }
+
+    private static Map<Knowledge, Double> goodputs(Speeds speeds, double noise, double load) {
+        Map<Knowledge, Double> goodputs = new LinkedHashMap<>();
+        for (Knowledge knowledge : Knowledge.values()) {
+            goodputs.put(
+                    knowledge,
+                    IntStream.range(0, 3)
+                            .mapToDouble(seed ->
+                                    serve(speeds, noise, load, knowledge, seed).goodput())
+                            .average()
+                            .orElse(0));
+        }
+        LOG.log(Level.INFO, "load {0}, noise {1}: goodput {2}", load, noise, goodputs);
+        return goodputs;
+    }
+
+    private static void assertLearnedIsAsGoodAsTrue(Map<Knowledge, Double> goodputs) {
+        assertThat(goodputs.getOrDefault(Knowledge.LEARNED, 0.0))
+                .isAtLeast(0.95 * goodputs.getOrDefault(Knowledge.TRUE, 1.0));
+        assertThat(goodputs.getOrDefault(Knowledge.LEARNED, 0.0)).isAtLeast(goodputs.getOrDefault(Knowledge.NONE, 1.0));
+    }
+
+    /** Guards against targets missed on deployment B because every engine is taken for equally fast. */
+    @ParameterizedTest
+    @CsvSource({"0.5", "1", "1.3"})
+    void twoSpeedsOfDeploymentB(double load) {
+        double[] factors = {0.7, 0.7, 1.7};
+        assertLearnedIsAsGoodAsTrue(
+                goodputs((engine, nowMillis) -> BASE_TOKENS_PER_MILLI * factors[engine % 3], 0, load));
+    }
+
+    /** Guards against rates that noise of single prefills makes useless. */
+    @ParameterizedTest
+    @CsvSource({"0.5", "1", "1.3"})
+    void threeSpeedsWithNoise(double load) {
+        double[] factors = {0.5, 1, 1.7};
+        assertLearnedIsAsGoodAsTrue(
+                goodputs((engine, nowMillis) -> BASE_TOKENS_PER_MILLI * factors[engine % 3], 0.2, load));
+    }
+
+    /** Guards against rates that do not follow when slow engines become fast and fast ones slow. */
+    @ParameterizedTest
+    @CsvSource({"0.5", "1"})
+    void aSpeedThatChanges(double load) {
+        double[] before = {0.7, 0.7, 1.7};
+        double[] after = {1.7, 0.7, 0.7};
+        assertLearnedIsAsGoodAsTrue(goodputs(
+                (engine, nowMillis) ->
+                        BASE_TOKENS_PER_MILLI * (nowMillis < DURATION_MILLIS / 2.0 ? before : after)[engine % 3],
+                0.05,
+                load));
+    }
+
+    /** Guards against a uniform fleet of the default speed that is served differently with learned rates. */
+    @ParameterizedTest
+    @CsvSource({"0.5", "1"})
+    void aUniformFleetIsServedExactlyAsBefore(double load) {
+        Speeds uniform = (engine, nowMillis) -> FleetRates.DEFAULT_TOKENS_PER_MILLI;
+        assertThat(serve(uniform, 0.05, load, Knowledge.LEARNED, 7)
+                        .engines()
+                        .equals(serve(uniform, 0.05, load, Knowledge.NONE, 7).engines()))
+                .isTrue();
+    }
+
+    /** Guards against a loss on a uniform fleet that is slower than the default, as in deployment A. */
+    @Test
+    void aUniformSlowFleetLosesNothing() {
+        Map<Knowledge, Double> goodputs = goodputs((engine, nowMillis) -> 36.7, 0.05, 1);
+        // Until all rates are known the order of placements differs, which changes the outcome by less than 0.1%.
+        assertThat(goodputs.getOrDefault(Knowledge.LEARNED, 0.0))
+                .isAtLeast(0.998 * goodputs.getOrDefault(Knowledge.NONE, 1.0));
+    }
+}
