Derive the bound on a pending prefill from rate, queue and restart cost

Prompts were cancelled after 0.7 to 1.0 s and started again at the next engine, because the bound was 3 times an estimate that knew neither the engine's rate nor prompts that other gateways had sent within the last 250 ms, plus 700 ms.

OverdueBound computes it from the engine's own rate and its queue at the time of sending, extends it by the growth of that queue since then (at most 1.5 s, as the queue of a failed engine grows too) and adds the time of a new start elsewhere, so that waiting at most doubles the loss.

Ruled out: cancelling only requests that exceed their own bound. Other requests at an engine that has failed would be moved later, although their prefill has not begun.

--- a/common/src/main/java/org/wagtailcart/common/LogEventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEventKind.java
@@ -68,6 +68,8 @@
     UPSTREAM_ANNOUNCED(false, "request", "upstream", "leaving", "retry-after", "for-millis"),
     /** An engine ended while it answered requests, according to a gateway. */
     UPSTREAM_CRASHED(false, "upstream", "address", "requests", "segments"),
+    /** The prefill rates by which a gateway places prompts changed. */
+    ENGINE_RATES_CHANGED(false, "service", "tokens-per-milli", "faster", "slower", "max-speed", "min-speed"),
     /** A process refuses requests with a prompt segment that makes engines crash. */
     SEGMENT_QUARANTINED(false, "segment", "offences", "for-millis", "source"),
     /** A gateway installed a newer routing table. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayMetrics.java
@@ -3,6 +3,8 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import java.util.function.IntSupplier;
+import java.util.stream.DoubleStream;
+import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.control.client.OutstandingWork;
 import org.wagtailcart.gateway.call.GatewayContext;
 import org.wagtailcart.gateway.list.UpstreamState;
@@ -39,6 +41,21 @@
         gauge(registry, "gateway.queued-tokens", () -> context.registry().ownWork().stream()
                 .mapToLong(OutstandingWork::promptTokens)
                 .sum());
+        gauge(registry, "gateway.engine-rate.min-tokens-per-milli", () -> prefillRates(context)
+                .min()
+                .orElse(0));
+        gauge(registry, "gateway.engine-rate.max-tokens-per-milli", () -> prefillRates(context)
+                .max()
+                .orElse(0));
+        gauge(registry, "gateway.engine-rate.samples", () -> context.registry().states().stream()
+                .mapToInt(UpstreamState::rateSamples)
+                .sum());
+    }
+
+    private static DoubleStream prefillRates(GatewayContext context) {
+        return context.registry().states().stream()
+                .filter(state -> state.role() == EngineRole.PREFILL)
+                .mapToDouble(UpstreamState::tokensPerMilli);
     }
 
     private static void gauge(MetricRegistry registry, String name, Gauge<Number> value) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/InFlightRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/InFlightRequest.java
@@ -1,6 +1,7 @@
 package org.wagtailcart.gateway.list;
 
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.policy.placement.OverdueBound;
 import org.wagtailcart.policy.placement.PrefillRateEstimate;
 import org.wagtailcart.policy.placement.PrefillSlowdown;
 import org.wagtailcart.policy.placement.StreamStartDelay;
@@ -11,7 +12,7 @@
     private final Upstream upstream;
     private final Work work;
     private final long startMillis;
-    private final long dueMillis;
+    private final double usualMillis;
     private boolean ended;
     private boolean prefilled;
     private long firstOutputAtMillis = -1;
@@ -23,6 +24,7 @@
      * @param prefillMillis estimated duration of the prefill, including its queue time
      * @param queuedTokens prompt tokens queued before it
      * @param fetchMillis part of that time in which KV cache is fetched
+     * @param restartTokens prompt tokens that another engine would have to prefill
      * @param prefillEngine engine that ran the prefill for it, null if there is none
      */
     record Work(
@@ -30,16 +32,22 @@
             double prefillMillis,
             long queuedTokens,
             double fetchMillis,
+            long restartTokens,
             @Nullable Upstream prefillEngine) {
-        static final Work NO_PROMPT = new Work(0, 0, 0, 0, null);
+        static final Work NO_PROMPT = new Work(0, 0, 0, 0, 0, null);
     }
 
-    InFlightRequest(UpstreamRegistry registry, Upstream upstream, Work work, long startMillis, long dueMillis) {
+    /**
+     * Creates the record of a request.
+     *
+     * @param usualMillis usual duration of a request without a prefill
+     */
+    InFlightRequest(UpstreamRegistry registry, Upstream upstream, Work work, long startMillis, double usualMillis) {
         this.registry = registry;
         this.upstream = upstream;
         this.work = work;
         this.startMillis = startMillis;
-        this.dueMillis = dueMillis;
+        this.usualMillis = usualMillis;
     }
 
     /** Returns the upstream at which the request is in flight. */
@@ -74,8 +82,19 @@
     }
 
     /** Returns whether the request is overdue and the upstream has sent no other response since it started. */
-    boolean isOverdueWithoutResponse(long answeredMillis, long nowMillis) {
-        return nowMillis > dueMillis && answeredMillis < startMillis;
+    boolean isOverdueWithoutResponse(long answeredMillis, OverdueBound.Rates rates, long nowMillis) {
+        return answeredMillis < startMillis && nowMillis > startMillis + boundMillis(rates);
+    }
+
+    private long boundMillis(OverdueBound.Rates rates) {
+        return work.prefillTokens() == 0
+                ? OverdueBound.millis(usualMillis)
+                : OverdueBound.prefillMillis(
+                        work.prefillTokens(),
+                        work.queuedTokens(),
+                        upstream.queuedTokens() - (prefilled ? 0 : work.prefillTokens()),
+                        work.restartTokens(),
+                        rates);
     }
 
     /** Returns a lower bound of the slowdown of the upstream while the prefill is pending, otherwise 1. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -9,6 +9,7 @@
 import org.wagtailcart.policy.health.HealthOptions;
 import org.wagtailcart.policy.health.HealthPolicy;
 import org.wagtailcart.policy.health.HealthTracker;
+import org.wagtailcart.policy.placement.OverdueBound;
 import org.wagtailcart.policy.placement.PrefillSlowdown;
 import org.wagtailcart.policy.placement.PrefixCacheEstimate;
 import org.wagtailcart.policy.placement.StreamStartDelay;
@@ -205,9 +206,9 @@
     }
 
     /** Returns whether a request is overdue and no response has arrived since that request started. */
-    boolean isUnresponsive(long nowMillis) {
+    boolean isUnresponsive(OverdueBound.Rates rates, long nowMillis) {
         return ownRequests.stream()
-                .anyMatch(request -> request.isOverdueWithoutResponse(lastResponseAtMillis, nowMillis));
+                .anyMatch(request -> request.isOverdueWithoutResponse(lastResponseAtMillis, rates, nowMillis));
     }
 
     /** Records an outcome; returns whether it changed the upstream from available to ejected, or back. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -27,6 +28,7 @@
 import org.wagtailcart.policy.placement.EngineRate;
 import org.wagtailcart.policy.placement.FleetRates;
 import org.wagtailcart.policy.placement.Location;
+import org.wagtailcart.policy.placement.OverdueBound;
 import org.wagtailcart.policy.placement.PrefixCacheEstimate;
 import org.wagtailcart.policy.placement.PromptPlacement;
 import org.wagtailcart.policy.placement.ReplicaCandidate;
@@ -46,10 +48,6 @@
     private static final long LATENCY_MAX_AGE_MILLIS = 5_000;
     /** Backoff of an upstream that is not the listed instance; the host list shows the change within this time. */
     private static final long MISDIRECTED_BACKOFF_MILLIS = 1_500;
-    /** Multiple of its usual duration after which a request is overdue. */
-    private static final double OVERDUE_FACTOR = 3;
-    /** Time added to that multiple for delays that the estimate does not cover. */
-    private static final long OVERDUE_SLACK_MILLIS = 700;
     /** Backoff of an engine that refused a request; its load may have dropped after this time. */
     private static final long FULL_BACKOFF_MILLIS = 200;
     /** Fraction of an engine's KV cache available to shared prompt segments; running requests need the rest. */
@@ -298,13 +296,14 @@
                 placement.times().prefillMillis(),
                 engine.queuedTokens(),
                 placement.times().fetchMillis(),
+                prompt.promptTokens(),
                 null);
         return startRequest(engine, work, prompt.segments());
     }
 
     /** Starts a request at an engine that decodes from the KV cache of another engine. */
     public synchronized InFlightRequest startDecode(Upstream engine, Upstream prefillEngine) {
-        return startRequest(engine, new InFlightRequest.Work(0, 0, 0, 0, prefillEngine), List.of());
+        return startRequest(engine, new InFlightRequest.Work(0, 0, 0, 0, 0, prefillEngine), List.of());
     }
 
     private void addPrefixUpdate(Upstream engine, List<PrefixCacheEstimate.Segment> shared) {
@@ -397,7 +396,11 @@
 
     /** Returns whether a request at an upstream is overdue and no response has arrived since it started. */
     public synchronized boolean isUnresponsive(Upstream upstream) {
-        return upstream.isUnresponsive(clock.nowMillis());
+        long nowMillis = clock.nowMillis();
+        double serviceTokensPerMilli =
+                fleetRates(upstream.listEntry().service(), nowMillis).serviceTokensPerMilli();
+        return upstream.isUnresponsive(
+                new OverdueBound.Rates(tokensPerMilli(upstream, nowMillis), serviceTokensPerMilli), nowMillis);
     }
 
     /** Takes an upstream that is full, or refuses requests, out of service for a short time. */
@@ -452,9 +455,24 @@
                         .ifPresent(rate -> known.put(upstream.id(), rate)));
         FleetRates rates = FleetRates.of(known);
         ratesByService.put(service, new CachedRates(rates, nowMillis + RATES_VALIDITY_MILLIS));
+        logChange(service, rates.summary(), (cached == null ? FleetRates.DEFAULT : cached.rates()).summary());
         return rates;
     }
 
+    private static void logChange(String service, FleetRates.Summary latest, FleetRates.Summary previous) {
+        if (latest.differsFrom(previous)) {
+            LogEventKind.ENGINE_RATES_CHANGED.log(
+                    LOG,
+                    Level.INFO,
+                    service,
+                    latest.tokensPerMilli(),
+                    latest.faster(),
+                    latest.slower(),
+                    String.format(Locale.ROOT, "%.2f", latest.maxSpeed()),
+                    String.format(Locale.ROOT, "%.2f", latest.minSpeed()));
+        }
+    }
+
     void recordRate(Upstream engine, double tokensPerMilli, long nowMillis) {
         learnedRates.record(engine.id(), tokensPerMilli, nowMillis);
     }
@@ -472,9 +490,6 @@
     /** Applies the rates in the reply of a control member. */
     public synchronized void applyEngineRates(List<EngineRate> rates, long version) {
         learnedRates.apply(rates, version, clock.nowMillis());
-        if (!rates.isEmpty()) {
-            ratesByService.clear();
-        }
     }
 
     /** Sends all known rates with the next poll, because another control member is polled or a poll failed. */
@@ -489,11 +504,7 @@
     private InFlightRequest startRequest(
             Upstream upstream, InFlightRequest.Work work, List<PrefixCacheEstimate.Segment> segments) {
         long nowMillis = clock.nowMillis();
-        double usualMillis = work.prefillTokens() == 0
-                ? upstream.latencyMillis()
-                : (upstream.queuedTokens() + work.prefillTokens()) / tokensPerMilli(upstream, nowMillis);
-        long dueMillis = nowMillis + Math.round(OVERDUE_FACTOR * usualMillis) + OVERDUE_SLACK_MILLIS;
-        InFlightRequest request = new InFlightRequest(this, upstream, work, nowMillis, dueMillis);
+        InFlightRequest request = new InFlightRequest(this, upstream, work, nowMillis, upstream.latencyMillis());
         upstream.started(request, work.prefillTokens(), segments);
         return request;
     }
--- a/policy/src/main/java/org/wagtailcart/policy/placement/FleetRates.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/FleetRates.java
@@ -67,6 +67,32 @@
         return serviceTokensPerMilli * speed(engineId);
     }
 
+    /** Returns a summary for operators. */
+    public Summary summary() {
+        return new Summary(
+                Math.round(serviceTokensPerMilli),
+                speedById.values().stream().filter(speed -> speed > 1).count(),
+                speedById.values().stream().filter(speed -> speed < 1).count(),
+                speedById.values().stream().mapToDouble(speed -> speed).max().orElse(1),
+                speedById.values().stream().mapToDouble(speed -> speed).min().orElse(1));
+    }
+
+    /**
+     * Rates of a service as shown to operators.
+     *
+     * @param tokensPerMilli median rate
+     * @param faster engines with a higher rate, beyond the dead band
+     * @param slower engines with a lower rate, beyond the dead band
+     * @param maxSpeed highest rate relative to the median
+     * @param minSpeed lowest rate relative to the median
+     */
+    public record Summary(long tokensPerMilli, long faster, long slower, double maxSpeed, double minSpeed) {
+        /** Returns whether the number of faster or slower engines or the median differs. */
+        public boolean differsFrom(Summary other) {
+            return tokensPerMilli != other.tokensPerMilli || faster != other.faster || slower != other.slower;
+        }
+    }
+
     private static double speed(double ratio) {
         return withinDeadBand(ratio) ? 1 : Math.max(1 / MAX_RATIO, Math.min(MAX_RATIO, ratio));
     }
