Prefer fast engines for the prefill role

Roles were assigned without regard to speed, so that fast engines could remain in the decode role while slow ones prefilled long prompts.

Where the ratio is corrected anyway, the planner takes the fastest engine of a domain for prefill and the slowest for decode. Under traffic, with the ratio in balance, a fast decode engine and a slow prefill engine of a domain swap roles if their difference gains within 60 s what both lose in 13 s (3 s for the role change, 10 s to prefill the cache again), at most once a minute. That requires about 1.55 times the speed; on a uniform fleet nothing changes.

Conclusion: the cases are covered by PrefillRatioPlannerTest.

--- a/control/src/main/java/org/wagtailcart/control/ControlDump.java
+++ b/control/src/main/java/org/wagtailcart/control/ControlDump.java
@@ -4,6 +4,7 @@
 import org.wagtailcart.coordination.Member;
 import org.wagtailcart.coordination.RaftStatus;
 import org.wagtailcart.fleet.UpstreamView;
+import org.wagtailcart.policy.placement.EngineRate;
 
 /**
  * State of a control member as shown to operators.
@@ -22,6 +23,7 @@
  * @param retainedChangeCount number of changes kept in the settings history
  * @param fleetVersion fleet version in force
  * @param upstreams all upstreams
+ * @param engineRates prefill rates of engines that gateways have reported to this member
  */
 public record ControlDump(
         Member member,
@@ -37,8 +39,10 @@
         int branchCount,
         int retainedChangeCount,
         long fleetVersion,
-        Collection<UpstreamView> upstreams) {
-    static ControlDump of(RaftStatus status, PublishedState state, long confirmationAgeMillis) {
+        Collection<UpstreamView> upstreams,
+        Collection<EngineRate> engineRates) {
+    static ControlDump of(
+            RaftStatus status, PublishedState state, long confirmationAgeMillis, Collection<EngineRate> engineRates) {
         return new ControlDump(
                 status.self(),
                 status.role(),
@@ -53,6 +57,7 @@
                 state.settings().current().branches().size(),
                 state.settings().changes().size(),
                 state.fleet().version(),
-                state.fleet().upstreams().values());
+                state.fleet().upstreams().values(),
+                engineRates);
     }
 }
--- a/control/src/main/java/org/wagtailcart/control/ControlRole.java
+++ b/control/src/main/java/org/wagtailcart/control/ControlRole.java
@@ -44,6 +44,7 @@
 import org.wagtailcart.coordination.RaftStatus;
 import org.wagtailcart.coordination.ReplicatedLog;
 import org.wagtailcart.directory.ListedUpstream;
+import org.wagtailcart.policy.placement.EngineRate;
 import org.wagtailcart.wire.Exchange;
 import org.wagtailcart.wire.MessageCodec;
 import org.wagtailcart.wire.PeerClient;
@@ -155,7 +156,7 @@
 
     @Override
     public Record dump() {
-        return ControlDump.of(log.status(), state.published(), confirmationAgeMillis());
+        return ControlDump.of(log.status(), state.published(), confirmationAgeMillis(), engineRates());
     }
 
     @Override
@@ -268,6 +269,11 @@
         return watchHandler.trafficSeen();
     }
 
+    /** Returns the prefill rates of engines that gateways have reported to this member. */
+    public List<EngineRate> engineRates() {
+        return watchHandler.engineRates();
+    }
+
     private void scheduleRepeating(Runnable task, long periodMillis) {
         tasks.add(scheduler.scheduleWithFixedDelay(
                 () -> runSafely(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS));
--- a/control/src/main/java/org/wagtailcart/control/orders/EngineRoleController.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/EngineRoleController.java
@@ -30,6 +30,8 @@
 import org.wagtailcart.directory.ListedUpstream;
 import org.wagtailcart.directory.OrderOutcome;
 import org.wagtailcart.directory.ReportedEngineState;
+import org.wagtailcart.policy.placement.EngineRate;
+import org.wagtailcart.policy.placement.FleetRates;
 import org.wagtailcart.policy.role.PrefillRatioPlanner;
 import org.wagtailcart.routes.EngineSpec;
 import org.wagtailcart.routes.RouteTable;
@@ -92,6 +94,7 @@
     private final Supplier<RouteTable> table;
     private final Regions regions;
     private final Supplier<Boolean> trafficSeen;
+    private final Supplier<List<EngineRate>> engineRates;
     private final GatewayPublisher gatewayPublisher;
     private final HostList hostList;
     private final EngineControlClient engines;
@@ -116,6 +119,7 @@
      *
      * @param regions mapping of failure domains to regions
      * @param trafficSeen whether callers are being served; until then all engines may change their role at once
+     * @param engineRates prefill rates that gateways have learned
      * @param gatewayPublisher receives the host lists and the cached segments of engines
      * @param leaseMillis minimum time between the orders of two holders
      */
@@ -125,6 +129,7 @@
             Supplier<RouteTable> table,
             Regions regions,
             Supplier<Boolean> trafficSeen,
+            Supplier<List<EngineRate>> engineRates,
             GatewayPublisher gatewayPublisher,
             HostList hostList,
             EngineControlClient engines,
@@ -134,6 +139,7 @@
         this.table = table;
         this.regions = regions;
         this.trafficSeen = trafficSeen;
+        this.engineRates = engineRates;
         this.gatewayPublisher = gatewayPublisher;
         this.hostList = hostList;
         this.engines = engines;
@@ -211,13 +217,15 @@
         orderCooldownUntilMillis.values().removeIf(until -> until <= nowMillis);
         PrefillRatioPlanner planner =
                 ratioPlannersByService.computeIfAbsent(service, name -> new PrefillRatioPlanner());
+        FleetRates rates = fleetRates(upstreams);
         List<PrefillRatioPlanner.Engine> engines = upstreams.stream()
                 .filter(upstream -> !upstream.leaving() && upstream.role() != null)
                 .map(upstream -> new PrefillRatioPlanner.Engine(
                         upstream.instanceId(),
                         spreadDomainOf(upstream),
                         upstream.role() == EngineRole.PREFILL,
-                        pendingRoleChanges.containsKey(upstream.instanceId())))
+                        pendingRoleChanges.containsKey(upstream.instanceId()),
+                        rates.speed(upstream.instanceId())))
                 .toList();
         List<PrefillRatioPlanner.RatioChange> changes =
                 planner.plan(engines, slots(service), trafficSeen.get(), nowMillis);
@@ -230,6 +238,13 @@
                         .ifPresent(upstream -> sendOrder(upstream, change.role())));
     }
 
+    private FleetRates fleetRates(List<ListedUpstream> upstreams) {
+        Set<String> ids = upstreams.stream().map(ListedUpstream::instanceId).collect(Collectors.toSet());
+        return FleetRates.of(engineRates.get().stream()
+                .filter(rate -> ids.contains(rate.instanceId()))
+                .collect(Collectors.toMap(EngineRate::instanceId, EngineRate::tokensPerMilli)));
+    }
+
     private int slots(String service) {
         return table.get().services().stream()
                 .filter(spec -> spec.name().equals(service))
--- a/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.wagtailcart.control.client.FleetReport;
 import org.wagtailcart.control.client.GatewayReport;
+import org.wagtailcart.policy.placement.EngineRate;
 
 /** Collects the reports of gateways and derives from them what all gateways are told. Not thread safe. */
 final class FleetReports {
@@ -13,6 +14,11 @@
         engineRates.record(processId, report.engineRates(), report.engineRatesVersion(), nowMillis);
     }
 
+    /** Returns the learned prefill rates of engines. */
+    List<EngineRate> engineRates() {
+        return engineRates.rates();
+    }
+
     /** Returns the reply to a gateway. */
     FleetReport replyTo(String processId, long nowMillis) {
         EngineRateLog.Page rates = engineRates.pageFor(processId);
--- a/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
@@ -12,6 +12,7 @@
 import org.wagtailcart.control.client.WatchRequest;
 import org.wagtailcart.coordination.Member;
 import org.wagtailcart.coordination.RaftStatus;
+import org.wagtailcart.policy.placement.EngineRate;
 import org.wagtailcart.routes.RouteTable;
 import org.wagtailcart.wire.Exchange;
 
@@ -136,6 +137,11 @@
         prefixUpdates.add("", List.of(update));
     }
 
+    /** Returns the prefill rates of engines that gateways have reported. */
+    public synchronized List<EngineRate> engineRates() {
+        return fleetReports.engineRates();
+    }
+
     /** Returns whether any gateway has ever reported outstanding work. */
     public boolean trafficSeen() {
         synchronized (this) {
--- a/control/src/test/java/org/wagtailcart/control/orders/EngineRoleControllerTest.java
+++ b/control/src/test/java/org/wagtailcart/control/orders/EngineRoleControllerTest.java
@@ -86,6 +86,7 @@
                 () -> RouteTable.EMPTY,
                 Regions.SINGLE,
                 () -> true,
+                List::of,
                 new Gateways(),
                 List::of,
                 new NoEngines(),
--- a/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -205,6 +205,7 @@
                 state::routes,
                 settings.regions(),
                 control::trafficSeen,
+                control::engineRates,
                 control.gatewayPublisher(),
                 list,
                 new PlatformEngineControlClient(client),
--- a/policy/src/main/java/org/wagtailcart/policy/role/PrefillRatioPlanner.java
+++ b/policy/src/main/java/org/wagtailcart/policy/role/PrefillRatioPlanner.java
@@ -34,6 +34,18 @@
     /** Time for which an engine counts as new, after it appeared or changed its role. */
     static final long NEW_ENGINE_MILLIS = 3_000;
 
+    /** Time between two swaps of roles; a swap is rare, so that its effect shows before the next one. */
+    static final long MIN_SWAP_INTERVAL_MILLIS = 60_000;
+
+    /** Time within which a swap must gain what it costs; engines are often replaced after minutes. */
+    static final double SWAP_HORIZON_MILLIS = 60_000;
+
+    /** Work lost by each engine of a swap: 3 s for the change of role and 10 s to prefill its KV cache again. */
+    static final double SWAP_COST_MILLIS = 13_000;
+
+    /** Decode engines needed for a swap, since one of them is out of service while it changes its role. */
+    static final int MIN_DECODE_ENGINES_FOR_SWAP = 3;
+
     private static final long NOT_IMBALANCED = Long.MAX_VALUE;
 
     /** Role of an engine and the time of its first observation in that role. */
@@ -43,6 +55,7 @@
 
     private long imbalancedSinceMillis = NOT_IMBALANCED;
     private long listChangedAtMillis;
+    private long swappedAtMillis = Long.MIN_VALUE / 4;
 
     /**
      * State of an engine in the host list.
@@ -51,8 +64,19 @@
      * @param failureDomain where it runs
      * @param prefill whether it is in the prefill role
      * @param changing whether an order to change its role is pending
+     * @param speed prefill rate relative to that of its service
      */
-    public record Engine(String id, String failureDomain, boolean prefill, boolean changing) {}
+    public record Engine(String id, String failureDomain, boolean prefill, boolean changing, double speed) {
+        /** Creates an engine with the prefill rate of its service. */
+        public Engine(String id, String failureDomain, boolean prefill, boolean changing) {
+            this(id, failureDomain, prefill, changing, 1);
+        }
+
+        /** Returns the speed, negated if slow engines are to be preferred. */
+        private double preference(boolean toPrefill) {
+            return toPrefill ? speed : -speed;
+        }
+    }
 
     /**
      * Order for an engine to change its role.
@@ -94,6 +118,9 @@
         }
         // At system start, engines appear one after another.
         boolean settling = !servingTraffic && nowMillis - listChangedAtMillis < SETTLE_MILLIS;
+        if (servingTraffic && shortfall == 0) {
+            return swap(engines, nowMillis);
+        }
         if (!imbalanced || settling) {
             return List.of();
         }
@@ -105,6 +132,47 @@
         return candidates(engines, shortfall > 0).limit(count).toList();
     }
 
+    /**
+     * Returns the orders for a fast decode engine and a slow prefill engine in the same domain to swap their roles, if
+     * that pays; otherwise none.
+     */
+    private List<RatioChange> swap(List<Engine> engines, long nowMillis) {
+        boolean allowed = nowMillis - swappedAtMillis >= MIN_SWAP_INTERVAL_MILLIS
+                && engines.stream().noneMatch(Engine::changing)
+                && engines.stream().filter(engine -> !engine.prefill()).count() >= MIN_DECODE_ENGINES_FOR_SWAP;
+        if (!allowed) {
+            return List.of();
+        }
+        Optional<Swap> best = engines.stream()
+                .filter(engine -> !engine.prefill())
+                .flatMap(fast -> engines.stream()
+                        .filter(engine ->
+                                engine.prefill() && engine.failureDomain().equals(fast.failureDomain()))
+                        .map(slow -> new Swap(fast, slow)))
+                .filter(Swap::pays)
+                .max(Comparator.comparing(Swap::gainPerMilli)
+                        .thenComparing(swap -> swap.fast().id())
+                        .thenComparing(swap -> swap.slow().id()));
+        if (best.isEmpty()) {
+            return List.of();
+        }
+        swappedAtMillis = nowMillis;
+        return List.of(
+                new RatioChange(best.get().slow().id(), EngineRole.DECODE),
+                new RatioChange(best.get().fast().id(), EngineRole.PREFILL));
+    }
+
+    /** Swap of the roles of a fast decode engine and a slow prefill engine. */
+    private record Swap(Engine fast, Engine slow) {
+        double gainPerMilli() {
+            return fast.speed() - slow.speed();
+        }
+
+        boolean pays() {
+            return gainPerMilli() * SWAP_HORIZON_MILLIS > (fast.speed() + slow.speed()) * SWAP_COST_MILLIS;
+        }
+    }
+
     /** Returns the number of prefill engines after all pending orders, each of which switches an engine's role. */
     private static int plannedPrefillCount(List<Engine> engines) {
         return (int) engines.stream()
@@ -130,7 +198,8 @@
         return engines.stream()
                 .filter(engine -> engine.prefill() != toPrefill && !engine.changing())
                 .filter(engine -> isNew(engine, nowMillis))
-                .min(Comparator.comparing(Engine::id))
+                .min(Comparator.comparing((Engine engine) -> -engine.preference(toPrefill))
+                        .thenComparing(Engine::id))
                 .map(engine -> new RatioChange(engine.id(), toPrefill ? EngineRole.PREFILL : EngineRole.DECODE));
     }
 
@@ -143,13 +212,15 @@
     private static Stream<RatioChange> candidates(List<Engine> engines, boolean toPrefill) {
         Map<String, List<Engine>> byDomain = engines.stream()
                 .filter(engine -> engine.prefill() != toPrefill)
-                .sorted(Comparator.comparing(Engine::id))
+                .sorted(Comparator.comparing((Engine engine) -> -engine.preference(toPrefill))
+                        .thenComparing(Engine::id))
                 .collect(Collectors.groupingBy(Engine::failureDomain));
         return byDomain.values().stream()
                 .flatMap(domain -> Stream.iterate(0, i -> i < domain.size(), i -> i + 1)
                         .map(i -> new RankedEngine(domain.size() - i, domain.get(i))))
                 .filter(ranked -> !ranked.engine().changing())
                 .sorted(Comparator.comparing((RankedEngine ranked) -> -ranked.sameRoleInDomain())
+                        .thenComparing(ranked -> -ranked.engine().preference(toPrefill))
                         .thenComparing(ranked -> ranked.engine().id()))
                 .map(ranked ->
                         new RatioChange(ranked.engine().id(), toPrefill ? EngineRole.PREFILL : EngineRole.DECODE));
--- a/policy/src/test/java/org/wagtailcart/policy/role/PrefillRatioPlannerTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/role/PrefillRatioPlannerTest.java
@@ -76,4 +76,47 @@
         assertThat(planner.plan(engines, SLOTS, false, 3_000)).isEmpty();
         assertThat(planner.plan(engines(13, 10), SLOTS, false, 7_000)).isEmpty();
     }
+
+    private static PrefillRatioPlanner.Engine engine(int index, boolean prefill, double speed) {
+        return new PrefillRatioPlanner.Engine("e" + index, "z", prefill, false, speed);
+    }
+
+    /** Thirteen engines in balance, the first ten in the prefill role, with the given speeds repeated. */
+    private static List<PrefillRatioPlanner.Engine> unequal(double... speeds) {
+        return IntStream.range(0, 13)
+                .mapToObj(i -> engine(i, i < 10, speeds[i % speeds.length]))
+                .toList();
+    }
+
+    /** Guards against swaps on a uniform fleet and for gains that do not pay for two role changes. */
+    @ParameterizedTest
+    @CsvSource({"1, 1, 0", "1, 1.3, 0", "1, 1.5, 0", "1, 1.7, 2", "1, 2.4, 2"})
+    void rolesAreSwappedUnderTrafficOnlyIfThatPays(double slow, double fast, int changes) {
+        assertThat(planner.plan(unequal(slow, fast), SLOTS, true, 0)).hasSize(changes);
+        assertThat(planner.plan(unequal(slow, fast), SLOTS, false, 10_000)).isEmpty();
+    }
+
+    /** Guards against swaps in quick succession, and against one that makes the prefill role slower. */
+    @Test
+    void aSwapIsRareAndMovesTheFastEngineToPrefill() {
+        List<PrefillRatioPlanner.Engine> engines = unequal(1, 2.4);
+        assertThat(planner.plan(engines, SLOTS, true, 0))
+                .containsExactly(
+                        new PrefillRatioPlanner.RatioChange("e8", EngineRole.DECODE),
+                        new PrefillRatioPlanner.RatioChange("e11", EngineRole.PREFILL))
+                .inOrder();
+        assertThat(planner.plan(engines, SLOTS, true, 59_000)).isEmpty();
+        assertThat(planner.plan(engines, SLOTS, true, 60_000)).hasSize(2);
+    }
+
+    /** Guards against slow engines in the prefill role while faster ones of the same domain could take it. */
+    @Test
+    void aCorrectionOfTheRatioPrefersFastEnginesForPrefill() {
+        List<PrefillRatioPlanner.Engine> engines = IntStream.range(0, 13)
+                .mapToObj(i -> engine(i, i < 8, i == 11 ? 2.4 : 1))
+                .toList();
+        planner.plan(engines, SLOTS, true, 0);
+        assertThat(planner.plan(engines, SLOTS, true, 6_000))
+                .containsExactly(new PrefillRatioPlanner.RatioChange("e11", EngineRole.PREFILL));
+    }
 }
