--- a/control/src/main/java/org/wagtailcart/control/ControlRole.java
+++ b/control/src/main/java/org/wagtailcart/control/ControlRole.java
@@ -50,6 +50,7 @@
 import org.wagtailcart.coordination.RaftStatus;
 import org.wagtailcart.coordination.ReplicatedLog;
 import org.wagtailcart.directory.ListedUpstream;
+import org.wagtailcart.policy.placement.EngineRate;
 import org.wagtailcart.usage.CloseUsageWindow;
 import org.wagtailcart.usage.ClosedUsageWindow;
 import org.wagtailcart.usage.MarkUsageReported;
@@ -167,7 +168,7 @@
 
     @Override
     public Record dump() {
-        return ControlDump.of(log.status(), state.published(), confirmationAgeMillis());
+        return ControlDump.of(log.status(), state.published(), confirmationAgeMillis(), engineRates());
     }
 
     @Override
@@ -313,6 +314,11 @@
         return watchHandler.trafficSeen();
     }
 
+    /** Returns the prefill rates of engines that gateways have reported to this member. */
+    public List<EngineRate> engineRates() {
+        return watchHandler.engineRates();
+    }
+
     private void scheduleRepeating(Runnable task, long periodMillis) {
         tasks.add(scheduler.scheduleWithFixedDelay(
                 () -> runSafely(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS));
--- a/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
@@ -4,9 +4,11 @@
 import org.wagtailcart.control.client.FleetReport;
 import org.wagtailcart.control.client.GatewayReport;
 import org.wagtailcart.control.usage.UsageObserver;
+import org.wagtailcart.policy.placement.EngineRate;
 
 /** Collects the reports of gateways and derives from them what all gateways are told. Not thread safe. */
 final class FleetReports {
+    private final EngineRateLog engineRates = new EngineRateLog();
     private final UsageObserver usage;
 
     FleetReports(UsageObserver usage) {
@@ -16,11 +18,22 @@
     /** Records the report of a gateway. */
     void record(String processId, GatewayReport report, long nowMillis) {
         usage.record(processId, report.wallClockMillis(), report.usage(), nowMillis);
+        engineRates.record(processId, report.engineRates(), report.engineRatesVersion(), nowMillis);
+    }
+
+    /** Returns the learned prefill rates of engines. */
+    List<EngineRate> engineRates() {
+        return engineRates.rates();
     }
 
     /** Returns the reply to a gateway. */
     FleetReport replyTo(String processId, long nowMillis) {
+        EngineRateLog.Page rates = engineRates.pageFor(processId);
         return new FleetReport(
-                usage.trueTimeMillis(nowMillis).orElse(0), usage.acknowledged(processId), List.of(), List.of());
+                usage.trueTimeMillis(nowMillis).orElse(0),
+                usage.acknowledged(processId),
+                rates.rates(),
+                List.of(),
+                rates.version());
     }
 }
--- a/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -212,6 +212,7 @@
                 state::routes,
                 settings.regions(),
                 control::trafficSeen,
+                control::engineRates,
                 control.gatewayPublisher(),
                 list,
                 new PlatformEngineControlClient(client),
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -35,6 +35,7 @@
 import org.wagtailcart.gateway.report.GatewayReports;
 import org.wagtailcart.gateway.report.RunListener;
 import org.wagtailcart.gateway.report.UsageMeter;
+import org.wagtailcart.gateway.report.UsageReports;
 import org.wagtailcart.gateway.send.SuspectUpstreams;
 import org.wagtailcart.gateway.send.UnexpectedResponseLog;
 import org.wagtailcart.gateway.send.UpstreamHttpClient;
@@ -101,7 +102,8 @@
                 control,
                 upstreams,
                 quarantine,
-                usage.map(GatewayReports::new).orElseGet(GatewayReports::new),
+                new GatewayReports(
+                        upstreams, usage.<UsageReports>map(meter -> meter).orElse(UsageReports.NONE)),
                 timer,
                 clock);
         SuspectUpstreams suspects = new SuspectUpstreams(clock);
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -24,7 +25,10 @@
 import org.wagtailcart.gateway.protocol.Prompt;
 import org.wagtailcart.gateway.protocol.UpstreamAnnouncement;
 import org.wagtailcart.policy.placement.EngineCandidate;
+import org.wagtailcart.policy.placement.EngineRate;
+import org.wagtailcart.policy.placement.FleetRates;
 import org.wagtailcart.policy.placement.Location;
+import org.wagtailcart.policy.placement.OverdueBound;
 import org.wagtailcart.policy.placement.PrefixCacheEstimate;
 import org.wagtailcart.policy.placement.PromptPlacement;
 import org.wagtailcart.policy.placement.ReplicaCandidate;
@@ -38,23 +42,20 @@
  */
 public final class UpstreamRegistry {
     private static final Logger LOG = System.getLogger(UpstreamRegistry.class.getName());
-    /** Prefill rate of an engine in the prefill role, in prompt tokens per millisecond. */
-    private static final double PREFILL_TOKENS_PER_MILLI = 50;
     /** Assumed latency of an upstream without a response so far. */
     private static final double INITIAL_LATENCY_MILLIS = 20;
     /** Maximum age of a latency sample; an older one no longer reflects the current load. */
     private static final long LATENCY_MAX_AGE_MILLIS = 5_000;
     /** Backoff of an upstream that is not the listed instance; the host list shows the change within this time. */
     private static final long MISDIRECTED_BACKOFF_MILLIS = 1_500;
-    /** Multiple of its usual duration after which a request is overdue. */
-    private static final double OVERDUE_FACTOR = 3;
-    /** Time added to that multiple for delays that the estimate does not cover. */
-    private static final long OVERDUE_SLACK_MILLIS = 700;
     /** Backoff of an engine that refused a request; its load may have dropped after this time. */
     private static final long FULL_BACKOFF_MILLIS = 200;
     /** Fraction of an engine's KV cache available to shared prompt segments; running requests need the rest. */
     private static final double SHARED_CACHE_FRACTION = 0.8;
 
+    /** Time for which the rates of a service are cached; replies of the control group come as often. */
+    private static final long RATES_VALIDITY_MILLIS = 250;
+
     /** Bits transferred per millisecond at 1 Mbit/s. */
     private static final double BITS_PER_MEGABIT_AND_MILLI = 1_000;
 
@@ -64,6 +65,8 @@
     private final Location place;
     private final MillisClock clock;
     private final Map<String, Upstream> upstreamsById = new HashMap<>();
+    private final LearnedEngineRates learnedRates = new LearnedEngineRates();
+    private final Map<String, CachedRates> ratesByService = new HashMap<>();
     private List<PrefixCacheUpdate> pendingPrefixUpdates = new ArrayList<>();
     private Map<String, ServiceSpec> services = Map.of();
     private long listedAtMillis = Long.MIN_VALUE / 4;
@@ -74,6 +77,8 @@
         this.clock = clock;
     }
 
+    private record CachedRates(FleetRates rates, long expiresAtMillis) {}
+
     /**
      * Placement of an inference request on engines.
      *
@@ -114,6 +119,7 @@
                 .sorted()
                 .toList();
         removed.forEach(upstreamsById::remove);
+        learnedRates.retain(ids);
         List<String> added = new ArrayList<>();
         List<String> leaving = new ArrayList<>();
         latest.forEach(listed -> updateListing(listed, added, leaving));
@@ -180,7 +186,10 @@
     public synchronized List<UpstreamState> states() {
         long nowMillis = clock.nowMillis();
         return upstreamsById.values().stream()
-                .map(upstream -> upstream.state(nowMillis))
+                .map(upstream -> upstream.state(
+                        upstream.listEntry().role() == null ? 0 : tokensPerMilli(upstream, nowMillis),
+                        learnedRates.ownSamples(upstream.id(), nowMillis),
+                        nowMillis))
                 .sorted(Comparator.comparing(UpstreamState::instanceId))
                 .toList();
     }
@@ -237,7 +246,7 @@
         int sharedTokens =
                 shared.stream().mapToInt(PrefixCacheEstimate.Segment::tokens).sum();
         PromptPlacement.PromptSize size = new PromptPlacement.PromptSize(prompt.promptTokens(), sharedTokens, affinity);
-        return PromptPlacement.choose(candidates, size, engineRates(service), place)
+        return PromptPlacement.choose(candidates, size, engineRates(service, nowMillis), place)
                 .map(choice -> {
                     EngineCandidate prefillEngine = choice.prefill() == null ? choice.decode() : choice.prefill();
                     return new Placement(
@@ -278,18 +287,23 @@
     /**
      * Starts a request at an engine that runs the prefill of a prompt.
      *
-     * @param prefillTokens prompt tokens that it has to prefill
-     * @param prefillMillis estimated duration of the prefill, including its queue time
+     * @param placement tokens that it has to prefill and the estimated times
      */
-    public synchronized InFlightRequest startPrefill(
-            Upstream engine, Prompt prompt, int prefillTokens, double prefillMillis) {
+    public synchronized InFlightRequest startPrefill(Upstream engine, Prompt prompt, Placement placement) {
         addPrefixUpdate(engine, prompt.sharedSegments());
-        return startRequest(engine, new InFlightRequest.Work(prefillTokens, prefillMillis, null), prompt.segments());
+        InFlightRequest.Work work = new InFlightRequest.Work(
+                placement.prefillTokens(),
+                placement.times().prefillMillis(),
+                engine.queuedTokens(),
+                placement.times().fetchMillis(),
+                prompt.promptTokens(),
+                null);
+        return startRequest(engine, work, prompt.segments());
     }
 
     /** Starts a request at an engine that decodes from the KV cache of another engine. */
     public synchronized InFlightRequest startDecode(Upstream engine, Upstream prefillEngine) {
-        return startRequest(engine, new InFlightRequest.Work(0, 0, prefillEngine), List.of());
+        return startRequest(engine, new InFlightRequest.Work(0, 0, 0, 0, 0, prefillEngine), List.of());
     }
 
     private void addPrefixUpdate(Upstream engine, List<PrefixCacheEstimate.Segment> shared) {
@@ -382,7 +396,11 @@
 
     /** Returns whether a request at an upstream is overdue and no response has arrived since it started. */
     public synchronized boolean isUnresponsive(Upstream upstream) {
-        return upstream.isUnresponsive(clock.nowMillis());
+        long nowMillis = clock.nowMillis();
+        double serviceTokensPerMilli =
+                fleetRates(upstream.listEntry().service(), nowMillis).serviceTokensPerMilli();
+        return upstream.isUnresponsive(
+                new OverdueBound.Rates(tokensPerMilli(upstream, nowMillis), serviceTokensPerMilli), nowMillis);
     }
 
     /** Takes an upstream that is full, or refuses requests, out of service for a short time. */
@@ -402,15 +420,81 @@
         }
     }
 
-    private PromptPlacement.EngineRates engineRates(String service) {
+    private PromptPlacement.EngineRates engineRates(String service, long nowMillis) {
+        double tokensPerMilli = fleetRates(service, nowMillis).serviceTokensPerMilli();
         ServiceSpec spec = services.get(service);
         EngineSpec engine = spec == null ? null : spec.engine();
         if (engine == null || engine.linkMegabitsPerSecond() <= 0 || engine.kvBytesPerToken() <= 0) {
-            return new PromptPlacement.EngineRates(PREFILL_TOKENS_PER_MILLI, Double.MIN_VALUE);
+            return new PromptPlacement.EngineRates(tokensPerMilli, Double.MIN_VALUE);
         }
         double fetchTokensPerMilli =
                 engine.linkMegabitsPerSecond() * BITS_PER_MEGABIT_AND_MILLI / (engine.kvBytesPerToken() * Byte.SIZE);
-        return new PromptPlacement.EngineRates(PREFILL_TOKENS_PER_MILLI, fetchTokensPerMilli);
+        return new PromptPlacement.EngineRates(tokensPerMilli, fetchTokensPerMilli);
+    }
+
+    /** Returns the prompt tokens that an engine prefills in a millisecond, in its role. */
+    private double tokensPerMilli(Upstream engine, long nowMillis) {
+        double tokensPerMilli =
+                fleetRates(engine.listEntry().service(), nowMillis).tokensPerMilli(engine.id());
+        return engine.listEntry().role() == EngineRole.DECODE
+                ? PromptPlacement.DECODE_PREFILL_SPEED_RATIO * tokensPerMilli
+                : tokensPerMilli;
+    }
+
+    /** Returns the rates of a service, which are computed anew a few times a second. */
+    private FleetRates fleetRates(String service, long nowMillis) {
+        CachedRates cached = ratesByService.get(service);
+        if (cached != null && nowMillis < cached.expiresAtMillis()) {
+            return cached.rates();
+        }
+        Map<String, Double> known = new HashMap<>();
+        upstreamsById.values().stream()
+                .filter(upstream -> upstream.listEntry().service().equals(service))
+                .forEach(upstream -> learnedRates
+                        .tokensPerMilli(upstream.id(), nowMillis)
+                        .ifPresent(rate -> known.put(upstream.id(), rate)));
+        FleetRates rates = FleetRates.of(known);
+        ratesByService.put(service, new CachedRates(rates, nowMillis + RATES_VALIDITY_MILLIS));
+        logChange(service, rates.summary(), (cached == null ? FleetRates.DEFAULT : cached.rates()).summary());
+        return rates;
+    }
+
+    private static void logChange(String service, FleetRates.Summary latest, FleetRates.Summary previous) {
+        if (latest.differsFrom(previous)) {
+            LogEventKind.ENGINE_RATES_CHANGED.log(
+                    LOG,
+                    Level.INFO,
+                    service,
+                    latest.tokensPerMilli(),
+                    latest.faster(),
+                    latest.slower(),
+                    String.format(Locale.ROOT, "%.2f", latest.maxSpeed()),
+                    String.format(Locale.ROOT, "%.2f", latest.minSpeed()));
+        }
+    }
+
+    void recordRate(Upstream engine, double tokensPerMilli, long nowMillis) {
+        learnedRates.record(engine.id(), tokensPerMilli, nowMillis);
+    }
+
+    /** Removes and returns the news about the rates of engines for the polled control member. */
+    public synchronized List<EngineRate> drainEngineRates() {
+        return learnedRates.drainNews(clock.nowMillis());
+    }
+
+    /** Returns the version of the rates in the last reply of the polled control member, 0 for none. */
+    public synchronized long engineRatesVersion() {
+        return learnedRates.version();
+    }
+
+    /** Applies the rates in the reply of a control member. */
+    public synchronized void applyEngineRates(List<EngineRate> rates, long version) {
+        learnedRates.apply(rates, version, clock.nowMillis());
+    }
+
+    /** Sends all known rates with the next poll, because another control member is polled or a poll failed. */
+    public synchronized void controlMemberChanged() {
+        learnedRates.memberChanged();
     }
 
     private Upstream requireUpstream(String id) {
@@ -420,11 +504,7 @@
     private InFlightRequest startRequest(
             Upstream upstream, InFlightRequest.Work work, List<PrefixCacheEstimate.Segment> segments) {
         long nowMillis = clock.nowMillis();
-        double usualMillis = work.prefillTokens() == 0
-                ? upstream.latencyMillis()
-                : (upstream.queuedTokens() + work.prefillTokens()) / PREFILL_TOKENS_PER_MILLI;
-        long dueMillis = nowMillis + Math.round(OVERDUE_FACTOR * usualMillis) + OVERDUE_SLACK_MILLIS;
-        InFlightRequest request = new InFlightRequest(this, upstream, work, nowMillis, dueMillis);
+        InFlightRequest request = new InFlightRequest(this, upstream, work, nowMillis, upstream.latencyMillis());
         upstream.started(request, work.prefillTokens(), segments);
         return request;
     }
@@ -444,8 +524,7 @@
         return healthy.isEmpty() ? present : healthy;
     }
 
-    private static EngineCandidate toCandidate(
-            Upstream upstream, List<PrefixCacheEstimate.Segment> segments, long nowMillis) {
+    private EngineCandidate toCandidate(Upstream upstream, List<PrefixCacheEstimate.Segment> segments, long nowMillis) {
         return new EngineCandidate(
                 upstream.id(),
                 upstream.listEntry().failureDomain(),
@@ -455,7 +534,8 @@
                 upstream.queuedTokens(),
                 upstream.cachedTokens(segments),
                 upstream.slowdown(nowMillis),
-                upstream.startDelayMillis(nowMillis));
+                upstream.startDelayMillis(nowMillis),
+                fleetRates(upstream.listEntry().service(), nowMillis).speed(upstream.id()));
     }
 
     private static double currentLatency(Upstream upstream, double meanMillis, long nowMillis) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/report/GatewayReports.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/report/GatewayReports.java
@@ -3,24 +3,32 @@
 import java.util.List;
 import org.wagtailcart.control.client.FleetReport;
 import org.wagtailcart.control.client.GatewayReport;
+import org.wagtailcart.gateway.list.UpstreamRegistry;
 
 /** Composes the report of this gateway for each poll, and applies what the control group replies. Thread safe. */
 public final class GatewayReports {
+    private final UpstreamRegistry upstreams;
     private final UsageReports usage;
 
-    /** Creates reports without usage counts. */
-    public GatewayReports() {
-        this(UsageReports.NONE);
-    }
-
-    /** Creates reports with the counts of requests that began to run. */
-    public GatewayReports(UsageReports usage) {
+    /**
+     * Creates the reports of a gateway.
+     *
+     * @param upstreams registry that learns the prefill rates of engines
+     * @param usage counts of requests that began to run
+     */
+    public GatewayReports(UpstreamRegistry upstreams, UsageReports usage) {
+        this.upstreams = upstreams;
         this.usage = usage;
     }
 
     /** Returns the report for the next poll. */
     public GatewayReport collect() {
-        return new GatewayReport(System.currentTimeMillis(), usage.nextBatch().orElse(null), List.of(), List.of());
+        return new GatewayReport(
+                System.currentTimeMillis(),
+                usage.nextBatch().orElse(null),
+                upstreams.drainEngineRates(),
+                List.of(),
+                upstreams.engineRatesVersion());
     }
 
     /**
@@ -30,5 +38,6 @@
      */
     public void apply(FleetReport fleet, long receivedAtMillis) {
         usage.applyReply(fleet.trueTimeMillis(), fleet.usageSequence(), receivedAtMillis);
+        upstreams.applyEngineRates(fleet.engineRates(), fleet.engineRatesVersion());
     }
 }
--- a/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
@@ -20,6 +20,7 @@
 import org.wagtailcart.gateway.list.UpstreamRegistry;
 import org.wagtailcart.gateway.quarantine.PromptQuarantine;
 import org.wagtailcart.gateway.report.GatewayReports;
+import org.wagtailcart.gateway.report.UsageReports;
 import org.wagtailcart.policy.placement.Location;
 import org.wagtailcart.routes.RequestLimits;
 import org.wagtailcart.routes.RouteTable;
@@ -35,13 +36,15 @@
     private final Map<Address, MemberReply> replies = new ConcurrentHashMap<>();
     private final List<Long> timeoutsMillis = new CopyOnWriteArrayList<>();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+    private final UpstreamRegistry registry =
+            new UpstreamRegistry(new Location("fes", Regions.SINGLE), MillisClock.monotonic());
     private final RouteTableWatcher watcher = new RouteTableWatcher(
             "g",
             List.of(A, B),
             this::call,
-            new UpstreamRegistry(new Location("fes", Regions.SINGLE), MillisClock.monotonic()),
+            registry,
             new PromptQuarantine(MillisClock.monotonic()),
-            new GatewayReports(),
+            new GatewayReports(registry, UsageReports.NONE),
             timer,
             MillisClock.monotonic());
 
