Divide a contended service's capacity among workspaces

Under contention requests were refused regardless of the workspace that asked for them, so that one greedy workspace displaced all others.

Gateways report the demand of each workspace with their polls; the leader adds it up, decides which services are contended and sends the workspaces above their share with the fraction to admit. Fractions are kept by a counter for each workspace and size of request; a counter by cost would admit small requests at the expense of large ones. Without the leader for 2 s a gateway uses its own account with its part of the last known capacity.

The capacity is what upstreams accept while the service is contended, with a probe upward and a reduction by late requests.

Retry-After spreads the return of refused callers where the wait is known or the table has workspaces. Deployments without workspaces are served as before, apart from that value for DEADLINE_UNREACHABLE.

--- a/common/src/main/java/org/wagtailcart/common/LogEventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEventKind.java
@@ -57,6 +57,7 @@
             "list-age-millis",
             "connection",
             "earlier-requests",
+            "workspace",
             "reason"),
     /** An upstream sent bytes that are no response to the request that waits for one. */
     UNEXPECTED_RESPONSE(false, "request", "address", "kind", "connection", "earlier-requests", "reason"),
@@ -70,6 +71,8 @@
     UPSTREAM_CRASHED(false, "upstream", "address", "requests", "segments"),
     /** A process refuses requests with a prompt segment that makes engines crash. */
     SEGMENT_QUARANTINED(false, "segment", "offences", "for-millis", "source"),
+    /** The set of services whose requests wait too long or are refused, so that workspaces are limited, changed. */
+    CONTENTION_CHANGED(false, "services", "limited-workspaces"),
     /** A gateway installed a newer routing table. */
     TABLE_INSTALLED(false, "version", "routes", "member", "age-millis"),
     /** A control member is unreachable from a gateway. */
--- a/control/src/main/java/org/wagtailcart/control/client/FleetReport.java
+++ b/control/src/main/java/org/wagtailcart/control/client/FleetReport.java
@@ -1,7 +1,9 @@
 package org.wagtailcart.control.client;
 
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.wagtailcart.policy.placement.EngineRate;
+import org.wagtailcart.policy.share.ServiceCapacity;
 import org.wagtailcart.policy.share.WorkspaceShare;
 
 /**
@@ -11,6 +13,17 @@
  * @param usageSequence number of the last usage batch of the gateway that the member has, 0 for none
  * @param engineRates prefill rates of all engines that gateways have reported
  * @param shares limits on the workspaces that exceed their share; valid for a short time only
+ * @param contended contended services, to which the shares refer; null when the member does not know the shares,
+ *     because it is not the leader or has just become it
  */
 public record FleetReport(
-        long trueTimeMillis, long usageSequence, List<EngineRate> engineRates, List<WorkspaceShare> shares) {}
+        long trueTimeMillis,
+        long usageSequence,
+        List<EngineRate> engineRates,
+        List<WorkspaceShare> shares,
+        @Nullable List<ServiceCapacity> contended) {
+    /** Returns the report without the shares, which only the leader knows. */
+    public FleetReport withoutShares() {
+        return new FleetReport(trueTimeMillis, usageSequence, engineRates, List.of(), null);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/wagtailcart/control/watch/DemandTracker.java
@@ -0,0 +1,61 @@
+package org.wagtailcart.control.watch;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.LogEventKind;
+import org.wagtailcart.policy.share.ServiceCapacity;
+import org.wagtailcart.policy.share.ShareCalculator;
+import org.wagtailcart.policy.share.WorkspaceDemand;
+import org.wagtailcart.policy.share.WorkspaceShare;
+
+/** Adds up the demand of workspaces that gateways report and derives their shares. Not thread safe. */
+final class DemandTracker {
+    private static final Logger LOG = System.getLogger(DemandTracker.class.getName());
+    /** Validity of a report: the window that it covers and two polls. */
+    static final long RETENTION_MILLIS = 1_500;
+
+    private record DemandReport(long expiresAtMillis, List<WorkspaceDemand> demand) {}
+
+    private final Map<String, DemandReport> reportsByProcess = new HashMap<>();
+    private final ShareCalculator calculator = new ShareCalculator();
+    private Set<String> loggedServices = Set.of();
+
+    /** Replaces the demand of a gateway. */
+    void record(String processId, List<WorkspaceDemand> demand, long nowMillis) {
+        reportsByProcess.put(processId, new DemandReport(nowMillis + RETENTION_MILLIS, demand));
+    }
+
+    /** Returns the contended services, null during the first second, in which the shares are not known yet. */
+    @Nullable
+    List<ServiceCapacity> contended(long nowMillis) {
+        reportsByProcess.values().removeIf(report -> report.expiresAtMillis() < nowMillis);
+        calculator.observe(
+                reportsByProcess.values().stream()
+                        .flatMap(report -> report.demand().stream())
+                        .toList(),
+                nowMillis);
+        List<ServiceCapacity> contended = calculator.contended(nowMillis);
+        logChange(contended, nowMillis);
+        return calculator.warmedUp(nowMillis) ? contended : null;
+    }
+
+    /** Returns the workspaces that ask for more than their share of a contended service. */
+    List<WorkspaceShare> shares(long nowMillis) {
+        return calculator.shares(nowMillis);
+    }
+
+    private void logChange(List<ServiceCapacity> contended, long nowMillis) {
+        Set<String> services = contended.stream().map(ServiceCapacity::service).collect(Collectors.toSet());
+        if (!services.equals(loggedServices)) {
+            loggedServices = services;
+            LogEventKind.CONTENTION_CHANGED.log(
+                    LOG, Level.INFO, services, shares(nowMillis).size());
+        }
+    }
+}
--- a/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
@@ -5,6 +5,7 @@
 import java.util.function.Supplier;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.control.client.FleetReport;
 import org.wagtailcart.control.client.GatewayReport;
 import org.wagtailcart.control.client.PrefixCacheUpdate;
 import org.wagtailcart.control.client.QuarantineUpdate;
@@ -127,10 +128,16 @@
                     nowMillis - hostList.readAtMillis(),
                     quarantine.version(),
                     quarantine.version() == request.quarantineVersion() ? null : quarantine.state(nowMillis),
-                    fleetReports.replyTo(request.processId(), nowMillis));
+                    fleetReply(request.processId(), raftStatus, nowMillis));
         }
     }
 
+    /** Returns the reply to a gateway's report. Gateways prefer the leader, so that only it knows the whole demand. */
+    private FleetReport fleetReply(String processId, RaftStatus raftStatus, long nowMillis) {
+        FleetReport reply = fleetReports.replyTo(processId, nowMillis);
+        return raftStatus.role() == RaftStatus.Role.LEADER ? reply : reply.withoutShares();
+    }
+
     /** Adds a prefix update that all gateways receive. */
     public synchronized void publish(PrefixCacheUpdate update) {
         prefixUpdates.add("", List.of(update));
--- /dev/null
+++ b/control/src/test/java/org/wagtailcart/control/watch/DemandTrackerTest.java
@@ -0,0 +1,71 @@
+package org.wagtailcart.control.watch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Objects;
+import org.junit.jupiter.api.Test;
+import org.wagtailcart.policy.share.ServiceCapacity;
+import org.wagtailcart.policy.share.WorkspaceDemand;
+import org.wagtailcart.policy.share.WorkspaceShare;
+
+/** Guards against demand that is counted twice or after its gateway has stopped, and wrong shares after a leader change. */
+class DemandTrackerTest {
+    private static final int GATEWAYS = 26;
+
+    private final DemandTracker tracker = new DemandTracker();
+
+    private static List<WorkspaceDemand> demand(double factor) {
+        return List.of(
+                new WorkspaceDemand("s", "greedy", factor * 900, factor * 400, factor * 5, 0),
+                new WorkspaceDemand("s", "small", factor * 50, factor * 50, 0, 0));
+    }
+
+    /** Each gateway polls every 250 ms and reports its part of the demand. */
+    private void poll(int gateways, long fromMillis, long toMillis) {
+        for (long now = fromMillis; now <= toMillis; now += 250) {
+            for (int i = 0; i < gateways; i++) {
+                tracker.record("g" + i, demand(1.0 / GATEWAYS), now);
+                tracker.contended(now);
+            }
+        }
+    }
+
+    private double greedyFraction(long nowMillis) {
+        List<WorkspaceShare> shares = tracker.shares(nowMillis);
+        assertThat(shares.stream().map(WorkspaceShare::workspace)).containsExactly("greedy");
+        return shares.get(0).admitFraction();
+    }
+
+    @Test
+    void demandOfAllGatewaysIsAddedUp() {
+        poll(GATEWAYS, 0, 5_000);
+        List<ServiceCapacity> contended = Objects.requireNonNull(tracker.contended(5_000));
+        // The first observation covers one gateway; its weight has nearly vanished after 5 s.
+        assertThat(contended.get(0).costPerSecond()).isWithin(15).of(1.05 * 450);
+        assertThat(greedyFraction(5_000)).isWithin(0.02).of((1.05 * 450 - 50) / 900);
+    }
+
+    /** Guards against a new leader that limits by a part of the demand: the fraction is right with a few gateways. */
+    @Test
+    void newLeaderWithReportsOfAFewGatewaysSendsTheSameFraction() {
+        poll(3, 0, 1_250);
+        assertThat(greedyFraction(1_250)).isWithin(0.01).of((1.05 * 450 - 50) / 900);
+    }
+
+    @Test
+    void newLeaderSaysThatItDoesNotKnowTheShares() {
+        assertThat(tracker.contended(0)).isNull();
+        poll(GATEWAYS, 0, 750);
+        assertThat(tracker.contended(900)).isNull();
+        assertThat(tracker.shares(900)).isEmpty();
+    }
+
+    @Test
+    void demandOfAStoppedGatewayExpires() {
+        poll(GATEWAYS, 0, 5_000);
+        long laterMillis = 5_000 + DemandTracker.RETENTION_MILLIS + 1_000;
+        assertThat(tracker.contended(laterMillis)).isEmpty();
+        assertThat(tracker.contended(laterMillis + 1_000)).isEmpty();
+    }
+}
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -34,6 +34,7 @@
 import org.wagtailcart.gateway.send.SuspectUpstreams;
 import org.wagtailcart.gateway.send.UnexpectedResponseLog;
 import org.wagtailcart.gateway.send.UpstreamHttpClient;
+import org.wagtailcart.gateway.share.WorkspaceLimits;
 import org.wagtailcart.gateway.watch.RouteTableWatcher;
 
 /** HTTP gateway that routes the requests of callers to upstreams by host name and path. */
@@ -81,13 +82,14 @@
         this.options = options;
         UpstreamRegistry upstreams = new UpstreamRegistry(options.location(), clock);
         PromptQuarantine quarantine = new PromptQuarantine(clock);
+        WorkspaceLimits workspaceLimits = new WorkspaceLimits(options.processId(), clock);
         RouteTableWatcher routeWatcher = new RouteTableWatcher(
                 options.processId(),
                 options.controlSeeds(),
                 control,
                 upstreams,
                 quarantine,
-                new GatewayReports(),
+                new GatewayReports(workspaceLimits),
                 timer,
                 clock);
         SuspectUpstreams suspects = new SuspectUpstreams(clock);
@@ -103,6 +105,7 @@
                 new RetryBudgets(options.retryRatio(), options.retryReserve(), options.retryWindowMillis()),
                 quarantine,
                 new EngineCrashDetector(quarantine, client::refusesConnections, traffic, timer, clock),
+                workspaceLimits,
                 new OpenCalls(),
                 new RequestMetrics(registry),
                 traffic,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.Future;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.HopByHopHeaders;
@@ -23,6 +24,7 @@
 import org.wagtailcart.gateway.send.UpstreamRequest;
 import org.wagtailcart.gateway.send.UpstreamResponse;
 import org.wagtailcart.gateway.send.UpstreamTimeouts;
+import org.wagtailcart.policy.share.RetryAfter;
 
 /**
  * Base class of the state machine that handles one request. A request ends exactly once: with a response, an error, the
@@ -360,7 +362,36 @@
 
     /** Ends a request that no further upstream will be tried for; the caller may return when the service has room. */
     final void giveUp(ResultCode code, String text) {
-        giveUp(code, text, retryAfterMillis(defaultRetryAfterMillis()));
+        boolean spread = context.routeWatcher().routes().table().workspaces() != null;
+        giveUp(code, text, retryAfterMillis(spread ? spreadRetryMillis(0) : defaultRetryAfterMillis()));
+    }
+
+    /**
+     * Ends a request whose wait is too long. The caller may return when the excess has drained, at a random time that
+     * differs from those of the callers refused with it.
+     */
+    final void giveUpWait(ResultCode code, String text, double excessWaitMillis) {
+        giveUp(code, text, retryAfterMillis(spreadRetryMillis(excessWaitMillis)));
+    }
+
+    /** Ends a request that its workspace's share does not cover. */
+    final void refuseAboveShare(double excessWaitMillis) {
+        giveUpWait(
+                ResultCode.WORKSPACE_LIMIT, "workspace asks for more than its share of the service", excessWaitMillis);
+    }
+
+    private long spreadRetryMillis(double excessWaitMillis) {
+        return RetryAfter.millis(
+                excessWaitMillis,
+                callerRemainingMillis(),
+                ThreadLocalRandom.current().nextDouble(),
+                defaultRetryAfterMillis());
+    }
+
+    /** Returns the time until the response is no longer on time. */
+    final long targetRemainingMillis() {
+        long targetMillis = request.route().targetLatencyMillis();
+        return targetMillis <= 0 ? remainingMillis() : request.arrivedMillis() + targetMillis - nowMillis();
     }
 
     /** Ends a request that no further upstream will be tried for. */
@@ -452,6 +483,7 @@
                 context.registry().listAgeMillis(),
                 connectionUse().connectionNumber(),
                 connectionUse().earlierRequests(),
+                request.workspace(),
                 reason);
     }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayContext.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayContext.java
@@ -9,6 +9,7 @@
 import org.wagtailcart.gateway.quarantine.PromptQuarantine;
 import org.wagtailcart.gateway.send.UnexpectedResponseLog;
 import org.wagtailcart.gateway.send.UpstreamHttpClient;
+import org.wagtailcart.gateway.share.WorkspaceLimits;
 import org.wagtailcart.gateway.watch.RouteTableWatcher;
 
 /**
@@ -22,6 +23,7 @@
  * @param retryBudgets retry budgets of the services
  * @param quarantine prompt segments whose requests are refused
  * @param crashDetector detector of engines that end under a request
+ * @param workspaceLimits limits on the workspaces of contended services
  * @param openCalls calls that have not ended
  * @param metrics metrics of ended requests and failed attempts
  * @param requestExecutor executor of the blocking calls to upstreams
@@ -37,6 +39,7 @@
         RetryBudgets retryBudgets,
         PromptQuarantine quarantine,
         EngineCrashDetector crashDetector,
+        WorkspaceLimits workspaceLimits,
         OpenCalls openCalls,
         RequestMetrics metrics,
         Executor requestExecutor,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -11,12 +11,16 @@
 import org.wagtailcart.gateway.list.InFlightRequest;
 import org.wagtailcart.gateway.list.Upstream;
 import org.wagtailcart.gateway.list.UpstreamOutcome;
+import org.wagtailcart.gateway.list.UpstreamRegistry;
 import org.wagtailcart.gateway.protocol.ResponseMetadata;
 import org.wagtailcart.gateway.protocol.UpstreamRequestOptions;
 import org.wagtailcart.gateway.send.UpstreamRequest;
 import org.wagtailcart.gateway.send.UpstreamResponse;
 import org.wagtailcart.gateway.send.UpstreamTimeouts;
 import org.wagtailcart.policy.placement.RequestRank;
+import org.wagtailcart.policy.share.RequestCost;
+import org.wagtailcart.policy.share.ShareLimiter;
+import org.wagtailcart.policy.share.ShareRequest;
 
 /**
  * Call to a plain service. It is retried at another replica if the first one did not run it, or if the route allows
@@ -33,6 +37,10 @@
 
     private final Set<String> excluded = new HashSet<>();
     private int runs;
+    /** The request as it was counted against its workspace's share, null before that. */
+    private @Nullable ShareRequest shareRequest;
+
+    private boolean aboveShare;
     private @Nullable BufferedResponse lastFailure;
 
     /** A response with its complete body. */
@@ -55,16 +63,55 @@
             Optional<InFlightRequest> inFlight =
                     context().registry().startReplicaRequest(request().service(), excluded);
             if (inFlight.isEmpty()) {
+                recordRefusedByReplicas();
                 giveUp(ResultCode.NO_UPSTREAM, "no replica of the service is available");
                 return;
             }
+            if (!isWithinShare(inFlight.get().upstream())) {
+                inFlight.get().end();
+                refuseAboveShare(excessMillis(inFlight.get().upstream()));
+                return;
+            }
             if (send(inFlight.get())) {
                 return;
             }
         }
+        recordRefusedByReplicas();
         giveUp(ResultCode.QUEUE_FULL, "all replicas refused the request");
     }
 
+    private void recordRefusedByReplicas() {
+        ShareRequest asked = shareRequest;
+        if (asked != null && !mayHaveRun() && !isEnded()) {
+            context().workspaceLimits().recordRefusedByUpstreams(asked);
+        }
+    }
+
+    /** Returns whether the share of the workspace covers the request. Decided once, before anything is sent. */
+    private boolean isWithinShare(Upstream replica) {
+        if (shareRequest != null) {
+            return true;
+        }
+        UpstreamRegistry.WaitEstimate estimate = context().registry().estimateWait(replica);
+        ShareRequest asked = ShareRequest.of(
+                request().service(),
+                request().workspace(),
+                RequestCost.PLAIN_CALL,
+                estimate.waitMillis(),
+                estimate.totalMillis(),
+                targetRemainingMillis());
+        shareRequest = asked;
+        ShareLimiter.Decision decision = context()
+                .workspaceLimits()
+                .decide(asked, context().routeWatcher().gatewayCount());
+        aboveShare = decision == ShareLimiter.Decision.ADMIT_WITH_LOWER_RANK;
+        return decision != ShareLimiter.Decision.REFUSE;
+    }
+
+    private double excessMillis(Upstream replica) {
+        return context().registry().estimateWait(replica).totalMillis() - targetRemainingMillis();
+    }
+
     /** Runs an attempt at one replica; returns whether the call is finished. */
     private boolean send(InFlightRequest inFlight) {
         Upstream upstream = inFlight.upstream();
@@ -92,10 +139,11 @@
 
     private UpstreamRequestOptions options(Upstream upstream) {
         int rank = RequestRank.of(request().priority());
+        int sentRank = aboveShare ? RequestRank.lower(rank) : rank;
         return new UpstreamRequestOptions(
                 upstream.id(),
                 callerRemainingMillis(),
-                rank,
+                sentRank,
                 false,
                 null,
                 null,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -26,6 +26,8 @@
 import org.wagtailcart.gateway.send.UpstreamTimeouts;
 import org.wagtailcart.policy.placement.PromptPlacement;
 import org.wagtailcart.policy.placement.RequestRank;
+import org.wagtailcart.policy.share.ShareLimiter;
+import org.wagtailcart.policy.share.ShareRequest;
 
 /**
  * Call whose response is an event stream. One engine runs the prefill, another decodes from the KV cache of the first.
@@ -52,6 +54,10 @@
     private int deliveredAttempts;
 
     private int runs;
+    /** The request as it was counted against its workspace's share, null before that. */
+    private @Nullable ShareRequest shareRequest;
+
+    private boolean aboveShare;
     /** Monotonic time of the latest bytes of the current stream, -1 before its head. */
     private long lastReadAtMillis = -1;
     /** Content type of the response that was started. */
@@ -75,11 +81,13 @@
                 return;
             }
             if (sends >= MAX_ATTEMPTS) {
+                recordRefusedByEngines();
                 giveUp(ResultCode.QUEUE_FULL, "all engines refused the request");
                 return;
             }
             Optional<UpstreamRegistry.Placement> placement = place();
             if (placement.isEmpty()) {
+                recordRefusedByEngines();
                 giveUp(ResultCode.NO_UPSTREAM, "no engine is available");
                 return;
             }
@@ -111,11 +119,18 @@
 
     /** Runs an attempt with one placement; returns whether the call is finished. */
     private boolean attempt(UpstreamRegistry.Placement placement) {
-        if (placement.times().firstTokenMillis() > USABLE_TIME_FRACTION * remainingMillis()) {
-            giveUp(
+        double firstTokenMillis = placement.times().firstTokenMillis();
+        double excessMillis = firstTokenMillis - USABLE_TIME_FRACTION * remainingMillis();
+        if (excessMillis > 0) {
+            recordRefused(placement);
+            giveUpWait(
                     ResultCode.DEADLINE_UNREACHABLE,
-                    "estimated time to first token is "
-                            + Math.round(placement.times().firstTokenMillis()) + " ms");
+                    "estimated time to first token is " + Math.round(firstTokenMillis) + " ms",
+                    excessMillis);
+            return true;
+        }
+        if (!isWithinShare(placement)) {
+            refuseAboveShare(firstTokenMillis - targetRemainingMillis());
             return true;
         }
         Prompt prompt = request().metadata().prompt();
@@ -145,6 +160,55 @@
         };
     }
 
+    /** Returns whether the share of the workspace covers the request. Decided once, before anything is sent. */
+    private boolean isWithinShare(UpstreamRegistry.Placement placement) {
+        if (shareRequest != null || isResponseStarted()) {
+            return true;
+        }
+        ShareRequest asked = shareRequest(placement);
+        shareRequest = asked;
+        ShareLimiter.Decision decision = context()
+                .workspaceLimits()
+                .decide(asked, context().routeWatcher().gatewayCount());
+        aboveShare = decision == ShareLimiter.Decision.ADMIT_WITH_LOWER_RANK;
+        return decision != ShareLimiter.Decision.REFUSE;
+    }
+
+    private ShareRequest shareRequest(UpstreamRegistry.Placement placement) {
+        PromptPlacement.TimeEstimate times = placement.times();
+        double waitMillis = placement.queuedTokens() == 0
+                ? 0
+                : Math.max(0, times.firstTokenMillis() - times.unloadedFirstTokenMillis());
+        return ShareRequest.of(
+                request().service(),
+                request().workspace(),
+                context()
+                        .registry()
+                        .costOf(
+                                placement,
+                                request().service(),
+                                request().metadata().prompt()),
+                waitMillis,
+                times.firstTokenMillis(),
+                targetRemainingMillis());
+    }
+
+    /** Counts a refusal for its estimated wait. One without a wait says nothing about the load. */
+    private void recordRefused(UpstreamRegistry.Placement placement) {
+        if (shareRequest != null) {
+            recordRefusedByEngines();
+        } else if (placement.queuedTokens() > 0) {
+            context().workspaceLimits().recordRefused(shareRequest(placement));
+        }
+    }
+
+    private void recordRefusedByEngines() {
+        ShareRequest asked = shareRequest;
+        if (asked != null && !mayHaveRun() && !isResponseStarted()) {
+            context().workspaceLimits().recordRefusedByUpstreams(asked);
+        }
+    }
+
     /**
      * Returns whether the next attempt is within the retry budget. The first delivery of a request to an engine is
      * exempt, and so is its first prefill.
@@ -338,6 +402,11 @@
     }
 
     private int rank(UpstreamRegistry.Placement placement) {
+        int rank = rankWithinShare(placement);
+        return aboveShare ? RequestRank.lower(rank) : rank;
+    }
+
+    private int rankWithinShare(UpstreamRegistry.Placement placement) {
         if (request().route().targetLatencyMillis() <= 0) {
             return RequestRank.of(request().priority());
         }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -15,6 +15,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.LogEventKind;
 import org.wagtailcart.common.MillisClock;
@@ -29,6 +30,7 @@
 import org.wagtailcart.policy.placement.PromptPlacement;
 import org.wagtailcart.policy.placement.ReplicaCandidate;
 import org.wagtailcart.policy.placement.ReplicaPlacement;
+import org.wagtailcart.policy.share.RequestCost;
 import org.wagtailcart.routes.EngineSpec;
 import org.wagtailcart.routes.ServiceSpec;
 
@@ -96,6 +98,14 @@
         }
     }
 
+    /**
+     * Estimated response time of a replica.
+     *
+     * @param waitMillis time that a request waits for a slot, 0 if one is free
+     * @param totalMillis time until its response
+     */
+    public record WaitEstimate(double waitMillis, double totalMillis) {}
+
     /** Replaces the service definitions by those of a routing table. */
     public synchronized void services(Collection<ServiceSpec> specs) {
         services = specs.stream().collect(Collectors.toMap(ServiceSpec::name, Function.identity()));
@@ -195,6 +205,27 @@
         return upstream.latencyMillis();
     }
 
+    /**
+     * Returns the estimated response time of a replica for a request that is counted as in flight there. Its recent
+     * responses have waited in the same queue, so that their time includes the wait.
+     */
+    public synchronized WaitEstimate estimateWait(Upstream replica) {
+        int slots = Math.max(1, replica.listEntry().maxInFlight());
+        int waiting = Math.max(0, replica.inFlight() - slots);
+        double totalMillis = replica.latencyMillis();
+        return new WaitEstimate(waiting == 0 ? 0 : totalMillis * waiting / replica.inFlight(), totalMillis);
+    }
+
+    /** Returns the cost of a streamed request in engine time. */
+    public synchronized double costOf(Placement placement, String service, @Nullable Prompt prompt) {
+        ServiceSpec spec = services.get(service);
+        EngineSpec engine = spec == null ? null : spec.engine();
+        return engine == null || prompt == null
+                ? RequestCost.PLAIN_CALL
+                : RequestCost.ofStream(
+                        placement.prefillTokens(), PREFILL_TOKENS_PER_MILLI, prompt.maxOutputTokens(), engine.slots());
+    }
+
     /** Returns whether a service runs on inference engines. */
     public synchronized boolean hasEngines(String service) {
         ServiceSpec spec = services.get(service);
--- a/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
@@ -20,6 +20,7 @@
 import org.wagtailcart.gateway.list.UpstreamRegistry;
 import org.wagtailcart.gateway.quarantine.PromptQuarantine;
 import org.wagtailcart.gateway.report.GatewayReports;
+import org.wagtailcart.gateway.share.WorkspaceLimits;
 import org.wagtailcart.policy.placement.Location;
 import org.wagtailcart.routes.RequestLimits;
 import org.wagtailcart.routes.RouteTable;
@@ -41,7 +42,7 @@
             this::call,
             new UpstreamRegistry(new Location("fes", Regions.SINGLE), MillisClock.monotonic()),
             new PromptQuarantine(MillisClock.monotonic()),
-            new GatewayReports(),
+            new GatewayReports(new WorkspaceLimits("g", () -> 0)),
             timer,
             MillisClock.monotonic());
 
--- a/policy/src/main/java/org/wagtailcart/policy/placement/RequestRank.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/RequestRank.java
@@ -26,6 +26,11 @@
         return Math.max(0, Math.min(LEAST_URGENT, of(priority) + late - urgent));
     }
 
+    /** Returns the rank of a request whose workspace is above its share. */
+    public static int lower(int rank) {
+        return Math.min(LEAST_URGENT, rank + 1);
+    }
+
     /** Returns the rank of a request whose duration is unknown. */
     public static int of(int priority) {
         return Math.max(0, Math.min(LEAST_URGENT, 2 * priority));
--- /dev/null
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
@@ -0,0 +1,147 @@
+package org.wagtailcart.policy.share;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.stream.Collectors;
+import java.util.zip.CRC32C;
+
+/**
+ * Limits the requests of workspaces that ask for more than their share of a contended service. The leader of the
+ * control group says which these are. While a gateway has no word from it, it limits them by its own account, with the
+ * capacity of the service divided by the number of gateways. Deterministic; not thread safe.
+ */
+public final class ShareLimiter {
+    /** Validity of the shares that the leader sends; eight polls. */
+    public static final long SHARES_VALID_MILLIS = 2_000;
+
+    /**
+     * Time for which the last capacity that the leader sent is used without it. Engines come and go in minutes, and
+     * after that the gateway's own observation is closer.
+     */
+    static final long CAPACITY_VALID_MILLIS = 60_000;
+
+    /** Limit on the counters, for a few sizes of requests of each limited workspace. */
+    static final int MAX_COUNTERS = 2_000;
+
+    private final String gatewayId;
+    private final ShareCalculator ownAccount = new ShareCalculator();
+    private final Map<Key, Double> fractions = new HashMap<>();
+    private final Map<String, Double> capacities = new HashMap<>();
+    private long sharesExpireAtMillis = Long.MIN_VALUE;
+    private long capacitiesExpireAtMillis = Long.MIN_VALUE;
+    private long created;
+    private final Map<CounterKey, Double> credits = new LinkedHashMap<>(16, 0.75F, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<CounterKey, Double> eldest) {
+            return size() > MAX_COUNTERS;
+        }
+    };
+
+    /** What is done with a request. */
+    public enum Decision {
+        /** It is sent as usual. */
+        ADMIT,
+        /** It is sent with a lower rank, because its workspace is above its share. */
+        ADMIT_WITH_LOWER_RANK,
+        /** It is refused. */
+        REFUSE
+    }
+
+    private record Key(String service, String workspace) {}
+
+    /** Requests of similar cost have a counter of their own, so that each kind of request is admitted alike. */
+    private record CounterKey(Key key, int costExponent) {}
+
+    /** Creates a limiter of a gateway that knows no shares. */
+    public ShareLimiter(String gatewayId) {
+        this.gatewayId = gatewayId;
+    }
+
+    /** Replaces the shares by those that the leader sent. */
+    public void applyShares(List<ServiceCapacity> contended, List<WorkspaceShare> shares, long receivedAtMillis) {
+        fractions.clear();
+        shares.forEach(share -> fractions.put(new Key(share.service(), share.workspace()), share.admitFraction()));
+        sharesExpireAtMillis = receivedAtMillis + SHARES_VALID_MILLIS;
+        if (!contended.isEmpty()) {
+            capacities.clear();
+            contended.forEach(service -> capacities.put(service.service(), service.costPerSecond()));
+            capacitiesExpireAtMillis = receivedAtMillis + CAPACITY_VALID_MILLIS;
+        }
+    }
+
+    /** Observes the demand at this gateway, for the time without the leader. */
+    public void observe(List<WorkspaceDemand> ownDemand, long nowMillis) {
+        ownAccount.observe(ownDemand, nowMillis);
+    }
+
+    /** Returns whether the shares of the leader are valid. */
+    public boolean hasShares(long nowMillis) {
+        return nowMillis < sharesExpireAtMillis;
+    }
+
+    /**
+     * Decides on a request. A request that does not wait, or whose wait is harmless, is always sent.
+     *
+     * @param gateways number of gateways, at least 1
+     */
+    public Decision decide(ShareRequest request, int gateways, long nowMillis) {
+        OptionalDouble fraction = admitFraction(request.service(), request.workspace(), gateways, nowMillis);
+        if (fraction.isEmpty()) {
+            return Decision.ADMIT;
+        }
+        if (!request.endangered()) {
+            return Decision.ADMIT_WITH_LOWER_RANK;
+        }
+        return takeCredit(request, fraction.getAsDouble()) ? Decision.ADMIT_WITH_LOWER_RANK : Decision.REFUSE;
+    }
+
+    /** Returns the fraction of its requests that a workspace above its share is admitted with, empty for others. */
+    public OptionalDouble admitFraction(String service, String workspace, int gateways, long nowMillis) {
+        Key key = new Key(service, workspace);
+        Double fraction = hasShares(nowMillis)
+                ? fractions.get(key)
+                : ownFractions(service, gateways, nowMillis).get(workspace);
+        return fraction == null ? OptionalDouble.empty() : OptionalDouble.of(fraction);
+    }
+
+    private Map<String, Double> ownFractions(String service, int gateways, long nowMillis) {
+        return ownAccount.contended(nowMillis).stream()
+                .filter(observed -> observed.service().equals(service))
+                .map(observed -> ownCapacity(observed, gateways, nowMillis))
+                .flatMap(capacity -> ownAccount.shares(capacity).stream())
+                .collect(Collectors.toMap(WorkspaceShare::workspace, WorkspaceShare::admitFraction));
+    }
+
+    private ServiceCapacity ownCapacity(ServiceCapacity observed, int gateways, long nowMillis) {
+        Double ofAllGateways = nowMillis < capacitiesExpireAtMillis ? capacities.get(observed.service()) : null;
+        return ofAllGateways == null
+                ? observed
+                : new ServiceCapacity(observed.service(), ofAllGateways / Math.max(1, gateways));
+    }
+
+    /** Adds the credit of one request to its counter and takes a full one from it; returns whether there was one. */
+    private boolean takeCredit(ShareRequest request, double fraction) {
+        CounterKey key = new CounterKey(
+                new Key(request.service(), request.workspace()), Math.getExponent(Math.max(1, request.cost())));
+        double credit = credits.computeIfAbsent(key, this::initialCredit) + fraction;
+        boolean admitted = credit >= 1;
+        credits.put(key, admitted ? Math.min(1, credit - 1) : credit);
+        return admitted;
+    }
+
+    /**
+     * Returns a credit between 0 and 1 that differs between gateways. A gateway sees few requests of each workspace; with
+     * equal first credits all gateways would admit, or refuse, the first one.
+     */
+    private double initialCredit(CounterKey key) {
+        CRC32C crc = new CRC32C();
+        crc.update((gatewayId + "@" + key + "@" + created++).getBytes(StandardCharsets.UTF_8));
+        // A CRC is linear; mixing spreads similar names.
+        long mixed = crc.getValue() * 0x9E3779B97F4A7C15L;
+        return (((mixed ^ (mixed >>> 29)) * 0xBF58476D1CE4E5B9L) >>> 11) * 0x1.0p-53;
+    }
+}
--- a/policy/src/main/java/org/wagtailcart/policy/share/WorkspaceDemand.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/WorkspaceDemand.java
@@ -8,10 +8,12 @@
  * @param askedCostPerSecond cost of the requests that arrived
  * @param admittedCostPerSecond cost of the requests that were sent to upstreams
  * @param refusedPerSecond number of requests that were refused because the service was contended
+ * @param lateCostPerSecond cost of the requests that were sent although their estimated wait exceeded their target
  */
 public record WorkspaceDemand(
         String service,
         String workspace,
         double askedCostPerSecond,
         double admittedCostPerSecond,
-        double refusedPerSecond) {}
+        double refusedPerSecond,
+        double lateCostPerSecond) {}
