--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -25,6 +25,7 @@
 import org.wagtailcart.gateway.send.UpstreamResponse;
 import org.wagtailcart.gateway.send.UpstreamTimeouts;
 import org.wagtailcart.policy.share.RetryAfter;
+import org.wagtailcart.routes.Route;
 
 /**
  * Base class of the state machine that handles one request. A request ends exactly once: with a response, an error, the
@@ -394,6 +395,17 @@
         return targetMillis <= 0 ? remainingMillis() : request.arrivedMillis() + targetMillis - nowMillis();
     }
 
+    /** Returns the shortest target of the routes that use the service. */
+    final long shortestTargetMillis() {
+        return context.routeWatcher().routes().table().routes().stream()
+                .filter(route -> route.targetLatencyMillis() > 0)
+                .filter(route -> route.splits().stream()
+                        .anyMatch(split -> split.service().equals(request.service())))
+                .mapToLong(Route::targetLatencyMillis)
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
     /** Ends a request that no further upstream will be tried for. */
     abstract void giveUp(ResultCode code, String text, long retryAfterMillis);
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -11,7 +11,6 @@
 import org.wagtailcart.gateway.list.InFlightRequest;
 import org.wagtailcart.gateway.list.Upstream;
 import org.wagtailcart.gateway.list.UpstreamOutcome;
-import org.wagtailcart.gateway.list.UpstreamRegistry;
 import org.wagtailcart.gateway.protocol.ResponseMetadata;
 import org.wagtailcart.gateway.protocol.UpstreamRequestOptions;
 import org.wagtailcart.gateway.send.UpstreamRequest;
@@ -92,14 +91,13 @@
         if (shareRequest != null) {
             return true;
         }
-        UpstreamRegistry.WaitEstimate estimate = context().registry().estimateWait(replica);
         ShareRequest asked = ShareRequest.of(
                 request().service(),
                 request().workspace(),
                 RequestCost.PLAIN_CALL,
-                estimate.waitMillis(),
-                estimate.totalMillis(),
-                targetRemainingMillis());
+                context().registry().estimateWait(replica),
+                targetRemainingMillis(),
+                shortestTargetMillis());
         shareRequest = asked;
         ShareLimiter.Decision decision = context()
                 .workspaceLimits()
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -188,9 +188,9 @@
                                 placement,
                                 request().service(),
                                 request().metadata().prompt()),
-                waitMillis,
-                times.firstTokenMillis(),
-                targetRemainingMillis());
+                new ShareRequest.Estimate(waitMillis, times.firstTokenMillis()),
+                targetRemainingMillis(),
+                shortestTargetMillis());
     }
 
     /** Counts a refusal for its estimated wait. One without a wait says nothing about the load. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -31,6 +31,7 @@
 import org.wagtailcart.policy.placement.ReplicaCandidate;
 import org.wagtailcart.policy.placement.ReplicaPlacement;
 import org.wagtailcart.policy.share.RequestCost;
+import org.wagtailcart.policy.share.ShareRequest;
 import org.wagtailcart.routes.EngineSpec;
 import org.wagtailcart.routes.ServiceSpec;
 
@@ -98,14 +99,6 @@
         }
     }
 
-    /**
-     * Estimated response time of a replica.
-     *
-     * @param waitMillis time that a request waits for a slot, 0 if one is free
-     * @param totalMillis time until its response
-     */
-    public record WaitEstimate(double waitMillis, double totalMillis) {}
-
     /** Replaces the service definitions by those of a routing table. */
     public synchronized void services(Collection<ServiceSpec> specs) {
         services = specs.stream().collect(Collectors.toMap(ServiceSpec::name, Function.identity()));
@@ -209,11 +202,11 @@
      * Returns the estimated response time of a replica for a request that is counted as in flight there. Its recent
      * responses have waited in the same queue, so that their time includes the wait.
      */
-    public synchronized WaitEstimate estimateWait(Upstream replica) {
+    public synchronized ShareRequest.Estimate estimateWait(Upstream replica) {
         int slots = Math.max(1, replica.listEntry().maxInFlight());
         int waiting = Math.max(0, replica.inFlight() - slots);
         double totalMillis = replica.latencyMillis();
-        return new WaitEstimate(waiting == 0 ? 0 : totalMillis * waiting / replica.inFlight(), totalMillis);
+        return new ShareRequest.Estimate(waiting == 0 ? 0 : totalMillis * waiting / replica.inFlight(), totalMillis);
     }
 
     /** Returns the cost of a streamed request in engine time. */
--- a/gateway/src/test/java/org/wagtailcart/gateway/share/WorkspaceLimitsTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/share/WorkspaceLimitsTest.java
@@ -22,7 +22,7 @@
     private final WorkspaceLimits limits = new WorkspaceLimits("g1", nowMillis::get);
 
     private static ShareRequest request(String workspace, boolean waits) {
-        return new ShareRequest("s", workspace, 10, waits, waits);
+        return new ShareRequest("s", workspace, 10, waits, 0, waits);
     }
 
     private boolean admits(String workspace) {
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
@@ -96,7 +96,10 @@
         if (!request.endangered()) {
             return Decision.ADMIT_WITH_LOWER_RANK;
         }
-        return takeCredit(request, fraction.getAsDouble()) ? Decision.ADMIT_WITH_LOWER_RANK : Decision.REFUSE;
+        // The shares are up to a second old; a queue that grows meanwhile is drained by those above their share.
+        return takeCredit(request, fraction.getAsDouble() * (1 - request.pressure()))
+                ? Decision.ADMIT_WITH_LOWER_RANK
+                : Decision.REFUSE;
     }
 
     /** Returns the fraction of its requests that a workspace above its share is admitted with, empty for others. */
--- a/policy/src/test/java/org/wagtailcart/policy/share/ShareLimiterTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/share/ShareLimiterTest.java
@@ -6,6 +6,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -16,7 +17,7 @@
     private final ShareLimiter limiter = new ShareLimiter("g1");
 
     private static ShareRequest request(String workspace, double cost, boolean endangered) {
-        return new ShareRequest("s", workspace, cost, endangered, false);
+        return new ShareRequest("s", workspace, cost, endangered, 0, false);
     }
 
     private void limit(String workspace, double fraction) {
@@ -52,6 +53,18 @@
         assertThat((double) admitted[1]).isWithin(1.1).of(250);
     }
 
+    /** Guards against a queue that grows while the shares still lag behind the demand. */
+    @ParameterizedTest
+    @CsvSource({"0.0, 500", "0.5, 250", "1.0, 0"})
+    void fewerAreAdmittedWhileTheWaitIsLong(double pressure, int expected) {
+        limit("greedy", 0.5);
+        assertThat((double) admitted(1_000, new ShareRequest("s", "greedy", 100, true, pressure, true), 0))
+                .isWithin(1.1)
+                .of(expected);
+        assertThat(admitted(10, new ShareRequest("s", "small", 100, true, pressure, true), 0))
+                .isEqualTo(10);
+    }
+
     @Test
     void requestThatDoesNotWaitIsNeverRefused() {
         limit("greedy", 0.0);
