--- a/common/src/main/java/org/wagtailcart/common/LogEventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEventKind.java
@@ -74,6 +74,8 @@
     ENGINE_RATES_CHANGED(false, "service", "tokens-per-milli", "faster", "slower", "max-speed", "min-speed"),
     /** A process refuses requests with a prompt segment that makes engines crash. */
     SEGMENT_QUARANTINED(false, "segment", "offences", "for-millis", "source"),
+    /** The set of services whose requests wait too long or are refused, so that workspaces are limited, changed. */
+    CONTENTION_CHANGED(false, "services", "limited-workspaces"),
     /** A gateway installed a newer routing table. */
     TABLE_INSTALLED(false, "version", "routes", "workspaces", "member", "age-millis"),
     /** A control member is unreachable from a gateway. */
--- a/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
@@ -1,14 +1,18 @@
 package org.wagtailcart.control.watch;
 
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.wagtailcart.control.client.FleetReport;
 import org.wagtailcart.control.client.GatewayReport;
 import org.wagtailcart.control.usage.UsageObserver;
 import org.wagtailcart.policy.placement.EngineRate;
+import org.wagtailcart.policy.share.ServiceCapacity;
+import org.wagtailcart.policy.share.WorkspaceShare;
 
 /** Collects the reports of gateways and derives from them what all gateways are told. Not thread safe. */
 final class FleetReports {
     private final EngineRateLog engineRates = new EngineRateLog();
+    private final DemandTracker demand = new DemandTracker();
     private final UsageObserver usage;
 
     FleetReports(UsageObserver usage) {
@@ -19,6 +23,7 @@
     void record(String processId, GatewayReport report, long nowMillis) {
         usage.record(processId, report.wallClockMillis(), report.usage(), nowMillis);
         engineRates.record(processId, report.engineRates(), report.engineRatesVersion(), nowMillis);
+        demand.record(processId, report.demand(), nowMillis);
     }
 
     /** Returns the learned prefill rates of engines. */
@@ -29,11 +34,20 @@
     /** Returns the reply to a gateway. */
     FleetReport replyTo(String processId, long nowMillis) {
         EngineRateLog.Page rates = engineRates.pageFor(processId);
+        List<ServiceCapacity> contended = contendedIfDue(processId, nowMillis);
+        List<WorkspaceShare> shares = contended == null ? List.of() : demand.shares(nowMillis);
         return new FleetReport(
                 usage.trueTimeMillis(nowMillis).orElse(0),
                 usage.acknowledged(processId),
                 rates.rates(),
-                List.of(),
-                rates.version());
+                shares,
+                rates.version(),
+                contended);
+    }
+
+    /** Returns the contended services, null when they are unknown or were sent to the gateway shortly before. */
+    private @Nullable List<ServiceCapacity> contendedIfDue(String processId, long nowMillis) {
+        List<ServiceCapacity> contended = demand.contended(nowMillis);
+        return contended != null && demand.sendDue(processId, nowMillis) ? contended : null;
     }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -39,6 +39,7 @@
 import org.wagtailcart.gateway.send.SuspectUpstreams;
 import org.wagtailcart.gateway.send.UnexpectedResponseLog;
 import org.wagtailcart.gateway.send.UpstreamHttpClient;
+import org.wagtailcart.gateway.share.WorkspaceLimits;
 import org.wagtailcart.gateway.watch.RouteTableWatcher;
 import org.wagtailcart.usage.UsageCounter;
 
@@ -96,6 +97,7 @@
                         clock,
                         registry))
                 .findFirst();
+        WorkspaceLimits workspaceLimits = new WorkspaceLimits(options.processId(), clock);
         RouteTableWatcher routeWatcher = new RouteTableWatcher(
                 options.processId(),
                 options.controlSeeds(),
@@ -103,7 +105,7 @@
                 upstreams,
                 quarantine,
                 new GatewayReports(
-                        upstreams, usage.<UsageReports>map(meter -> meter).orElse(UsageReports.NONE)),
+                        upstreams, usage.<UsageReports>map(meter -> meter).orElse(UsageReports.NONE), workspaceLimits),
                 timer,
                 clock);
         SuspectUpstreams suspects = new SuspectUpstreams(clock);
@@ -119,6 +121,7 @@
                 new RetryBudgets(options.retryRatio(), options.retryReserve(), options.retryWindowMillis()),
                 quarantine,
                 new EngineCrashDetector(quarantine, client::refusesConnections, traffic, timer, clock),
+                workspaceLimits,
                 new OpenCalls(),
                 usage.<RunListener>map(meter -> meter).orElse(RunListener.NONE),
                 new RequestMetrics(registry),
@@ -250,6 +253,8 @@
                 context.retryBudgets().minRemaining(gateways, context.clock().nowMillis()),
                 context.registry().states(),
                 context.registry().ownWork(),
+                context.workspaceLimits().hasShares(),
+                WorkspaceStates.of(context),
                 context.quarantine().entries(),
                 KeyDump.of(
                         context.routeWatcher().routes().authenticator().orElse(null),
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayContext.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayContext.java
@@ -10,6 +10,7 @@
 import org.wagtailcart.gateway.report.RunListener;
 import org.wagtailcart.gateway.send.UnexpectedResponseLog;
 import org.wagtailcart.gateway.send.UpstreamHttpClient;
+import org.wagtailcart.gateway.share.WorkspaceLimits;
 import org.wagtailcart.gateway.watch.RouteTableWatcher;
 
 /**
@@ -23,6 +24,7 @@
  * @param retryBudgets retry budgets of the services
  * @param quarantine prompt segments whose requests are refused
  * @param crashDetector detector of engines that end under a request
+ * @param workspaceLimits limits on the workspaces of contended services
  * @param openCalls calls that have not ended
  * @param runs learns when upstreams begin to run requests
  * @param metrics metrics of ended requests and failed attempts
@@ -39,6 +41,7 @@
         RetryBudgets retryBudgets,
         PromptQuarantine quarantine,
         EngineCrashDetector crashDetector,
+        WorkspaceLimits workspaceLimits,
         OpenCalls openCalls,
         RunListener runs,
         RequestMetrics metrics,
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -16,6 +16,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.LogEventKind;
 import org.wagtailcart.common.MillisClock;
@@ -33,6 +34,8 @@
 import org.wagtailcart.policy.placement.PromptPlacement;
 import org.wagtailcart.policy.placement.ReplicaCandidate;
 import org.wagtailcart.policy.placement.ReplicaPlacement;
+import org.wagtailcart.policy.share.RequestCost;
+import org.wagtailcart.policy.share.ShareRequest;
 import org.wagtailcart.routes.EngineSpec;
 import org.wagtailcart.routes.ServiceSpec;
 
@@ -204,6 +207,30 @@
         return upstream.latencyMillis();
     }
 
+    /**
+     * Returns the estimated response time of a replica for a request that is counted as in flight there. Its recent
+     * responses have waited in the same queue, so that their time includes the wait.
+     */
+    public synchronized ShareRequest.Estimate estimateWait(Upstream replica) {
+        int slots = Math.max(1, replica.listEntry().maxInFlight());
+        int waiting = Math.max(0, replica.inFlight() - slots);
+        double totalMillis = replica.latencyMillis();
+        return new ShareRequest.Estimate(waiting == 0 ? 0 : totalMillis * waiting / replica.inFlight(), totalMillis);
+    }
+
+    /** Returns the cost of a streamed request in engine time. */
+    public synchronized double costOf(Placement placement, String service, @Nullable Prompt prompt) {
+        ServiceSpec spec = services.get(service);
+        EngineSpec engine = spec == null ? null : spec.engine();
+        return engine == null || prompt == null
+                ? RequestCost.PLAIN_CALL
+                : RequestCost.ofStream(
+                        placement.prefillTokens(),
+                        engineRates(service, clock.nowMillis()).prefillTokensPerMilli(),
+                        prompt.maxOutputTokens(),
+                        engine.slots());
+    }
+
     /** Returns whether a service runs on inference engines. */
     public synchronized boolean hasEngines(String service) {
         ServiceSpec spec = services.get(service);
--- a/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
@@ -21,6 +21,7 @@
 import org.wagtailcart.gateway.quarantine.PromptQuarantine;
 import org.wagtailcart.gateway.report.GatewayReports;
 import org.wagtailcart.gateway.report.UsageReports;
+import org.wagtailcart.gateway.share.WorkspaceLimits;
 import org.wagtailcart.policy.placement.Location;
 import org.wagtailcart.routes.RequestLimits;
 import org.wagtailcart.routes.RouteTable;
@@ -44,7 +45,7 @@
             this::call,
             registry,
             new PromptQuarantine(MillisClock.monotonic()),
-            new GatewayReports(registry, UsageReports.NONE),
+            new GatewayReports(registry, UsageReports.NONE, new WorkspaceLimits("g", () -> 0)),
             timer,
             MillisClock.monotonic());
 
