--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayMetrics.java
@@ -40,7 +40,7 @@
                 .filter(state -> state.refusesForMillis() > 0)
                 .count());
         gauge(registry, "gateway.upstream-crashes", () -> context.quarantine().crashes());
-        gauge(registry, "gateway.workspaces", () -> context.workspaceLimits()
+        gauge(registry, "gateway.workspaces-active", () -> context.workspaceLimits()
                 .demand()
                 .size());
         gauge(registry, "gateway.workspaces-limited", () -> WorkspaceStates.countLimited(context));
