Learn the rates of engines that get few prompts

A test of two gateways over nine engines at low load never learned two of three fast engines: the first one found took the uncached prompts, and the others, with the median assumed, got less than the four samples that 20 s must hold.

The latest four samples now count at any age, and an engine without a known rate competes for prompts as the fastest of its service until it has four samples. On a uniform fleet that is the rate of all.

--- a/control/src/main/java/org/wagtailcart/control/watch/EngineRateLog.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/EngineRateLog.java
@@ -16,7 +16,7 @@
     /** Relative change from which a rate is sent again; smaller ones do not change a placement. */
     static final double MIN_CHANGE = 0.05;
 
-    /** Limit on the rates in a reply, about 15 KB; a gateway gets the others with its next polls. */
+    /** Limit on the rates in a reply, at most 12 KB; a gateway gets the others with its next polls. */
     static final int MAX_RATES_PER_REPLY = 400;
 
     /** Time after which an engine without news is forgotten; the gateways keep its rate while it is listed. */
--- a/control/src/test/java/org/wagtailcart/control/watch/EngineRateLogTest.java
+++ b/control/src/test/java/org/wagtailcart/control/watch/EngineRateLogTest.java
@@ -5,7 +5,11 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.wagtailcart.control.client.ControlMessages;
+import org.wagtailcart.control.client.GatewayReport;
+import org.wagtailcart.control.client.WatchRequest;
 import org.wagtailcart.policy.placement.EngineRate;
+import org.wagtailcart.wire.MessageCodec;
 
 /** Guards against rates that are lost with a leader or a gateway, and against replies that grow with the fleet. */
 class EngineRateLogTest {
@@ -82,4 +86,21 @@
         }
         assertThat(polls).isEqualTo(6);
     }
+
+    private static int bytes(int engines) {
+        List<EngineRate> rates = IntStream.range(0, engines)
+                .mapToObj(i -> new EngineRate(String.format("i-%010d", i), 35.8 + i / 7.0, 1_000))
+                .toList();
+        GatewayReport report = new GatewayReport(1, null, rates, List.of(), 1);
+        return new MessageCodec(List.of(ControlMessages.TYPES))
+                .encode(new WatchRequest("g", 0, 0, List.of(), List.of(), 0, 0, null, report))
+                .length;
+    }
+
+    /** Guards against messages that take a noticeable part of a gateway's bandwidth of 5 Mbit/s. */
+    @Test
+    void aRateTakesAtMost30Bytes() {
+        assertThat(bytes(50) - bytes(0)).isAtMost(50 * 30);
+        assertThat(bytes(EngineRateLog.MAX_RATES_PER_REPLY) - bytes(0)).isAtMost(12_000);
+    }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
@@ -20,7 +20,7 @@
     /** Time without a reply after which own samples take precedence; a poll takes at most 250 ms. */
     static final long CONTACT_MILLIS = 3_000;
 
-    /** Limit on the rates in a message, about 15 KB. */
+    /** Limit on the rates in a message, at most 12 KB. */
     static final int MAX_RATES_PER_MESSAGE = 400;
 
     private final Map<String, PrefillRateEstimate> ownById = new HashMap<>();
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -535,7 +535,14 @@
                 upstream.cachedTokens(segments),
                 upstream.slowdown(nowMillis),
                 upstream.startDelayMillis(nowMillis),
-                fleetRates(upstream.listEntry().service(), nowMillis).speed(upstream.id()));
+                speed(upstream, nowMillis));
+    }
+
+    private double speed(Upstream engine, long nowMillis) {
+        FleetRates rates = fleetRates(engine.listEntry().service(), nowMillis);
+        return engine.listEntry().role() == EngineRole.PREFILL
+                ? rates.prefillSpeed(engine.id())
+                : rates.speed(engine.id());
     }
 
     private static double currentLatency(Upstream upstream, double meanMillis, long nowMillis) {
--- a/policy/src/main/java/org/wagtailcart/policy/placement/FleetRates.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/FleetRates.java
@@ -26,10 +26,12 @@
 
     private final Map<String, Double> speedById;
     private final double serviceTokensPerMilli;
+    private final double maxSpeed;
 
     private FleetRates(Map<String, Double> speedById, double serviceTokensPerMilli) {
         this.speedById = speedById;
         this.serviceTokensPerMilli = serviceTokensPerMilli;
+        this.maxSpeed = speedById.values().stream().reduce(1.0, Math::max);
     }
 
     /**
@@ -62,6 +64,14 @@
         return speedById.getOrDefault(engineId, 1.0);
     }
 
+    /**
+     * Returns the relative rate with which an engine competes for prompts. An engine of which nothing is known counts as
+     * the fastest; with the median it would get too few prompts at low load for its rate ever to be learned.
+     */
+    public double prefillSpeed(String engineId) {
+        return speedById.getOrDefault(engineId, maxSpeed);
+    }
+
     /** Returns the rate of an engine in the prefill role. */
     public double tokensPerMilli(String engineId) {
         return serviceTokensPerMilli * speed(engineId);
@@ -73,8 +83,8 @@
                 Math.round(serviceTokensPerMilli),
                 speedById.values().stream().filter(speed -> speed > 1).count(),
                 speedById.values().stream().filter(speed -> speed < 1).count(),
-                speedById.values().stream().mapToDouble(speed -> speed).max().orElse(1),
-                speedById.values().stream().mapToDouble(speed -> speed).min().orElse(1));
+                maxSpeed,
+                speedById.values().stream().reduce(1.0, Math::min));
     }
 
     /**
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PrefillRateEstimate.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PrefillRateEstimate.java
@@ -17,7 +17,7 @@
     public static final int MIN_SAMPLES = 4;
 
     /**
-     * Age up to which samples count. The rate follows an increase of speed after a quarter of this time and a decrease
+     * Age up to which samples count; the latest few always count, for engines that get few prompts. The rate follows an increase of speed after a quarter of this time and a decrease
      * after three quarters; faults that last a few seconds do not change it and are left to {@link PrefillSlowdown}.
      */
     static final long WINDOW_MILLIS = 20_000;
@@ -83,13 +83,15 @@
     }
 
     private void prune(long nowMillis) {
-        while (!entries.isEmpty()
-                && (entries.size() > MAX_ENTRIES
-                        || nowMillis - entries.getFirst().atMillis() > WINDOW_MILLIS)) {
+        while (entries.size() > MAX_ENTRIES || (entries.size() > MIN_SAMPLES && firstIsOld(nowMillis))) {
             entries.removeFirst();
         }
     }
 
+    private boolean firstIsOld(long nowMillis) {
+        return nowMillis - entries.getFirst().atMillis() > WINDOW_MILLIS;
+    }
+
     private double quantile() {
         List<Entry> sorted = entries.stream()
                 .sorted(Comparator.comparingDouble(Entry::tokensPerMilli))
--- a/policy/src/test/java/org/wagtailcart/policy/placement/FleetRatesTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/FleetRatesTest.java
@@ -30,6 +30,16 @@
         assertThat(rates.tokensPerMilli("new")).isEqualTo(35.8);
     }
 
+    /** Guards against a fast engine that never gets a prompt because it counts as slow until it has one. */
+    @Test
+    void anUnknownEngineCompetesAsTheFastest() {
+        FleetRates rates = FleetRates.of(Map.of("a", 36.0, "b", 36.0, "c", 90.0));
+        assertThat(rates.prefillSpeed("new")).isEqualTo(2.5);
+        assertThat(rates.prefillSpeed("a")).isEqualTo(1);
+        assertThat(FleetRates.of(Map.of("a", 36.0, "b", 36.0, "c", 37.0)).prefillSpeed("new"))
+                .isEqualTo(1);
+    }
+
     /** Guards against the first engine with samples determining the rate assumed for all others. */
     @Test
     void oneEngineDoesNotDetermineTheRateOfTheService() {
