Test placement on engines of unequal speed

PromptPlacementTest now guards the order of owners at equal speeds against unweighted hashing, the share of segments by speed, the overloaded owner, the queue weighed by speed and the choice of the decode engine. Speeds of decode engines no longer count as a difference among the prefill engines.

--- a/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
@@ -44,9 +44,9 @@
         Double shared = sharedById.get(engineId);
         PrefillRateEstimate own = ownById.get(engineId);
         boolean inContact = nowMillis - repliedAtMillis <= CONTACT_MILLIS;
-        boolean ownApplies = own != null
-                && own.samples(nowMillis) >= PrefillRateEstimate.MIN_SAMPLES
-                && (shared == null || !inContact);
+        boolean ownApplies = (shared == null || !inContact)
+                && own != null
+                && own.samples(nowMillis) >= PrefillRateEstimate.MIN_SAMPLES;
         if (own != null && ownApplies) {
             return own.tokensPerMilli(nowMillis);
         }
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -201,7 +201,12 @@
     }
 
     private static boolean differInSpeed(List<EngineCandidate> engines) {
-        return engines.stream().mapToDouble(EngineCandidate::speed).distinct().count() > 1;
+        return engines.stream()
+                        .filter(EngineCandidate::prefillRole)
+                        .mapToDouble(EngineCandidate::speed)
+                        .distinct()
+                        .count()
+                > 1;
     }
 
     /** Returns the score of an engine in weighted rendezvous hashing; it owns segments in proportion to its speed. */
@@ -310,7 +315,7 @@
                         .thenComparing(EngineCandidate::id));
     }
 
-    private static long rendezvousWeight(String affinity, String engineId) {
+    static long rendezvousWeight(String affinity, String engineId) {
         CRC32C sum = new CRC32C();
         sum.update((affinity + "@" + engineId).getBytes(StandardCharsets.UTF_8));
         // A CRC is linear; mixing makes the order of two engines vary between segments.
--- a/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
@@ -2,10 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -89,7 +91,7 @@
         List<EngineCandidate> idle = IntStream.range(0, 6)
                 .mapToObj(i -> engine("e" + i, i < 5, 0, 0))
                 .toList();
-        String owner = prefillEngine(choose(idle, MANUAL));
+        String owner = prefillEngine(choose(withDecode(idle), MANUAL));
         List<EngineCandidate> engines = idle.stream()
                 .map(engine -> engine.id().equals(owner) ? engine(owner, true, queuedTokens, 13_300) : engine)
                 .toList();
@@ -199,4 +201,87 @@
         assertThat(choose(List.of(engine("p", true, 60_000, 0), idle), prompt).prefill())
                 .isNull();
     }
+
+    private static EngineCandidate engineOfSpeed(String id, double speed, long queuedTokens, int cachedTokens) {
+        return new EngineCandidate(id, "fes", true, 64, 0, queuedTokens, cachedTokens, 1, 0, speed);
+    }
+
+    /** Adds a decode engine that is too busy to prefill prompts. */
+    private static List<EngineCandidate> withDecode(List<EngineCandidate> engines) {
+        return Stream.concat(engines.stream(), Stream.of(engine("decode", false, 100_000, 0)))
+                .toList();
+    }
+
+    private static String ownerOf(List<EngineCandidate> engines, String affinity) {
+        return prefillEngine(choose(withDecode(engines), new PromptPlacement.PromptSize(1_000, 900, affinity)));
+    }
+
+    /** Guards against a fleet of equal speed whose segments move to other owners, which evicts cached ones. */
+    @ParameterizedTest
+    @CsvSource({"1", "0.7", "1.7"})
+    void equalSpeedsKeepTheOrderOfUnweightedHashing(double speed) {
+        List<EngineCandidate> engines = IntStream.range(0, 30)
+                .mapToObj(i -> engineOfSpeed("e" + i, speed, 0, 0))
+                .toList();
+        IntStream.range(0, 2_000).mapToObj(i -> "part-" + i).forEach(affinity -> assertThat(ownerOf(engines, affinity))
+                .isEqualTo(engines.stream()
+                        .map(EngineCandidate::id)
+                        .max(Comparator.comparing(id -> PromptPlacement.rendezvousWeight(affinity, id)))
+                        .orElseThrow()));
+    }
+
+    /** Guards against slow engines that own as many segments as fast ones and become the bottleneck. */
+    @Test
+    void enginesOwnSegmentsInProportionToTheirSpeed() {
+        List<EngineCandidate> engines = IntStream.range(0, 30)
+                .mapToObj(i -> engineOfSpeed("e" + i, i % 3 == 0 ? 1.2 : 1, 0, 0))
+                .toList();
+        double fast = IntStream.range(0, 6_000)
+                .mapToObj(i -> ownerOf(engines, "part-" + i))
+                .filter(id -> Integer.parseInt(id.substring(1)) % 3 == 0)
+                .count();
+        assertThat(fast / 6_000).isWithin(0.03).of(1.2 * 10 / (1.2 * 10 + 20));
+    }
+
+    /** Guards against an uncached segment that waits behind the long queue of its owner where speeds differ. */
+    @ParameterizedTest
+    @CsvSource({"0, true", "5000, true", "40000, false"})
+    void anOverloadedOwnerDoesNotGetAnotherNewSegment(long queuedTokens, boolean staysAtOwner) {
+        List<EngineCandidate> idle = IntStream.range(0, 6)
+                .mapToObj(i -> engineOfSpeed("e" + i, i == 0 ? 1.3 : 1, 0, 0))
+                .toList();
+        String owner = prefillEngine(choose(withDecode(idle), MANUAL));
+        List<EngineCandidate> busy = idle.stream()
+                .map(engine ->
+                        engineOfSpeed(engine.id(), engine.speed(), engine.id().equals(owner) ? queuedTokens : 0, 0))
+                .toList();
+        assertThat(prefillEngine(choose(withDecode(busy), MANUAL)).equals(owner))
+                .isEqualTo(staysAtOwner);
+    }
+
+    /** Guards against a prompt that waits for a slow engine while a fast one has a shorter time, despite its queue. */
+    @ParameterizedTest
+    @CsvSource({"0, fast", "10000, fast", "40000, slow"})
+    void theQueueIsWeighedByTheSpeedOfTheEngine(long queuedTokens, String expected) {
+        PromptPlacement.Choice choice = choose(
+                List.of(
+                        engineOfSpeed("fast", 2.4, queuedTokens, 0),
+                        engineOfSpeed("slow", 1, 0, 0),
+                        engine("decode", false, 100_000, 0)),
+                new PromptPlacement.PromptSize(17_000, 0, ""));
+        assertThat(prefillEngine(choice)).isEqualTo(expected);
+    }
+
+    /** Guards against a fast decode engine that gets no more streams than a slow one. */
+    @ParameterizedTest
+    @CsvSource({"10, fast", "20, fast", "30, slow"})
+    void theLoadOfADecodeEngineIsWeighedByItsSpeed(int requests, String expected) {
+        EngineCandidate fast = new EngineCandidate("fast", "fes", false, 64, requests, 0, 0, 1, 0, 2.4);
+        EngineCandidate slow = new EngineCandidate("slow", "fes", false, 64, 10, 0, 0, 1, 0, 1);
+        EngineCandidate prefill = engine("prefill", true, 0, 0);
+        assertThat(PromptPlacement.chooseDecode(List.of(fast, slow, prefill), prefill, FES)
+                        .orElseThrow()
+                        .id())
+                .isEqualTo(expected);
+    }
 }
