--- a/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
@@ -20,7 +20,7 @@
     /** Time without a reply after which own samples take precedence; a poll takes at most 250 ms. */
     static final long CONTACT_MILLIS = 3_000;
 
-    /** Limit on the rates in a message, about 15 KB. */
+    /** Limit on the rates in a message, at most 12 KB. */
     static final int MAX_RATES_PER_MESSAGE = 400;
 
     private final Map<String, PrefillRateEstimate> ownById = new HashMap<>();
@@ -44,9 +44,9 @@
         Double shared = sharedById.get(engineId);
         PrefillRateEstimate own = ownById.get(engineId);
         boolean inContact = nowMillis - repliedAtMillis <= CONTACT_MILLIS;
-        boolean ownApplies = own != null
-                && own.samples(nowMillis) >= PrefillRateEstimate.MIN_SAMPLES
-                && (shared == null || !inContact);
+        boolean ownApplies = (shared == null || !inContact)
+                && own != null
+                && own.samples(nowMillis) >= PrefillRateEstimate.MIN_SAMPLES;
         if (own != null && ownApplies) {
             return own.tokensPerMilli(nowMillis);
         }
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -27,7 +27,8 @@
 
     /**
      * Share that applies instead while no engine has the shared segments cached and engines differ in speed. A fast
-     * engine then saves more than a second prefill of the segment elsewhere costs.
+     * engine then saves more than a second prefill of the segment elsewhere costs. With 0.3 and 1.2, goodput in
+     * UnequalEnginesTest was 0.96 and 0.98 at two speeds, and 0.96 and 0.96 at three, against 0.97 in both.
      */
     static final double UNEQUAL_UNCACHED_AFFINITY_PREFERENCE = 0.7;
 
@@ -201,7 +202,12 @@
     }
 
     private static boolean differInSpeed(List<EngineCandidate> engines) {
-        return engines.stream().mapToDouble(EngineCandidate::speed).distinct().count() > 1;
+        return engines.stream()
+                        .filter(EngineCandidate::prefillRole)
+                        .mapToDouble(EngineCandidate::speed)
+                        .distinct()
+                        .count()
+                > 1;
     }
 
     /** Returns the score of an engine in weighted rendezvous hashing; it owns segments in proportion to its speed. */
@@ -310,7 +316,7 @@
                         .thenComparing(EngineCandidate::id));
     }
 
-    private static long rendezvousWeight(String affinity, String engineId) {
+    static long rendezvousWeight(String affinity, String engineId) {
         CRC32C sum = new CRC32C();
         sum.update((affinity + "@" + engineId).getBytes(StandardCharsets.UTF_8));
         // A CRC is linear; mixing makes the order of two engines vary between segments.
