Authenticate callers of an entry by key digests in the settings tree

An entry took the workspace of a request from a header that any caller may set.

The settings tree gets key-salt (on /workspaces) and key-digests (on each workspace). With a digest in the tree, an entry needs a key, by the authenticator that gateways use; without one nothing changes. CallerAuthenticator replaces the credentials by the workspace of the key, so that the rest of the entry stays as it is. key-digest makes a digest of a key on the standard input; keys in arguments are visible to other users of the host.

Ruled out: a salt in each digest, which needs a hash for each digest of the tree at every request; digests that are inherited, which would belong to all workspaces.

--- a/cli/src/main/java/org/wagtailcart/cli/CheckCommands.java
+++ b/cli/src/main/java/org/wagtailcart/cli/CheckCommands.java
@@ -17,7 +17,8 @@
     private CheckCommands() {}
 
     static List<CliCommand> all() {
-        return List.of(new CheckSettingsCommand(), new CheckTreeCommand(), new ExplainCommand());
+        return List.of(
+                new CheckSettingsCommand(), new CheckTreeCommand(), new ExplainCommand(), new KeyDigestCommand());
     }
 
     private static ExitCode check(CommandContext context, String file, Function<String, String> check) {
--- a/entry/src/main/java/org/wagtailcart/entry/CallerRequestHandler.java
+++ b/entry/src/main/java/org/wagtailcart/entry/CallerRequestHandler.java
@@ -26,6 +26,7 @@
 import org.wagtailcart.entry.call.CallContext;
 import org.wagtailcart.entry.call.RetryableCall;
 import org.wagtailcart.entry.call.Stage;
+import org.wagtailcart.entry.request.CallerAuthenticator;
 import org.wagtailcart.entry.request.CallerRequest;
 import org.wagtailcart.entry.request.HttpRequestHead;
 import org.wagtailcart.entry.request.PoolDirectory;
@@ -140,6 +141,12 @@
             state.onRequestEnded();
             next.proceed();
         });
+        try {
+            HttpRequestHead unused = authenticatedHead(exchange, state.pools());
+        } catch (WagtailcartException e) {
+            sendErrorUnread(exchange, e);
+            return;
+        }
         if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
             sendErrorUnread(exchange, bodyRejected());
             return;
@@ -197,11 +204,28 @@
         classify(exchange, body, response);
     }
 
+    /**
+     * Returns the head of a request with the workspace of its key. The key is checked before the body, which takes
+     * memory, and again after it, as the key may be withdrawn meanwhile.
+     */
+    private HttpRequestHead authenticatedHead(HttpServerExchange exchange, PoolDirectory pools) {
+        boolean confirmed = context.clock().nowMillis() < context.view().leaseDeadlineMillis();
+        return CallerAuthenticator.authenticate(requestHead(exchange), pools, confirmed);
+    }
+
     private void classify(HttpServerExchange exchange, byte[] body, CallerResponse response) {
+        PoolDirectory pools = state.pools();
+        HttpRequestHead head;
+        try {
+            head = authenticatedHead(exchange, pools);
+        } catch (WagtailcartException e) {
+            sendError(response, Stage.CLASSIFY, withRunStateForKey(exchange, ErrorResponse.of(e)));
+            return;
+        }
         CallerRequest request;
         try {
             request = RequestClassifier.classify(
-                    requestHead(exchange), body, state.pools(), context.clock().nowMillis());
+                    head, body, pools, context.clock().nowMillis());
             context.counters().count(Stage.CLASSIFY, ResultCode.OK);
             request.completion().ifPresent(demand::onRequest);
         } catch (WagtailcartException e) {
@@ -270,6 +294,9 @@
     private void sendError(CallerResponse response, Stage stage, ErrorResponse error) {
         context.counters().count(stage, error.code());
         context.counters().count(Stage.FINISH, error.code());
+        if (error.code() == ResultCode.API_KEY_REFUSED) {
+            response.setHeader(Headers.WWW_AUTHENTICATE_STRING, "Bearer");
+        }
         response.sendError(error);
     }
 
--- a/entry/src/main/java/org/wagtailcart/entry/request/PoolDirectory.java
+++ b/entry/src/main/java/org/wagtailcart/entry/request/PoolDirectory.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -13,6 +14,11 @@
 import org.wagtailcart.common.UpstreamKind;
 import org.wagtailcart.fleet.UpstreamView;
 import org.wagtailcart.settings.SettingsTree;
+import org.wagtailcart.settings.WorkspaceKeyDigests;
+import org.wagtailcart.workspace.KeyDigest;
+import org.wagtailcart.workspace.Workspace;
+import org.wagtailcart.workspace.WorkspaceAuthenticator;
+import org.wagtailcart.workspace.WorkspaceTable;
 
 /** Immutable index of pools and their settings, rebuilt when the settings or the upstreams change. */
 public final class PoolDirectory {
@@ -20,6 +26,7 @@
     private static final String WORKSPACES = "/workspaces/";
 
     private final SettingsTree settings;
+    private final Optional<WorkspaceAuthenticator> authenticator;
     private final Map<String, Pool> engines;
     private final Map<String, Pool> services;
 
@@ -47,6 +54,7 @@
     /** Builds the index from settings and upstreams. */
     public PoolDirectory(SettingsTree settings, Collection<UpstreamView> upstreams) {
         this.settings = settings;
+        this.authenticator = buildAuthenticator(settings);
         Map<String, String> branchById = settings.branches().stream()
                 .filter(path -> path.startsWith(UPSTREAMS))
                 .collect(Collectors.toMap(PoolDirectory::lastSegment, Function.identity(), (a, b) -> b));
@@ -54,6 +62,24 @@
         services = buildPools(upstreams, UpstreamKind.SERVICE, branchById);
     }
 
+    private static Optional<WorkspaceAuthenticator> buildAuthenticator(SettingsTree settings) {
+        SortedMap<String, List<String>> digests = WorkspaceKeyDigests.byWorkspace(settings);
+        if (digests.isEmpty()) {
+            return Optional.empty();
+        }
+        byte[] salt =
+                WorkspaceKeyDigests.salt(settings).map(KeyDigest::parseSalt).orElseGet(() -> new byte[0]);
+        List<Workspace> workspaces = digests.entrySet().stream()
+                .map(entry -> new Workspace(entry.getKey(), entry.getValue(), null))
+                .toList();
+        return Optional.of(new WorkspaceAuthenticator(new WorkspaceTable(salt, workspaces)));
+    }
+
+    /** Returns the authenticator of callers, empty if the settings have no key digests. */
+    public Optional<WorkspaceAuthenticator> authenticator() {
+        return authenticator;
+    }
+
     /** Returns the name of the model or service of an upstream. */
     public static Optional<String> poolOf(UpstreamView upstream) {
         return upstream.kind() == UpstreamKind.ENGINE
--- a/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
@@ -36,6 +36,8 @@
     DEADLINE_MILLIS(1, 3_600_000),
     PRIORITY(names(Priority.values())),
     REQUESTS_PER_SECOND(0, 1_000_000),
+    KEY_SALT("22 letters, digits, '-' or '_'", ValuePatterns.KEY_SALT),
+    KEY_DIGESTS("a comma-separated list of key digests of 16 letters, digits, '-' or '_'", ValuePatterns.KEY_DIGESTS),
     NON_IDEMPOTENT("a comma-separated list of METHOD /path-prefix", ValuePatterns.CALL_PREFIXES),
     GOODPUT_WEIGHT(0, 1000),
     ROLE_CHANGE_WEIGHT(0, 1000),
@@ -158,6 +160,9 @@
         static final String TEXT = "[^\\p{Cntrl}\"\\\\]{0,200}(?<! )";
         static final String TEXT_DESCRIPTION = "1 to 200 printable characters without \" and \\";
         static final String OPTIONAL_TEXT_DESCRIPTION = "up to 200 printable characters without \" and \\";
+        static final String KEY_SALT = "[A-Za-z0-9_-]{22}";
+        static final String KEY_DIGEST = "[A-Za-z0-9_-]{16}";
+        static final String KEY_DIGESTS = "(" + KEY_DIGEST + "(, *+" + KEY_DIGEST + ")*+)?";
         static final String CALL_PREFIX = "(GET|HEAD|POST|PUT|PATCH|DELETE) /[!#-+\\--\\[\\]-~]*+";
         static final String CALL_PREFIXES = "(" + CALL_PREFIX + "(, *+" + CALL_PREFIX + ")*+)?";
         static final String IDENTIFIER_DESCRIPTION = "1 to 64 letters, digits, '.', '_' or '-'";
--- a/settings/src/main/java/org/wagtailcart/settings/SettingsState.java
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsState.java
@@ -84,6 +84,7 @@
         SettingsTree next = tree.withEdits(tree.revision() + 1, edits);
         checkModelsServed(tree, next, engines);
         checkOrdersInProgress(tree, next, engines);
+        WorkspaceKeyDigests.check(next, edits);
         return next;
     }
 
--- a/workspace/src/main/java/org/wagtailcart/workspace/KeyDigest.java
+++ b/workspace/src/main/java/org/wagtailcart/workspace/KeyDigest.java
@@ -29,6 +29,20 @@
         return salt;
     }
 
+    /** Returns a salt as text, in the form that {@link #parseSalt} accepts. */
+    public static String formatSalt(byte[] salt) {
+        return Base64.getUrlEncoder().withoutPadding().encodeToString(salt);
+    }
+
+    /**
+     * Returns the salt of a text.
+     *
+     * @throws IllegalArgumentException when the text is not base64url
+     */
+    public static byte[] parseSalt(String text) {
+        return Base64.getUrlDecoder().decode(text);
+    }
+
     /** Returns the digest of a key as text. */
     public static String of(byte[] salt, String key) {
         MessageDigest sha = sha256();
--- a/workspace/src/main/java/org/wagtailcart/workspace/PresentedKey.java
+++ b/workspace/src/main/java/org/wagtailcart/workspace/PresentedKey.java
@@ -1,5 +1,6 @@
 package org.wagtailcart.workspace;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
@@ -12,6 +13,9 @@
     /** Visible ASCII characters, as a key in a header field has no others. */
     private static final Pattern VISIBLE_ASCII = Pattern.compile("[!-~]+");
 
+    private static final Pattern SURROUNDING_SPACE = Pattern.compile("^[ \\t]+|[ \\t]+$");
+    private static final String BEARER = "Bearer";
+
     private final @Nullable String value;
     private final KeyVerdict fault;
 
@@ -30,6 +34,28 @@
                 : faulty(KeyVerdict.MALFORMED);
     }
 
+    /**
+     * Returns the key of an HTTP request with bearer authentication.
+     *
+     * @param authorization values of all its Authorization headers
+     */
+    public static PresentedKey ofBearer(List<String> authorization) {
+        if (authorization.size() != 1) {
+            return faulty(authorization.isEmpty() ? KeyVerdict.MISSING : KeyVerdict.REPEATED);
+        }
+        String credentials = trimmed(authorization.get(0));
+        int space = credentials.indexOf(' ');
+        String scheme = space < 0 ? credentials : credentials.substring(0, space);
+        return scheme.equalsIgnoreCase(BEARER)
+                ? of(trimmed(credentials.substring(scheme.length())))
+                : faulty(KeyVerdict.OTHER_SCHEME);
+    }
+
+    /** Removes the spaces and tabs around a header value. Other white space is part of it, and no key has any. */
+    private static String trimmed(String value) {
+        return SURROUNDING_SPACE.matcher(value).replaceAll("");
+    }
+
     /** Returns a key that is unusable for the given reason. */
     public static PresentedKey faulty(KeyVerdict fault) {
         return new PresentedKey(null, fault);
