Test a key that is withdrawn during a body, and the worst-case load

The second check of the key had no test: without it a request ran with a key that was withdrawn while its body arrived.

Tables without workspaces skip the check before the body, so that they cost what they did.

--- a/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
@@ -107,8 +107,11 @@
      * buffer for bodies. The key is checked again after the body, since it may be withdrawn meanwhile.
      */
     private boolean refusedForItsKey(HttpServerExchange exchange) {
-        List<String> headers = headerLines(exchange);
         RouteIndex routes = context.routeWatcher().routes();
+        if (routes.authenticator().isEmpty()) {
+            return false;
+        }
+        List<String> headers = headerLines(exchange);
         try {
             routes.find(hostName(exchange), exchange.getRequestURI())
                     .ifPresent(route -> keyCheck.workspaceOf(routes, route, headers));
--- a/gateway/src/test/java/org/wagtailcart/gateway/WorkspaceKeyTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/WorkspaceKeyTest.java
@@ -2,8 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -178,6 +181,31 @@
         }
     }
 
+    /** Guards against a request that runs with a key that was withdrawn while its body arrived. */
+    @Test
+    void aKeyThatIsWithdrawnDuringTheBodyIsRefused() throws Exception {
+        try (TestUpstream replica = new TestUpstream(TestUpstream.ok("fine"));
+                GatewayTestHarness harness = new GatewayTestHarness();
+                Socket caller = new Socket()) {
+            harness.add("a", "stock", replica, null);
+            startWithKeys(harness, KEY);
+            caller.connect(new InetSocketAddress(
+                    harness.callers().ip(), harness.callers().port()));
+            caller.setSoTimeout(5_000);
+            TestUpstream.write(
+                    caller.getOutputStream(),
+                    "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nId: r-1\r\nAllowed: 4000\r\nKey: " + KEY
+                            + "\r\nContent-Length: 4\r\n\r\nbo");
+            TimeUnit.MILLISECONDS.sleep(200);
+            harness.workspaces(3, table(OTHER_KEY));
+            harness.awaitTable(3);
+            TestUpstream.write(caller.getOutputStream(), "dy");
+            byte[] status = caller.getInputStream().readNBytes("HTTP/1.1 401".length());
+            assertThat(new String(status, StandardCharsets.ISO_8859_1)).isEqualTo("HTTP/1.1 401");
+            assertThat(replica.received()).isEmpty();
+        }
+    }
+
     /** Guards against a 401 by a table that may be outdated, and a strict gateway that accepts withdrawn keys for long. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
--- a/workspace/src/test/java/org/wagtailcart/workspace/WorkspaceAuthenticatorTest.java
+++ b/workspace/src/test/java/org/wagtailcart/workspace/WorkspaceAuthenticatorTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -67,6 +68,33 @@
                 .isEqualTo(verdict);
     }
 
+    /** Guards against two keys with one digest, and an index that loses keys, at the usual and the worst-case load. */
+    @ParameterizedTest
+    @CsvSource({"80, 2", "10000, 100"})
+    void eightyWorkspacesAndTenThousandWithAHundredKeysEach(int workspaces, int keys) {
+        WorkspaceAuthenticator many = new WorkspaceAuthenticator(new WorkspaceTable(
+                SALT,
+                IntStream.range(0, workspaces)
+                        .mapToObj(w -> workspace(
+                                "w" + w,
+                                IntStream.range(0, keys)
+                                        .mapToObj(k -> w + "-" + k)
+                                        .toArray(String[]::new)))
+                        .toList()));
+        assertThat(many.workspaces()).hasSize(workspaces);
+        for (int w = 0; w < workspaces; w++) {
+            for (int k = 0; k < keys; k++) {
+                KeyDecision decision = many.decide(PresentedKey.of(w + "-" + k), true, 0, RevocationPolicy.LENIENT);
+                if (!decision.workspace().map(Workspace::name).orElse("").equals("w" + w)) {
+                    throw new AssertionError("key " + k + " of w" + w + ": " + decision);
+                }
+            }
+            assertThat(many.decide(PresentedKey.of(w + "-" + keys), true, 0, RevocationPolicy.LENIENT)
+                            .verdict())
+                    .isEqualTo(KeyVerdict.UNKNOWN);
+        }
+    }
+
     /** Guards against a key with characters or a length that no key has, which is hashed or logged. */
     @ParameterizedTest
     @CsvSource({"'', MALFORMED", "a b, MALFORMED", "k\u00e9y, MALFORMED", "'k\u0001', MALFORMED", "k, ACCEPTED"})
