--- /dev/null
+++ b/usage/src/test/java/org/wagtailcart/usage/UsagePlannerTest.java
@@ -0,0 +1,113 @@
+package org.wagtailcart.usage;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against windows that are closed too early, never, or reported in the wrong order. */
+class UsagePlannerTest {
+    private static final long WINDOW_MILLIS = 5_000;
+    private static final long LATE_MILLIS = 10_000;
+    private static final long WINDOW = 353_445_120;
+    private static final long END_MILLIS = (WINDOW + 1) * WINDOW_MILLIS;
+
+    private final UsagePlanner planner = new UsagePlanner(WINDOW_MILLIS, LATE_MILLIS);
+
+    /** State in which all windows up to one are closed and reported. */
+    private static UsageState closedThrough(long window) {
+        return LongStream.rangeClosed(window - 3, window)
+                .boxed()
+                .reduce(
+                        UsageState.EMPTY,
+                        (state, closed) -> state.apply(new CloseUsageWindow(closed, Map.of()))
+                                .apply(new MarkUsageReported(closed)),
+                        (first, second) -> second);
+    }
+
+    private static UsageObservation observation(long trueMillis, long completeUntilMillis) {
+        return new UsageObservation(
+                1_000_000, OptionalLong.of(trueMillis), 0, completeUntilMillis, OptionalLong.empty());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1999, 0, false", "2000, 0, true", "4999, -1, false", "5000, -1, true"})
+    void waitsForGatewaysOnlyUntilTheLongGrace(long afterEndMillis, long completeAfterEndMillis, boolean closes) {
+        UsagePlan plan = planner.plan(
+                observation(END_MILLIS + afterEndMillis, END_MILLIS + completeAfterEndMillis),
+                closedThrough(WINDOW - 1));
+        assertThat(plan.close().isPresent()).isEqualTo(closes);
+    }
+
+    /** Guards against a window that a leader closes before the gateways have sent it their counts. */
+    @ParameterizedTest
+    @CsvSource({"2999, 0, false", "3000, 0, true", "3999, -1, false", "4000, -1, true"})
+    void newLeaderCollectsCountsFirst(long observedMillis, long completeAfterEndMillis, boolean closes) {
+        UsageObservation observation = new UsageObservation(
+                1_000_000,
+                OptionalLong.of(END_MILLIS + 8_000),
+                1_000_000 - observedMillis,
+                END_MILLIS + completeAfterEndMillis,
+                OptionalLong.empty());
+        assertThat(planner.plan(observation, closedThrough(WINDOW - 1)).close().isPresent())
+                .isEqualTo(closes);
+    }
+
+    /** Guards against windows that stay open because a wrong estimate of true time closed a later one. */
+    @Test
+    void windowClosedInTheFutureDoesNotKeepOthersOpen() {
+        UsageState state = closedThrough(WINDOW - 1).apply(new CloseUsageWindow(WINDOW + 480, Map.of("hule930", 1L)));
+        UsagePlan plan = planner.plan(observation(END_MILLIS + 2_000, END_MILLIS), state);
+        assertThat(plan.close()).isEqualTo(OptionalLong.of(WINDOW));
+        assertThat(plan.report().isEmpty()).isTrue();
+    }
+
+    /** Guards against a backlog that makes the reports late that could still be in time. */
+    @Test
+    void reportsWindowsThatAreInTimeFirst() {
+        UsageState state = UsageState.EMPTY;
+        for (long window = WINDOW - 6; window <= WINDOW; window++) {
+            state = state.apply(new CloseUsageWindow(window, Map.of()));
+        }
+        UsagePlan plan = planner.plan(observation(END_MILLIS + 2_000, END_MILLIS), state);
+        assertThat(plan.report().orElseThrow().window()).isEqualTo(WINDOW - 1);
+        UsageState later = state.apply(new MarkUsageReported(WINDOW - 1)).apply(new MarkUsageReported(WINDOW));
+        assertThat(planner.plan(observation(END_MILLIS + 2_000, END_MILLIS), later)
+                        .report()
+                        .orElseThrow()
+                        .window())
+                .isEqualTo(WINDOW - 6);
+    }
+
+    /** Guards against state that grows while the platform is down, and against removed windows that are closed again. */
+    @Test
+    void stateIsBoundedAndRemovedWindowsStayClosed() {
+        UsageState state = UsageState.EMPTY;
+        for (long window = 0; window < 1_000; window++) {
+            state = state.apply(new CloseUsageWindow(window, Map.of("hule930", window)));
+        }
+        assertThat(state.windows()).hasSize(UsageState.MAX_WINDOWS);
+        assertThat(state.apply(new CloseUsageWindow(5, Map.of("hule930", 9L)))).isEqualTo(state);
+        for (long window = 0; window < 1_000; window++) {
+            state = state.apply(new MarkUsageReported(window));
+        }
+        assertThat(state.windows()).hasSize(UsageState.MAX_REPORTED);
+        assertThat(state.find(999).orElseThrow().countByWorkspace()).containsExactly("hule930", 999L);
+    }
+
+    /** Guards against windows without traffic before the first one, and against a gap after an outage of all leaders. */
+    @Test
+    void closesNoWindowBeforeTheFirstAndCatchesUpAfterAGap() {
+        assertThat(planner.plan(observation(END_MILLIS + 2_000, END_MILLIS), UsageState.EMPTY)
+                        .close()
+                        .isPresent())
+                .isFalse();
+        UsagePlan afterGap =
+                planner.plan(observation(END_MILLIS + 200_000, END_MILLIS + 200_000), closedThrough(WINDOW - 1));
+        assertThat(afterGap.close()).isEqualTo(OptionalLong.of(WINDOW + 41 - UsagePlanner.MAX_OPEN_WINDOWS));
+    }
+}
