--- /dev/null
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallShare.java
@@ -0,0 +1,82 @@
+package org.wagtailcart.gateway.call;
+
+import org.jspecify.annotations.Nullable;
+import org.wagtailcart.policy.placement.RequestRank;
+import org.wagtailcart.policy.share.ShareLimiter;
+import org.wagtailcart.policy.share.ShareRequest;
+import org.wagtailcart.routes.Route;
+
+/**
+ * One call's part in the share of its workspace. A call is decided on and counted once, before anything is sent; later
+ * attempts belong to the same request. A call without a workspace is always covered. Not thread safe.
+ */
+final class CallShare {
+    private final GatewayContext context;
+    private final InboundRequest request;
+    /** The request as it was counted, null before that. */
+    private @Nullable ShareRequest counted;
+
+    private boolean aboveShare;
+
+    CallShare(GatewayContext context, InboundRequest request) {
+        this.context = context;
+        this.request = request;
+    }
+
+    /** Returns whether the share of the workspace covers the request. */
+    boolean covers(double cost, ShareRequest.Estimate estimate) {
+        if (request.workspace().isEmpty() || counted != null) {
+            return true;
+        }
+        ShareRequest asked = shareRequest(cost, estimate);
+        counted = asked;
+        ShareLimiter.Decision decision =
+                context.workspaceLimits().decide(asked, context.routeWatcher().gatewayCount());
+        aboveShare = decision == ShareLimiter.Decision.ADMIT_WITH_LOWER_RANK;
+        return decision != ShareLimiter.Decision.REFUSE;
+    }
+
+    /** Counts a refusal for the estimated time. Without a wait, it says nothing about the load of the service. */
+    void recordRefused(double cost, ShareRequest.Estimate estimate) {
+        if (counted != null) {
+            recordRefusedByUpstreams();
+        } else if (!request.workspace().isEmpty() && estimate.waitMillis() > 0) {
+            context.workspaceLimits().recordRefused(shareRequest(cost, estimate));
+        }
+    }
+
+    /** Counts that the request, which was admitted, is refused because no upstream accepted it. */
+    void recordRefusedByUpstreams() {
+        if (counted != null) {
+            context.workspaceLimits().recordRefusedByUpstreams(counted);
+        }
+    }
+
+    /** Returns the rank at the upstream, one step lower for a workspace above its share. */
+    int rank(int rank) {
+        return aboveShare ? RequestRank.lower(rank) : rank;
+    }
+
+    private ShareRequest shareRequest(double cost, ShareRequest.Estimate estimate) {
+        long targetMillis = request.route().targetLatencyMillis();
+        long onTimeUntilMillis = targetMillis <= 0 ? request.deadlineMillis() : request.arrivedMillis() + targetMillis;
+        return ShareRequest.of(
+                request.service(),
+                request.workspace(),
+                cost,
+                estimate,
+                onTimeUntilMillis - context.clock().nowMillis(),
+                shortestTargetMillis());
+    }
+
+    /** Returns the shortest target of the routes that use the service. */
+    private long shortestTargetMillis() {
+        return context.routeWatcher().routes().table().routes().stream()
+                .filter(route -> route.targetLatencyMillis() > 0)
+                .filter(route -> route.splits().stream()
+                        .anyMatch(split -> split.service().equals(request.service())))
+                .mapToLong(Route::targetLatencyMillis)
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+}
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -25,7 +25,6 @@
 import org.wagtailcart.gateway.send.UpstreamResponse;
 import org.wagtailcart.gateway.send.UpstreamTimeouts;
 import org.wagtailcart.policy.share.RetryAfter;
-import org.wagtailcart.routes.Route;
 
 /**
  * Base class of the state machine that handles one request. A request ends exactly once: with a response, an error, the
@@ -39,6 +38,7 @@
     private final GatewayContext context;
     private final InboundRequest request;
     private final CallerResponseWriter caller;
+    private final CallShare share;
 
     // Guarded by this.
     private boolean ended;
@@ -55,6 +55,7 @@
         this.context = context;
         this.request = request;
         this.caller = caller;
+        this.share = new CallShare(context, request);
     }
 
     final GatewayContext context() {
@@ -65,6 +66,10 @@
         return request;
     }
 
+    final CallShare share() {
+        return share;
+    }
+
     /** Registers the disconnect and deadline handlers and then serves the request. */
     @Override
     public final void run() {
@@ -364,6 +369,9 @@
     /** Ends a request that no further upstream will be tried for; the caller may return when the service has room. */
     final void giveUp(ResultCode code, String text) {
         boolean spread = context.routeWatcher().routes().table().workspaces() != null;
+        if (!mayHaveRun() && !isResponseStarted()) {
+            share.recordRefusedByUpstreams();
+        }
         giveUp(code, text, retryAfterMillis(spread ? spreadRetryMillis(0) : defaultRetryAfterMillis()));
     }
 
@@ -375,7 +383,7 @@
         giveUp(code, text, retryAfterMillis(spreadRetryMillis(excessWaitMillis)));
     }
 
-    /** Ends a request that its workspace's share does not cover. */
+    /** Ends a request that the share of its workspace does not cover. */
     final void refuseAboveShare(double excessWaitMillis) {
         giveUpWait(
                 ResultCode.WORKSPACE_LIMIT, "workspace asks for more than its share of the service", excessWaitMillis);
@@ -389,23 +397,6 @@
                 defaultRetryAfterMillis());
     }
 
-    /** Returns the time until the response is no longer on time. */
-    final long targetRemainingMillis() {
-        long targetMillis = request.route().targetLatencyMillis();
-        return targetMillis <= 0 ? remainingMillis() : request.arrivedMillis() + targetMillis - nowMillis();
-    }
-
-    /** Returns the shortest target of the routes that use the service. */
-    final long shortestTargetMillis() {
-        return context.routeWatcher().routes().table().routes().stream()
-                .filter(route -> route.targetLatencyMillis() > 0)
-                .filter(route -> route.splits().stream()
-                        .anyMatch(split -> split.service().equals(request.service())))
-                .mapToLong(Route::targetLatencyMillis)
-                .min()
-                .orElse(Long.MAX_VALUE);
-    }
-
     /** Ends a request that no further upstream will be tried for. */
     abstract void giveUp(ResultCode code, String text, long retryAfterMillis);
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -18,7 +18,6 @@
 import org.wagtailcart.gateway.send.UpstreamTimeouts;
 import org.wagtailcart.policy.placement.RequestRank;
 import org.wagtailcart.policy.share.RequestCost;
-import org.wagtailcart.policy.share.ShareLimiter;
 import org.wagtailcart.policy.share.ShareRequest;
 
 /**
@@ -36,10 +35,6 @@
 
     private final Set<String> excluded = new HashSet<>();
     private int runs;
-    /** The request as it was counted against its workspace's share, null before that. */
-    private @Nullable ShareRequest shareRequest;
-
-    private boolean aboveShare;
     private @Nullable BufferedResponse lastFailure;
 
     /** A response with its complete body. */
@@ -62,54 +57,23 @@
             Optional<InFlightRequest> inFlight =
                     context().registry().startReplicaRequest(request().service(), excluded);
             if (inFlight.isEmpty()) {
-                recordRefusedByReplicas();
                 giveUp(ResultCode.NO_UPSTREAM, "no replica of the service is available");
                 return;
             }
-            if (!isWithinShare(inFlight.get().upstream())) {
+            ShareRequest.Estimate estimate =
+                    context().registry().estimateWait(inFlight.get().upstream());
+            if (!share().covers(RequestCost.PLAIN_CALL, estimate)) {
                 inFlight.get().end();
-                refuseAboveShare(excessMillis(inFlight.get().upstream()));
+                refuseAboveShare(estimate.waitMillis());
                 return;
             }
             if (send(inFlight.get())) {
                 return;
             }
         }
-        recordRefusedByReplicas();
         giveUp(ResultCode.QUEUE_FULL, "all replicas refused the request");
     }
 
-    private void recordRefusedByReplicas() {
-        ShareRequest asked = shareRequest;
-        if (asked != null && !mayHaveRun() && !isEnded()) {
-            context().workspaceLimits().recordRefusedByUpstreams(asked);
-        }
-    }
-
-    /** Returns whether the share of the workspace covers the request. Decided once, before anything is sent. */
-    private boolean isWithinShare(Upstream replica) {
-        if (shareRequest != null) {
-            return true;
-        }
-        ShareRequest asked = ShareRequest.of(
-                request().service(),
-                request().workspace(),
-                RequestCost.PLAIN_CALL,
-                context().registry().estimateWait(replica),
-                targetRemainingMillis(),
-                shortestTargetMillis());
-        shareRequest = asked;
-        ShareLimiter.Decision decision = context()
-                .workspaceLimits()
-                .decide(asked, context().routeWatcher().gatewayCount());
-        aboveShare = decision == ShareLimiter.Decision.ADMIT_WITH_LOWER_RANK;
-        return decision != ShareLimiter.Decision.REFUSE;
-    }
-
-    private double excessMillis(Upstream replica) {
-        return context().registry().estimateWait(replica).totalMillis() - targetRemainingMillis();
-    }
-
     /** Runs an attempt at one replica; returns whether the call is finished. */
     private boolean send(InFlightRequest inFlight) {
         Upstream upstream = inFlight.upstream();
@@ -136,12 +100,11 @@
     }
 
     private UpstreamRequestOptions options(Upstream upstream) {
-        int rank = RequestRank.of(request().priority());
-        int sentRank = aboveShare ? RequestRank.lower(rank) : rank;
+        int rank = share().rank(RequestRank.of(request().priority()));
         return new UpstreamRequestOptions(
                 upstream.id(),
                 callerRemainingMillis(),
-                sentRank,
+                rank,
                 false,
                 null,
                 null,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -26,7 +26,6 @@
 import org.wagtailcart.gateway.send.UpstreamTimeouts;
 import org.wagtailcart.policy.placement.PromptPlacement;
 import org.wagtailcart.policy.placement.RequestRank;
-import org.wagtailcart.policy.share.ShareLimiter;
 import org.wagtailcart.policy.share.ShareRequest;
 
 /**
@@ -54,10 +53,6 @@
     private int deliveredAttempts;
 
     private int runs;
-    /** The request as it was counted against its workspace's share, null before that. */
-    private @Nullable ShareRequest shareRequest;
-
-    private boolean aboveShare;
     /** Monotonic time of the latest bytes of the current stream, -1 before its head. */
     private long lastReadAtMillis = -1;
     /** Content type of the response that was started. */
@@ -81,13 +76,11 @@
                 return;
             }
             if (sends >= MAX_ATTEMPTS) {
-                recordRefusedByEngines();
                 giveUp(ResultCode.QUEUE_FULL, "all engines refused the request");
                 return;
             }
             Optional<UpstreamRegistry.Placement> placement = place();
             if (placement.isEmpty()) {
-                recordRefusedByEngines();
                 giveUp(ResultCode.NO_UPSTREAM, "no engine is available");
                 return;
             }
@@ -122,15 +115,17 @@
         double firstTokenMillis = placement.times().firstTokenMillis();
         double excessMillis = firstTokenMillis - USABLE_TIME_FRACTION * remainingMillis();
         if (excessMillis > 0) {
-            recordRefused(placement);
+            if (!mayHaveRun() && !isResponseStarted()) {
+                share().recordRefused(cost(placement), estimate(placement));
+            }
             giveUpWait(
                     ResultCode.DEADLINE_UNREACHABLE,
                     "estimated time to first token is " + Math.round(firstTokenMillis) + " ms",
                     excessMillis);
             return true;
         }
-        if (!isWithinShare(placement)) {
-            refuseAboveShare(firstTokenMillis - targetRemainingMillis());
+        if (!isResponseStarted() && !share().covers(cost(placement), estimate(placement))) {
+            refuseAboveShare(estimate(placement).waitMillis());
             return true;
         }
         Prompt prompt = request().metadata().prompt();
@@ -160,53 +155,16 @@
         };
     }
 
-    /** Returns whether the share of the workspace covers the request. Decided once, before anything is sent. */
-    private boolean isWithinShare(UpstreamRegistry.Placement placement) {
-        if (shareRequest != null || isResponseStarted()) {
-            return true;
-        }
-        ShareRequest asked = shareRequest(placement);
-        shareRequest = asked;
-        ShareLimiter.Decision decision = context()
-                .workspaceLimits()
-                .decide(asked, context().routeWatcher().gatewayCount());
-        aboveShare = decision == ShareLimiter.Decision.ADMIT_WITH_LOWER_RANK;
-        return decision != ShareLimiter.Decision.REFUSE;
+    private double cost(UpstreamRegistry.Placement placement) {
+        return context()
+                .registry()
+                .costOf(placement, request().service(), request().metadata().prompt());
     }
 
-    private ShareRequest shareRequest(UpstreamRegistry.Placement placement) {
+    private static ShareRequest.Estimate estimate(UpstreamRegistry.Placement placement) {
         PromptPlacement.TimeEstimate times = placement.times();
-        double waitMillis = placement.queuedTokens() == 0
-                ? 0
-                : Math.max(0, times.firstTokenMillis() - times.unloadedFirstTokenMillis());
-        return ShareRequest.of(
-                request().service(),
-                request().workspace(),
-                context()
-                        .registry()
-                        .costOf(
-                                placement,
-                                request().service(),
-                                request().metadata().prompt()),
-                new ShareRequest.Estimate(waitMillis, times.firstTokenMillis()),
-                targetRemainingMillis(),
-                shortestTargetMillis());
-    }
-
-    /** Counts a refusal for its estimated wait. One without a wait says nothing about the load. */
-    private void recordRefused(UpstreamRegistry.Placement placement) {
-        if (shareRequest != null) {
-            recordRefusedByEngines();
-        } else if (placement.queuedTokens() > 0) {
-            context().workspaceLimits().recordRefused(shareRequest(placement));
-        }
-    }
-
-    private void recordRefusedByEngines() {
-        ShareRequest asked = shareRequest;
-        if (asked != null && !mayHaveRun() && !isResponseStarted()) {
-            context().workspaceLimits().recordRefusedByUpstreams(asked);
-        }
+        double waitMillis = Math.max(0, times.firstTokenMillis() - times.unloadedFirstTokenMillis());
+        return new ShareRequest.Estimate(placement.queuedTokens() == 0 ? 0 : waitMillis, times.firstTokenMillis());
     }
 
     /**
@@ -402,8 +360,7 @@
     }
 
     private int rank(UpstreamRegistry.Placement placement) {
-        int rank = rankWithinShare(placement);
-        return aboveShare ? RequestRank.lower(rank) : rank;
+        return share().rank(rankWithinShare(placement));
     }
 
     private int rankWithinShare(UpstreamRegistry.Placement placement) {
