Count other gateways' work before the leader has read the host list

A reply without a host list was ignored as a whole, so that after an outage a gateway acted as the only one until the leader had read the list: its retry reserve was that of all gateways, its bound on the wait covered its own work only. The leader's numbers are applied now without a list; those of other members, which know a part of the gateways, still are not.

The leader computes shares at most every 100 ms for all gateways instead of with each reply, and a member that leads again after a time starts its observation anew instead of mixing the former one with the first reports.

--- a/control/src/main/java/org/wagtailcart/control/watch/DemandTracker.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/DemandTracker.java
@@ -31,6 +31,8 @@
     private final Map<String, DemandReport> reportsByProcess = new HashMap<>();
     private final Map<String, Long> sentAtMillisByProcess = new HashMap<>();
     private final ShareCalculator calculator = new ShareCalculator();
+    private List<ServiceCapacity> contended = List.of();
+    private List<WorkspaceShare> shares = List.of();
     private Set<String> loggedServices = Set.of();
 
     /** Replaces the demand of a gateway. */
@@ -41,6 +43,21 @@
     /** Returns the contended services, null during the first second, in which the shares are not known yet. */
     @Nullable
     List<ServiceCapacity> contended(long nowMillis) {
+        observe(nowMillis);
+        return calculator.warmedUp(nowMillis) ? contended : null;
+    }
+
+    /** Returns the workspaces that ask for more than their share of a contended service. */
+    List<WorkspaceShare> shares(long nowMillis) {
+        observe(nowMillis);
+        return shares;
+    }
+
+    /** Computes the shares if that is due; many gateways ask for them. */
+    private void observe(long nowMillis) {
+        if (!calculator.observationDue(nowMillis)) {
+            return;
+        }
         reportsByProcess.values().removeIf(report -> report.expiresAtMillis() < nowMillis);
         sentAtMillisByProcess.keySet().retainAll(reportsByProcess.keySet());
         calculator.observe(
@@ -48,14 +65,9 @@
                         .flatMap(report -> report.demand().stream())
                         .toList(),
                 nowMillis);
-        List<ServiceCapacity> contended = calculator.contended(nowMillis);
-        logChange(contended, nowMillis);
-        return calculator.warmedUp(nowMillis) ? contended : null;
-    }
-
-    /** Returns the workspaces that ask for more than their share of a contended service. */
-    List<WorkspaceShare> shares(long nowMillis) {
-        return calculator.shares(nowMillis);
+        contended = calculator.contended(nowMillis);
+        shares = calculator.shares(nowMillis);
+        logChange();
     }
 
     /** Returns whether the shares are due to be sent to a gateway; if so, they count as sent. */
@@ -68,12 +80,11 @@
         return due;
     }
 
-    private void logChange(List<ServiceCapacity> contended, long nowMillis) {
+    private void logChange() {
         Set<String> services = contended.stream().map(ServiceCapacity::service).collect(Collectors.toSet());
         if (!services.equals(loggedServices)) {
             loggedServices = services;
-            LogEventKind.CONTENTION_CHANGED.log(
-                    LOG, Level.INFO, services, shares(nowMillis).size());
+            LogEventKind.CONTENTION_CHANGED.log(LOG, Level.INFO, services, shares.size());
         }
     }
 }
--- a/control/src/test/java/org/wagtailcart/control/watch/DemandTrackerTest.java
+++ b/control/src/test/java/org/wagtailcart/control/watch/DemandTrackerTest.java
@@ -71,11 +71,24 @@
         assertThat(tracker.sendDue("g1", 2_500)).isTrue();
     }
 
+    /** Guards against a member that leads again and mixes its former observations with the first new reports. */
+    @Test
+    void memberThatLeadsAgainStartsAnew() {
+        poll(GATEWAYS, 0, 5_000);
+        poll(3, 60_000, 60_750);
+        assertThat(tracker.contended(60_900)).isNull();
+        poll(3, 61_000, 61_250);
+        assertThat(greedyFraction(61_250)).isWithin(0.01).of((1.05 * 450 - 50) / 900);
+    }
+
     @Test
     void demandOfAStoppedGatewayExpires() {
         poll(GATEWAYS, 0, 5_000);
-        long laterMillis = 5_000 + DemandTracker.RETENTION_MILLIS + 1_000;
-        assertThat(tracker.contended(laterMillis)).isEmpty();
-        assertThat(tracker.contended(laterMillis + 1_000)).isEmpty();
+        for (long now = 5_250; now <= 5_000 + DemandTracker.RETENTION_MILLIS + 1_250; now += 250) {
+            tracker.record("idle", List.of(), now);
+            List<ServiceCapacity> unused = tracker.contended(now);
+        }
+        assertThat(tracker.contended(5_000 + DemandTracker.RETENTION_MILLIS + 1_250))
+                .isEmpty();
     }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
@@ -248,6 +248,7 @@
             quarantine.apply(quarantineState, clock.nowMillis());
         }
         quarantineVersion = reply.quarantineVersion();
+        applyOtherGateways(member, reply);
         applyHostList(sentAtMillis, reply);
         FleetReport fleet = reply.fleet();
         if (fleet != null) {
@@ -270,13 +271,22 @@
                 LOG, Level.INFO, table.version(), table.routes().size(), member, ageMillis);
     }
 
+    /**
+     * Applies what the other gateways have sent to upstreams. The leader knows that before it has read the host list,
+     * for example after an outage, when all gateways start at the same time; other members know a part of it.
+     */
+    private void applyOtherGateways(Address member, WatchReply reply) {
+        if (reply.hostListVersion() != 0 || reply.leaderAddress().equals(member.toString())) {
+            gatewayCount = Math.max(1, reply.gatewayCount());
+            registry.updateOtherGatewaysWork(reply.otherGatewaysWork());
+        }
+    }
+
     private void applyHostList(long sentAtMillis, WatchReply reply) {
         if (reply.hostListVersion() == 0) {
             hostListVersion = 0;
             return;
         }
-        gatewayCount = Math.max(1, reply.gatewayCount());
-        registry.updateOtherGatewaysWork(reply.otherGatewaysWork());
         // The member measured the age when it replied; the send time is earlier and so a safe bound.
         long readAtMillis = sentAtMillis - reply.hostListAgeMillis();
         List<ListedUpstream> upstreams = reply.upstreams();
--- a/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.Regions;
@@ -28,6 +30,7 @@
 /** Guards against a missing or outdated routing table when control members are down, outdated or followers. */
 class RouteTableWatcherTest {
     private static final Address A = new Address("10.0.0.1", 7000);
+    private static final int GATEWAYS = 26;
     private static final Address B = new Address("10.0.0.2", 7000);
 
     /** Reply of a member; members without one fail. */
@@ -65,7 +68,7 @@
                 memberReply.confirmationAgeMillis(),
                 memberReply.leader(),
                 List.of(),
-                1,
+                GATEWAYS,
                 List.of(),
                 List.of(),
                 0,
@@ -116,6 +119,18 @@
         assertThat(watcher.confirmed()).isTrue();
     }
 
+    /** Guards against a gateway that acts as the only one after an outage until the leader has read the host list. */
+    @ParameterizedTest
+    @CsvSource({"10.0.0.1:7000, 26", "10.0.0.3:7000, 1", "'', 1"})
+    void leaderWithoutAHostListTellsOfTheOtherGateways(String leader, int expected) throws InterruptedException {
+        replies.put(A, new MemberReply(3, 0, leader));
+        replies.put(B, new MemberReply(3, 0, leader));
+        watcher.start();
+        awaitVersion(3);
+        TimeUnit.MILLISECONDS.sleep(200);
+        assertThat(watcher.gatewayCount()).isEqualTo(expected);
+    }
+
     @Test
     void versionNeverDecreases() throws InterruptedException {
         replies.put(A, new MemberReply(7, 0, ""));
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareCalculator.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareCalculator.java
@@ -58,7 +58,7 @@
 
     private final Map<String, ServiceState> services = new HashMap<>();
     private long observedAtMillis = Long.MIN_VALUE / 4;
-    private long startMillis = Long.MAX_VALUE;
+    private long startMillis = Long.MAX_VALUE / 4;
 
     /** Smoothed state of one service. */
     private static final class ServiceState {
@@ -119,14 +119,17 @@
         }
     }
 
-    /** Observes the demand that all known gateways report at present; ignored shortly after the last observation. */
+    /**
+     * Observes the demand that all known gateways report at present. After a gap, as in a member that leads again after
+     * a time, it starts anew.
+     */
     public void observe(Collection<WorkspaceDemand> demand, long nowMillis) {
         long elapsedMillis = nowMillis - observedAtMillis;
-        if (elapsedMillis < MIN_INTERVAL_MILLIS) {
-            return;
+        if (elapsedMillis > WARM_UP_MILLIS) {
+            services.clear();
+            startMillis = nowMillis;
         }
         observedAtMillis = nowMillis;
-        startMillis = Math.min(startMillis, nowMillis);
         Map<String, List<WorkspaceDemand>> byService =
                 demand.stream().collect(Collectors.groupingBy(WorkspaceDemand::service));
         byService.keySet().forEach(service -> services.computeIfAbsent(service, name -> new ServiceState(nowMillis)));
@@ -153,6 +156,11 @@
                                 sum.lateCostPerSecond() + one.lateCostPerSecond()));
     }
 
+    /** Returns whether enough time has passed since the last observation for another one. */
+    public boolean observationDue(long nowMillis) {
+        return nowMillis - observedAtMillis >= MIN_INTERVAL_MILLIS;
+    }
+
     /** Returns whether it has observed the demand for long enough to know the shares. */
     public boolean warmedUp(long nowMillis) {
         return nowMillis - startMillis >= WARM_UP_MILLIS;
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
@@ -75,7 +75,9 @@
 
     /** Observes the demand at this gateway, for the time without the leader. */
     public void observe(List<WorkspaceDemand> ownDemand, long nowMillis) {
-        ownAccount.observe(ownDemand, nowMillis);
+        if (ownAccount.observationDue(nowMillis)) {
+            ownAccount.observe(ownDemand, nowMillis);
+        }
     }
 
     /** Returns whether the shares of the leader are valid. */
