--- a/gateway/src/test/java/org/wagtailcart/gateway/report/EngineRatesAcrossFailuresTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/report/EngineRatesAcrossFailuresTest.java
@@ -16,6 +16,7 @@
 import org.wagtailcart.control.client.GatewayReport;
 import org.wagtailcart.control.client.WatchReply;
 import org.wagtailcart.control.client.WatchRequest;
+import org.wagtailcart.control.usage.UsageObserver;
 import org.wagtailcart.control.watch.HostListCache;
 import org.wagtailcart.control.watch.WatchHandler;
 import org.wagtailcart.coordination.Member;
@@ -26,6 +27,7 @@
 import org.wagtailcart.gateway.list.UpstreamRegistry;
 import org.wagtailcart.gateway.list.UpstreamState;
 import org.wagtailcart.gateway.protocol.Prompt;
+import org.wagtailcart.gateway.share.WorkspaceLimits;
 import org.wagtailcart.policy.placement.Location;
 import org.wagtailcart.policy.placement.PrefixCacheEstimate;
 import org.wagtailcart.routes.EngineSpec;
@@ -52,7 +54,8 @@
         private final String id;
         private final UpstreamRegistry registry =
                 new UpstreamRegistry(new Location("fes", Regions.SINGLE), () -> nowMillis);
-        private final GatewayReports reports = new GatewayReports(registry);
+        private final GatewayReports reports =
+                new GatewayReports(registry, UsageReports.NONE, new WorkspaceLimits("g", () -> nowMillis));
 
         Gateway(String id) {
             this.id = id;
@@ -149,7 +152,13 @@
         Member self = new Member(id, 1, new Address("10.0.1.1", 7000), true);
         RaftStatus status = new RaftStatus(
                 self, RaftStatus.Role.LEADER, 1, Optional.of(self), 0, 0, 0, 0, new Membership(0, List.of(self)));
-        return new WatchHandler(() -> RouteTable.EMPTY, () -> status, () -> 0L, new HostListCache(), () -> nowMillis);
+        return new WatchHandler(
+                () -> RouteTable.EMPTY,
+                () -> status,
+                () -> 0L,
+                new HostListCache(),
+                new UsageObserver(id, () -> nowMillis),
+                () -> nowMillis);
     }
 
     private static List<Long> trueRates() {
