--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -23,6 +23,7 @@
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.Regions;
+import org.wagtailcart.control.client.FleetReport;
 import org.wagtailcart.control.client.WatchReply;
 import org.wagtailcart.control.client.WatchRequest;
 import org.wagtailcart.directory.ListedUpstream;
@@ -51,6 +52,7 @@
     private final TestProtocol protocol = new TestProtocol();
     private final GatewayRole role;
     private final long controlMillis;
+    private volatile @Nullable FleetReport fleet;
 
     static {
         System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
@@ -133,6 +135,11 @@
         upstreams.removeIf(listed -> listed.instanceId().equals(id));
     }
 
+    /** Sets what the control group replies about all gateways. */
+    void fleet(FleetReport report) {
+        fleet = report;
+    }
+
     /** Waits until the gateway has applied the host list as it stands. */
     void awaitHostList() throws InterruptedException {
         Set<ListedState> expected = upstreams.stream()
@@ -181,7 +188,7 @@
                 0,
                 0,
                 null,
-                null);
+                fleet);
         return CompletableFuture.supplyAsync(
                 () -> reply, CompletableFuture.delayedExecutor(controlMillis, TimeUnit.MILLISECONDS, traffic));
     }
