--- a/policy/src/test/java/org/wagtailcart/policy/placement/RequestRankTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/RequestRankTest.java
@@ -31,4 +31,11 @@
         assertThat(RequestRank.of(priority, slackMillis)).isAtLeast(0);
         assertThat(RequestRank.of(priority, slackMillis)).isAtMost(RequestRank.LEAST_URGENT);
     }
+
+    /** Guards against a rank beyond those that engines know. */
+    @ParameterizedTest
+    @CsvSource({"0, 1", "4, 5", "9, 9"})
+    void workspaceAboveItsShareIsOneStepLower(int rank, int expected) {
+        assertThat(RequestRank.lower(rank)).isEqualTo(expected);
+    }
 }
