--- a/control/src/test/java/org/wagtailcart/control/client/ShareMessageTest.java
+++ b/control/src/test/java/org/wagtailcart/control/client/ShareMessageTest.java
@@ -31,7 +31,7 @@
             new MessageType(4, FormerDemand.class))));
 
     private static FleetReport report(@Nullable List<ServiceCapacity> contended) {
-        return new FleetReport(1, 2, List.of(), List.of(new WorkspaceShare("s", "w", 0.25)), contended);
+        return new FleetReport(1, 2, List.of(), List.of(new WorkspaceShare("s", "w", 0.25)), 0, contended);
     }
 
     @Test
--- a/gateway/src/main/java/org/wagtailcart/gateway/KeyCheck.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/KeyCheck.java
@@ -23,15 +23,16 @@
     }
 
     /**
-     * Returns the workspace of a request, empty if the table has no workspaces or the route needs no key. A key that a
-     * caller sends to an open route is not examined.
+     * Returns the workspace of a request, empty if the table has no workspaces, or if the route needs no key and the
+     * request has none that is valid.
      *
      * @throws WagtailcartException if the route needs a key and the request is refused for it
      */
     Optional<Workspace> workspaceOf(RouteIndex routes, Route route, List<String> headers) {
         return routes.authenticator()
-                .filter(authenticator -> !route.open())
-                .flatMap(authenticator -> authenticate(authenticator, headers));
+                .flatMap(authenticator -> route.open()
+                        ? authenticator.find(context.protocol().parseKey(headers))
+                        : authenticate(authenticator, headers));
     }
 
     private Optional<Workspace> authenticate(WorkspaceAuthenticator authenticator, List<String> headers) {
--- a/gateway/src/test/java/org/wagtailcart/gateway/CallerWithoutWorkspaceTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/CallerWithoutWorkspaceTest.java
@@ -33,6 +33,7 @@
                     0,
                     List.of(),
                     List.of(new WorkspaceShare("brain", "", 0)),
+                    0,
                     List.of(new ServiceCapacity("brain", 5))));
             harness.start();
             List<CompletableFuture<HttpResponse<String>>> responses = IntStream.range(0, 5)
--- a/gateway/src/test/java/org/wagtailcart/gateway/WorkspaceKeyTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/WorkspaceKeyTest.java
@@ -80,7 +80,7 @@
         "unsafe, '', 401, ''",
         "stream, " + OTHER_KEY + ", 401, ''",
         "safe, '', 200, ''",
-        "safe, " + KEY + ", 200, ''",
+        "safe, " + KEY + ", 200, hule",
         "safe, " + OTHER_KEY + ", 200, ''",
     })
     void onlyOpenRoutesServeWithoutAKey(String route, String key, int status, String workspace) throws Exception {
--- a/workspace/src/main/java/org/wagtailcart/workspace/WorkspaceAuthenticator.java
+++ b/workspace/src/main/java/org/wagtailcart/workspace/WorkspaceAuthenticator.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** Index of one table that finds the workspace of an API key by its digest. Immutable. */
 public final class WorkspaceAuthenticator {
@@ -34,12 +35,16 @@
         if (revocation.refuses(tableAgeMillis)) {
             return KeyDecision.refused(KeyVerdict.OUTDATED);
         }
-        return key.value()
-                .map(value -> workspacesByDigest.get(KeyDigest.of(salt, value)))
+        return find(key)
                 .map(KeyDecision::accepted)
                 .orElseGet(() -> KeyDecision.refused(confirmed ? faultOf(key) : KeyVerdict.UNCONFIRMED));
     }
 
+    /** Returns the workspace of a key, empty if the table has no such key. */
+    public Optional<Workspace> find(PresentedKey key) {
+        return key.value().map(value -> workspacesByDigest.get(KeyDigest.of(salt, value)));
+    }
+
     private static KeyVerdict faultOf(PresentedKey key) {
         return key.fault() == KeyVerdict.ACCEPTED ? KeyVerdict.UNKNOWN : key.fault();
     }
