Reject responses that are incomplete or have an invalid head

A replica that answered an upload at once with a 200 without a length, wrote a part of the body and reset the connection was relayed as a complete 200, and a response with status 000 was relayed unchanged.

Cause: after a write error OkHttp still reads the response, and Linux reports a reset once, to the write, so that the next read is a regular end. The end of such a body was its only delimiter. A send buffer of up to 4 MB also made an upload "written" that the upstream had not received. OkHttp checks neither the range of a status nor its signs, uses the last of several lengths, reads to the end of the connection if a length or a transfer coding is unknown, and throws unchecked exceptions for negative numbers.

--- a/upstream/src/main/java/org/wagtailcart/upstream/ResponseByteCounter.java
+++ b/upstream/src/main/java/org/wagtailcart/upstream/ResponseByteCounter.java
@@ -1,5 +1,7 @@
 package org.wagtailcart.upstream;
 
+import java.util.regex.Pattern;
+
 /**
  * Counts the bytes of a response as they arrive, to find those behind its end. The HTTP client reads ahead, and bytes in
  * its buffer are not seen by looking at the socket.
@@ -7,6 +9,12 @@
 final class ResponseByteCounter {
     /** Position of the first digit of the status in "HTTP/1.1 200 OK". */
     private static final int STATUS_POSITION = 9;
+    /** Length of "HTTP/1.1 200" with the character that ends the status. */
+    private static final int STATUS_END = 13;
+    /** RFC 9110 has no other statuses; those below 200 precede the response. */
+    private static final Pattern FINAL_STATUS = Pattern.compile("HTTP/1\\.[01] [2-5][0-9]{2}[ \r\n]");
+
+    private static final int BYTE_MASK = 0xff;
 
     private long requestNumber;
     private long receivedBytes;
@@ -18,6 +26,7 @@
     private int lineBytes;
 
     private boolean interim;
+    private final StringBuilder statusLine = new StringBuilder(STATUS_END);
 
     /** Forgets the response before, when a request is about to be written; returns the number of the request. */
     synchronized long start() {
@@ -33,6 +42,7 @@
         headPosition = 0;
         lineBytes = 0;
         interim = false;
+        statusLine.setLength(0);
     }
 
     synchronized void received(byte[] bytes, int offset, int length) {
@@ -48,6 +58,9 @@
             interim = next == '1';
         }
         headPosition++;
+        if (statusLine.length() < STATUS_END) {
+            statusLine.append((char) (next & BYTE_MASK));
+        }
         if (next != '\n') {
             lineBytes += next == '\r' ? 0 : 1;
             return;
@@ -61,6 +74,11 @@
         }
     }
 
+    /** Returns whether the last head begins with a status line that may begin a final response. */
+    synchronized boolean hasFinalStatus() {
+        return FINAL_STATUS.matcher(statusLine).matches();
+    }
+
     /**
      * Returns how many bytes behind the end of a response with a body of the given length have arrived; 0 if another
      * request uses the connection already, which may be as soon as the body has been read.
