Pause the upstream of a slow caller and disconnect a stalled one

A gateway read a stream as fast as its upstream sent it, queued up to 8 MB for a caller that did not read, and then cut that caller. A response below 8 MB was kept for 30 s after its end.

Change: CallerResponseWriter.write blocks the thread of the request while 256 KB wait for the caller, so that nothing more is read from the upstream; the end of the call, which aborts the response, ends the wait. CallerResponse (also of entry) hands 16 KB at a time to the connection and disconnects a caller that takes none for 10 s; only writes that do not end at once schedule a check. The I/O thread never waits. Time in which a caller delays a write no longer counts as silence of the engine.

StopUnderLoadTest and memory under load were not run.

Ruled out: no bound by closing earlier, which cuts callers that read slowly. Not bounded by this: the complete body of a plain call (up to 4 MB), and the buffers of the kernel.

--- a/entry/src/main/java/org/wagtailcart/entry/answer/CallerResponse.java
+++ b/entry/src/main/java/org/wagtailcart/entry/answer/CallerResponse.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.SettingNames;
 
@@ -30,14 +31,27 @@
      */
     private static final long DELIVERY_TIMEOUT_MILLIS = 30_000;
 
+    /**
+     * Time after which a caller that reads nothing is disconnected. Its system reports free space in steps of up to 64 KB,
+     * so that a shorter time would cut callers that read slowly.
+     */
+    private static final long STALL_MILLIS = 10_000;
+
+    /** Bytes handed to the connection at once; the end of each such write shows that the caller reads. */
+    private static final int MAX_WRITE_BYTES = 16 << 10;
+
     private final HttpServerExchange exchange;
     private final ScheduledExecutorService timer;
-    private final Queue<byte[]> queued = new ArrayDeque<>();
+    private final MillisClock clock;
+    private final long stallMillis;
+    private final Queue<ByteBuffer> queued = new ArrayDeque<>();
     private final IoCallback callback = new IoCallback() {
         @Override
         public void onComplete(HttpServerExchange done, Sender sender) {
             sending = false;
+            lastProgressMillis = clock.nowMillis();
             writeQueued();
+            deliveryListener.run();
         }
 
         @Override
@@ -46,6 +60,9 @@
         }
     };
     private Runnable disconnectAction = () -> {};
+    private Runnable deliveryListener = () -> {};
+    private long lastProgressMillis;
+    private boolean stallCheckScheduled;
     private long queuedBytes;
     private boolean started;
     private boolean sending;
@@ -54,8 +71,20 @@
 
     /** Creates the response of a dispatched exchange. */
     public CallerResponse(HttpServerExchange exchange, ScheduledExecutorService timer) {
+        this(exchange, timer, MillisClock.monotonic(), STALL_MILLIS);
+    }
+
+    /**
+     * Creates the response of a dispatched exchange.
+     *
+     * @param stallMillis time after which a caller that reads nothing is disconnected
+     */
+    public CallerResponse(
+            HttpServerExchange exchange, ScheduledExecutorService timer, MillisClock clock, long stallMillis) {
         this.exchange = exchange;
         this.timer = timer;
+        this.clock = clock;
+        this.stallMillis = stallMillis;
         this.disconnected = exchange.isComplete() || !exchange.getConnection().isOpen();
         DisconnectDetector.watch(exchange, this::abort);
     }
@@ -68,6 +97,16 @@
         }
     }
 
+    /** Sets the action that runs after each change of {@link #queuedBytes} or of {@link #closed}. */
+    public void onDelivery(Runnable action) {
+        deliveryListener = action;
+    }
+
+    /** Returns the bytes of the body that the connection has not taken yet. */
+    public long queuedBytes() {
+        return queuedBytes;
+    }
+
     /** Returns whether the caller has disconnected before the end of the response. May be called on any thread. */
     public boolean disconnected() {
         return disconnected;
@@ -108,7 +147,7 @@
         if (closed() || bytes.length == 0) {
             return;
         }
-        queued.add(bytes);
+        queued.add(ByteBuffer.wrap(bytes));
         queuedBytes += bytes.length;
         if (queuedBytes > MAX_QUEUED_BYTES) {
             abort();
@@ -170,7 +209,9 @@
         boolean fullyWritten = ended && queued.isEmpty() && !sending;
         disconnected = true;
         queued.clear();
+        queuedBytes = 0;
         closeConnection();
+        deliveryListener.run();
         if (!fullyWritten) {
             disconnectAction.run();
         }
@@ -182,17 +223,46 @@
         }
         if (!queued.isEmpty()) {
             sending = true;
+            lastProgressMillis = clock.nowMillis();
             exchange.getResponseSender().send(nextBuffer(), callback);
+            scheduleStallCheck(stallMillis);
         } else if (ended && !exchange.isComplete()) {
             exchange.endExchange();
         }
     }
 
+    /** Checks later whether the caller reads; only the writes that do not end at once need a check. */
+    private void scheduleStallCheck(long delayMillis) {
+        if (!sending || disconnected || stallCheckScheduled) {
+            return;
+        }
+        stallCheckScheduled = true;
+        Future<?> unused = timer.schedule(
+                () -> exchange.getIoThread().execute(this::checkStall), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkStall() {
+        stallCheckScheduled = false;
+        long remainingMillis = lastProgressMillis + stallMillis - clock.nowMillis();
+        if (sending && remainingMillis <= 0) {
+            abort();
+        } else {
+            scheduleStallCheck(remainingMillis);
+        }
+    }
+
     private ByteBuffer nextBuffer() {
-        ByteBuffer buffer = ByteBuffer.allocate((int) queuedBytes);
-        queued.forEach(buffer::put);
-        queued.clear();
-        queuedBytes = 0;
+        ByteBuffer buffer = ByteBuffer.allocate((int) Math.min(queuedBytes, MAX_WRITE_BYTES));
+        while (buffer.hasRemaining()) {
+            ByteBuffer first = queued.element();
+            int length = Math.min(first.remaining(), buffer.remaining());
+            buffer.put(first.slice(first.position(), length));
+            first.position(first.position() + length);
+            if (!first.hasRemaining()) {
+                queued.remove();
+            }
+        }
+        queuedBytes -= buffer.capacity();
         return buffer.flip();
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/CallerResponseWriter.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallerResponseWriter.java
@@ -20,13 +20,31 @@
     private static final Logger LOG = System.getLogger(CallerResponseWriter.class.getName());
     private static final int MILLIS_PER_SECOND = 1_000;
 
+    /**
+     * Bytes of a streamed body that may wait for a caller; more than a whole stream of tokens, so that only a caller far
+     * behind pauses the upstream. A gateway with 200 such callers holds 50 MB for them.
+     */
+    private static final long MAX_PENDING_BYTES = 256 << 10;
+
     private final HttpServerExchange exchange;
     private final CallerResponse response;
 
+    // Guarded by this.
+    /** Bytes that were passed to {@link #write} and have not reached the response. */
+    private long submittedBytes;
+    /** Bytes that wait in the response, as of its latest delivery. */
+    private long queuedBytes;
+
     /** Creates the writer for a dispatched exchange; must be called on the I/O thread of the connection. */
     public CallerResponseWriter(HttpServerExchange exchange, ScheduledExecutorService timer) {
+        this(exchange, new CallerResponse(exchange, timer));
+    }
+
+    /** Creates the writer of a response; must be called on the I/O thread of the connection. */
+    CallerResponseWriter(HttpServerExchange exchange, CallerResponse response) {
         this.exchange = exchange;
-        this.response = new CallerResponse(exchange, timer);
+        this.response = response;
+        response.onDelivery(() -> updatePending(0));
     }
 
     /** Runs an action once when the caller disconnects before the end of the response. */
@@ -49,9 +67,40 @@
         execute(() -> response.start(status, headers));
     }
 
-    /** Sends a chunk of the body. */
+    /**
+     * Sends a chunk of the body. Blocks while too many bytes wait for the caller, so that no more is read from the
+     * upstream; the disconnect of a caller that reads nothing ends that.
+     */
     public void write(byte[] bytes) {
-        execute(() -> response.write(bytes));
+        if (!awaitSpace(bytes.length)) {
+            return;
+        }
+        execute(() -> {
+            response.write(bytes);
+            updatePending(bytes.length);
+        });
+    }
+
+    /** Waits until a chunk may be submitted, and counts it; returns false if the response is closed. */
+    private synchronized boolean awaitSpace(int bytes) {
+        try {
+            while (submittedBytes + queuedBytes >= MAX_PENDING_BYTES && !response.disconnected()) {
+                wait();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            abort();
+            return false;
+        }
+        submittedBytes += bytes;
+        return !response.disconnected();
+    }
+
+    /** Called on the I/O thread after bytes have reached the response or the connection, or the response has closed. */
+    private synchronized void updatePending(int receivedBytes) {
+        submittedBytes -= receivedBytes;
+        queuedBytes = response.queuedBytes();
+        notifyAll();
     }
 
     /** Marks the response as complete. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -395,6 +395,8 @@
             if (completeEvents.length > 0) {
                 inFlight.recordFirstOutput();
                 write(completeEvents);
+                // A caller that reads slowly delays the write; that is no silence of the engine.
+                lastReadAtMillis = nowMillis();
             }
             if (isEnded()) {
                 return StreamEnd.DONE;
