--- a/gateway/src/test/java/org/wagtailcart/gateway/CorruptedResponseTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/CorruptedResponseTest.java
@@ -28,14 +28,14 @@
 
     /**
      * Applies one random corruption to a response: a bit flip, a lost or extra byte, a repetition of the response or a
-     * truncation.
+     * truncation, another status, or a body without a length.
      */
     private static byte[] corrupt(byte[] response, Random random) {
         int at = random.nextInt(response.length);
         byte[] rest = Arrays.copyOfRange(response, at, response.length);
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.write(response, 0, at);
-        switch (random.nextInt(5)) {
+        switch (random.nextInt(7)) {
             case 0 -> {
                 rest[0] ^= (byte) (1 << random.nextInt(8));
                 out.writeBytes(rest);
@@ -49,6 +49,15 @@
                 out.writeBytes(rest);
                 out.writeBytes(response);
             }
+            case 4 -> {
+                out.reset();
+                String status = Integer.toString(random.nextInt(-99, 1_100));
+                out.writeBytes(replace(response, "200", "0".repeat(random.nextInt(3)) + status));
+            }
+            case 5 -> {
+                out.reset();
+                out.writeBytes(replace(response, "Content-Length", "Content-Lengt"));
+            }
             default -> {
                 // Truncated at this position.
             }
@@ -56,6 +65,12 @@
         return out.toByteArray();
     }
 
+    private static byte[] replace(byte[] response, String part, String replacement) {
+        return new String(response, StandardCharsets.ISO_8859_1)
+                .replaceFirst(part, replacement)
+                .getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     private static byte[] response(String id) {
         String body = "body of " + id;
         return ("HTTP/1.1 200 OK\r\nId: " + id + "\r\nStamp: s\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
@@ -90,6 +105,10 @@
             }
             out.write(bytes);
             out.flush();
+            if (corrupted && random.nextInt(4) == 0) {
+                socket.setSoLinger(true, 0);
+                return false;
+            }
             return !corrupted || random.nextBoolean();
         };
         try (TestUpstream upstream = new TestUpstream(script);
@@ -99,6 +118,9 @@
             for (int i = 0; i < ROUNDS; i++) {
                 String corruptedId = "g-" + i;
                 String corruptedResult = send(harness, route, corruptedId);
+                assertWithMessage(new String(sent.get(), StandardCharsets.ISO_8859_1))
+                        .that(corruptedResult)
+                        .matches("(?s)([2-5][0-9]{2} .*|aborted)");
                 if (corruptedResult.startsWith("200 ")) {
                     assertWithMessage(new String(sent.get(), StandardCharsets.ISO_8859_1))
                             .that(mayBeRelayed(sent.get(), corruptedId))
