Keep plain calls out of slow phases of replicas

A gateway chose among the replicas of a plain service by an average with weight 0.2, which shows a slow phase of 600 ms too late and holds it against the replica for seconds.

RecentLatency takes a replica for slow if its last call, at most 600 ms old, or a pending one takes more than 1.6 times the average and 10 ms. ReplicaPlacement chooses it only if no other replica has a free slot; otherwise it chooses as before. Not used for services with engines, since streams differ too much in length.

Ruled out: the last time instead of the average, as it follows the spread of sound replicas.

--- a/gateway/src/main/java/org/wagtailcart/gateway/list/InFlightRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/InFlightRequest.java
@@ -125,7 +125,7 @@
         registry.recordOutcome(upstream, outcome, elapsedMillis(nowMillis), nowMillis);
     }
 
-    private double elapsedMillis(long nowMillis) {
+    double elapsedMillis(long nowMillis) {
         return nowMillis - startMillis;
     }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -11,6 +11,7 @@
 import org.wagtailcart.policy.health.HealthTracker;
 import org.wagtailcart.policy.placement.PrefillSlowdown;
 import org.wagtailcart.policy.placement.PrefixCacheEstimate;
+import org.wagtailcart.policy.placement.RecentLatency;
 import org.wagtailcart.policy.placement.StreamStartDelay;
 
 /**
@@ -35,6 +36,7 @@
     private OutstandingWork otherGatewaysWork;
     private long queuedTokens;
     private double latencyMillis;
+    private double lastLatencyMillis;
     private long latencyAtMillis;
     private long backoffUntilMillis = Long.MIN_VALUE;
     private final PrefillSlowdown prefillSlowdown = new PrefillSlowdown();
@@ -135,6 +137,16 @@
         return latencyMillis;
     }
 
+    /** Returns whether it seems to be in a slow phase, as a replica of a plain service. */
+    boolean isSlow(long nowMillis) {
+        double pendingMillis = ownRequests.stream()
+                .mapToDouble(request -> request.elapsedMillis(nowMillis))
+                .max()
+                .orElse(0);
+        double lastAgeMillis = (double) nowMillis - latencyAtMillis;
+        return RecentLatency.isSlow(latencyMillis, lastLatencyMillis, lastAgeMillis, pendingMillis);
+    }
+
     long latencyAtMillis() {
         return latencyAtMillis;
     }
@@ -211,6 +223,7 @@
     /** Records an outcome; returns whether it changed the upstream from available to ejected, or back. */
     boolean recordOutcome(UpstreamOutcome outcome, double millis, long nowMillis) {
         if (outcome == UpstreamOutcome.SUCCESS) {
+            lastLatencyMillis = millis;
             latencyMillis += LATENCY_WEIGHT * (millis - latencyMillis);
             latencyAtMillis = nowMillis;
         }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -205,6 +205,8 @@
     public synchronized Optional<InFlightRequest> startReplicaRequest(String service, Set<String> excluded) {
         long nowMillis = clock.nowMillis();
         List<Upstream> usable = candidates(service, excluded, nowMillis);
+        // The times of streams differ too much to recognize a slow phase by them.
+        boolean engines = hasEngines(service);
         double meanMillis =
                 usable.stream().mapToDouble(Upstream::latencyMillis).average().orElse(INITIAL_LATENCY_MILLIS);
         return ReplicaPlacement.choose(
@@ -214,7 +216,8 @@
                                         upstream.listEntry().failureDomain(),
                                         Math.max(1, upstream.listEntry().maxInFlight()),
                                         upstream.inFlight(),
-                                        currentLatency(upstream, meanMillis, nowMillis)))
+                                        currentLatency(upstream, meanMillis, nowMillis),
+                                        !engines && upstream.isSlow(nowMillis)))
                                 .toList(),
                         place.failureDomain())
                 .map(candidate ->
--- a/policy/src/main/java/org/wagtailcart/policy/placement/ReplicaCandidate.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/ReplicaCandidate.java
@@ -8,5 +8,11 @@
  * @param slots requests that it runs at once
  * @param inFlight in-flight requests, of all gateways
  * @param latencyMillis usual latency of a request
+ * @param slow whether it seems to be in a slow phase
  */
-public record ReplicaCandidate(String id, String failureDomain, int slots, int inFlight, double latencyMillis) {}
+public record ReplicaCandidate(
+        String id, String failureDomain, int slots, int inFlight, double latencyMillis, boolean slow) {
+    boolean hasFreeSlot() {
+        return inFlight < slots;
+    }
+}
--- a/policy/src/main/java/org/wagtailcart/policy/placement/ReplicaPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/ReplicaPlacement.java
@@ -11,12 +11,19 @@
 
     private ReplicaPlacement() {}
 
-    /** Returns the replica with the lowest expected latency for a gateway in {@code ownDomain}, or empty for none. */
+    /**
+     * Returns the replica with the lowest expected latency for a gateway in {@code ownDomain}, or empty for none. A
+     * replica in a slow phase is chosen only if no other one has a free slot.
+     */
     public static Optional<ReplicaCandidate> choose(List<ReplicaCandidate> replicas, String ownDomain) {
-        return replicas.stream()
-                .min(Comparator.comparing((ReplicaCandidate replica) -> expectedMillis(replica, ownDomain))
-                        .thenComparing(ReplicaCandidate::inFlight)
-                        .thenComparing(ReplicaCandidate::id));
+        List<ReplicaCandidate> preferred = replicas.stream()
+                .filter(replica -> !replica.slow() && replica.hasFreeSlot())
+                .toList();
+        return (preferred.isEmpty() ? replicas : preferred)
+                .stream()
+                        .min(Comparator.comparing((ReplicaCandidate replica) -> expectedMillis(replica, ownDomain))
+                                .thenComparing(ReplicaCandidate::inFlight)
+                                .thenComparing(ReplicaCandidate::id));
     }
 
     private static double expectedMillis(ReplicaCandidate replica, String ownDomain) {
--- a/policy/src/test/java/org/wagtailcart/policy/placement/ReplicaPlacementTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/ReplicaPlacementTest.java
@@ -23,8 +23,22 @@
     void aNearReplicaServesUntilItIsSlowerThanAFarOne(
             int nearRequests, double nearMillis, int farRequests, double farMillis, String chosen) {
         List<ReplicaCandidate> replicas = List.of(
-                new ReplicaCandidate("near", "fes", 6, nearRequests, nearMillis),
-                new ReplicaCandidate("far", "rabat", 6, farRequests, farMillis));
+                new ReplicaCandidate("near", "fes", 6, nearRequests, nearMillis, false),
+                new ReplicaCandidate("far", "rabat", 6, farRequests, farMillis, false));
+        assertThat(ReplicaPlacement.choose(replicas, "fes").orElseThrow().id()).isEqualTo(chosen);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // near is slow, requests far, chosen
+        "false, 0, near",
+        "true, 5, far",
+        "true, 6, near",
+    })
+    void aSlowReplicaServesOnlyIfNoOtherHasAFreeSlot(boolean nearSlow, int farRequests, String chosen) {
+        List<ReplicaCandidate> replicas = List.of(
+                new ReplicaCandidate("near", "fes", 6, 0, 20, nearSlow),
+                new ReplicaCandidate("far", "rabat", 6, farRequests, 20, false));
         assertThat(ReplicaPlacement.choose(replicas, "fes").orElseThrow().id()).isEqualTo(chosen);
     }
 }
