--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -412,6 +412,8 @@
                 inFlight.recordFirstOutput();
                 recordBegin();
                 write(completeEvents);
+                // A caller that reads slowly delays the write; that is no silence of the engine.
+                lastReadAtMillis = nowMillis();
             }
             if (isEnded()) {
                 return StreamEnd.DONE;
