Keep polling the control group after an exception in a poll

The next poll is scheduled when the reply of the last one has been handled. An exception while the report is composed, or one that the transport throws instead of failing its future, ended the loop: the table, the host list and the shares of the gateway then aged until its restart.

Both now fail the poll like a member that is down, the quarantine update is given back, and the reply handler schedules the next poll in a finally block. A catch around the whole of poll() was ruled out because it would lose that update.

Both new cases of RouteTableWatcherTest fail without the change and pass with it.

--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
@@ -152,7 +152,22 @@
         long sentAtMillis = clock.nowMillis();
         long knownQuarantineVersion = quarantineVersion();
         QuarantineUpdate quarantineUpdate = quarantine.drainUpdate(knownQuarantineVersion == 0);
-        WatchRequest request = new WatchRequest(
+        CompletableFuture<?> unused = send(member, knownQuarantineVersion, quarantineUpdate)
+                .whenComplete((reply, error) -> onReply(member, sentAtMillis, quarantineUpdate, reply, error));
+    }
+
+    /** Sends a poll. An exception fails the future, since the next poll is scheduled only when this one ends. */
+    private CompletableFuture<WatchReply> send(
+            Address member, long knownQuarantineVersion, QuarantineUpdate quarantineUpdate) {
+        try {
+            return transport.call(member, request(knownQuarantineVersion, quarantineUpdate), pollTimeoutMillis());
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    private WatchRequest request(long knownQuarantineVersion, QuarantineUpdate quarantineUpdate) {
+        return new WatchRequest(
                 processId,
                 routes.table().version(),
                 currentHostListVersion(),
@@ -162,24 +177,22 @@
                 knownQuarantineVersion,
                 quarantineUpdate.equals(QuarantineUpdate.NONE) ? null : quarantineUpdate,
                 reports.collect());
-        CompletableFuture<?> unused = transport
-                .call(member, request, pollTimeoutMillis())
-                .whenComplete((reply, error) -> {
-                    if (reply == null) {
-                        quarantine.restore(quarantineUpdate, sentAtMillis);
-                    }
-                    onReply(member, sentAtMillis, reply, error);
-                });
     }
 
     private long pollTimeoutMillis() {
         return routes.table().version() == 0 ? FIRST_CALL_LIMIT_MILLIS : POLL_TIMEOUT_MILLIS;
     }
 
-    private void onReply(Address member, long sentAtMillis, @Nullable WatchReply reply, @Nullable Throwable error) {
+    private void onReply(
+            Address member,
+            long sentAtMillis,
+            QuarantineUpdate quarantineUpdate,
+            @Nullable WatchReply reply,
+            @Nullable Throwable error) {
         long delayMillis = RETRY_MILLIS;
         try {
             if (reply == null) {
+                quarantine.restore(quarantineUpdate, sentAtMillis);
                 onFailure(member, String.valueOf(error));
             } else {
                 applyReply(member, sentAtMillis, reply);
@@ -187,8 +200,9 @@
             }
         } catch (RuntimeException e) {
             onFailure(member, String.valueOf(e));
+        } finally {
+            schedule(delayMillis);
         }
-        schedule(delayMillis);
     }
 
     private synchronized Address current() {
--- a/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -39,6 +40,8 @@
 
     private final Map<Address, MemberReply> replies = new ConcurrentHashMap<>();
     private final List<Long> timeoutsMillis = new CopyOnWriteArrayList<>();
+    private final AtomicInteger callsThatThrow = new AtomicInteger();
+    private final AtomicInteger reportsThatThrow = new AtomicInteger();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
     private final UpstreamRegistry registry =
             new UpstreamRegistry(new Location("fes", Regions.SINGLE), MillisClock.monotonic());
@@ -48,7 +51,7 @@
             this::call,
             registry,
             new PromptQuarantine(MillisClock.monotonic()),
-            new GatewayReports(registry, UsageReports.NONE, new WorkspaceLimits("g", () -> 0)),
+            new GatewayReports(registry, UsageReports.NONE, new WorkspaceLimits("g", this::reportMillis)),
             timer,
             MillisClock.monotonic());
 
@@ -60,6 +63,9 @@
 
     private CompletableFuture<WatchReply> call(Address member, WatchRequest request, long timeoutMillis) {
         timeoutsMillis.add(timeoutMillis);
+        if (callsThatThrow.getAndDecrement() > 0) {
+            throw new IllegalStateException("request cannot be encoded");
+        }
         MemberReply memberReply = replies.get(member);
         if (memberReply == null) {
             return CompletableFuture.failedFuture(new IllegalStateException("down"));
@@ -84,6 +90,14 @@
         return CompletableFuture.supplyAsync(() -> reply, CompletableFuture.delayedExecutor(10, TimeUnit.MILLISECONDS));
     }
 
+    /** Returns the clock of the report of demand. */
+    private long reportMillis() {
+        if (reportsThatThrow.getAndDecrement() > 0) {
+            throw new IllegalStateException("report cannot be composed");
+        }
+        return 0;
+    }
+
     private void awaitVersion(long version) throws InterruptedException {
         for (int i = 0; i < 500 && watcher.routes().table().version() != version; i++) {
             TimeUnit.MILLISECONDS.sleep(10);
@@ -102,6 +116,26 @@
         assertThat(timeoutsMillis.get(0)).isLessThan(timeoutsMillis.get(timeoutsMillis.size() - 1));
     }
 
+    /** Guards against a gateway that never polls again after a poll that could not be sent. */
+    @Test
+    void pollingContinuesAfterAnException() throws InterruptedException {
+        replies.put(A, new MemberReply(3, 0, ""));
+        replies.put(B, new MemberReply(3, 0, ""));
+        callsThatThrow.set(3);
+        watcher.start();
+        awaitVersion(3);
+    }
+
+    /** Guards against a gateway that never polls again after its report could not be composed. */
+    @Test
+    void pollingContinuesAfterAReportThatFails() throws InterruptedException {
+        replies.put(A, new MemberReply(3, 0, ""));
+        replies.put(B, new MemberReply(3, 0, ""));
+        reportsThatThrow.set(3);
+        watcher.start();
+        awaitVersion(3);
+    }
+
     @Test
     void unreachableMemberIsSkipped() throws InterruptedException {
         replies.put(B, new MemberReply(3, 0, ""));
