Ask for the rates of an engine again after its return to the host list

A gateway that forgets the rate of an unlisted engine sets its version of the rates to 0, so that the next poll asks for all. The reply that brings the shorter host list also carries the version of the rates, which is applied after the list and undid that. The rate of an engine that came back was then missing until it changed by 5% or the member changed.

A reply to a poll from before the rates were forgotten no longer sets the version. Applying the list after the rates was ruled out, since the list may also be read from the platform by another thread between a poll and its reply.

The new case of LearnedEngineRatesTest fails without the change and passes with it. The existing case did not apply a reply after the list and so did not see the fault.

--- a/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
@@ -29,6 +29,8 @@
     private final Set<String> unsentIds = new LinkedHashSet<>();
     private long repliedAtMillis = Long.MIN_VALUE / 4;
     private long version;
+    /** Whether shared rates were forgotten since the last poll, so that its reply lacks some that the member has. */
+    private boolean forgotten;
 
     /** Records the rate that a prefill of an engine showed. */
     void record(String engineId, double tokensPerMilli, long nowMillis) {
@@ -67,6 +69,7 @@
      * and, after a change of member, all rates known, with a sample count of 0.
      */
     List<EngineRate> drainNews(long nowMillis) {
+        forgotten = false;
         List<EngineRate> news = new ArrayList<>();
         unsentSamplesById.forEach((id, samples) -> news.add(new EngineRate(id, median(samples), samples.size())));
         unsentSamplesById.clear();
@@ -92,10 +95,10 @@
         return version;
     }
 
-    /** Applies the rates in a reply. */
+    /** Applies the rates in the reply to a poll, which has sent the news drained before it. */
     void apply(List<EngineRate> rates, long latestVersion, long nowMillis) {
         rates.forEach(rate -> sharedById.put(rate.instanceId(), rate.tokensPerMilli()));
-        version = latestVersion;
+        version = forgotten ? 0 : latestVersion;
         repliedAtMillis = nowMillis;
     }
 
@@ -107,6 +110,7 @@
         if (sharedById.keySet().retainAll(engineIds)) {
             // The engine may return to the list; the member sends its rate again only if it is asked for all.
             version = 0;
+            forgotten = true;
         }
     }
 
--- a/gateway/src/test/java/org/wagtailcart/gateway/list/LearnedEngineRatesTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/list/LearnedEngineRatesTest.java
@@ -58,4 +58,17 @@
         assertThat(rates.tokensPerMilli("shared", 1_000).isPresent()).isFalse();
         assertThat(rates.version()).isEqualTo(0);
     }
+
+    /** Guards against a reply that brings the shorter host list and marks all rates of the member as known. */
+    @Test
+    void anUnlistedEngineIsAskedForAgainAfterTheReplyWithTheHostList() {
+        rates.drainNews(1_000);
+        rates.retain(Set.of("own"));
+        rates.apply(List.of(), 5, 1_100);
+        assertThat(rates.version()).isEqualTo(0);
+        rates.drainNews(1_200);
+        rates.apply(List.of(new EngineRate("shared", 86, 9)), 5, 1_300);
+        assertThat(rates.version()).isEqualTo(5);
+        assertThat(rates.tokensPerMilli("shared", 1_300).orElseThrow()).isEqualTo(86);
+    }
 }
