Derive the shortest target of a service once for each table

Each request of a workspace scanned all routes and their splits for the shortest target latency of its service, which grows with the table while gateways have a fifth of a core.

RouteIndex derives it for all services when a table is installed. A cache in the gateway was ruled out, since it would have to follow the table. RouteIndexTest covers targets of 0, several splits and services without a route.

--- a/gateway/src/main/java/org/wagtailcart/gateway/call/CallShare.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallShare.java
@@ -4,7 +4,6 @@
 import org.wagtailcart.policy.placement.RequestRank;
 import org.wagtailcart.policy.share.ShareLimiter;
 import org.wagtailcart.policy.share.ShareRequest;
-import org.wagtailcart.routes.Route;
 
 /**
  * One call's part in the share of its workspace. A call is decided on and counted once, before anything is sent; later
@@ -66,17 +65,6 @@
                 cost,
                 estimate,
                 onTimeUntilMillis - context.clock().nowMillis(),
-                shortestTargetMillis());
-    }
-
-    /** Returns the shortest target of the routes that use the service. */
-    private long shortestTargetMillis() {
-        return context.routeWatcher().routes().table().routes().stream()
-                .filter(route -> route.targetLatencyMillis() > 0)
-                .filter(route -> route.splits().stream()
-                        .anyMatch(split -> split.service().equals(request.service())))
-                .mapToLong(Route::targetLatencyMillis)
-                .min()
-                .orElse(Long.MAX_VALUE);
+                context.routeWatcher().routes().shortestTargetMillis(request.service()));
     }
 }
--- a/routes/src/main/java/org/wagtailcart/routes/RouteIndex.java
+++ b/routes/src/main/java/org/wagtailcart/routes/RouteIndex.java
@@ -12,6 +12,7 @@
 public final class RouteIndex {
     private final RouteTable table;
     private final Map<String, List<Route>> routesByHost;
+    private final Map<String, Long> shortestTargetMillisByService;
     private final Optional<WorkspaceAuthenticator> authenticator;
 
     /** Builds the index of a table. */
@@ -22,6 +23,11 @@
                 .sorted(Comparator.comparing(
                         (Route route) -> -route.pathPrefix().length()))
                 .collect(Collectors.groupingBy(route -> route.hostName().toLowerCase(Locale.ROOT)));
+        this.shortestTargetMillisByService = table.routes().stream()
+                .filter(route -> route.targetLatencyMillis() > 0)
+                .flatMap(route ->
+                        route.splits().stream().map(split -> Map.entry(split.service(), route.targetLatencyMillis())))
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue, Math::min));
     }
 
     /** Returns the indexed table. */
@@ -42,6 +48,11 @@
                 .findFirst();
     }
 
+    /** Returns the shortest target latency of the routes that use a service, the largest long value if none has one. */
+    public long shortestTargetMillis(String service) {
+        return shortestTargetMillisByService.getOrDefault(service, Long.MAX_VALUE);
+    }
+
     /**
      * Returns the service of a request, by the weights of the route's splits.
      *
--- a/routes/src/test/java/org/wagtailcart/routes/RouteIndexTest.java
+++ b/routes/src/test/java/org/wagtailcart/routes/RouteIndexTest.java
@@ -33,4 +33,16 @@
         Route route = index.find("h.example", "/a/b/x").orElseThrow();
         assertThat(RouteIndex.pickService(route, fraction)).isEqualTo(service);
     }
+
+    /** Guards against a target of 0, which means none, and against a split that is left out. */
+    @ParameterizedTest
+    @CsvSource({"stock, 300", "desk, 800", "idle, 9223372036854775807", "unknown, 9223372036854775807"})
+    void shortestTargetIsThatOfAllRoutesOfTheService(String service, long expectedMillis) {
+        RouteIndex targets = new RouteIndex(Tables.table(
+                1,
+                Tables.routeWithTarget("a", 300, new TrafficSplit("stock", 1)),
+                Tables.routeWithTarget("b", 800, new TrafficSplit("stock", 1), new TrafficSplit("desk", 9)),
+                Tables.routeWithTarget("c", 0, new TrafficSplit("stock", 1), new TrafficSplit("idle", 1))));
+        assertThat(targets.shortestTargetMillis(service)).isEqualTo(expectedMillis);
+    }
 }
--- a/routes/src/test/java/org/wagtailcart/routes/Tables.java
+++ b/routes/src/test/java/org/wagtailcart/routes/Tables.java
@@ -14,6 +14,23 @@
                 name, host, prefix, RouteKind.SAFE, timeoutMillis, 100, 0, List.of(splits), 2, false, false, 0, false);
     }
 
+    static Route routeWithTarget(String name, long targetLatencyMillis, TrafficSplit... splits) {
+        return new Route(
+                name,
+                "h.example",
+                "/" + name + "/",
+                RouteKind.SAFE,
+                2_000,
+                targetLatencyMillis,
+                0,
+                List.of(splits),
+                2,
+                false,
+                false,
+                0,
+                false);
+    }
+
     static RouteTable withWorkspaces(Workspace... workspaces) {
         return new RouteTable(
                 1,
