Observe the own demand of a gateway with its requests as well

A gateway without the leader limits workspaces by its own account, which starts anew after a gap of 1 s and was observed only when a report was composed. A poll that fails takes 750 ms, so a little delay of a throttled process left the gateway without any limit for as long as it was cut off.

The account is now also observed when a request is decided on, at most every 100 ms. A longer gap before the account starts anew was ruled out: it would mix former observations with the first new ones in a leader, which uses the same class.

The new case of WorkspaceLimitsTest, with a report every 1.1 s, fails without the change and passes with it.

--- a/gateway/src/main/java/org/wagtailcart/gateway/share/WorkspaceLimits.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/share/WorkspaceLimits.java
@@ -36,6 +36,8 @@
             return ShareLimiter.Decision.ADMIT;
         }
         long nowMillis = clock.nowMillis();
+        // A gateway that is cut off polls less often than its account needs observations.
+        limiter.observe(() -> meter.demand(nowMillis), nowMillis);
         ShareLimiter.Decision decision = limiter.decide(request, gateways, nowMillis);
         if (decision == ShareLimiter.Decision.REFUSE) {
             refusals++;
@@ -64,7 +66,7 @@
     public synchronized List<WorkspaceDemand> demand() {
         long nowMillis = clock.nowMillis();
         List<WorkspaceDemand> demand = meter.demand(nowMillis);
-        limiter.observe(demand, nowMillis);
+        limiter.observe(() -> demand, nowMillis);
         return demand;
     }
 
--- a/gateway/src/test/java/org/wagtailcart/gateway/share/WorkspaceLimitsTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/share/WorkspaceLimitsTest.java
@@ -104,4 +104,22 @@
         }
         assertThat(second()[0]).isLessThan(80);
     }
+
+    /**
+     * Guards against a gateway that is cut off and limits nothing, because its polls fail more slowly than an account
+     * starts anew after a gap.
+     */
+    @Test
+    void gatewayWhosePollsFailSlowlyLimitsByItsOwnAccount() {
+        int admitted = 0;
+        for (int i = 0; i < 600; i++) {
+            boolean isAdmitted = admits("greedy");
+            admitted += i >= 400 && isAdmitted ? 1 : 0;
+            nowMillis.addAndGet(10);
+            if (i % 110 == 0) {
+                List<WorkspaceDemand> unused = limits.demand();
+            }
+        }
+        assertThat(admitted).isLessThan(160);
+    }
 }
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.zip.CRC32C;
 
@@ -73,10 +74,10 @@
         }
     }
 
-    /** Observes the demand at this gateway, for the time without the leader. */
-    public void observe(List<WorkspaceDemand> ownDemand, long nowMillis) {
+    /** Observes the demand at this gateway if that is due, for the time without the leader. */
+    public void observe(Supplier<List<WorkspaceDemand>> ownDemand, long nowMillis) {
         if (ownAccount.observationDue(nowMillis)) {
-            ownAccount.observe(ownDemand, nowMillis);
+            ownAccount.observe(ownDemand.get(), nowMillis);
         }
     }
 
--- a/policy/src/test/java/org/wagtailcart/policy/share/ContendedService.java
+++ b/policy/src/test/java/org/wagtailcart/policy/share/ContendedService.java
@@ -128,7 +128,7 @@
         if (nowMillis % POLL_MILLIS == 0) {
             List<List<WorkspaceDemand>> demand =
                     meters.stream().map(meter -> meter.demand(nowMillis)).toList();
-            IntStream.range(0, GATEWAYS).forEach(i -> limiters.get(i).observe(demand.get(i), nowMillis));
+            IntStream.range(0, GATEWAYS).forEach(i -> limiters.get(i).observe(() -> demand.get(i), nowMillis));
             leader.observe(
                     demand.stream()
                             .limit(connectedGateways(nowMillis))
