Move the cached rates of services out of UpstreamRegistry

ServiceRates now holds both; behaviour is unchanged. The learned rates stay a field of the registry, whose lock guards them. LearnedEngineRatesTest, EngineRatesAcrossFailuresTest and OutstandingWorkTest pass.

--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -7,7 +7,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -56,9 +55,6 @@
     /** Fraction of an engine's KV cache available to shared prompt segments; running requests need the rest. */
     private static final double SHARED_CACHE_FRACTION = 0.8;
 
-    /** Time for which the rates of a service are cached; replies of the control group come as often. */
-    private static final long RATES_VALIDITY_MILLIS = 250;
-
     /** Bits transferred per millisecond at 1 Mbit/s. */
     private static final double BITS_PER_MEGABIT_AND_MILLI = 1_000;
 
@@ -69,7 +65,7 @@
     private final MillisClock clock;
     private final Map<String, Upstream> upstreamsById = new HashMap<>();
     private final LearnedEngineRates learnedRates = new LearnedEngineRates();
-    private final Map<String, CachedRates> ratesByService = new HashMap<>();
+    private final ServiceRates serviceRates = new ServiceRates(learnedRates);
     private List<PrefixCacheUpdate> pendingPrefixUpdates = new ArrayList<>();
     private Map<String, ServiceSpec> services = Map.of();
     private long listedAtMillis = Long.MIN_VALUE / 4;
@@ -80,8 +76,6 @@
         this.clock = clock;
     }
 
-    private record CachedRates(FleetRates rates, long expiresAtMillis) {}
-
     /**
      * Placement of an inference request on engines.
      *
@@ -468,36 +462,13 @@
                 : tokensPerMilli;
     }
 
-    /** Returns the rates of a service, which are computed anew a few times a second. */
     private FleetRates fleetRates(String service, long nowMillis) {
-        CachedRates cached = ratesByService.get(service);
-        if (cached != null && nowMillis < cached.expiresAtMillis()) {
-            return cached.rates();
-        }
-        Map<String, Double> known = new HashMap<>();
-        upstreamsById.values().stream()
-                .filter(upstream -> upstream.listEntry().service().equals(service))
-                .forEach(upstream -> learnedRates
-                        .tokensPerMilli(upstream.id(), nowMillis)
-                        .ifPresent(rate -> known.put(upstream.id(), rate)));
-        FleetRates rates = FleetRates.of(known);
-        ratesByService.put(service, new CachedRates(rates, nowMillis + RATES_VALIDITY_MILLIS));
-        logChange(service, rates.summary(), (cached == null ? FleetRates.DEFAULT : cached.rates()).summary());
-        return rates;
-    }
-
-    private static void logChange(String service, FleetRates.Summary latest, FleetRates.Summary previous) {
-        if (latest.differsFrom(previous)) {
-            LogEventKind.ENGINE_RATES_CHANGED.log(
-                    LOG,
-                    Level.INFO,
-                    service,
-                    latest.tokensPerMilli(),
-                    latest.faster(),
-                    latest.slower(),
-                    String.format(Locale.ROOT, "%.2f", latest.maxSpeed()),
-                    String.format(Locale.ROOT, "%.2f", latest.minSpeed()));
-        }
+        return serviceRates.of(
+                service,
+                () -> upstreamsById.values().stream()
+                        .filter(upstream -> upstream.listEntry().service().equals(service))
+                        .map(Upstream::id),
+                nowMillis);
     }
 
     void recordRate(Upstream engine, double tokensPerMilli, long nowMillis) {
