--- a/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
@@ -83,7 +83,7 @@
         return news;
     }
 
-    /** Prepares for polls of another member, or of one whose state is unknown: it gets all rates, and is asked for all. */
+    /** Prepares for polls of a member whose state is unknown: it gets all known rates, and is asked for all. */
     void memberChanged() {
         version = 0;
         unsentIds.addAll(sharedById.keySet());
--- a/gateway/src/main/java/org/wagtailcart/gateway/share/WorkspaceState.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/share/WorkspaceState.java
@@ -9,7 +9,8 @@
  * @param running streams that have begun
  * @param waiting requests without a response so far
  * @param refusedPerSecond requests refused in the last second because the service was contended
- * @param admitFraction fraction of its requests that is admitted while they would wait, 1 for a workspace within its share
+ * @param admitFraction fraction of its requests that is admitted while they would wait, 1 for a workspace within its
+ *     share
  */
 public record WorkspaceState(
         String service,
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PrefillRateEstimate.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PrefillRateEstimate.java
@@ -9,16 +9,17 @@
 /**
  * Prefill rate of one engine: the weighted upper quartile of the samples of the last seconds. Queues that other
  * gateways filled unnoticed make samples too low and are frequent; samples that are too high, because a prompt was
- * cached unnoticed, are rare. Until there are enough samples, and once they are too old, the rate last known applies. Rates are means over whole prompts, so the higher cost per
- * token of long prompts (some 10%) is not modelled. Does no I/O; not thread safe.
+ * cached unnoticed, are rare. Until there are enough samples the rate last known applies. Rates are means over whole
+ * prompts, so the higher cost per token of long prompts (some 10%) is not modelled. Does no I/O; not thread safe.
  */
 public final class PrefillRateEstimate {
     /** Samples needed for a quartile that a single wrong one does not determine. */
     public static final int MIN_SAMPLES = 4;
 
     /**
-     * Age up to which samples count; the latest few always count, for engines that get few prompts. The rate follows an increase of speed after a quarter of this time and a decrease
-     * after three quarters; faults that last a few seconds do not change it and are left to {@link PrefillSlowdown}.
+     * Age up to which samples count; the latest few always count, for engines that get few prompts. The rate follows an
+     * increase of speed after a quarter of this time and a decrease after three quarters; faults that last a few seconds
+     * do not change it and are left to {@link PrefillSlowdown}.
      */
     static final long WINDOW_MILLIS = 20_000;
 
--- a/policy/src/main/java/org/wagtailcart/policy/role/PrefillRatioPlanner.java
+++ b/policy/src/main/java/org/wagtailcart/policy/role/PrefillRatioPlanner.java
@@ -11,9 +11,10 @@
 import org.wagtailcart.common.EngineRole;
 
 /**
- * Planner that keeps a share of a service's engines in the prefill role, which depends on their slots. Before traffic all engines may change at
- * once; under traffic one at a time, and only after a sustained imbalance. An engine that has just appeared or
- * restarted has an empty cache and may change at once.
+ * Planner that keeps a share of a service's engines in the prefill role, which depends on their slots. Before traffic
+ * all engines may change at once. Under traffic one changes at a time, only after a sustained imbalance, and a fast and
+ * a slow engine rarely swap their roles. An engine that has just appeared or restarted has an empty cache and may change
+ * at once.
  */
 public final class PrefillRatioPlanner {
     /**
--- a/policy/src/test/java/org/wagtailcart/policy/placement/PrefillRateEstimateTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/PrefillRateEstimateTest.java
@@ -36,7 +36,7 @@
 
     /** Guards against a rate that samples behind hidden queues, or one with a wrongly estimated cache, determine. */
     @Test
-    void samplesBehindHiddenQueuesDoesNotChangeTheRate() {
+    void samplesBehindHiddenQueuesDoNotChangeTheRate() {
         record(86, 4, 0, 300);
         record(20, 3, 1_200, 300);
         record(350, 1, 2_100, 300);
