Reply to the other gateways when one reply fails

Polls that are due are taken from the list and replied to in a loop. An exception while one reply was built or encoded left all later ones without a reply: their gateways counted the member as lost after 700 ms, and the controller of roles, which replies after it has read the host list, did not go on to its lease and orders.

Each reply now fails by itself, and its gateway gets an error at once. Catching in the callers was ruled out, since it would keep them running but not save the replies.

--- a/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
@@ -1,10 +1,14 @@
 package org.wagtailcart.control.watch;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.MillisClock;
+import org.wagtailcart.common.ResultCode;
+import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.control.client.FleetReport;
 import org.wagtailcart.control.client.GatewayReport;
 import org.wagtailcart.control.client.PrefixCacheUpdate;
@@ -20,6 +24,7 @@
 
 /** Handles the long polls of gateways for the routing table and the host list. Thread safe. */
 public final class WatchHandler {
+    private static final Logger LOG = System.getLogger(WatchHandler.class.getName());
     /** Timeout of a poll without a change; a gateway gets a confirmation of its table at least this often. */
     static final long LONG_POLL_MILLIS = 250;
 
@@ -92,7 +97,20 @@
             });
             pendingWatches = remaining;
         }
-        due.forEach(item -> item.exchange().finish(buildReply(item.request())));
+        due.forEach(this::reply);
+    }
+
+    /** Replies to one poll. One that cannot be replied to must not cost the other gateways their replies. */
+    private void reply(PendingWatch item) {
+        try {
+            item.exchange().finish(buildReply(item.request()));
+        } catch (RuntimeException e) {
+            LOG.log(
+                    Level.WARNING,
+                    "cannot reply to the poll of " + item.request().processId(),
+                    e);
+            item.exchange().fail(new WagtailcartException(ResultCode.INTERNAL_ERROR, "poll failed: " + e));
+        }
     }
 
     /** Returns whether the gateway must learn of a change at once. Guarded by this. */
