Name updates of rates and the state of polls by usual terms

"News", "hearsay", "word" and "standing" are now updates, rates without samples, shares and poll state. No behaviour changes; the tests of the rates, of usage and of the share messages pass.

--- a/control/src/main/java/org/wagtailcart/control/client/GatewayReport.java
+++ b/control/src/main/java/org/wagtailcart/control/client/GatewayReport.java
@@ -11,8 +11,8 @@
  *
  * @param wallClockMillis time of day of the gateway when it sent the poll
  * @param usage counts of requests that began to run, null when there are none to send
- * @param engineRates news about prefill rates: the median of the new samples of each engine, and after a change of member
- *     the rates that the gateway knows, with a sample count of 0
+ * @param engineRates updates of prefill rates: the median of the new samples of each engine, and after a change of
+ *     member the rates that the gateway knows, with a sample count of 0
  * @param demand demand of the workspaces that had requests lately
  * @param engineRatesVersion version of the rates in the last reply of the member, 0 to get all rates
  */
--- a/control/src/main/java/org/wagtailcart/control/watch/EngineRateLog.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/EngineRateLog.java
@@ -19,7 +19,7 @@
     /** Limit on the rates in a reply, at most 12 KB; a gateway gets the others with its next polls. */
     static final int MAX_RATES_PER_REPLY = 400;
 
-    /** Time after which an engine without news is forgotten; the gateways keep its rate while it is listed. */
+    /** Time after which an engine without an update is forgotten; the gateways keep its rate while it is listed. */
     static final long RETENTION_MILLIS = 600_000;
 
     /** Time after which a gateway without a poll is forgotten. */
@@ -51,26 +51,27 @@
      */
     record Page(List<EngineRate> rates, long version) {}
 
-    /** Records the news of a gateway and the version of the rates that it has. */
-    void record(String processId, List<EngineRate> news, long processVersion, long nowMillis) {
+    /** Records the updates of a gateway and the version of the rates that it has. */
+    void record(String processId, List<EngineRate> updates, long processVersion, long nowMillis) {
         prune(nowMillis);
         reportedByProcess.put(processId, new Reported(processVersion, nowMillis));
-        news.forEach(rate -> record(rate, nowMillis));
+        updates.forEach(rate -> record(rate, nowMillis));
     }
 
-    private void record(EngineRate news, long nowMillis) {
-        Entry entry = entriesById.computeIfAbsent(news.instanceId(), Entry::new);
+    private void record(EngineRate update, long nowMillis) {
+        Entry entry = entriesById.computeIfAbsent(update.instanceId(), Entry::new);
         entry.recordedAtMillis = nowMillis;
-        if (news.samples() > 0) {
-            entry.estimate.record(news.tokensPerMilli(), news.samples(), nowMillis);
+        if (update.samples() > 0) {
+            entry.estimate.record(update.tokensPerMilli(), update.samples(), nowMillis);
         } else if (entry.estimate.tokensPerMilli(nowMillis).isEmpty()) {
-            entry.estimate.recordKnown(news.tokensPerMilli());
+            entry.estimate.recordKnown(update.tokensPerMilli());
         }
         OptionalDouble rate = entry.estimate.tokensPerMilli(nowMillis);
         if (rate.isPresent()
                 && Math.abs(rate.getAsDouble() - entry.published.tokensPerMilli())
                         > MIN_CHANGE * entry.published.tokensPerMilli()) {
-            entry.published = new EngineRate(news.instanceId(), rate.getAsDouble(), entry.estimate.samples(nowMillis));
+            entry.published =
+                    new EngineRate(update.instanceId(), rate.getAsDouble(), entry.estimate.samples(nowMillis));
             entry.publishedVersion = ++version;
         }
     }
--- a/control/src/test/java/org/wagtailcart/control/client/ShareMessageTest.java
+++ b/control/src/test/java/org/wagtailcart/control/client/ShareMessageTest.java
@@ -44,7 +44,7 @@
         assertThat(CODEC.decode(2, CODEC.encode(demand))).isEqualTo(demand);
     }
 
-    /** Guards against a reply of a member without shares that counts as the news that nobody is limited. */
+    /** Guards against a reply of a member without shares that is read as that nobody is limited. */
     @Test
     void processesOfTheVersionBeforeAreUnderstood() {
         FormerFleetReport former = new FormerFleetReport(1, 2, List.of(), List.of());
--- a/control/src/test/java/org/wagtailcart/control/watch/EngineRateLogTest.java
+++ b/control/src/test/java/org/wagtailcart/control/watch/EngineRateLogTest.java
@@ -15,8 +15,8 @@
 class EngineRateLogTest {
     private final EngineRateLog log = new EngineRateLog();
 
-    private EngineRateLog.Page poll(String gateway, List<EngineRate> news, long version, long nowMillis) {
-        log.record(gateway, news, version, nowMillis);
+    private EngineRateLog.Page poll(String gateway, List<EngineRate> updates, long version, long nowMillis) {
+        log.record(gateway, updates, version, nowMillis);
         return log.pageFor(gateway);
     }
 
@@ -43,7 +43,7 @@
         assertThat(poll("g1", List.of(), 0, 300).rates()).hasSize(50);
     }
 
-    /** Guards against a new leader that knows no rates, and against hearsay that outweighs new samples there. */
+    /** Guards against a new leader without rates, and against rates without samples that outweigh new samples there. */
     @Test
     void aNewLeaderTakesTheRatesOfGatewaysUntilItHasSamples() {
         EngineRateLog.Page page = poll("g1", List.of(new EngineRate("fast", 86, 0)), 0, 0);
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
@@ -68,19 +68,19 @@
      * Removes and returns what the polled member has not been sent yet: the median of the new samples of each engine
      * and, after a change of member, all rates known, with a sample count of 0.
      */
-    List<EngineRate> drainNews(long nowMillis) {
+    List<EngineRate> drainUpdates(long nowMillis) {
         forgotten = false;
-        List<EngineRate> news = new ArrayList<>();
-        unsentSamplesById.forEach((id, samples) -> news.add(new EngineRate(id, median(samples), samples.size())));
+        List<EngineRate> updates = new ArrayList<>();
+        unsentSamplesById.forEach((id, samples) -> updates.add(new EngineRate(id, median(samples), samples.size())));
         unsentSamplesById.clear();
         List<String> taken = unsentIds.stream()
-                .limit(Math.max(0, MAX_RATES_PER_MESSAGE - news.size()))
+                .limit(Math.max(0, MAX_RATES_PER_MESSAGE - updates.size()))
                 .toList();
         taken.forEach(id -> {
             unsentIds.remove(id);
-            tokensPerMilli(id, nowMillis).ifPresent(rate -> news.add(new EngineRate(id, rate, 0)));
+            tokensPerMilli(id, nowMillis).ifPresent(rate -> updates.add(new EngineRate(id, rate, 0)));
         });
-        return news;
+        return updates;
     }
 
     /** Prepares for polls of a member whose state is unknown: it gets all known rates, and is asked for all. */
@@ -95,7 +95,7 @@
         return version;
     }
 
-    /** Applies the rates in the reply to a poll, which has sent the news drained before it. */
+    /** Applies the rates in the reply to a poll, with which the updates drained last were sent. */
     void apply(List<EngineRate> rates, long latestVersion, long nowMillis) {
         rates.forEach(rate -> sharedById.put(rate.instanceId(), rate.tokensPerMilli()));
         version = forgotten ? 0 : latestVersion;
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -475,9 +475,9 @@
         learnedRates.record(engine.id(), tokensPerMilli, nowMillis);
     }
 
-    /** Removes and returns the news about the rates of engines for the polled control member. */
+    /** Removes and returns the updates of the rates of engines for the polled control member. */
     public synchronized List<EngineRate> drainEngineRates() {
-        return learnedRates.drainNews(clock.nowMillis());
+        return learnedRates.drainUpdates(clock.nowMillis());
     }
 
     /** Returns the version of the rates in the last reply of the polled control member, 0 for none. */
--- a/gateway/src/test/java/org/wagtailcart/gateway/list/LearnedEngineRatesTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/list/LearnedEngineRatesTest.java
@@ -24,17 +24,17 @@
     /** Guards against polls that repeat old samples. */
     @Test
     void newSamplesAreSentOnce() {
-        assertThat(rates.drainNews(1_000)).containsExactly(new EngineRate("own", 35, 5));
-        assertThat(rates.drainNews(1_100)).isEmpty();
+        assertThat(rates.drainUpdates(1_000)).containsExactly(new EngineRate("own", 35, 5));
+        assertThat(rates.drainUpdates(1_100)).isEmpty();
     }
 
     /** Guards against a new leader that lacks the rates of engines without new samples. */
     @Test
     void allRatesAreSentToANewLeader() {
-        rates.drainNews(1_000);
+        rates.drainUpdates(1_000);
         rates.memberChanged();
         assertThat(rates.version()).isEqualTo(0);
-        assertThat(rates.drainNews(1_100))
+        assertThat(rates.drainUpdates(1_100))
                 .containsExactly(new EngineRate("own", 35, 0), new EngineRate("shared", 86, 0));
         rates.apply(List.of(), 1, 1_200);
         assertThat(rates.tokensPerMilli("shared", 1_200).orElseThrow()).isEqualTo(86);
@@ -62,11 +62,11 @@
     /** Guards against a reply that brings the shorter host list and marks all rates of the member as known. */
     @Test
     void anUnlistedEngineIsAskedForAgainAfterTheReplyWithTheHostList() {
-        rates.drainNews(1_000);
+        rates.drainUpdates(1_000);
         rates.retain(Set.of("own"));
         rates.apply(List.of(), 5, 1_100);
         assertThat(rates.version()).isEqualTo(0);
-        rates.drainNews(1_200);
+        rates.drainUpdates(1_200);
         rates.apply(List.of(new EngineRate("shared", 86, 9)), 5, 1_300);
         assertThat(rates.version()).isEqualTo(5);
         assertThat(rates.tokensPerMilli("shared", 1_300).orElseThrow()).isEqualTo(86);
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
@@ -12,8 +12,8 @@
 
 /**
  * Limits the requests of workspaces that ask for more than their share of a contended service. The leader of the
- * control group says which these are. While a gateway has no word from it, it limits them by its own account, with the
- * capacity of the service divided by the number of gateways. Deterministic; not thread safe.
+ * control group says which these are. While a gateway gets no shares from it, it limits them by its own account, with
+ * the capacity of the service divided by the number of gateways. Deterministic; not thread safe.
  */
 public final class ShareLimiter {
     /** Validity of the shares that the leader sends; eight polls. */
--- a/policy/src/test/java/org/wagtailcart/policy/placement/OverdueBoundTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/OverdueBoundTest.java
@@ -6,7 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** Guards against prompts that are prefilled twice for impatience, and against requests held by a failed engine. */
+/** Guards against prompts that are prefilled twice because a bound is too short, and against requests held by a failed engine. */
 class OverdueBoundTest {
     private static final OverdueBound.Rates SLOW = new OverdueBound.Rates(35.8, 35.8);
 
--- a/usage/src/main/java/org/wagtailcart/usage/UsageLedger.java
+++ b/usage/src/main/java/org/wagtailcart/usage/UsageLedger.java
@@ -23,26 +23,26 @@
     private record Incarnation(String processId, long number) {}
 
     /** What is known about the polls of a process. */
-    private record Standing(long incarnation, long sequence, long completeUntilMillis, long polledAtMillis) {}
+    private record PollState(long incarnation, long sequence, long completeUntilMillis, long polledAtMillis) {}
 
     private final Map<Incarnation, TreeMap<Long, Map<String, Long>>> countsByIncarnation = new HashMap<>();
     private final Map<Incarnation, Long> lastBatchAtMillis = new HashMap<>();
-    private final Map<String, Standing> standingByProcess = new HashMap<>();
+    private final Map<String, PollState> pollStateByProcess = new HashMap<>();
     private long droppedThrough = Long.MIN_VALUE;
 
     /** Records a poll without a batch, of a gateway that has no estimate of true time yet. */
     public synchronized void recordPoll(String processId, long nowMillis) {
-        standingByProcess.compute(
+        pollStateByProcess.compute(
                 processId,
                 (id, before) -> before == null
-                        ? new Standing(0, 0, Long.MIN_VALUE, nowMillis)
-                        : new Standing(
+                        ? new PollState(0, 0, Long.MIN_VALUE, nowMillis)
+                        : new PollState(
                                 before.incarnation(), before.sequence(), before.completeUntilMillis(), nowMillis));
     }
 
     /** Records a batch. */
     public synchronized void record(String processId, UsageBatch batch, long nowMillis) {
-        recordStanding(processId, batch, nowMillis);
+        recordPollState(processId, batch, nowMillis);
         Incarnation incarnation = new Incarnation(processId, batch.incarnation());
         lastBatchAtMillis.put(incarnation, nowMillis);
         TreeMap<Long, Map<String, Long>> counts =
@@ -61,17 +61,17 @@
     }
 
     /** Only a batch that continues what this member has makes the counts of the process complete. */
-    private void recordStanding(String processId, UsageBatch batch, long nowMillis) {
-        Standing latest = standingByProcess.get(processId);
-        Standing before = latest != null && latest.incarnation() == batch.incarnation()
+    private void recordPollState(String processId, UsageBatch batch, long nowMillis) {
+        PollState latest = pollStateByProcess.get(processId);
+        PollState before = latest != null && latest.incarnation() == batch.incarnation()
                 ? latest
-                : new Standing(batch.incarnation(), 0, Long.MIN_VALUE, nowMillis);
+                : new PollState(batch.incarnation(), 0, Long.MIN_VALUE, nowMillis);
         long known = before.sequence();
         long complete = before.completeUntilMillis();
         boolean continues = batch.afterSequence() <= known;
-        standingByProcess.put(
+        pollStateByProcess.put(
                 processId,
-                new Standing(
+                new PollState(
                         batch.incarnation(),
                         continues ? Math.max(known, batch.sequence()) : known,
                         continues ? Math.max(complete, batch.completeUntilMillis()) : complete,
@@ -80,8 +80,8 @@
 
     /** Returns the number of the last batch up to which this member has all counts of a process, 0 for none. */
     public synchronized long acknowledged(String processId) {
-        Standing standing = standingByProcess.get(processId);
-        return standing == null ? 0 : standing.sequence();
+        PollState pollState = pollStateByProcess.get(processId);
+        return pollState == null ? 0 : pollState.sequence();
     }
 
     /**
@@ -89,17 +89,17 @@
      * none polls.
      */
     public synchronized long completeUntilMillis(long nowMillis) {
-        return standingByProcess.values().stream()
-                .filter(standing -> nowMillis - standing.polledAtMillis() < ACTIVE_MILLIS)
-                .mapToLong(Standing::completeUntilMillis)
+        return pollStateByProcess.values().stream()
+                .filter(pollState -> nowMillis - pollState.polledAtMillis() < ACTIVE_MILLIS)
+                .mapToLong(PollState::completeUntilMillis)
                 .min()
                 .orElse(Long.MAX_VALUE);
     }
 
     /** Returns the number of gateways that poll this member. */
     public synchronized long activeGateways(long nowMillis) {
-        return standingByProcess.values().stream()
-                .filter(standing -> nowMillis - standing.polledAtMillis() < ACTIVE_MILLIS)
+        return pollStateByProcess.values().stream()
+                .filter(pollState -> nowMillis - pollState.polledAtMillis() < ACTIVE_MILLIS)
                 .count();
     }
 
@@ -126,6 +126,6 @@
                 .clear());
         lastBatchAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > RETENTION_MILLIS);
         countsByIncarnation.keySet().retainAll(lastBatchAtMillis.keySet());
-        standingByProcess.values().removeIf(standing -> nowMillis - standing.polledAtMillis() > RETENTION_MILLIS);
+        pollStateByProcess.values().removeIf(pollState -> nowMillis - pollState.polledAtMillis() > RETENTION_MILLIS);
     }
 }
