Use one stable hash for segment owners and first credits

PromptPlacement and ShareLimiter each had the same CRC and mixing constants.

StableHash in common now has them; the values are unchanged.

--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -1,14 +1,13 @@
 package org.wagtailcart.policy.placement;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BinaryOperator;
 import java.util.function.Function;
 import java.util.stream.Collectors;
-import java.util.zip.CRC32C;
 import org.jspecify.annotations.Nullable;
+import org.wagtailcart.common.StableHash;
 
 /**
  * Chooses the engine that prefills a prompt and the one that decodes its output. By rendezvous hashing, all gateways
@@ -317,10 +316,6 @@
     }
 
     static long rendezvousWeight(String affinity, String engineId) {
-        CRC32C sum = new CRC32C();
-        sum.update((affinity + "@" + engineId).getBytes(StandardCharsets.UTF_8));
-        // A CRC is linear; mixing makes the order of two engines vary between segments.
-        long mixed = sum.getValue() * 0x9E3779B97F4A7C15L;
-        return ((mixed ^ (mixed >>> 29)) * 0xBF58476D1CE4E5B9L) >>> 1;
+        return StableHash.of(affinity + "@" + engineId) >>> 1;
     }
 }
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
@@ -1,6 +1,5 @@
 package org.wagtailcart.policy.share;
 
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -8,7 +7,7 @@
 import java.util.OptionalDouble;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
-import java.util.zip.CRC32C;
+import org.wagtailcart.common.StableHash;
 
 /**
  * Limits the requests of workspaces that ask for more than their share of a contended service. The leader of the
@@ -144,10 +143,6 @@
      * equal first credits all gateways would admit, or refuse, the first one.
      */
     private double initialCredit(CounterKey key) {
-        CRC32C crc = new CRC32C();
-        crc.update((gatewayId + "@" + key + "@" + created++).getBytes(StandardCharsets.UTF_8));
-        // A CRC is linear; mixing spreads similar names.
-        long mixed = crc.getValue() * 0x9E3779B97F4A7C15L;
-        return (((mixed ^ (mixed >>> 29)) * 0xBF58476D1CE4E5B9L) >>> 11) * 0x1.0p-53;
+        return (StableHash.of(gatewayId + "@" + key + "@" + created++) >>> 11) * 0x1.0p-53;
     }
 }
