--- a/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/LearnedEngineRates.java
@@ -29,6 +29,8 @@
     private final Set<String> unsentIds = new LinkedHashSet<>();
     private long repliedAtMillis = Long.MIN_VALUE / 4;
     private long version;
+    /** Whether shared rates were forgotten since the last poll, so that its reply lacks some that the member has. */
+    private boolean forgotten;
 
     /** Records the rate that a prefill of an engine showed. */
     void record(String engineId, double tokensPerMilli, long nowMillis) {
@@ -66,21 +68,22 @@
      * Removes and returns what the polled member has not been sent yet: the median of the new samples of each engine
      * and, after a change of member, all rates known, with a sample count of 0.
      */
-    List<EngineRate> drainNews(long nowMillis) {
-        List<EngineRate> news = new ArrayList<>();
-        unsentSamplesById.forEach((id, samples) -> news.add(new EngineRate(id, median(samples), samples.size())));
+    List<EngineRate> drainUpdates(long nowMillis) {
+        forgotten = false;
+        List<EngineRate> updates = new ArrayList<>();
+        unsentSamplesById.forEach((id, samples) -> updates.add(new EngineRate(id, median(samples), samples.size())));
         unsentSamplesById.clear();
         List<String> taken = unsentIds.stream()
-                .limit(Math.max(0, MAX_RATES_PER_MESSAGE - news.size()))
+                .limit(Math.max(0, MAX_RATES_PER_MESSAGE - updates.size()))
                 .toList();
         taken.forEach(id -> {
             unsentIds.remove(id);
-            tokensPerMilli(id, nowMillis).ifPresent(rate -> news.add(new EngineRate(id, rate, 0)));
+            tokensPerMilli(id, nowMillis).ifPresent(rate -> updates.add(new EngineRate(id, rate, 0)));
         });
-        return news;
+        return updates;
     }
 
-    /** Prepares for polls of another member, or of one whose state is unknown: it gets all rates, and is asked for all. */
+    /** Prepares for polls of a member whose state is unknown: it gets all known rates, and is asked for all. */
     void memberChanged() {
         version = 0;
         unsentIds.addAll(sharedById.keySet());
@@ -92,10 +95,10 @@
         return version;
     }
 
-    /** Applies the rates in a reply. */
+    /** Applies the rates in the reply to a poll, with which the updates drained last were sent. */
     void apply(List<EngineRate> rates, long latestVersion, long nowMillis) {
         rates.forEach(rate -> sharedById.put(rate.instanceId(), rate.tokensPerMilli()));
-        version = latestVersion;
+        version = forgotten ? 0 : latestVersion;
         repliedAtMillis = nowMillis;
     }
 
@@ -107,6 +110,7 @@
         if (sharedById.keySet().retainAll(engineIds)) {
             // The engine may return to the list; the member sends its rate again only if it is asked for all.
             version = 0;
+            forgotten = true;
         }
     }
 
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
@@ -1,18 +1,18 @@
 package org.wagtailcart.policy.share;
 
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
-import java.util.zip.CRC32C;
+import org.wagtailcart.common.StableHash;
 
 /**
  * Limits the requests of workspaces that ask for more than their share of a contended service. The leader of the
- * control group says which these are. While a gateway has no word from it, it limits them by its own account, with the
- * capacity of the service divided by the number of gateways. Deterministic; not thread safe.
+ * control group says which these are. While a gateway gets no shares from it, it limits them by its own account, with
+ * the capacity of the service divided by the number of gateways. Deterministic; not thread safe.
  */
 public final class ShareLimiter {
     /** Validity of the shares that the leader sends; eight polls. */
@@ -73,10 +73,10 @@
         }
     }
 
-    /** Observes the demand at this gateway, for the time without the leader. */
-    public void observe(List<WorkspaceDemand> ownDemand, long nowMillis) {
+    /** Observes the demand at this gateway if that is due, for the time without the leader. */
+    public void observe(Supplier<List<WorkspaceDemand>> ownDemand, long nowMillis) {
         if (ownAccount.observationDue(nowMillis)) {
-            ownAccount.observe(ownDemand, nowMillis);
+            ownAccount.observe(ownDemand.get(), nowMillis);
         }
     }
 
@@ -143,10 +143,6 @@
      * equal first credits all gateways would admit, or refuse, the first one.
      */
     private double initialCredit(CounterKey key) {
-        CRC32C crc = new CRC32C();
-        crc.update((gatewayId + "@" + key + "@" + created++).getBytes(StandardCharsets.UTF_8));
-        // A CRC is linear; mixing spreads similar names.
-        long mixed = crc.getValue() * 0x9E3779B97F4A7C15L;
-        return (((mixed ^ (mixed >>> 29)) * 0xBF58476D1CE4E5B9L) >>> 11) * 0x1.0p-53;
+        return (StableHash.of(gatewayId + "@" + key + "@" + created++) >>> 11) * 0x1.0p-53;
     }
 }
