--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -369,11 +369,10 @@
 
     /** Ends a request that no further upstream will be tried for; the caller may return when the service has room. */
     final void giveUp(ResultCode code, String text) {
-        boolean spread = context.routeWatcher().routes().table().workspaces() != null;
         if (!mayHaveRun() && !isResponseStarted()) {
             share.recordRefusedByUpstreams();
         }
-        giveUp(code, text, retryAfterMillis(spread ? spreadRetryMillis(0) : defaultRetryAfterMillis()));
+        giveUp(code, text, retryAfterMillis(spreadRetryMillis(0)));
     }
 
     /**
@@ -390,7 +389,11 @@
                 ResultCode.WORKSPACE_LIMIT, "workspace asks for more than its share of the service", excessWaitMillis);
     }
 
+    /** Returns a spread time where workspaces compete for a service, elsewhere the time that is sent if nothing is known. */
     private long spreadRetryMillis(double excessWaitMillis) {
+        if (context.routeWatcher().routes().table().workspaces() == null) {
+            return defaultRetryAfterMillis();
+        }
         return RetryAfter.millis(
                 excessWaitMillis,
                 callerRemainingMillis(),
