--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -10,20 +10,24 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.Regions;
 import org.wagtailcart.control.client.FleetReport;
+import org.wagtailcart.control.client.GatewayReport;
 import org.wagtailcart.control.client.WatchReply;
 import org.wagtailcart.control.client.WatchRequest;
 import org.wagtailcart.directory.ListedUpstream;
@@ -36,6 +40,7 @@
 import org.wagtailcart.routes.ServiceSpec;
 import org.wagtailcart.routes.TrafficSplit;
 import org.wagtailcart.testing.TestAddresses;
+import org.wagtailcart.usage.UsageBatch;
 import org.wagtailcart.workspace.RevocationPolicy;
 import org.wagtailcart.workspace.WorkspaceTable;
 
@@ -43,6 +48,7 @@
 final class GatewayTestHarness implements AutoCloseable {
     private static final String HOST = "h.example";
     private static final long REPLY_DELAY_MILLIS = 20;
+    private static final long USAGE_WINDOW_MILLIS = 5_000;
     static final double RETRY_RATIO = 0.2;
     static final int RETRY_RESERVE = 20;
 
@@ -58,7 +64,12 @@
     private volatile boolean controlReplies = true;
     private volatile long controlAgeMillis;
     private final long controlMillis;
+    private final boolean countsUsage;
     private volatile @Nullable FleetReport fleet;
+    /** Cumulative counts of the last poll that had counts of the window. */
+    private final Map<Long, Map<String, Long>> countsByWindow = new ConcurrentHashMap<>();
+
+    private final AtomicInteger usageBatches = new AtomicInteger();
 
     static {
         System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
@@ -85,13 +96,31 @@
 
     /** Creates a gateway with the given policy on withdrawn keys. */
     static GatewayTestHarness withRevocation(RevocationPolicy revocation) throws IOException {
-        return new GatewayTestHarness(REPLY_DELAY_MILLIS, RETRY_RESERVE, 0, OptionalLong.empty(), revocation);
+        return new GatewayTestHarness(
+                REPLY_DELAY_MILLIS, RETRY_RESERVE, 0, OptionalLong.empty(), revocation, OptionalLong.empty());
+    }
+
+    /** Creates a gateway that counts the requests that upstreams began to run. */
+    static GatewayTestHarness withUsage() throws IOException {
+        return new GatewayTestHarness(
+                REPLY_DELAY_MILLIS,
+                RETRY_RESERVE,
+                0,
+                OptionalLong.empty(),
+                RevocationPolicy.LENIENT,
+                OptionalLong.of(USAGE_WINDOW_MILLIS));
     }
 
     private GatewayTestHarness(
             long controlMillis, int retryReserve, long shutdownGraceMillis, OptionalLong shutdownLimitMillis)
             throws IOException {
-        this(controlMillis, retryReserve, shutdownGraceMillis, shutdownLimitMillis, RevocationPolicy.LENIENT);
+        this(
+                controlMillis,
+                retryReserve,
+                shutdownGraceMillis,
+                shutdownLimitMillis,
+                RevocationPolicy.LENIENT,
+                OptionalLong.empty());
     }
 
     private GatewayTestHarness(
@@ -99,9 +128,11 @@
             int retryReserve,
             long shutdownGraceMillis,
             OptionalLong shutdownLimitMillis,
-            RevocationPolicy revocation)
+            RevocationPolicy revocation,
+            OptionalLong usageWindowMillis)
             throws IOException {
         this.controlMillis = controlMillis;
+        this.countsUsage = usageWindowMillis.isPresent();
         Address ready = TestAddresses.free();
         GatewayOptions options = new GatewayOptions(
                 "g",
@@ -115,7 +146,7 @@
                 shutdownGraceMillis,
                 shutdownLimitMillis,
                 revocation,
-                OptionalLong.empty());
+                usageWindowMillis);
         role = new GatewayRole(
                 options,
                 (member, request, timeoutMillis) -> reply(request),
@@ -186,6 +217,19 @@
         fleet = report;
     }
 
+    /** Returns the number of requests that the gateway has reported for each workspace, after it has polled again. */
+    Map<String, Long> awaitUsage() throws InterruptedException {
+        // A poll that arrives now may have been prepared before the last request; the second one was not.
+        int batches = usageBatches.get() + 2;
+        for (int i = 0; i < 500 && usageBatches.get() < batches; i++) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertThat(usageBatches.get()).isAtLeast(batches);
+        return countsByWindow.values().stream()
+                .flatMap(counts -> counts.entrySet().stream())
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue, Long::sum));
+    }
+
     /** Waits until the gateway has applied the host list as it stands. */
     void awaitHostList() throws InterruptedException {
         Set<ListedState> expected = upstreams.stream()
@@ -221,6 +265,7 @@
         if (!controlReplies) {
             return CompletableFuture.failedFuture(new IllegalStateException("partitioned"));
         }
+        recordUsage(request.report());
         RouteTable current = table;
         WatchReply reply = new WatchReply(
                 request.tableVersion() < current.version() ? current : null,
@@ -237,11 +282,25 @@
                 0,
                 0,
                 null,
-                fleet);
+                fleetReport());
         return CompletableFuture.supplyAsync(
                 () -> reply, CompletableFuture.delayedExecutor(controlMillis, TimeUnit.MILLISECONDS, traffic));
     }
 
+    /** Keeps the counts of a poll. They are never acknowledged, so each poll has all counts. */
+    private void recordUsage(@Nullable GatewayReport report) {
+        UsageBatch batch = report == null ? null : report.usage();
+        if (batch != null) {
+            batch.windows().forEach(counts -> countsByWindow.put(counts.window(), counts.countByWorkspace()));
+            usageBatches.incrementAndGet();
+        }
+    }
+
+    /** Returns the true time for a gateway that counts requests, and otherwise the report that was set. */
+    private @Nullable FleetReport fleetReport() {
+        return countsUsage ? new FleetReport(System.currentTimeMillis(), 0, List.of(), List.of(), 0, null) : fleet;
+    }
+
     private static RouteTable table(long version, @Nullable WorkspaceTable workspaces) {
         return new RouteTable(
                 version,
--- a/gateway/src/test/java/org/wagtailcart/gateway/WorkspaceKeyTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/WorkspaceKeyTest.java
@@ -23,7 +23,7 @@
 /** Guards against requests that run without a valid key, keys that reach upstreams, and valid keys that are refused. */
 class WorkspaceKeyTest {
     private static final byte[] SALT = {4, 5};
-    private static final String KEY = "26tta828m82thhkmgjqn";
+    static final String KEY = "26tta828m82thhkmgjqn";
     private static final String OTHER_KEY = "irth5mgjy5rcpihhacru";
 
     private static WorkspaceTable table(String... keys) {
@@ -38,13 +38,13 @@
     }
 
     /** Brings a table with workspaces into force after the gateway has served without. */
-    private static void startWithKeys(GatewayTestHarness harness, String... keys) throws InterruptedException {
+    static void startWithKeys(GatewayTestHarness harness, String... keys) throws InterruptedException {
         harness.start();
         harness.workspaces(2, table(keys));
         harness.awaitTable(2);
     }
 
-    private static HttpRequest withHeaders(HttpRequest request, String... headers) {
+    static HttpRequest withHeaders(HttpRequest request, String... headers) {
         return HttpRequest.newBuilder(request, (name, value) -> true)
                 .headers(headers)
                 .build();
