Take the former holder of the order lease from the grant

Whether a new holder waits for the calls of the former one was decided by the lease in this member's applied state before the acquisition. A new leader may not have applied the grants of its predecessors yet, for example after its own restart. It then took itself for the first holder and called at once, while the former holder could still make calls.

The former holder is now taken from the lease that the command returns, which follows all earlier grants. Waiting after each acquisition was ruled out: the first holder of a deployment would delay its orders for 4.5 s without need.

--- a/control/src/main/java/org/wagtailcart/control/orders/OrderLeaseHolder.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/OrderLeaseHolder.java
@@ -116,8 +116,9 @@
         Optional<OrderLease> acquired = await(leadership.acquireOrderLease(memberId), leaseMillis);
         acquired.ifPresent(lease -> {
             // The reply to an earlier acquisition may have been lost, so this member may already be the holder. Only
-            // the last holder other than this member shows whether there is anyone to wait for.
-            boolean first = before.grantedTo(memberId).previousHolder().isEmpty();
+            // the last holder other than this member shows whether there is anyone to wait for. It is taken from the
+            // granted lease, because a new leader may not have applied the grants of its predecessors yet.
+            boolean first = lease.previousHolder().isEmpty();
             grant = new Grant(
                     lease.fencingToken(), clock.nowMillis() + (first ? 0 : leaseMillis + MAX_CALL_DELAY_MILLIS));
             LOG.log(
