Accept usage counts again after true time was corrected

A member drops the counts of windows that ended long ago, and ignores later counts of them. The bound only rose. If the estimate of true time was too late by more than a minute, for example the first one after an outage, and was corrected, the member ignored all counts until true time reached the wrong estimate, up to 2,400 s later, and closed empty windows meanwhile. Gateways did not repeat what it had acknowledged.

When the bound falls by more than one window the member now adopts it and acknowledges nothing, so that gateways send all counts of the last 30 s again. A fall by one window is ignored, since small corrections cause it at the end of each window.

--- a/usage/src/main/java/org/wagtailcart/usage/UsageLedger.java
+++ b/usage/src/main/java/org/wagtailcart/usage/UsageLedger.java
@@ -121,6 +121,9 @@
 
     /** Removes the counts of windows that no longer matter and of processes that ended. */
     public synchronized void drop(long throughWindow, long nowMillis) {
+        if (throughWindow + 1 < droppedThrough) {
+            restartFrom(throughWindow);
+        }
         droppedThrough = Math.max(droppedThrough, throughWindow);
         countsByIncarnation.values().forEach(counts -> counts.headMap(throughWindow, true)
                 .clear());
@@ -128,4 +131,14 @@
         countsByIncarnation.keySet().retainAll(lastBatchAtMillis.keySet());
         standingByProcess.values().removeIf(standing -> nowMillis - standing.polledAtMillis() > RETENTION_MILLIS);
     }
+
+    /**
+     * Accepts counts of windows that were dropped for an estimate of true time that has been corrected since. Without an
+     * acknowledgement gateways send all their counts again. Errors of a few ms at the end of a window change nothing.
+     */
+    private void restartFrom(long throughWindow) {
+        droppedThrough = throughWindow;
+        standingByProcess.replaceAll((processId, standing) ->
+                new Standing(standing.incarnation(), 0, Long.MIN_VALUE, standing.polledAtMillis()));
+    }
 }
