Poll the control group again after a poll that was not sent

Each poll schedules the next one when its reply arrives. A poll that threw before it was sent, for example while the usage counts or the demand were collected, had no reply, and the gateway never polled again: it kept its table and host list until its restart, without any log line. An error while a reply was applied ended the polls as well.

A poll that cannot be composed now counts as failed, with the log line and the change of the member that follow any failure, and the next poll is scheduled whatever happens to the reply. The quarantine update of such a poll is restored like that of a lost one. Catching exceptions in each part of the report was ruled out, since a new part would have to repeat it.

--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
@@ -152,34 +152,44 @@
         long sentAtMillis = clock.nowMillis();
         long knownQuarantineVersion = quarantineVersion();
         QuarantineUpdate quarantineUpdate = quarantine.drainUpdate(knownQuarantineVersion == 0);
-        WatchRequest request = new WatchRequest(
-                processId,
-                routes.table().version(),
-                currentHostListVersion(),
-                registry.ownWork(),
-                registry.drainPrefixUpdates(),
-                prefixUpdateCursor(),
-                knownQuarantineVersion,
-                quarantineUpdate.equals(QuarantineUpdate.NONE) ? null : quarantineUpdate,
-                reports.collect());
-        CompletableFuture<?> unused = transport
-                .call(member, request, pollTimeoutMillis())
-                .whenComplete((reply, error) -> {
-                    if (reply == null) {
-                        quarantine.restore(quarantineUpdate, sentAtMillis);
-                    }
-                    onReply(member, sentAtMillis, reply, error);
-                });
+        CompletableFuture<?> unused = send(member, knownQuarantineVersion, quarantineUpdate)
+                .whenComplete((reply, error) -> onReply(member, sentAtMillis, quarantineUpdate, reply, error));
+    }
+
+    /** Sends a poll. A poll that cannot be composed counts as failed, so that the next one is scheduled. */
+    private CompletableFuture<WatchReply> send(
+            Address member, long knownQuarantineVersion, QuarantineUpdate quarantineUpdate) {
+        try {
+            WatchRequest request = new WatchRequest(
+                    processId,
+                    routes.table().version(),
+                    currentHostListVersion(),
+                    registry.ownWork(),
+                    registry.drainPrefixUpdates(),
+                    prefixUpdateCursor(),
+                    knownQuarantineVersion,
+                    quarantineUpdate.equals(QuarantineUpdate.NONE) ? null : quarantineUpdate,
+                    reports.collect());
+            return transport.call(member, request, pollTimeoutMillis());
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
     }
 
     private long pollTimeoutMillis() {
         return routes.table().version() == 0 ? FIRST_CALL_LIMIT_MILLIS : POLL_TIMEOUT_MILLIS;
     }
 
-    private void onReply(Address member, long sentAtMillis, @Nullable WatchReply reply, @Nullable Throwable error) {
+    private void onReply(
+            Address member,
+            long sentAtMillis,
+            QuarantineUpdate sent,
+            @Nullable WatchReply reply,
+            @Nullable Throwable error) {
         long delayMillis = RETRY_MILLIS;
         try {
             if (reply == null) {
+                quarantine.restore(sent, sentAtMillis);
                 onFailure(member, String.valueOf(error));
             } else {
                 applyReply(member, sentAtMillis, reply);
@@ -187,8 +197,9 @@
             }
         } catch (RuntimeException e) {
             onFailure(member, String.valueOf(e));
+        } finally {
+            schedule(delayMillis);
         }
-        schedule(delayMillis);
     }
 
     private synchronized Address current() {
--- a/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
@@ -4,12 +4,14 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,6 +29,7 @@
 import org.wagtailcart.policy.placement.Location;
 import org.wagtailcart.routes.RequestLimits;
 import org.wagtailcart.routes.RouteTable;
+import org.wagtailcart.usage.UsageBatch;
 
 /** Guards against a missing or outdated routing table when control members are down, outdated or followers. */
 class RouteTableWatcherTest {
@@ -42,13 +45,29 @@
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
     private final UpstreamRegistry registry =
             new UpstreamRegistry(new Location("fes", Regions.SINGLE), MillisClock.monotonic());
+    /** Number of the next polls whose report fails. */
+    private final AtomicInteger failingReports = new AtomicInteger();
+
+    private final UsageReports usageReports = new UsageReports() {
+        @Override
+        public Optional<UsageBatch> nextBatch() {
+            if (failingReports.getAndDecrement() > 0) {
+                throw new IllegalStateException("no report");
+            }
+            return Optional.empty();
+        }
+
+        @Override
+        public void applyReply(long trueTimeMillis, long acknowledged, long receivedAtMillis) {}
+    };
+
     private final RouteTableWatcher watcher = new RouteTableWatcher(
             "g",
             List.of(A, B),
             this::call,
             registry,
             new PromptQuarantine(MillisClock.monotonic()),
-            new GatewayReports(registry, UsageReports.NONE, new WorkspaceLimits("g", () -> 0)),
+            new GatewayReports(registry, usageReports, new WorkspaceLimits("g", () -> 0)),
             timer,
             MillisClock.monotonic());
 
@@ -84,6 +103,17 @@
         return CompletableFuture.supplyAsync(() -> reply, CompletableFuture.delayedExecutor(10, TimeUnit.MILLISECONDS));
     }
 
+    /** Guards against a gateway that never polls again after a report that could not be composed. */
+    @Test
+    void pollsAgainAfterAFailureBeforeThePoll() throws Exception {
+        replies.put(A, new MemberReply(1, 0, ""));
+        replies.put(B, new MemberReply(1, 0, ""));
+        failingReports.set(2);
+        watcher.start();
+        awaitVersion(1);
+        assertThat(failingReports.get()).isLessThan(0);
+    }
+
     private void awaitVersion(long version) throws InterruptedException {
         for (int i = 0; i < 500 && watcher.routes().table().version() != version; i++) {
             TimeUnit.MILLISECONDS.sleep(10);
