Refuse a key for good only by the table that was confirmed

A gateway answers 401 only while a quorum has confirmed its table within 2 s. The check read the table first and the confirmation afterwards. When a gateway regained contact in between, the confirmation of the next table stood for the one before it, and a key that the next table adds got 401 instead of a refusal that the caller may repeat.

The confirmation now counts only while the table of the request is still the one in force. A table is installed before it is confirmed, so that this comparison after the confirmation suffices. A lock around both was ruled out, because requests would wait for replies that are being applied.

--- a/gateway/src/main/java/org/wagtailcart/gateway/KeyCheck.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/KeyCheck.java
@@ -8,6 +8,7 @@
 import org.wagtailcart.routes.Route;
 import org.wagtailcart.routes.RouteIndex;
 import org.wagtailcart.workspace.KeyDecision;
+import org.wagtailcart.workspace.PresentedKey;
 import org.wagtailcart.workspace.RevocationPolicy;
 import org.wagtailcart.workspace.Workspace;
 import org.wagtailcart.workspace.WorkspaceAuthenticator;
@@ -32,13 +33,17 @@
         return routes.authenticator()
                 .flatMap(authenticator -> route.open()
                         ? authenticator.find(context.protocol().parseKey(headers))
-                        : authenticate(authenticator, headers));
+                        : authenticate(authenticator, routes, headers));
     }
 
-    private Optional<Workspace> authenticate(WorkspaceAuthenticator authenticator, List<String> headers) {
+    private Optional<Workspace> authenticate(
+            WorkspaceAuthenticator authenticator, RouteIndex routes, List<String> headers) {
         RouteTableWatcher watcher = context.routeWatcher();
-        KeyDecision decision = authenticator.decide(
-                context.protocol().parseKey(headers), watcher.confirmed(), watcher.ageMillis(), revocation);
+        PresentedKey key = context.protocol().parseKey(headers);
+        // A table is installed before it is confirmed, so that a confirmation of the next table is not taken for one of
+        // this table.
+        boolean confirmed = watcher.confirmed() && watcher.routes() == routes;
+        KeyDecision decision = authenticator.decide(key, confirmed, watcher.ageMillis(), revocation);
         decision.verdict().refusal().ifPresent(code -> {
             context.metrics().recordKeyRefused(decision.verdict());
             throw new WagtailcartException(code, decision.verdict().text());
--- a/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
@@ -23,12 +23,18 @@
 /** Request protocol with short header names for tests. */
 final class TestProtocol implements RequestProtocol {
     private volatile Runnable beforeParse = () -> {};
+    private volatile Runnable beforeKey = () -> {};
 
     /** Sets an action that runs on the I/O thread before a request is parsed. */
     void beforeParse(Runnable action) {
         beforeParse = action;
     }
 
+    /** Sets an action that runs on the I/O thread before a key is parsed, after the routing table was chosen. */
+    void beforeKey(Runnable action) {
+        beforeKey = action;
+    }
+
     @Override
     public String readyPath() {
         return "/ready";
@@ -80,6 +86,7 @@
 
     @Override
     public PresentedKey parseKey(List<String> headers) {
+        beforeKey.run();
         return header(headers, "Key").map(PresentedKey::of).orElseGet(() -> PresentedKey.faulty(KeyVerdict.MISSING));
     }
 
--- a/gateway/src/test/java/org/wagtailcart/gateway/WorkspaceKeyTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/WorkspaceKeyTest.java
@@ -235,4 +235,28 @@
             assertThat(harness.send(unknown).statusCode()).isEqualTo(401);
         }
     }
+
+    /** Guards against a 401 by an outdated table when a newer one that has the key is installed and confirmed meanwhile. */
+    @Test
+    void aConfirmationOfTheNextTableDoesNotConfirmTheFormerOne() throws Exception {
+        try (TestUpstream replica = new TestUpstream(TestUpstream.ok("fine"));
+                GatewayTestHarness harness = new GatewayTestHarness()) {
+            harness.add("a", "stock", replica, null);
+            startWithKeys(harness, KEY);
+            HttpRequest added = withHeaders(harness.request("unsafe", "r-1", 3_000), "Key", OTHER_KEY);
+            assertThat(harness.send(added).statusCode()).isEqualTo(401);
+            harness.control(false, 0);
+            TimeUnit.MILLISECONDS.sleep(2_900);
+            harness.protocol().beforeKey(() -> {
+                harness.protocol().beforeKey(() -> {});
+                harness.workspaces(3, table(KEY, OTHER_KEY));
+                harness.control(true, 0);
+                for (int i = 0; i < 500 && harness.role().dump().tableAgeMillis() > 1_000; i++) {
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
+                }
+            });
+            assertThat(harness.send(added).statusCode()).isEqualTo(503);
+            assertThat(harness.send(added).statusCode()).isEqualTo(200);
+        }
+    }
 }
