--- a/gateway/src/test/java/org/wagtailcart/gateway/WorkspaceKeyTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/WorkspaceKeyTest.java
@@ -23,7 +23,7 @@
 /** Guards against requests that run without a valid key, keys that reach upstreams, and valid keys that are refused. */
 class WorkspaceKeyTest {
     private static final byte[] SALT = {4, 5};
-    private static final String KEY = "26tta828m82thhkmgjqn";
+    static final String KEY = "26tta828m82thhkmgjqn";
     private static final String OTHER_KEY = "irth5mgjy5rcpihhacru";
 
     private static WorkspaceTable table(String... keys) {
@@ -38,13 +38,13 @@
     }
 
     /** Brings a table with workspaces into force after the gateway has served without. */
-    private static void startWithKeys(GatewayTestHarness harness, String... keys) throws InterruptedException {
+    static void startWithKeys(GatewayTestHarness harness, String... keys) throws InterruptedException {
         harness.start();
         harness.workspaces(2, table(keys));
         harness.awaitTable(2);
     }
 
-    private static HttpRequest withHeaders(HttpRequest request, String... headers) {
+    static HttpRequest withHeaders(HttpRequest request, String... headers) {
         return HttpRequest.newBuilder(request, (name, value) -> true)
                 .headers(headers)
                 .build();
@@ -235,4 +235,28 @@
             assertThat(harness.send(unknown).statusCode()).isEqualTo(401);
         }
     }
+
+    /** Guards against a 401 by an outdated table when a newer one that has the key is installed and confirmed meanwhile. */
+    @Test
+    void aConfirmationOfTheNextTableDoesNotConfirmTheFormerOne() throws Exception {
+        try (TestUpstream replica = new TestUpstream(TestUpstream.ok("fine"));
+                GatewayTestHarness harness = new GatewayTestHarness()) {
+            harness.add("a", "stock", replica, null);
+            startWithKeys(harness, KEY);
+            HttpRequest added = withHeaders(harness.request("unsafe", "r-1", 3_000), "Key", OTHER_KEY);
+            assertThat(harness.send(added).statusCode()).isEqualTo(401);
+            harness.control(false, 0);
+            TimeUnit.MILLISECONDS.sleep(2_900);
+            harness.protocol().beforeKey(() -> {
+                harness.protocol().beforeKey(() -> {});
+                harness.workspaces(3, table(KEY, OTHER_KEY));
+                harness.control(true, 0);
+                for (int i = 0; i < 500 && harness.role().dump().tableAgeMillis() > 1_000; i++) {
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
+                }
+            });
+            assertThat(harness.send(added).statusCode()).isEqualTo(503);
+            assertThat(harness.send(added).statusCode()).isEqualTo(200);
+        }
+    }
 }
