Use learned prefill rates only as ratios between engines

Under load a sample contains waits behind prompts that a gateway does not know of yet, so the median of a uniform fleet fell to about half, estimates doubled, and engines of one speed differed by more than the dead band of 20%. Change: estimates start from the default rate as before; a learned rate counts only relative to the median of the service, outside a band of 35%. The dump still shows the learned rate.

--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -184,7 +184,10 @@
         long nowMillis = clock.nowMillis();
         return upstreamsById.values().stream()
                 .map(upstream -> upstream.state(
-                        upstream.listEntry().role() == null ? 0 : tokensPerMilli(upstream, nowMillis),
+                        upstream.listEntry().role() == null
+                                ? 0
+                                : fleetRates(upstream.listEntry().service(), nowMillis)
+                                        .learnedTokensPerMilli(upstream.id()),
                         learnedRates.ownSamples(upstream.id(), nowMillis),
                         nowMillis))
                 .sorted(Comparator.comparing(UpstreamState::instanceId))
@@ -220,7 +223,7 @@
                 ? RequestCost.PLAIN_CALL
                 : RequestCost.ofStream(
                         placement.prefillTokens(),
-                        engineRates(service, clock.nowMillis()).prefillTokensPerMilli(),
+                        engineRates(service).prefillTokensPerMilli(),
                         prompt.maxOutputTokens(),
                         engine.slots());
     }
@@ -270,7 +273,7 @@
         int sharedTokens =
                 shared.stream().mapToInt(PrefixCacheEstimate.Segment::tokens).sum();
         PromptPlacement.PromptSize size = new PromptPlacement.PromptSize(prompt.promptTokens(), sharedTokens, affinity);
-        return PromptPlacement.choose(candidates, size, engineRates(service, nowMillis), place)
+        return PromptPlacement.choose(candidates, size, engineRates(service), place)
                 .map(choice -> {
                     EngineCandidate prefillEngine = choice.prefill() == null ? choice.decode() : choice.prefill();
                     return new Placement(
@@ -421,10 +424,9 @@
     /** Returns whether a request at an upstream is overdue and no response has arrived since it started. */
     public synchronized boolean isUnresponsive(Upstream upstream) {
         long nowMillis = clock.nowMillis();
-        double serviceTokensPerMilli =
-                fleetRates(upstream.listEntry().service(), nowMillis).serviceTokensPerMilli();
         return upstream.isUnresponsive(
-                new OverdueBound.Rates(tokensPerMilli(upstream, nowMillis), serviceTokensPerMilli), nowMillis);
+                new OverdueBound.Rates(tokensPerMilli(upstream, nowMillis), FleetRates.DEFAULT_TOKENS_PER_MILLI),
+                nowMillis);
     }
 
     /** Takes an upstream that is full, or refuses requests, out of service for a short time. */
@@ -444,16 +446,15 @@
         }
     }
 
-    private PromptPlacement.EngineRates engineRates(String service, long nowMillis) {
-        double tokensPerMilli = fleetRates(service, nowMillis).serviceTokensPerMilli();
+    private PromptPlacement.EngineRates engineRates(String service) {
         ServiceSpec spec = services.get(service);
         EngineSpec engine = spec == null ? null : spec.engine();
-        if (engine == null || engine.linkMegabitsPerSecond() <= 0 || engine.kvBytesPerToken() <= 0) {
-            return new PromptPlacement.EngineRates(tokensPerMilli, Double.MIN_VALUE);
-        }
-        double fetchTokensPerMilli =
-                engine.linkMegabitsPerSecond() * BITS_PER_MEGABIT_AND_MILLI / (engine.kvBytesPerToken() * Byte.SIZE);
-        return new PromptPlacement.EngineRates(tokensPerMilli, fetchTokensPerMilli);
+        double fetchTokensPerMilli = engine == null
+                        || engine.linkMegabitsPerSecond() <= 0
+                        || engine.kvBytesPerToken() <= 0
+                ? Double.MIN_VALUE
+                : engine.linkMegabitsPerSecond() * BITS_PER_MEGABIT_AND_MILLI / (engine.kvBytesPerToken() * Byte.SIZE);
+        return new PromptPlacement.EngineRates(FleetRates.DEFAULT_TOKENS_PER_MILLI, fetchTokensPerMilli);
     }
 
     /** Returns the prompt tokens that an engine prefills in a millisecond, in its role. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamState.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamState.java
@@ -15,7 +15,8 @@
  * @param refusesForMillis time for which it has asked for no requests
  * @param available whether it receives new requests
  * @param inFlight requests of all gateways that are in flight at it
- * @param tokensPerMilli prompt tokens that an engine is assumed to prefill in a millisecond, 0 for a plain service
+ * @param tokensPerMilli prompt tokens that an engine has prefilled in a millisecond when its queue was short, 0 for a plain
+ *     service
  * @param rateSamples recent prefills of this gateway from which its rate was learned
  */
 public record UpstreamState(
--- a/policy/src/main/java/org/wagtailcart/policy/placement/FleetRates.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/FleetRates.java
@@ -9,14 +9,17 @@
  * served as if nothing had been learned. Immutable.
  */
 public final class FleetRates {
-    /** Rate of an engine in the prefill role of a service of which nothing is known, in prompt tokens per millisecond. */
+    /**
+     * Rate of an engine of speed 1 in the prefill role, in prompt tokens per millisecond. The median of the learned rates
+     * is lower under load, because they contain waits that gateways do not know of; only their ratios tell the speeds.
+     */
     public static final double DEFAULT_TOKENS_PER_MILLI = 50;
 
     /** Rates of a service of which nothing is known. */
     public static final FleetRates DEFAULT = new FleetRates(Map.of(), DEFAULT_TOKENS_PER_MILLI);
 
-    /** Relative difference up to which two rates count as equal; hidden queues shift a median by up to this much. */
-    static final double DEAD_BAND = 0.2;
+    /** Relative difference up to which two rates count as equal; waits that gateways do not know of shift them so much. */
+    static final double DEAD_BAND = 0.35;
 
     /** Bound on the ratio of an engine's rate to the median of its service; a larger one indicates wrong samples. */
     static final double MAX_RATIO = 4;
@@ -25,12 +28,12 @@
     static final int MIN_ENGINES = 3;
 
     private final Map<String, Double> speedById;
-    private final double serviceTokensPerMilli;
+    private final double medianTokensPerMilli;
     private final double maxSpeed;
 
-    private FleetRates(Map<String, Double> speedById, double serviceTokensPerMilli) {
+    private FleetRates(Map<String, Double> speedById, double medianTokensPerMilli) {
         this.speedById = speedById;
-        this.serviceTokensPerMilli = serviceTokensPerMilli;
+        this.medianTokensPerMilli = medianTokensPerMilli;
         this.maxSpeed = speedById.values().stream().reduce(1.0, Math::max);
     }
 
@@ -46,17 +49,11 @@
         double median = tokensPerMilliById.size() < MIN_ENGINES
                 ? DEFAULT_TOKENS_PER_MILLI
                 : median(tokensPerMilliById.values());
-        double service = withinDeadBand(median / DEFAULT_TOKENS_PER_MILLI) ? DEFAULT_TOKENS_PER_MILLI : median;
         return new FleetRates(
                 tokensPerMilliById.entrySet().stream()
                         .collect(Collectors.toUnmodifiableMap(
-                                Map.Entry::getKey, entry -> speed(entry.getValue() / service))),
-                service);
-    }
-
-    /** Returns the median rate, which is assumed for an engine of which nothing is known. */
-    public double serviceTokensPerMilli() {
-        return serviceTokensPerMilli;
+                                Map.Entry::getKey, entry -> speed(entry.getValue() / median))),
+                median);
     }
 
     /** Returns the rate of an engine relative to the median, 1 when they are about equal. */
@@ -74,13 +71,18 @@
 
     /** Returns the rate of an engine in the prefill role. */
     public double tokensPerMilli(String engineId) {
-        return serviceTokensPerMilli * speed(engineId);
+        return DEFAULT_TOKENS_PER_MILLI * speed(engineId);
+    }
+
+    /** Returns the rate that an engine in the prefill role has shown, for operators. */
+    public double learnedTokensPerMilli(String engineId) {
+        return medianTokensPerMilli * speed(engineId);
     }
 
     /** Returns a summary for operators. */
     public Summary summary() {
         return new Summary(
-                Math.round(serviceTokensPerMilli),
+                Math.round(medianTokensPerMilli),
                 speedById.values().stream().filter(speed -> speed > 1).count(),
                 speedById.values().stream().filter(speed -> speed < 1).count(),
                 maxSpeed,
