Let speeds count only where a quarter of the engines differ

One or two engines of a uniform fleet differed from the median, since their samples contained waits behind prompts that are not known yet; that switched placement to unequal speeds, which spreads shared segments (the busiest engine had 1.11 instead of 2.51 times the mean of arrivals). Change: all speeds are 1 unless a quarter of the engines with a known rate differ, by more than 40%. FleetRatesTest has the case.

--- a/policy/src/main/java/org/wagtailcart/policy/placement/FleetRates.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/FleetRates.java
@@ -19,7 +19,13 @@
     public static final FleetRates DEFAULT = new FleetRates(Map.of(), DEFAULT_TOKENS_PER_MILLI);
 
     /** Relative difference up to which two rates count as equal; waits that gateways do not know of shift them so much. */
-    static final double DEAD_BAND = 0.35;
+    static final double DEAD_BAND = 0.4;
+
+    /**
+     * Share of the engines with a known rate that must differ from the median for speeds to count at all. Fewer have a
+     * fault or a hidden queue; placement by speed gives up the concentration of segments that serves a uniform fleet.
+     */
+    static final double MIN_DIFFERING_SHARE = 0.25;
 
     /** Bound on the ratio of an engine's rate to the median of its service; a larger one indicates wrong samples. */
     static final double MAX_RATIO = 4;
@@ -49,11 +55,10 @@
         double median = tokensPerMilliById.size() < MIN_ENGINES
                 ? DEFAULT_TOKENS_PER_MILLI
                 : median(tokensPerMilliById.values());
-        return new FleetRates(
-                tokensPerMilliById.entrySet().stream()
-                        .collect(Collectors.toUnmodifiableMap(
-                                Map.Entry::getKey, entry -> speed(entry.getValue() / median))),
-                median);
+        Map<String, Double> speeds = tokensPerMilliById.entrySet().stream()
+                .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, entry -> speed(entry.getValue() / median)));
+        long differing = speeds.values().stream().filter(speed -> speed != 1).count();
+        return new FleetRates(differing < MIN_DIFFERING_SHARE * speeds.size() ? Map.of() : speeds, median);
     }
 
     /** Returns the rate of an engine relative to the median, 1 when they are about equal. */
--- a/policy/src/test/java/org/wagtailcart/policy/placement/FleetRatesTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/FleetRatesTest.java
@@ -55,4 +55,13 @@
         assertThat(rates.tokensPerMilli("c")).isEqualTo(12.5);
         assertThat(rates.tokensPerMilli("d")).isEqualTo(200);
     }
+
+    /** Guards against a uniform fleet that is served as one of two speeds because of a few engines with hidden queues. */
+    @Test
+    void fewDifferingEnginesDoNotMakeAFleetUnequal() {
+        FleetRates rates = FleetRates.of(Map.of(
+                "a", 45.0, "b", 45.0, "c", 20.0, "d", 44.0, "e", 46.0, "f", 45.0, "g", 43.0, "h", 45.0, "i", 80.0));
+        assertThat(rates.speed("c")).isEqualTo(1);
+        assertThat(rates.speed("i")).isEqualTo(1);
+    }
 }
