Send the parts of a stand-in's response at once

RawServer writes a response in several parts. Nagle's algorithm held back all but the first until the acknowledgement, and the reset that follows discarded them, so the response was never complete on the wire and the gateway rightly reported 502. Change: RawServer sets TCP_NODELAY on its connections. Ruled out: loss of received bytes in the gateway. Conclusion: the fault was in the stand-in. The check is unchanged.

--- a/testing/src/main/java/org/wagtailcart/testing/RawServer.java
+++ b/testing/src/main/java/org/wagtailcart/testing/RawServer.java
@@ -94,6 +94,8 @@
         try {
             while (!listener.isClosed()) {
                 Socket socket = listener.accept();
+                // With Nagle's algorithm, a reset would discard what waits for an acknowledgement.
+                socket.setTcpNoDelay(true);
                 connections.incrementAndGet();
                 threads.execute(() -> serve(socket));
             }
