Share test fixtures for log records, upstream views and slow callers

Cause: ConfigApiTest and WorkspaceKeysTest each collected log records, two sidecar tests each built the same upstream view and listener, and two tests of slow callers repeated their set-up. Change: LogCapture, TestUpstreamCalls, and SlowCallerTest with its own fields. Assertions and bounds are unchanged. Ruled out: a shared stand-in for XNIO servers; the two remaining ones differ in what they record.

--- a/sidecar/src/test/java/org/wagtailcart/sidecar/EndlessEngineResponseTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/EndlessEngineResponseTest.java
@@ -7,18 +7,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.wagtailcart.common.Address;
-import org.wagtailcart.common.EngineRole;
-import org.wagtailcart.common.EngineTarget;
-import org.wagtailcart.common.Lifecycle;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.Priority;
 import org.wagtailcart.common.UpstreamKind;
 import org.wagtailcart.common.WagtailcartException;
-import org.wagtailcart.fleet.OrderState;
-import org.wagtailcart.fleet.UpstreamView;
 import org.wagtailcart.sidecar.message.AttemptRequest;
 import org.wagtailcart.sidecar.upstream.EngineClient;
-import org.wagtailcart.sidecar.upstream.ResponseListener;
 import org.wagtailcart.sidecar.upstream.UpstreamClient;
 import org.wagtailcart.sidecar.upstream.UpstreamOptions;
 import org.wagtailcart.testing.EndlessServer;
@@ -48,7 +42,11 @@
         EVENT("Content-Type: text/event-stream\r\n\r\n", ("data: " + ID + "\n").repeat(400)) {
             @Override
             void request(UpstreamClient client, Address engine) {
-                client.prepare(view(engine), completion(), REMAINING_MILLIS).run(new IgnoringListener());
+                client.prepare(
+                                TestUpstreamCalls.upstream("e1", UpstreamKind.ENGINE, engine),
+                                completion(),
+                                REMAINING_MILLIS)
+                        .run(TestUpstreamCalls.IGNORE);
             }
         };
 
@@ -63,34 +61,6 @@
         abstract void request(UpstreamClient client, Address engine);
     }
 
-    private static final class IgnoringListener implements ResponseListener {
-        @Override
-        public void onStarted(int status, List<String> headers) {}
-
-        @Override
-        public void onChunk(byte[] bytes, int events) {}
-    }
-
-    private static UpstreamView view(Address engine) {
-        return new UpstreamView(
-                "e1",
-                1,
-                UpstreamKind.ENGINE,
-                engine,
-                "s",
-                engine,
-                1,
-                "d1",
-                "",
-                Lifecycle.ACTIVE,
-                new EngineTarget(EngineRole.MIXED, "m", "", "1"),
-                0,
-                OrderState.NONE,
-                0,
-                true,
-                4);
-    }
-
     private static AttemptRequest completion() {
         return new AttemptRequest(
                 ID,
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/IncompleteUpstreamResponseTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/IncompleteUpstreamResponseTest.java
@@ -8,19 +8,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.wagtailcart.common.Address;
-import org.wagtailcart.common.EngineRole;
-import org.wagtailcart.common.EngineTarget;
-import org.wagtailcart.common.Lifecycle;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.Priority;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.UpstreamKind;
 import org.wagtailcart.common.WagtailcartException;
-import org.wagtailcart.fleet.OrderState;
-import org.wagtailcart.fleet.UpstreamView;
 import org.wagtailcart.sidecar.message.AttemptRequest;
-import org.wagtailcart.sidecar.upstream.ResponseListener;
 import org.wagtailcart.sidecar.upstream.UpstreamClient;
 import org.wagtailcart.sidecar.upstream.UpstreamOptions;
 import org.wagtailcart.testing.InvalidResponse;
@@ -32,34 +25,6 @@
 
     private final UpstreamClient client = new UpstreamClient(UpstreamOptions.standard(), MillisClock.monotonic());
 
-    private static final class IgnoringListener implements ResponseListener {
-        @Override
-        public void onStarted(int status, List<String> headers) {}
-
-        @Override
-        public void onChunk(byte[] bytes, int events) {}
-    }
-
-    private static UpstreamView view(Address service) {
-        return new UpstreamView(
-                "s1",
-                1,
-                UpstreamKind.SERVICE,
-                service,
-                "s",
-                service,
-                1,
-                "d1",
-                "",
-                Lifecycle.ACTIVE,
-                new EngineTarget(EngineRole.MIXED, "m", "", "1"),
-                0,
-                OrderState.NONE,
-                0,
-                true,
-                4);
-    }
-
     private static AttemptRequest request(int bodyBytes) {
         return new AttemptRequest(
                 "a-1",
@@ -77,8 +42,10 @@
 
     private void assertFails(RawServer server, int bodyBytes) {
         WagtailcartException error = assertThrows(WagtailcartException.class, () -> client.prepare(
-                        view(server.address()), request(bodyBytes), REMAINING_MILLIS)
-                .run(new IgnoringListener()));
+                        TestUpstreamCalls.upstream("s1", UpstreamKind.SERVICE, server.address()),
+                        request(bodyBytes),
+                        REMAINING_MILLIS)
+                .run(TestUpstreamCalls.IGNORE));
         assertThat(error.runState()).isEqualTo(RunState.MAY_HAVE_RUN);
     }
 
