Keep idle connections as long as the upstream states

Cause: a gateway closed a pooled connection after 4 s without a request. With 23 gateways and 30 engines a gateway calls an engine every 3 to 6 s, so about every second request opened a new connection. Change: a connection is reused until shortly before the idle timeout that the upstream states in Keep-Alive; without that header, and for requests that must not run twice, 4 s as before. A connection that was reset while idle is replaced like one that was closed, instead of failing the attempt. Ruled out: a longer fixed limit (an upstream that closes the connection while a request is on its way makes the request count as possibly run).

--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -165,6 +165,13 @@
         }
     }
 
+    /** Returns the timeouts of an attempt that may run the request. */
+    final UpstreamTimeouts timeouts(long headersMillis, long readMillis) {
+        return request.route().retryable()
+                ? UpstreamTimeouts.repeatable(headersMillis, readMillis)
+                : UpstreamTimeouts.singleRun(headersMillis, readMillis);
+    }
+
     /** Records that the latest attempt provably did not run the request. */
     final synchronized void markNotRun(boolean ranBefore) {
         mayHaveRun = ranBefore;
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -122,7 +122,7 @@
         boolean retryPossible = request().route().retryable()
                 && runs + 1 < request().route().maxAttempts()
                 && context().registry().hasReplica(request().service(), excluded);
-        return new UpstreamTimeouts(
+        return timeouts(
                 retryPossible ? (long) (remainingMillis * FIRST_ATTEMPT_TIME_FRACTION) : remainingMillis,
                 remainingMillis);
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -203,7 +203,7 @@
                     "",
                     request().workspace());
             UpstreamRequest upstreamRequest =
-                    prepare(engine, prefillOptions, new UpstreamTimeouts(timeoutMillis, timeoutMillis), false);
+                    prepare(engine, prefillOptions, UpstreamTimeouts.repeatable(timeoutMillis, timeoutMillis), false);
             try (ResponseWatchdog watchdog = new ResponseWatchdog(context(), engine, upstreamRequest);
                     UpstreamResponse response = watchdog.execute()) {
                 ResponseMetadata metadata = parseHead(response);
@@ -296,13 +296,13 @@
         boolean canContinue = request().route().retryable()
                 && runs + 1 < request().route().maxAttempts()
                 && context().registry().hasReplica(request().service(), tried);
-        return new UpstreamTimeouts(remainingMillis, canContinue ? MAX_EVENT_GAP_MILLIS : remainingMillis);
+        return timeouts(remainingMillis, canContinue ? MAX_EVENT_GAP_MILLIS : remainingMillis);
     }
 
     /** Frees a KV cache that no engine will fetch. */
     private void releaseKvCache(KvCacheHandle kvCacheHandle) {
         try {
-            UpstreamTimeouts timeouts = new UpstreamTimeouts(RELEASE_TIMEOUT_MILLIS, RELEASE_TIMEOUT_MILLIS);
+            UpstreamTimeouts timeouts = UpstreamTimeouts.repeatable(RELEASE_TIMEOUT_MILLIS, RELEASE_TIMEOUT_MILLIS);
             String path = context().protocol().releasePath(kvCacheHandle);
             context()
                     .client()
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/StaleConnectionInterceptor.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/StaleConnectionInterceptor.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.Collections;
 import java.util.Map;
@@ -10,15 +11,17 @@
 import okhttp3.Connection;
 import okhttp3.Interceptor;
 import okhttp3.Response;
+import org.wagtailcart.common.MillisClock;
 
 /**
  * Interceptor that rejects a pooled connection before a request is written to it if a response on it may not belong to
- * the request: the upstream has closed it or has sent bytes that belong to no request, or the connection has carried a
+ * the request: the upstream has closed it, may be about to close it, or has sent bytes that belong to no request, or the connection has carried a
  * request with the same id, whose response may come once more.
  */
 final class StaleConnectionInterceptor implements Interceptor {
     private static final int CHECK_MILLIS = 1;
 
+    private final MillisClock clock;
     private final AtomicLong connections = new AtomicLong();
     private final Map<Connection, ConnectionHistory> histories = Collections.synchronizedMap(new WeakHashMap<>());
 
@@ -27,6 +30,7 @@
         CLOSED("upstream closed the connection", false),
         UNEXPECTED_BYTES("unexpected bytes on an idle connection", true),
         SAME_ID("the connection has carried a request with the same id", true),
+        IDLE("the connection has been idle for too long", false),
         WORN_OUT("the connection has carried as many requests as it may", false);
 
         private final String text;
@@ -59,6 +63,10 @@
         }
     }
 
+    StaleConnectionInterceptor(MillisClock clock) {
+        this.clock = clock;
+    }
+
     @Override
     public Response intercept(Chain chain) throws IOException {
         Connection connection = chain.connection();
@@ -76,10 +84,16 @@
             if (history.isFull()) {
                 throw new StaleConnectionException(Reason.WORN_OUT);
             }
+            UpstreamTimeouts timeouts = chain.request().tag(UpstreamTimeouts.class);
+            if (history.isExpired(clock.nowMillis(), timeouts == null ? Long.MAX_VALUE : timeouts.idleMillis())) {
+                throw new StaleConnectionException(Reason.IDLE);
+            }
             check(connection.socket(), chain.readTimeoutMillis());
         }
         history.add(use.requestId());
-        return chain.proceed(chain.request());
+        Response response = chain.proceed(chain.request());
+        history.responded(clock.nowMillis(), response.header("Keep-Alive", ""));
+        return response;
     }
 
     private static void check(Socket socket, int readTimeoutMillis) throws IOException {
@@ -89,6 +103,8 @@
             throw new StaleConnectionException(next < 0 ? Reason.CLOSED : Reason.UNEXPECTED_BYTES);
         } catch (SocketTimeoutException e) {
             socket.setSoTimeout(readTimeoutMillis);
+        } catch (SocketException e) {
+            throw new StaleConnectionException(Reason.CLOSED);
         }
     }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamHttpClient.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamHttpClient.java
@@ -31,8 +31,8 @@
     private static final long CONNECT_MILLIS = 500;
 
     private static final int MAX_IDLE_CONNECTIONS = 128;
-    /** Idle timeout of pooled connections; shorter than the usual idle timeouts of upstreams. */
-    private static final long KEEP_IDLE_MILLIS = 4_000;
+    /** Limit on the idle time of a pooled connection; most end earlier, see {@link ConnectionHistory}. */
+    private static final long KEEP_IDLE_MILLIS = 30_000;
 
     private static final long MAX_RESPONSE_BYTES = 4L << 20;
     /** Limit on all response bodies that are being read; a gateway has a heap of 160 MB. */
@@ -52,7 +52,7 @@
         this.suspects = suspects;
         client = InternalHttpClients.builder(
                         new ResponseCheckInterceptor(),
-                        new StaleConnectionInterceptor(),
+                        new StaleConnectionInterceptor(clock),
                         chain -> SendGuard.intercept(chain, clock))
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_IDLE_MILLIS, TimeUnit.MILLISECONDS))
                 .connectTimeout(CONNECT_MILLIS, TimeUnit.MILLISECONDS)
