Keep the order of fencing tokens across the duties of a holder

Cause: the duties of a holder share the lease. A member that gives it up after a 409 and acquires it again with no other holder between may call at once, while another duty still has a permit of the former token for up to 1 s and its call needs up to 0.5 s more. The platform would see the lower token after the higher one. Change: a grant allows calls only when calls with the former token of the same member have arrived; a permit requires that the grant it was requested under is still in use. Ruled out: a lock around each call, because a call that hangs would block the other duty. Conclusion: tokens reach the platform in order also with two duties.

--- a/control/src/main/java/org/wagtailcart/control/orders/OrderLeaseHolder.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/OrderLeaseHolder.java
@@ -46,6 +46,8 @@
     private final long leaseMillis;
     private final MillisClock clock;
     private volatile Grant grant = Grant.NONE;
+    /** Time limit of the last permit. Guarded by this. */
+    private long lastSendByMillis = Long.MIN_VALUE / 4;
 
     /**
      * Creates a holder without the lease.
@@ -85,13 +87,20 @@
     public Optional<Permit> confirm() {
         long startMillis = clock.nowMillis();
         Grant used = grant;
-        if (await(leadership.confirmLeadership(), CONFIRM_TIMEOUT_MILLIS).isEmpty()
-                || clock.nowMillis() > startMillis + CONFIRM_TIMEOUT_MILLIS
+        boolean confirmed =
+                await(leadership.confirmLeadership(), CONFIRM_TIMEOUT_MILLIS).isPresent();
+        return confirmed ? permit(used, startMillis) : Optional.empty();
+    }
+
+    private synchronized Optional<Permit> permit(Grant used, long startMillis) {
+        if (clock.nowMillis() > startMillis + CONFIRM_TIMEOUT_MILLIS
                 || used.fencingToken() == 0
+                || used.fencingToken() != grant.fencingToken()
                 || clock.nowMillis() < used.callsAllowedFromMillis()
                 || leadership.orderLease().fencingToken() != used.fencingToken()) {
             return Optional.empty();
         }
+        lastSendByMillis = Math.max(lastSendByMillis, startMillis + SEND_LIMIT_MILLIS);
         return Optional.of(new Permit(used.fencingToken(), startMillis + SEND_LIMIT_MILLIS));
     }
 
@@ -119,8 +128,10 @@
             // the last holder other than this member shows whether there is anyone to wait for. It is taken from the
             // granted lease, because a new leader may not have applied the grants of its predecessors yet.
             boolean first = lease.previousHolder().isEmpty();
-            grant = new Grant(
-                    lease.fencingToken(), clock.nowMillis() + (first ? 0 : leaseMillis + MAX_CALL_DELAY_MILLIS));
+            long othersUntilMillis = clock.nowMillis() + (first ? 0 : leaseMillis + MAX_CALL_DELAY_MILLIS);
+            // A call of another duty with the former token of this member must not arrive after one with the new token.
+            long ownUntilMillis = lastSendByMillis + MAX_CALL_DELAY_MILLIS - SEND_LIMIT_MILLIS;
+            grant = new Grant(lease.fencingToken(), Math.max(othersUntilMillis, ownUntilMillis));
             LOG.log(
                     Level.INFO,
                     LogEvent.of(
--- a/control/src/test/java/org/wagtailcart/control/orders/OrderLeaseHolderTest.java
+++ b/control/src/test/java/org/wagtailcart/control/orders/OrderLeaseHolderTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -16,7 +17,7 @@
 
     /** Leader whose state shows the given lease until a command of its own is applied. */
     private static final class Leader implements Leadership {
-        private final OrderLease replicated;
+        private OrderLease replicated;
         private OrderLease applied;
 
         Leader(OrderLease replicated, OrderLease applied) {
@@ -41,11 +42,27 @@
 
         @Override
         public CompletableFuture<OrderLease> acquireOrderLease(String holder) {
-            applied = replicated.grantedTo(holder);
+            replicated = replicated.grantedTo(holder);
+            applied = replicated;
             return CompletableFuture.completedFuture(applied);
         }
     }
 
+    /** Guards against a call of one duty that arrives with a lower token after a call of another duty. */
+    @Test
+    void aNewTokenIsNotUsedWhileACallWithTheFormerOneMayArrive() {
+        Leader leader = new Leader(OrderLease.NONE, OrderLease.NONE);
+        OrderLeaseHolder holder = new OrderLeaseHolder("b", leader, LEASE_MILLIS, () -> nowMillis);
+        holder.ensure();
+        long firstToken = holder.confirm().orElseThrow().fencingToken();
+        holder.lose(firstToken);
+        holder.ensure();
+        nowMillis += CALL_DELAY_MILLIS - 1;
+        assertThat(holder.confirm()).isEmpty();
+        nowMillis++;
+        assertThat(holder.confirm().orElseThrow().fencingToken()).isGreaterThan(firstToken);
+    }
+
     /** Guards against a leader that has not applied the grant to its predecessor and takes itself for the first holder. */
     @ParameterizedTest
     @CsvSource({
