Decode limits for the replicas of a service

Cause: part 6 of docs/load-under-contention.md needs limits from the operator's JSON (services[].autoscale). Change: ServiceSpec.replicaLimits at the end of the record, null without the field. Ruled out: a check in RouteTableValidator; tables reach it only through the decoder. Conclusion: limits reach control members and gateways with the table; nothing uses them yet.

--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -310,9 +310,13 @@
                         route("stream", RouteKind.STREAMING, false),
                         route("resumable", RouteKind.STREAMING, true)),
                 List.of(
-                        new ServiceSpec("stock", "/health", 96, null),
+                        new ServiceSpec("stock", "/health", 96, null, null),
                         new ServiceSpec(
-                                "brain", "/health", 96, new EngineSpec(64, 500_000, 18_432, 240_000, 5_000, 3_000))),
+                                "brain",
+                                "/health",
+                                96,
+                                new EngineSpec(64, 500_000, 18_432, 240_000, 5_000, 3_000),
+                                null)),
                 RequestLimits.DEFAULT,
                 workspaces);
     }
--- a/gateway/src/test/java/org/wagtailcart/gateway/list/OutstandingWorkTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/list/OutstandingWorkTest.java
@@ -36,8 +36,8 @@
 
     @BeforeEach
     void listEngines() {
-        registry.services(List.of(
-                new ServiceSpec("brain", "/health", 96, new EngineSpec(64, 500_000, 18_432, 240_000, 5_000, 3_000))));
+        registry.services(List.of(new ServiceSpec(
+                "brain", "/health", 96, new EngineSpec(64, 500_000, 18_432, 240_000, 5_000, 3_000), null)));
         registry.applyHostList(
                 List.of(engine("p", EngineRole.PREFILL), engine("d", EngineRole.DECODE)), nowMillis.get(), "test");
     }
--- a/gateway/src/test/java/org/wagtailcart/gateway/report/EngineRatesAcrossFailuresTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/report/EngineRatesAcrossFailuresTest.java
@@ -60,7 +60,7 @@
         Gateway(String id) {
             this.id = id;
             registry.services(List.of(new ServiceSpec(
-                    SERVICE, "/health", 64, new EngineSpec(64, 518_598, 163_840, 1_600_000, 3_000, 3_000))));
+                    SERVICE, "/health", 64, new EngineSpec(64, 518_598, 163_840, 1_600_000, 3_000, 3_000), null)));
             registry.applyHostList(
                     IntStream.rangeClosed(0, ENGINES)
                             .mapToObj(i -> new ListedUpstream(
--- a/routes/src/test/java/org/wagtailcart/routes/Tables.java
+++ b/routes/src/test/java/org/wagtailcart/routes/Tables.java
@@ -44,7 +44,9 @@
         return new RouteTable(
                 version,
                 Arrays.asList(routes),
-                List.of(new ServiceSpec("stock", "/health", 96, null), new ServiceSpec("desk", "/health", 96, null)),
+                List.of(
+                        new ServiceSpec("stock", "/health", 96, null, null),
+                        new ServiceSpec("desk", "/health", 96, null, null)),
                 RequestLimits.DEFAULT,
                 null);
     }
