Order numbers of replicas from the platform

Cause: part 6 of docs/load-under-contention.md: only the planner existed. Change: CapacityController plans at the leader from the host list and the reported load and sends POST /scale under the order lease, only with the duty `scaling` and limits in the table. DomainOrders decides what is due in a failure domain, SlotDemand the demand. Both duties share PlatformCallLimiter; a 429 pauses both. Calls run on threads of their own. Event replicas-ordered, four metrics, dump. Ruled out: a field in GatewayReport; requests in flight and the demand of workspaces serve. Refused requests of callers without a workspace are not counted. Orders in the replicated log: the host list shows them a boot time later. Run: CapacityControllerTest 18, SlotDemandTest 2, PlatformCapacityClientTest 6, UsageReporterTest 11, ProcessSettingsTest 67, LogEventKindTest 2, DocumentationTest 2 green; daemon compiles. Not run: whole processes.

--- a/common/src/main/java/org/wagtailcart/common/LogEventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEventKind.java
@@ -99,6 +99,8 @@
     /** The leader sent the report of a usage window to the platform. */
     USAGE_REPORTED(
             false, "window", "holder", "token", "workspaces", "requests", "outcome", "after-end-millis", "call-millis"),
+    /** The leader ordered a number of replicas in a failure domain from the platform. */
+    REPLICAS_ORDERED(false, "service", "domain", "replicas", "reason", "holder", "token", "result", "call-millis"),
     /** A process reloaded its settings file. */
     SETTINGS_RELOADED(false, "file", "seeds"),
     /** Log lines of a kind were dropped to limit the log volume. */
--- a/control/src/main/java/org/wagtailcart/control/ControlRole.java
+++ b/control/src/main/java/org/wagtailcart/control/ControlRole.java
@@ -21,6 +21,8 @@
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RoleService;
 import org.wagtailcart.common.WagtailcartException;
+import org.wagtailcart.control.capacity.CapacityClient;
+import org.wagtailcart.control.capacity.CapacityController;
 import org.wagtailcart.control.client.CommandRequest;
 import org.wagtailcart.control.client.ControlClientImpl;
 import org.wagtailcart.control.client.PowerGrant;
@@ -38,6 +40,7 @@
 import org.wagtailcart.control.orders.Leadership;
 import org.wagtailcart.control.orders.OrderLease;
 import org.wagtailcart.control.orders.OrderLeaseHolder;
+import org.wagtailcart.control.orders.PlatformCallLimiter;
 import org.wagtailcart.control.usage.UsageBackend;
 import org.wagtailcart.control.usage.UsageObserver;
 import org.wagtailcart.control.usage.UsageReportClient;
@@ -87,6 +90,7 @@
     private final LeaderTasks leaderTasks;
     private final HostListCache hostListCache = new HostListCache();
     private final UsageObserver usageObserver;
+    private final PlatformCallLimiter platformCalls = new PlatformCallLimiter();
     private final WatchHandler watchHandler;
     private final Meter syncMeter;
     private final Meter commandMeter;
@@ -270,7 +274,36 @@
     public UsageReporter usageReporter(
             String holder, OrderLeaseHolder lease, UsageReportClient platform, long windowMillis, long lateMillis) {
         return new UsageReporter(
-                holder, lease, usageBackend(), usageObserver, platform, windowMillis, lateMillis, registry, clock);
+                holder,
+                lease,
+                platformCalls,
+                usageBackend(),
+                usageObserver,
+                platform,
+                windowMillis,
+                lateMillis,
+                registry,
+                clock);
+    }
+
+    /**
+     * Returns a controller of the numbers of replicas, from the load that gateways report to this member.
+     *
+     * @param holder name of this process, which is sent with each order
+     * @param lease order lease of this member
+     * @param platform receives the orders
+     */
+    public CapacityController capacityController(String holder, OrderLeaseHolder lease, CapacityClient platform) {
+        return new CapacityController(
+                holder,
+                lease,
+                platformCalls,
+                state::routes,
+                () -> hostListCache.recent(clock.nowMillis()),
+                watchHandler::load,
+                platform,
+                registry,
+                clock);
     }
 
     private UsageBackend usageBackend() {
--- a/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
+++ b/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
@@ -19,6 +19,7 @@
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.SettingNames;
 import org.wagtailcart.control.orders.OrderLeaseHolder;
+import org.wagtailcart.control.orders.PlatformCallLimiter;
 import org.wagtailcart.usage.CloseUsageWindow;
 import org.wagtailcart.usage.ClosedUsageWindow;
 import org.wagtailcart.usage.MarkUsageReported;
@@ -62,6 +63,7 @@
 
     private final String holder;
     private final OrderLeaseHolder lease;
+    private final PlatformCallLimiter limiter;
     private final UsageBackend backend;
     private final UsageObserver observer;
     private final UsageReportClient platform;
@@ -82,11 +84,13 @@
      * Creates a reporter. It must be started.
      *
      * @param holder name of this process, which is sent with each report
+     * @param limiter limit on the calls of all duties
      * @param lateMillis time after the end of a window at which its report is late
      */
     public UsageReporter(
             String holder,
             OrderLeaseHolder lease,
+            PlatformCallLimiter limiter,
             UsageBackend backend,
             UsageObserver observer,
             UsageReportClient platform,
@@ -96,6 +100,7 @@
             MillisClock clock) {
         this.holder = holder;
         this.lease = lease;
+        this.limiter = limiter;
         this.backend = backend;
         this.observer = observer;
         this.platform = platform;
@@ -165,7 +170,9 @@
         lease.ensure();
         UsagePlan plan = planner.plan(observation(nowMillis), backend.state());
         plan.close().ifPresent(window -> closeWindow(window, nowMillis));
-        plan.report().filter(window -> lease.mayCall()).ifPresent(this::report);
+        plan.report()
+                .filter(window -> lease.mayCall() && limiter.tryAcquire(0, nowMillis))
+                .ifPresent(this::report);
     }
 
     private void dropOldCounts(long nowMillis) {
@@ -225,6 +232,9 @@
         if (outcome == UsageReportOutcome.FENCED) {
             lease.lose(fencingToken);
         }
+        if (outcome == UsageReportOutcome.THROTTLED) {
+            limiter.backOff(doneMillis);
+        }
         if (outcome.accepted()) {
             await(backend.mark(new MarkUsageReported(window.window())));
         }
--- a/control/src/main/java/org/wagtailcart/control/watch/DemandTracker.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/DemandTracker.java
@@ -40,6 +40,14 @@
         reportsByProcess.put(processId, new DemandReport(nowMillis + RETENTION_MILLIS, demand));
     }
 
+    /** Returns the reported demand, one item for each gateway, service and workspace. */
+    List<WorkspaceDemand> demand(long nowMillis) {
+        return reportsByProcess.values().stream()
+                .filter(report -> report.expiresAtMillis() >= nowMillis)
+                .flatMap(report -> report.demand().stream())
+                .toList();
+    }
+
     /** Returns the contended services, null during the first second, in which the shares are not known yet. */
     @Nullable
     List<ServiceCapacity> contended(long nowMillis) {
--- a/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
@@ -7,6 +7,7 @@
 import org.wagtailcart.control.usage.UsageObserver;
 import org.wagtailcart.policy.placement.EngineRate;
 import org.wagtailcart.policy.share.ServiceCapacity;
+import org.wagtailcart.policy.share.WorkspaceDemand;
 import org.wagtailcart.policy.share.WorkspaceShare;
 
 /** Collects the reports of gateways and derives from them what all gateways are told. Not thread safe. */
@@ -31,6 +32,11 @@
         return engineRates.rates();
     }
 
+    /** Returns the demand that gateways have reported. */
+    List<WorkspaceDemand> demand(long nowMillis) {
+        return demand.demand(nowMillis);
+    }
+
     /** Returns the reply to a gateway. */
     FleetReport replyTo(String processId, long nowMillis) {
         EngineRateLog.Page rates = engineRates.pageFor(processId);
--- a/control/src/main/java/org/wagtailcart/control/watch/GatewayTracker.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/GatewayTracker.java
@@ -34,6 +34,13 @@
         return trafficSeen;
     }
 
+    /** Returns the requests in flight of all gateways by upstream. */
+    Map<String, Integer> requestsByUpstream() {
+        return reportsByProcess.values().stream()
+                .flatMap(report -> report.work().stream())
+                .collect(Collectors.toMap(OutstandingWork::instanceId, OutstandingWork::requests, Integer::sum));
+    }
+
     /** Returns the outstanding work of all gateways except one, summed per upstream. */
     List<OutstandingWork> workOfOtherGateways(String processId) {
         return List.copyOf(reportsByProcess.entrySet().stream()
--- a/control/src/main/java/org/wagtailcart/control/watch/HostListCache.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/HostListCache.java
@@ -1,6 +1,7 @@
 package org.wagtailcart.control.watch;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.wagtailcart.directory.ListedUpstream;
 
@@ -30,6 +31,12 @@
         return latest;
     }
 
+    /** Returns the upstreams, empty without a recent list. */
+    public Optional<List<ListedUpstream>> recent(long nowMillis) {
+        VersionedHostList current = latest;
+        return current.isFresh(nowMillis) ? Optional.of(current.upstreams()) : Optional.empty();
+    }
+
     /** Replaces the list and returns whether its content differs from the previous one. */
     public boolean update(List<ListedUpstream> upstreams, long readAtMillis) {
         VersionedHostList before = latest;
--- a/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
@@ -171,6 +171,15 @@
         return fleetReports.engineRates();
     }
 
+    /** Returns the load that gateways have reported. */
+    public synchronized ReportedLoad load() {
+        long nowMillis = clock.nowMillis();
+        return new ReportedLoad(
+                gatewayTracker.activeCount(nowMillis),
+                gatewayTracker.requestsByUpstream(),
+                fleetReports.demand(nowMillis));
+    }
+
     /** Returns whether any gateway has ever reported outstanding work. */
     public boolean trafficSeen() {
         synchronized (this) {
--- a/control/src/test/java/org/wagtailcart/control/usage/UsageReporterTest.java
+++ b/control/src/test/java/org/wagtailcart/control/usage/UsageReporterTest.java
@@ -15,6 +15,7 @@
 import org.wagtailcart.control.orders.Leadership;
 import org.wagtailcart.control.orders.OrderLease;
 import org.wagtailcart.control.orders.OrderLeaseHolder;
+import org.wagtailcart.control.orders.PlatformCallLimiter;
 import org.wagtailcart.usage.CloseUsageWindow;
 import org.wagtailcart.usage.ClosedUsageWindow;
 import org.wagtailcart.usage.MarkUsageReported;
@@ -87,6 +88,7 @@
             this.reporter = new UsageReporter(
                     id,
                     new OrderLeaseHolder(id, this, LEASE_MILLIS, clock),
+                    new PlatformCallLimiter(),
                     group,
                     observer,
                     this::report,
--- a/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -20,6 +20,7 @@
 import org.wagtailcart.control.ControlRole;
 import org.wagtailcart.control.ControlState;
 import org.wagtailcart.control.PolicyPlanner;
+import org.wagtailcart.control.capacity.CapacityController;
 import org.wagtailcart.control.client.ControlClient;
 import org.wagtailcart.control.client.ControlClientImpl;
 import org.wagtailcart.control.client.ProcessIdentity;
@@ -42,6 +43,7 @@
 import org.wagtailcart.gateway.GatewayRole;
 import org.wagtailcart.once.IdempotencyKeyRegistry;
 import org.wagtailcart.platform.ConfigApi;
+import org.wagtailcart.platform.PlatformCapacityClient;
 import org.wagtailcart.platform.PlatformClient;
 import org.wagtailcart.platform.PlatformControlService;
 import org.wagtailcart.platform.PlatformEngineControlClient;
@@ -225,8 +227,16 @@
                         new PlatformUsageClient(client, platform.hostListAddress()),
                         usage.windowMillis(),
                         usage.lateMillis()));
+        Optional<CapacityController> capacityController = platform.scaling()
+                ? Optional.of(control.capacityController(
+                        settings.id(), lease, new PlatformCapacityClient(client, platform.hostListAddress())))
+                : Optional.empty();
         return new PlatformControlService(
-                new ConfigApi(settings.id(), listen, control, traffic), roleController, usageReporter, list);
+                new ConfigApi(settings.id(), listen, control, traffic),
+                roleController,
+                usageReporter,
+                capacityController,
+                list);
     }
 
     @Provides
--- a/settings/src/main/java/org/wagtailcart/settings/process/PlatformSettings.java
+++ b/settings/src/main/java/org/wagtailcart/settings/process/PlatformSettings.java
@@ -11,9 +11,11 @@
  *     role
  * @param orderLeaseMillis shortest time between orders of two successive lease holders
  * @param usageReports reports of usage, empty if the platform asks for none
+ * @param scaling whether the platform accepts orders for the number of replicas
  */
 public record PlatformSettings(
         Address hostListAddress,
         Optional<Address> controlListener,
         long orderLeaseMillis,
-        Optional<UsageReportSettings> usageReports) {}
+        Optional<UsageReportSettings> usageReports,
+        boolean scaling) {}
--- a/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
+++ b/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
@@ -34,6 +34,8 @@
     private static final long MILLIS_PER_SECOND = 1_000;
     /** Duty of a system whose platform expects usage reports. */
     private static final String USAGE_DUTY = "usage_report";
+    /** Duty of a system whose platform accepts orders for the number of replicas. */
+    private static final String SCALING_DUTY = "scaling";
 
     private static final String DEFAULT_USAGE_WINDOW_SECONDS = "5";
     private static final String DEFAULT_USAGE_LATE_SECONDS = "10";
@@ -217,17 +219,21 @@
                                 .map(listener ->
                                         address("platform", "control-listener", listener, listener, "IP:PORT")),
                         number("platform", "order-lease-millis", "3000", 0, 600_000),
-                        usageReports()));
+                        usageReports(),
+                        hasDuty(SCALING_DUTY)));
     }
 
     private Optional<UsageReportSettings> usageReports() {
-        boolean due = valueOrVariable("platform", "duties", DUTIES_VARIABLE).stream()
-                .flatMap(ProcessSettingsReader::splitList)
-                .anyMatch(USAGE_DUTY::equals);
         UsageReportSettings reports = new UsageReportSettings(
                 secondsAsMillis("usage-window-seconds", USAGE_WINDOW_VARIABLE, DEFAULT_USAGE_WINDOW_SECONDS),
                 secondsAsMillis("usage-late-seconds", USAGE_LATE_VARIABLE, DEFAULT_USAGE_LATE_SECONDS));
-        return due ? Optional.of(reports) : Optional.empty();
+        return hasDuty(USAGE_DUTY) ? Optional.of(reports) : Optional.empty();
+    }
+
+    private boolean hasDuty(String duty) {
+        return valueOrVariable("platform", "duties", DUTIES_VARIABLE).stream()
+                .flatMap(ProcessSettingsReader::splitList)
+                .anyMatch(duty::equals);
     }
 
     private long secondsAsMillis(String key, String variable, String defaultText) {
--- a/settings/src/test/java/org/wagtailcart/settings/process/ProcessSettingsTest.java
+++ b/settings/src/test/java/org/wagtailcart/settings/process/ProcessSettingsTest.java
@@ -228,4 +228,13 @@
                 settings.platform().orElseThrow().usageReports().orElse(new UsageReportSettings(0, 0));
         assertThat(reports).isEqualTo(new UsageReportSettings(windowMillis, lateMillis));
     }
+
+    /** Guards against orders to a platform that accepts none. */
+    @ParameterizedTest
+    @CsvSource({"'', false", "usage_report, false", "scaling, true", "'usage_report, scaling', true"})
+    void replicasAreOrderedOnlyWithTheDuty(String duties, boolean scaling) {
+        ProcessSettings settings =
+                ProcessSettings.parse(COMPLETE + "\n[platform]\nhost-list = 10.0.0.9:80\nduties = " + duties + "\n");
+        assertThat(settings.platform().orElseThrow().scaling()).isEqualTo(scaling);
+    }
 }
