--- a/routes/src/test/java/org/wagtailcart/routes/RoutesStateTest.java
+++ b/routes/src/test/java/org/wagtailcart/routes/RoutesStateTest.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.wagtailcart.policy.capacity.ReplicaLimits;
 import org.wagtailcart.wire.MessageCodec;
 import org.wagtailcart.wire.MessageType;
 import org.wagtailcart.workspace.KeyDigest;
@@ -37,8 +39,10 @@
             boolean resumable,
             long gapTargetMillis) {}
 
+    private record OldServiceSpec(String name, String healthPath, int maxConnections, @Nullable EngineSpec engine) {}
+
     private record OldRouteTable(
-            long version, List<OldRoute> routes, List<ServiceSpec> services, RequestLimits limits) {}
+            long version, List<OldRoute> routes, List<OldServiceSpec> services, RequestLimits limits) {}
 
     private record OldReplaceRoutes(OldRouteTable table, byte[] document) {}
 
@@ -49,7 +53,12 @@
                 "a", "h", "/a/", RouteKind.SAFE, 100, 100, 3, List.of(new TrafficSplit("stock", 1)), 2, true, true, 9);
         MessageCodec oldCodec = new MessageCodec(List.of(List.of(new MessageType(800, OldReplaceRoutes.class))));
         byte[] snapshot = oldCodec.encode(new OldReplaceRoutes(
-                new OldRouteTable(4, List.of(route), List.of(), RequestLimits.DEFAULT), new byte[] {7}));
+                new OldRouteTable(
+                        4,
+                        List.of(route),
+                        List.of(new OldServiceSpec("stock", "/health", 96, null)),
+                        RequestLimits.DEFAULT),
+                new byte[] {7}));
         RoutesState state = new RoutesState();
         state.restore(snapshot);
         assertThat(state.table().version()).isEqualTo(4);
@@ -57,6 +66,19 @@
         assertThat(state.table().routes().get(0).open()).isFalse();
         assertThat(state.table().routes().get(0).gapTargetMillis()).isEqualTo(9);
         assertThat(new RouteIndex(state.table()).authenticator()).isEmpty();
+        assertThat(state.table().services()).containsExactly(new ServiceSpec("stock", "/health", 96, null, null));
+    }
+
+    /** Guards against limits of replicas that a snapshot loses, so that orders end with a restart. */
+    @Test
+    void limitsOfReplicasSurviveARestart() {
+        ServiceSpec service = new ServiceSpec("stock", "/health", 96, null, new ReplicaLimits(2, 8, 4_500));
+        RoutesState state = new RoutesState();
+        state.apply(new ReplaceRoutes(
+                new RouteTable(2, List.of(), List.of(service), RequestLimits.DEFAULT, null), new byte[0]));
+        RoutesState restarted = new RoutesState();
+        restarted.restore(state.snapshot());
+        assertThat(restarted.table().services()).containsExactly(service);
     }
 
     /** Guards against workspaces, their salt or the switch itself that a snapshot loses. */
