Remove the rate of the service from the bound on a prefill

Cause: the rate of the service in OverdueBound.Rates has been the default rate for every caller since rates count as ratios only. Change: the bound uses the default rate itself and takes the engine's rate as a plain argument; the record is gone. Run: OverdueBoundTest and FleetRatesTest, green; policy and gateway compile with their tests.

--- a/gateway/src/main/java/org/wagtailcart/gateway/list/InFlightRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/InFlightRequest.java
@@ -82,11 +82,11 @@
     }
 
     /** Returns whether the request is overdue and the upstream has sent no other response since it started. */
-    boolean isOverdueWithoutResponse(long answeredMillis, OverdueBound.Rates rates, long nowMillis) {
-        return answeredMillis < startMillis && nowMillis > startMillis + boundMillis(rates);
+    boolean isOverdueWithoutResponse(long answeredMillis, double tokensPerMilli, long nowMillis) {
+        return answeredMillis < startMillis && nowMillis > startMillis + boundMillis(tokensPerMilli);
     }
 
-    private long boundMillis(OverdueBound.Rates rates) {
+    private long boundMillis(double tokensPerMilli) {
         return work.prefillTokens() == 0
                 ? OverdueBound.millis(usualMillis)
                 : OverdueBound.prefillMillis(
@@ -94,7 +94,7 @@
                         work.queuedTokens(),
                         upstream.queuedTokens() - (prefilled ? 0 : work.prefillTokens()),
                         work.restartTokens(),
-                        rates);
+                        tokensPerMilli);
     }
 
     /** Returns a lower bound of the slowdown of the upstream while the prefill is pending, otherwise 1. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -9,7 +9,6 @@
 import org.wagtailcart.policy.health.HealthOptions;
 import org.wagtailcart.policy.health.HealthPolicy;
 import org.wagtailcart.policy.health.HealthTracker;
-import org.wagtailcart.policy.placement.OverdueBound;
 import org.wagtailcart.policy.placement.PrefillSlowdown;
 import org.wagtailcart.policy.placement.PrefixCacheEstimate;
 import org.wagtailcart.policy.placement.RecentLatency;
@@ -218,9 +217,9 @@
     }
 
     /** Returns whether a request is overdue and no response has arrived since that request started. */
-    boolean isUnresponsive(OverdueBound.Rates rates, long nowMillis) {
+    boolean isUnresponsive(double tokensPerMilli, long nowMillis) {
         return ownRequests.stream()
-                .anyMatch(request -> request.isOverdueWithoutResponse(lastResponseAtMillis, rates, nowMillis));
+                .anyMatch(request -> request.isOverdueWithoutResponse(lastResponseAtMillis, tokensPerMilli, nowMillis));
     }
 
     /** Records an outcome; returns whether it changed the upstream from available to ejected, or back. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -28,7 +28,6 @@
 import org.wagtailcart.policy.placement.EngineRate;
 import org.wagtailcart.policy.placement.FleetRates;
 import org.wagtailcart.policy.placement.Location;
-import org.wagtailcart.policy.placement.OverdueBound;
 import org.wagtailcart.policy.placement.PrefixCacheEstimate;
 import org.wagtailcart.policy.placement.PromptPlacement;
 import org.wagtailcart.policy.placement.ReplicaCandidate;
@@ -424,9 +423,7 @@
     /** Returns whether a request at an upstream is overdue and no response has arrived since it started. */
     public synchronized boolean isUnresponsive(Upstream upstream) {
         long nowMillis = clock.nowMillis();
-        return upstream.isUnresponsive(
-                new OverdueBound.Rates(tokensPerMilli(upstream, nowMillis), FleetRates.DEFAULT_TOKENS_PER_MILLI),
-                nowMillis);
+        return upstream.isUnresponsive(tokensPerMilli(upstream, nowMillis), nowMillis);
     }
 
     /** Takes an upstream that is full, or refuses requests, out of service for a short time. */
--- a/policy/src/main/java/org/wagtailcart/policy/placement/OverdueBound.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/OverdueBound.java
@@ -32,21 +32,17 @@
      * @param queueAtSendTokens tokens queued before it, known when it was sent
      * @param queueNowTokens tokens queued besides its own now; more than before shows work that was not known then
      * @param restartTokens tokens that another engine would have to prefill
-     * @param rates rates of the engine and of the service
+     * @param tokensPerMilli prompt tokens that the engine prefills in a millisecond
      */
     public static long prefillMillis(
-            long prefillTokens, long queueAtSendTokens, long queueNowTokens, long restartTokens, Rates rates) {
-        double estimateMillis = (prefillTokens + queueAtSendTokens) / rates.engineTokensPerMilli();
-        double growthMillis = Math.max(0, queueNowTokens - queueAtSendTokens) / rates.engineTokensPerMilli();
-        double restartMillis = restartTokens / rates.serviceTokensPerMilli();
+            long prefillTokens,
+            long queueAtSendTokens,
+            long queueNowTokens,
+            long restartTokens,
+            double tokensPerMilli) {
+        double estimateMillis = (prefillTokens + queueAtSendTokens) / tokensPerMilli;
+        double growthMillis = Math.max(0, queueNowTokens - queueAtSendTokens) / tokensPerMilli;
+        double restartMillis = restartTokens / FleetRates.DEFAULT_TOKENS_PER_MILLI;
         return millis(estimateMillis) + Math.round(Math.min(MAX_QUEUE_GROWTH_MILLIS, growthMillis) + restartMillis);
     }
-
-    /**
-     * Rates for a bound.
-     *
-     * @param engineTokensPerMilli prompt tokens that the engine prefills in a millisecond
-     * @param serviceTokensPerMilli prompt tokens that another engine prefills in a millisecond
-     */
-    public record Rates(double engineTokensPerMilli, double serviceTokensPerMilli) {}
 }
