Log engine rates only when an engine becomes slower, usual or faster

Cause: engine-rates-changed was logged whenever the rounded median changed, which it does with the load, so almost at each computation. Counts also hid two engines that exchange their speeds. Change: the summary has the ids of the faster and the slower engines, and only a difference in these is logged; the change between uniform and unequal is one. Not covered: an engine whose rate stays near the edge of the dead band is logged each time it crosses it. Run: FleetRatesTest.onlyAnEngineThatBecomesSlowerOrFasterIsAChange fails in 4 of 6 cases with the old comparison and passes with the new one; FleetRatesTest (16) and LogEventKindTest green.

--- a/gateway/src/main/java/org/wagtailcart/gateway/list/ServiceRates.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/ServiceRates.java
@@ -52,8 +52,8 @@
                     Level.INFO,
                     service,
                     latest.tokensPerMilli(),
-                    latest.faster(),
-                    latest.slower(),
+                    latest.fasterIds().size(),
+                    latest.slowerIds().size(),
                     String.format(Locale.ROOT, "%.2f", latest.maxSpeed()),
                     String.format(Locale.ROOT, "%.2f", latest.minSpeed()));
         }
--- a/policy/src/main/java/org/wagtailcart/policy/placement/FleetRates.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/FleetRates.java
@@ -2,6 +2,8 @@
 
 import java.util.Collection;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.DoublePredicate;
 import java.util.stream.Collectors;
 
 /**
@@ -88,8 +90,8 @@
     public Summary summary() {
         return new Summary(
                 Math.round(medianTokensPerMilli),
-                speedById.values().stream().filter(speed -> speed > 1).count(),
-                speedById.values().stream().filter(speed -> speed < 1).count(),
+                idsWhere(speed -> speed > 1),
+                idsWhere(speed -> speed < 1),
                 maxSpeed,
                 speedById.values().stream().reduce(1.0, Math::min));
     }
@@ -98,18 +100,26 @@
      * Rates of a service as shown to operators.
      *
      * @param tokensPerMilli median rate
-     * @param faster engines with a higher rate, beyond the dead band
-     * @param slower engines with a lower rate, beyond the dead band
+     * @param fasterIds engines with a higher rate, beyond the dead band
+     * @param slowerIds engines with a lower rate, beyond the dead band
      * @param maxSpeed highest rate relative to the median
      * @param minSpeed lowest rate relative to the median
      */
-    public record Summary(long tokensPerMilli, long faster, long slower, double maxSpeed, double minSpeed) {
-        /** Returns whether the number of faster or slower engines or the median differs. */
+    public record Summary(
+            long tokensPerMilli, Set<String> fasterIds, Set<String> slowerIds, double maxSpeed, double minSpeed) {
+        /** Returns whether other engines are faster or slower; the median changes with the load and does not count. */
         public boolean differsFrom(Summary other) {
-            return tokensPerMilli != other.tokensPerMilli || faster != other.faster || slower != other.slower;
+            return !fasterIds.equals(other.fasterIds) || !slowerIds.equals(other.slowerIds);
         }
     }
 
+    private Set<String> idsWhere(DoublePredicate condition) {
+        return speedById.entrySet().stream()
+                .filter(entry -> condition.test(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     private static double speed(double ratio) {
         return withinDeadBand(ratio) ? 1 : Math.max(1 / MAX_RATIO, Math.min(MAX_RATIO, ratio));
     }
--- a/policy/src/test/java/org/wagtailcart/policy/placement/FleetRatesTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/FleetRatesTest.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against differences in speed that are only noise, and against rates that wrong samples make extreme. */
@@ -64,4 +65,23 @@
         assertThat(rates.speed("c")).isEqualTo(1);
         assertThat(rates.speed("i")).isEqualTo(1);
     }
+
+    /** Guards against a log entry a second for a median that changes with the load. */
+    @ParameterizedTest
+    @CsvSource({
+        "50, 50, 50, 50, 36, 37, 36, 36, false",
+        "50, 50, 50, 120, 36, 37, 36, 80, false",
+        "50, 50, 50, 50, 50, 50, 50, 120, true",
+        "50, 50, 50, 120, 50, 50, 50, 50, true",
+        "50, 50, 50, 120, 50, 50, 120, 50, true",
+        "50, 50, 20, 120, 50, 50, 120, 20, true"
+    })
+    void onlyAnEngineThatBecomesSlowerOrFasterIsAChange(
+            double a, double b, double c, double d, double a2, double b2, double c2, double d2, boolean changed) {
+        FleetRates.Summary before =
+                FleetRates.of(Map.of("a", a, "b", b, "c", c, "d", d)).summary();
+        FleetRates.Summary after =
+                FleetRates.of(Map.of("a", a2, "b", b2, "c", c2, "d", d2)).summary();
+        assertThat(after.differsFrom(before)).isEqualTo(changed);
+    }
 }
