Take no rate from a prefill that followed a long fetch of KV cache

Cause: the estimated time of the fetch is subtracted from the time of the prefill. A fetch that is shorter than estimated, or runs beside a queued prefill, makes the rate too high: 142 instead of 50 tokens per ms for 3,720 tokens behind 900 with 60 ms estimated. The upper quartile keeps such samples. A fetch longer than estimated makes the rate too low, which the quartile mostly ignores. Change: a prefill whose estimated fetch exceeds a quarter of the rest is no sample; up to that, an error of all of it stays within the dead band. Ruled out: a correction, since no engine reports the time of its fetch.

--- a/gateway/src/main/java/org/wagtailcart/gateway/list/InFlightRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/InFlightRequest.java
@@ -138,7 +138,7 @@
         synchronized (registry) {
             upstream.prefillSlowdown().record(elapsedMillis(nowMillis), work.prefillMillis(), nowMillis);
             PrefillRateEstimate.sample(
-                            work.prefillTokens(), work.queuedTokens(), elapsedMillis(nowMillis) - work.fetchMillis())
+                            work.prefillTokens(), work.queuedTokens(), elapsedMillis(nowMillis), work.fetchMillis())
                     .ifPresent(rate -> registry.recordRate(upstream, rate, nowMillis));
             upstream.prefillCompleted(prefilled ? 0 : work.prefillTokens());
             prefilled = true;
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PrefillRateEstimate.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PrefillRateEstimate.java
@@ -35,22 +35,35 @@
     /** Limit on the tokens queued before a sample, relative to its own; the known queue is outdated by up to 250 ms. */
     static final double MAX_QUEUE_RATIO = 0.25;
 
+    /**
+     * Limit on the time in which KV cache is fetched, relative to the rest of the time. It is an estimate, and a fetch may
+     * run beside a prefill queued before. Up to this limit, subtracting all of it changes the rate by less than the dead
+     * band of {@link FleetRates}.
+     */
+    static final double MAX_FETCH_RATIO = 0.25;
+
     private final Deque<Entry> entries = new ArrayDeque<>();
     private double knownTokensPerMilli;
 
     private record Entry(double tokensPerMilli, int samples, long atMillis) {}
 
     /**
-     * Returns the rate that a finished prefill shows, or empty if the prefill is too short or had to queue.
+     * Returns the rate that a finished prefill shows, or empty if the prefill is too short, had to queue, or
+     * followed a long fetch of KV cache.
      *
      * @param prefillTokens tokens that the engine prefilled
      * @param queuedTokens tokens queued at the engine when the prefill was sent
-     * @param elapsedMillis time from the send to the response, without the fetch of KV cache
+     * @param elapsedMillis time from the send to the response
+     * @param fetchMillis estimated part of it in which KV cache is fetched
      */
-    public static OptionalDouble sample(long prefillTokens, long queuedTokens, double elapsedMillis) {
-        boolean usable =
-                prefillTokens >= MIN_TOKENS && queuedTokens <= MAX_QUEUE_RATIO * prefillTokens && elapsedMillis >= 1;
-        return usable ? OptionalDouble.of((prefillTokens + queuedTokens) / elapsedMillis) : OptionalDouble.empty();
+    public static OptionalDouble sample(
+            long prefillTokens, long queuedTokens, double elapsedMillis, double fetchMillis) {
+        double workMillis = elapsedMillis - fetchMillis;
+        boolean usable = prefillTokens >= MIN_TOKENS
+                && queuedTokens <= MAX_QUEUE_RATIO * prefillTokens
+                && workMillis >= 1
+                && fetchMillis <= MAX_FETCH_RATIO * workMillis;
+        return usable ? OptionalDouble.of((prefillTokens + queuedTokens) / workMillis) : OptionalDouble.empty();
     }
 
     /** Records the rate of some samples. */
--- a/policy/src/test/java/org/wagtailcart/policy/placement/PrefillRateEstimateTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/PrefillRateEstimateTest.java
@@ -19,21 +19,38 @@
     /** Guards against samples whose time depends on the queue or on fixed delays rather than on the engine. */
     @ParameterizedTest
     @CsvSource({
-        "17000, 0, 480, 35.4",
-        "17000, 0, 200, 85",
-        "4000, 1000, 100, 50",
-        "4000, 1001, 100, -1",
-        "2499, 0, 50, -1",
-        "17000, 0, 0, -1"
+        "17000, 0, 480, 0, 35.4",
+        "17000, 0, 200, 0, 85",
+        "4000, 1000, 100, 0, 50",
+        "4000, 1001, 100, 0, -1",
+        "2499, 0, 50, 0, -1",
+        "17000, 0, 0, 0, -1",
+        "4000, 0, 90, 10, 50",
+        "4000, 0, 101, 20, 49.4",
+        "4000, 0, 90, 80, -1"
     })
     void onlyPrefillsThatAreMostlyOwnWorkAreSampled(
-            long tokens, long queuedTokens, double elapsedMillis, double expectedTokensPerMilli) {
-        assertThat(PrefillRateEstimate.sample(tokens, queuedTokens, elapsedMillis)
+            long tokens, long queuedTokens, double elapsedMillis, double fetchMillis, double expectedTokensPerMilli) {
+        assertThat(PrefillRateEstimate.sample(tokens, queuedTokens, elapsedMillis, fetchMillis)
                         .orElse(-1))
                 .isWithin(0.1)
                 .of(expectedTokensPerMilli);
     }
 
+    /**
+     * Guards against rates beyond the dead band from fetches of KV cache that ran beside a queued prefill, so that they took
+     * no time of their own, or took no more than a tenth of the estimate.
+     */
+    @ParameterizedTest
+    @CsvSource({"16, 0", "16, 16", "60, 0", "60, 6", "115, 0", "115, 12"})
+    void aWronglyEstimatedFetchDoesNotMakeTheRateTooHigh(double estimatedMillis, double trueMillis) {
+        double trueTokensPerMilli = 50;
+        double elapsedMillis = (3_720 + 900) / trueTokensPerMilli + trueMillis;
+        assertThat(PrefillRateEstimate.sample(3_720, 900, elapsedMillis, estimatedMillis)
+                        .orElse(trueTokensPerMilli))
+                .isAtMost((1 + FleetRates.DEAD_BAND) * trueTokensPerMilli);
+    }
+
     /** Guards against a rate that samples behind hidden queues, or one with a wrongly estimated cache, determine. */
     @Test
     void samplesBehindHiddenQueuesDoNotChangeTheRate() {
--- a/policy/src/test/java/org/wagtailcart/policy/placement/UnequalEnginesTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/UnequalEnginesTest.java
@@ -157,10 +157,8 @@
             double rate = PrefillRateEstimate.sample(
                             choice.prefillTokens(),
                             queued,
-                            endMillis
-                                    + overheadMillis
-                                    - nowMillis
-                                    - choice.times().fetchMillis())
+                            endMillis + overheadMillis - nowMillis,
+                            choice.times().fetchMillis())
                     .orElse(0);
             engine.freeAtMillis = endMillis;
             engine.pending.add(new Prefill(gateway, nowMillis, endMillis, choice.prefillTokens(), rate));
