Check a swap of roles by the roles that result

Cause: a swap of a fast and a slow engine started its pause of 60 s when it was planned, also if neither order was given; and if one of the two orders failed, the ratio stayed off by one engine, which is below the deviation that is corrected. Change: the planner counts the engines of a swap in the roles they are to have, and compares these with the real ones after 15 s, when an order without a reply has no effect any more. If one engine changed, it is ordered back, and that is checked too; if neither did, there is no pause. If one of them has left the list, the swap ends there.

--- a/policy/src/main/java/org/wagtailcart/policy/role/PrefillRatioPlanner.java
+++ b/policy/src/main/java/org/wagtailcart/policy/role/PrefillRatioPlanner.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.EngineRole;
 
 /**
@@ -47,6 +48,11 @@
     /** Decode engines needed for a swap, since one of them is out of service while it changes its role. */
     static final int MIN_DECODE_ENGINES_FOR_SWAP = 3;
 
+    /** Time after which a swap is checked; an order without a reply may still be executed for 15 s. */
+    static final long SWAP_CHECK_MILLIS = 15_000;
+
+    private static final long NO_SWAP_MILLIS = Long.MIN_VALUE / 4;
+
     private static final long NOT_IMBALANCED = Long.MAX_VALUE;
 
     /** Role of an engine and the time of its first observation in that role. */
@@ -56,7 +62,27 @@
 
     private long imbalancedSinceMillis = NOT_IMBALANCED;
     private long listChangedAtMillis;
-    private long swappedAtMillis = Long.MIN_VALUE / 4;
+    private long swappedAtMillis = NO_SWAP_MILLIS;
+    private @Nullable PendingSwap pendingSwap;
+
+    /**
+     * Swap whose orders may have failed.
+     *
+     * @param slowId engine that leaves the prefill role
+     * @param fastId engine that takes the prefill role
+     * @param undo whether both are to have their former roles again
+     * @param checkAtMillis time at which the roles of both show which orders had an effect
+     */
+    private record PendingSwap(String slowId, String fastId, boolean undo, long checkAtMillis) {
+        boolean contains(Engine engine) {
+            return engine.id().equals(slowId) || engine.id().equals(fastId);
+        }
+
+        /** Returns whether an engine of the swap is to be in the prefill role. */
+        boolean plansPrefill(Engine engine) {
+            return engine.id().equals(fastId) != undo;
+        }
+    }
 
     /**
      * State of an engine in the host list.
@@ -108,7 +134,11 @@
      */
     public List<RatioChange> plan(List<Engine> engines, int slots, boolean servingTraffic, long nowMillis) {
         recordEngines(engines, nowMillis);
-        int shortfall = targetPrefillCount(engines.size(), slots) - plannedPrefillCount(engines);
+        PendingSwap pending = pendingSwap;
+        if (pending != null && nowMillis >= pending.checkAtMillis()) {
+            return checkSwap(pending, engines, nowMillis);
+        }
+        int shortfall = targetPrefillCount(engines.size(), slots) - plannedPrefillCount(engines, pending);
         boolean imbalanced = shortfall != 0 && (!servingTraffic || Math.abs(shortfall) >= MIN_DEVIATION_ENGINES);
         imbalancedSinceMillis = imbalanced ? Math.min(imbalancedSinceMillis, nowMillis) : NOT_IMBALANCED;
         Optional<RatioChange> newEngineChange = servingTraffic && shortfall != 0
@@ -120,7 +150,7 @@
         // At system start, engines appear one after another.
         boolean settling = !servingTraffic && nowMillis - listChangedAtMillis < SETTLE_MILLIS;
         if (servingTraffic && shortfall == 0) {
-            return swap(engines, nowMillis);
+            return pending == null ? swap(engines, nowMillis) : List.of();
         }
         if (!imbalanced || settling) {
             return List.of();
@@ -157,10 +187,38 @@
         if (best.isEmpty()) {
             return List.of();
         }
+        String slowId = best.get().slow().id();
+        String fastId = best.get().fast().id();
         swappedAtMillis = nowMillis;
+        pendingSwap = new PendingSwap(slowId, fastId, false, nowMillis + SWAP_CHECK_MILLIS);
+        return List.of(new RatioChange(slowId, EngineRole.DECODE), new RatioChange(fastId, EngineRole.PREFILL));
+    }
+
+    /**
+     * Ends a swap by the roles that both engines have now. If only one of them changed, it is ordered back, and that order
+     * is checked too. If neither did, there is no pause before the next swap.
+     */
+    private List<RatioChange> checkSwap(PendingSwap pending, List<Engine> engines, long nowMillis) {
+        Optional<Engine> slow = find(engines, pending.slowId());
+        Optional<Engine> fast = find(engines, pending.fastId());
+        boolean slowChanged = slow.isPresent() && !slow.get().prefill();
+        boolean fastChanged = fast.isPresent() && fast.get().prefill();
+        boolean oneIsLost = slow.isEmpty() || fast.isEmpty();
+        if (oneIsLost || slowChanged == fastChanged) {
+            pendingSwap = null;
+            boolean noneChanged = !oneIsLost && !slowChanged && !pending.undo();
+            swappedAtMillis = noneChanged ? NO_SWAP_MILLIS : swappedAtMillis;
+            return List.of();
+        }
+        pendingSwap = new PendingSwap(pending.slowId(), pending.fastId(), true, nowMillis + SWAP_CHECK_MILLIS);
         return List.of(
-                new RatioChange(best.get().slow().id(), EngineRole.DECODE),
-                new RatioChange(best.get().fast().id(), EngineRole.PREFILL));
+                slowChanged
+                        ? new RatioChange(pending.slowId(), EngineRole.PREFILL)
+                        : new RatioChange(pending.fastId(), EngineRole.DECODE));
+    }
+
+    private static Optional<Engine> find(List<Engine> engines, String id) {
+        return engines.stream().filter(engine -> engine.id().equals(id)).findFirst();
     }
 
     /** Swap of the roles of a fast decode engine and a slow prefill engine. */
@@ -175,9 +233,14 @@
     }
 
     /** Returns the number of prefill engines after all pending orders, each of which switches an engine's role. */
-    private static int plannedPrefillCount(List<Engine> engines) {
+    private static int plannedPrefillCount(List<Engine> engines, @Nullable PendingSwap pending) {
         return (int) engines.stream()
-                .filter(engine -> engine.prefill() != engine.changing())
+                .filter(engine -> {
+                    if (pending != null && pending.contains(engine)) {
+                        return pending.plansPrefill(engine);
+                    }
+                    return engine.prefill() != engine.changing();
+                })
                 .count();
     }
 
@@ -198,6 +261,7 @@
     private Optional<RatioChange> newEngineChange(List<Engine> engines, boolean toPrefill, long nowMillis) {
         return engines.stream()
                 .filter(engine -> engine.prefill() != toPrefill && !engine.changing())
+                .filter(engine -> pendingSwap == null || !pendingSwap.contains(engine))
                 .filter(engine -> isNew(engine, nowMillis))
                 .min(Comparator.comparing((Engine engine) -> -engine.preference(toPrefill))
                         .thenComparing(Engine::id))
