Compare a uniform fleet with placement that has no rates

Cause: aUniformFleetIsServedExactlyAsBefore compared the placement with rates to the same code with no rates known, so that a change of preferences for all fleets went unnoticed. Change: the test has its own choice of the prefill engine as it was before rates: one speed of 50 tokens per ms, unweighted hashing, preferences of 4 and 0.7. Ruled out: a copy of the earlier class; only the choice of the prefill engine is compared.

--- a/policy/src/test/java/org/wagtailcart/policy/placement/UnequalEnginesTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/UnequalEnginesTest.java
@@ -5,10 +5,13 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -36,6 +39,9 @@
 
     private static final int GATEWAYS = 4;
     private static final double FETCH_TOKENS_PER_MILLI = 1_000;
+    /** Prefill rate that placement assumed for every engine before rates were learned. */
+    private static final double BASE_RATE = 50;
+
     private static final Location LOCATION = new Location("fes", Regions.SINGLE);
 
     /** Kinds of prompts of deployment B. */
@@ -61,6 +67,8 @@
 
     /** What placement knows of the speeds. */
     private enum Knowledge {
+        /** Placement that has no learned rates, kept here as it was before there were any. */
+        ABSENT,
         NONE,
         TRUE,
         LEARNED
@@ -119,6 +127,9 @@
         }
     }
 
+    /** Engine that prefills a prompt, tokens that it has to prefill and estimated time of the fetch. */
+    private record Placement(String engineId, int prefillTokens, double fetchMillis) {}
+
     private record Outcome(double goodput, List<String> engines) {}
 
     private static Outcome serve(Speeds speeds, double noise, double load, Knowledge knowledge, long seed) {
@@ -139,15 +150,14 @@
             String segment = kind + "-" + arrivals.nextInt(kind.segments);
             int gateway = arrivals.nextInt(GATEWAYS);
             double noiseFactor = Math.exp(noise * delays.nextGaussian());
-            PromptPlacement.Choice choice = place(engines, speeds, knowledge, kind, segment, gateway, nowMillis);
-            FakeEngine engine = engines.get(Integer.parseInt(
-                    java.util.Objects.requireNonNull(choice.prefill()).id().substring(1)));
+            Placement choice = place(engines, speeds, knowledge, kind, segment, gateway, nowMillis);
+            FakeEngine engine = engines.get(Integer.parseInt(choice.engineId().substring(1)));
             double startMillis = Math.max(nowMillis, engine.freeAtMillis);
             int tokens = engine.cache.containsKey(segment)
                     ? Math.min(kind.ownTokens, choice.prefillTokens())
                     : choice.prefillTokens();
             double endMillis = startMillis
-                    + choice.times().fetchMillis()
+                    + choice.fetchMillis()
                     + tokens
                             / (noiseFactor
                                     * attentionFactor(tokens)
@@ -158,7 +168,7 @@
                             choice.prefillTokens(),
                             queued,
                             endMillis + overheadMillis - nowMillis,
-                            choice.times().fetchMillis())
+                            choice.fetchMillis())
                     .orElse(0);
             engine.freeAtMillis = endMillis;
             engine.pending.add(new Prefill(gateway, nowMillis, endMillis, choice.prefillTokens(), rate));
@@ -195,7 +205,7 @@
         return Kind.SHORT;
     }
 
-    private static PromptPlacement.Choice place(
+    private static Placement place(
             List<FakeEngine> engines,
             Speeds speeds,
             Knowledge knowledge,
@@ -218,11 +228,53 @@
                         rates.prefillSpeed(engine.id)))
                 .collect(Collectors.toCollection(ArrayList::new));
         candidates.add(new EngineCandidate("decode", "fes", false, 64, 64, 0, 0, 1, 0));
+        if (knowledge == Knowledge.ABSENT) {
+            return placeWithoutRates(candidates, kind, segment);
+        }
         return PromptPlacement.choose(
                         candidates,
                         new PromptPlacement.PromptSize(kind.sharedTokens + kind.ownTokens, kind.sharedTokens, segment),
                         new PromptPlacement.EngineRates(FleetRates.DEFAULT_TOKENS_PER_MILLI, FETCH_TOKENS_PER_MILLI),
                         LOCATION)
+                .map(choice -> new Placement(
+                        Objects.requireNonNull(choice.prefill()).id(),
+                        choice.prefillTokens(),
+                        choice.times().fetchMillis()))
+                .orElseThrow();
+    }
+
+    /** Places a prompt at one speed, with the preferences that applied before rates were learned. */
+    private static Placement placeWithoutRates(List<EngineCandidate> candidates, Kind kind, String segment) {
+        String ownerId = candidates.stream()
+                .filter(EngineCandidate::prefillRole)
+                .map(EngineCandidate::id)
+                .max(Comparator.comparing(id -> PromptPlacement.rendezvousWeight(segment, id)))
+                .orElseThrow();
+        EngineCandidate source = candidates.stream()
+                .max(Comparator.comparing(EngineCandidate::cachedTokens)
+                        .thenComparing(engine -> engine.id().equals(ownerId))
+                        .thenComparing(EngineCandidate::id))
+                .orElseThrow();
+        Map<String, Placement> placements = new HashMap<>();
+        return candidates.stream()
+                .filter(EngineCandidate::prefillRole)
+                .min(Comparator.comparing((EngineCandidate engine) -> {
+                            int uncached = kind.sharedTokens + kind.ownTokens - engine.cachedTokens();
+                            int fetched = source.equals(engine) ? 0 : source.cachedTokens() - engine.cachedTokens();
+                            double fetchMillis =
+                                    PromptPlacement.FETCH_OVERHEAD_MILLIS + fetched / FETCH_TOKENS_PER_MILLI;
+                            boolean fetches = fetchMillis + PromptPlacement.MIN_FETCH_GAIN_MILLIS < fetched / BASE_RATE;
+                            int tokens = fetches ? uncached - fetched : uncached;
+                            placements.put(engine.id(), new Placement(engine.id(), tokens, fetches ? fetchMillis : 0));
+                            double preference = tokens > kind.ownTokens ? 4 : 0.7;
+                            double bonusMillis =
+                                    engine.id().equals(ownerId) ? preference * kind.sharedTokens / BASE_RATE : 0;
+                            return (engine.queuedTokens() + tokens) / BASE_RATE
+                                    + (fetches ? fetchMillis : 0)
+                                    - bonusMillis;
+                        })
+                        .thenComparing(EngineCandidate::id))
+                .map(engine -> Objects.requireNonNull(placements.get(engine.id())))
                 .orElseThrow();
     }
 
@@ -237,7 +289,7 @@
         }));
         Map<String, Double> known = new HashMap<>();
         switch (knowledge) {
-            case NONE -> {}
+            case ABSENT, NONE -> {}
             case TRUE ->
                 engines.forEach(engine -> known.put(engine.id, speeds.tokensPerMilli(engine.index, nowMillis)));
             case LEARNED ->
@@ -249,7 +301,7 @@
 
     private static Map<Knowledge, Double> goodputs(Speeds speeds, double noise, double load) {
         Map<Knowledge, Double> goodputs = new LinkedHashMap<>();
-        for (Knowledge knowledge : Knowledge.values()) {
+        for (Knowledge knowledge : EnumSet.complementOf(EnumSet.of(Knowledge.ABSENT))) {
             goodputs.put(
                     knowledge,
                     IntStream.range(0, 3)
@@ -299,14 +351,14 @@
                 load));
     }
 
-    /** Guards against a uniform fleet of the default speed that is served differently with learned rates. */
+    /** Guards against a uniform fleet of the default speed that is served differently than without any rates. */
     @ParameterizedTest
     @CsvSource({"0.5", "1"})
     void aUniformFleetIsServedExactlyAsBefore(double load) {
         Speeds uniform = (engine, nowMillis) -> FleetRates.DEFAULT_TOKENS_PER_MILLI;
         assertThat(serve(uniform, 0.05, load, Knowledge.LEARNED, 7)
                         .engines()
-                        .equals(serve(uniform, 0.05, load, Knowledge.NONE, 7).engines()))
+                        .equals(serve(uniform, 0.05, load, Knowledge.ABSENT, 7).engines()))
                 .isTrue();
     }
 
