Keep a failed check or an interrupt from losing a call

Cause: OkHttp, written in Kotlin, throws an undeclared InterruptedException while it connects. It passed GatewayCall.run, and the caller got no response; a cancel that a stopped executor rejects had the same effect. PlainCall.serve kept its in-flight count if covers threw. Change: UpstreamRequest reports an interrupt as SHUTTING_DOWN, not run unless a byte was sent; the call ends with it and no upstream is blamed. A rejected cancel runs in place. PlainCall ends its request in a finally block; no input was found that makes covers throw, so that this part has no test. Ruled out: socket reads, which an interrupt does not end; Okio's InterruptedIOException already ended with an error. Conclusion: no daemon code interrupts calls today; the faults were real in the gateway.

--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -345,15 +346,18 @@
     }
 
     /**
-     * Refuses the request if an attempt failed because the HTTP client cannot express it, which is no fault of an
-     * upstream; returns whether it did.
+     * Ends the request if an attempt failed for a reason that is no fault of an upstream: the HTTP client cannot express
+     * the request, or this thread was interrupted. Returns whether it did.
      */
-    final boolean refuseIfInexpressible(InFlightRequest inFlight, WagtailcartException error) {
-        if (error.code() != ResultCode.INVALID_ARGUMENT) {
+    final boolean endUnlessUpstreamFailed(InFlightRequest inFlight, WagtailcartException error, boolean ranBefore) {
+        if (error.code() != ResultCode.INVALID_ARGUMENT && error.code() != ResultCode.SHUTTING_DOWN) {
             return false;
         }
         inFlight.end();
-        refuse(error.code(), String.valueOf(error.getMessage()), 0);
+        if (error.runState() == RunState.NOT_RUN) {
+            markNotRun(ranBefore);
+        }
+        fail(error.code(), String.valueOf(error.getMessage()));
         return true;
     }
 
@@ -456,8 +460,7 @@
         }
         ended = true;
         if (cancel && currentRequest != null) {
-            UpstreamRequest sent = currentRequest;
-            context.requestExecutor().execute(sent::cancel);
+            cancel(currentRequest);
         }
         if (deadline != null) {
             deadline.cancel(false);
@@ -465,6 +468,15 @@
         return true;
     }
 
+    private void cancel(UpstreamRequest sent) {
+        try {
+            context.requestExecutor().execute(sent::cancel);
+        } catch (RejectedExecutionException e) {
+            // The executor has been shut down. The caller must get its response all the same.
+            sent.cancel();
+        }
+    }
+
     private synchronized void recordFirstByte() {
         if (firstByteMillis < 0) {
             firstByteMillis = nowMillis() - request.arrivedMillis();
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -61,21 +61,29 @@
                 giveUp(ResultCode.NO_UPSTREAM, "no replica of the service is available");
                 return;
             }
-            ShareRequest.Estimate estimate =
-                    context().registry().estimateWait(inFlight.get().upstream());
-            if (!share().covers(RequestCost.PLAIN_CALL, estimate)) {
-                inFlight.get().end();
-                refuseAboveShare(estimate.waitMillis());
-                return;
-            }
-            if (send(inFlight.get())) {
+            if (attempt(inFlight.get())) {
                 return;
             }
         }
         giveUp(ResultCode.QUEUE_FULL, "all replicas refused the request");
     }
 
-    /** Runs an attempt at one replica; returns whether the call is finished. */
+    /** Runs an attempt at one replica, or refuses the request; returns whether the call is finished. */
+    private boolean attempt(InFlightRequest inFlight) {
+        try {
+            ShareRequest.Estimate estimate = context().registry().estimateWait(inFlight.upstream());
+            if (!share().covers(RequestCost.PLAIN_CALL, estimate)) {
+                inFlight.end();
+                refuseAboveShare(estimate.waitMillis());
+                return true;
+            }
+            return send(inFlight);
+        } finally {
+            inFlight.end();
+        }
+    }
+
+    /** Sends the request to one replica; returns whether the call is finished. */
     private boolean send(InFlightRequest inFlight) {
         Upstream upstream = inFlight.upstream();
         excluded.add(upstream.id());
@@ -100,7 +108,6 @@
             return handleFailure(inFlight, e, ranBefore, sentAtMillis);
         } finally {
             run.ended(RunState.NOT_RUN, nowMillis());
-            inFlight.end();
         }
     }
 
@@ -178,7 +185,7 @@
 
     private boolean handleFailure(
             InFlightRequest inFlight, WagtailcartException error, boolean ranBefore, long sentAtMillis) {
-        if (isEnded() || refuseIfInexpressible(inFlight, error)) {
+        if (isEnded() || endUnlessUpstreamFailed(inFlight, error, ranBefore)) {
             return true;
         }
         boolean notRun = error.runState() == RunState.NOT_RUN;
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -225,7 +225,7 @@
                         "engine did not run the prefill");
             }
         } catch (WagtailcartException e) {
-            if (!isEnded() && !refuseIfInexpressible(inFlight, e)) {
+            if (!isEnded() && !endUnlessUpstreamFailed(inFlight, e, mayHaveRun())) {
                 inFlight.end(UpstreamOutcome.NO_RESPONSE, nowMillis());
                 excluded.add(engine.id());
                 if (e.runState() != RunState.NOT_RUN) {
@@ -467,7 +467,7 @@
             recordSilence(inFlight);
             return StreamEnd.DONE;
         }
-        if (refuseIfInexpressible(inFlight, error)) {
+        if (endUnlessUpstreamFailed(inFlight, error, ranBefore)) {
             return StreamEnd.DONE;
         }
         inFlight.end(UpstreamOutcome.NO_RESPONSE, nowMillis());
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamRequest.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamRequest.java
@@ -67,7 +67,7 @@
         for (int stale = 0; ; stale++) {
             Call current = nextCall(newConnection);
             try {
-                Response response = current.execute();
+                Response response = send(current);
                 response.body().source().timeout().timeout(timeouts.readMillis(), TimeUnit.MILLISECONDS);
                 return new UpstreamResponse(
                         response,
@@ -96,6 +96,21 @@
         }
     }
 
+    /**
+     * Sends a call. While OkHttp connects, it throws InterruptedException without declaring it, because it is written
+     * in Kotlin.
+     */
+    private static Response send(Call current) throws IOException {
+        try {
+            return current.execute();
+        } catch (IOException | RuntimeException e) {
+            throw e;
+        } catch (Exception e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException(e.toString());
+        }
+    }
+
     private void record(UnexpectedResponse kind, String reason) {
         ConnectionUse use = connectionUse();
         client.unexpectedResponses().record(kind, use.requestId(), address, use, reason);
@@ -120,6 +135,12 @@
     }
 
     private WagtailcartException failure(IOException e) {
+        if (Thread.currentThread().isInterrupted()) {
+            return new WagtailcartException(
+                    ResultCode.SHUTTING_DOWN,
+                    guard.sent() ? RunState.MAY_HAVE_RUN : RunState.NOT_RUN,
+                    "interrupted while waiting for an upstream");
+        }
         if (!guard.sent()) {
             return new WagtailcartException(ResultCode.CONNECT_FAILED, "request was not sent: " + e, e);
         }
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -390,6 +390,11 @@
         return role;
     }
 
+    /** Interrupts the calls in progress and lets no further one start. */
+    void interruptCalls() {
+        traffic.shutdownNow();
+    }
+
     @Override
     public void close() {
         role.close();
