Limit the request head at an entry

Cause: the entry left Undertow's default of 1 MiB for a request head in force, the gateway has 64 KiB. Change: both use HttpRequestHead.MAX_BYTES. The refusal is the same: 400 without a body, then the connection is closed. Ruled out: an error body. Undertow answers before a handler sees the request, in the gateway too.

--- a/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
+++ b/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
@@ -26,6 +26,7 @@
 import org.wagtailcart.entry.admission.WorkspaceRateLimiter;
 import org.wagtailcart.entry.call.CallContext;
 import org.wagtailcart.entry.call.StageCounters;
+import org.wagtailcart.entry.request.HttpRequestHead;
 import org.wagtailcart.entry.request.PoolDirectory;
 import org.wagtailcart.entry.request.RequestKind;
 import org.wagtailcart.policy.routing.Router;
@@ -131,6 +132,7 @@
                 .setServerOption(UndertowOptions.DECODE_URL, false)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_HEAD_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, HttpRequestHead.MAX_BYTES)
                 .setWorkerThreads(1)
                 .setHandler(new HttpContinueReadHandler(handler))
                 .build();
--- a/entry/src/main/java/org/wagtailcart/entry/request/HttpRequestHead.java
+++ b/entry/src/main/java/org/wagtailcart/entry/request/HttpRequestHead.java
@@ -15,6 +15,12 @@
  * @param headers header lines, name and value alternating
  */
 public record HttpRequestHead(String method, String path, String query, List<String> headers) {
+    /**
+     * Limit on the request line and header lines that a listener accepts. Without one, each open connection may hold
+     * 1 MiB of a process with a heap of 160 MB.
+     */
+    public static final int MAX_BYTES = 64 << 10;
+
     /** Returns the first value of a header. */
     public Optional<String> header(String name) {
         return HeaderLines.first(headers, name);
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -23,6 +23,7 @@
 import org.wagtailcart.common.RoleService;
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.directory.HostList;
+import org.wagtailcart.entry.request.HttpRequestHead;
 import org.wagtailcart.gateway.call.GatewayContext;
 import org.wagtailcart.gateway.call.OpenCalls;
 import org.wagtailcart.gateway.call.RequestMetrics;
@@ -50,8 +51,6 @@
     private static final int HEAD_MILLIS = 10_000;
     /** Idle timeout of a connection; longer than the idle timeout of callers, so that they close it first. */
     private static final int IDLE_MILLIS = 120_000;
-
-    private static final int MAX_HEAD_BYTES = 64 << 10;
     /** Time before the process is killed in which the error responses to its open requests are sent. */
     private static final long ERROR_RESPONSE_MILLIS = 500;
     /** Limit on the random incarnation, above which the numbers of usage batches would overflow. */
@@ -170,7 +169,7 @@
                 .setServerOption(UndertowOptions.DECODE_URL, false)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MILLIS)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, HttpRequestHead.MAX_BYTES)
                 // ReadDelayMonitor observes a single thread.
                 .setIoThreads(1)
                 .setWorkerThreads(1)
