Name the local calculator and check for a workspace once

Cause: ownAccount in ShareLimiter did not say that it computes shares from the demand of this gateway alone; CallShare and WorkspaceLimits both checked for an empty workspace; GatewayTestHarness.withReserve always used the default reserve. Change: localCalculator, localFractions, localCapacity; only WorkspaceLimits asks ShareRequest.hasWorkspace; the harness passes the reserve on. Ruled out: keeping the check in CallShare, which WorkspaceLimitsTest does not cover. Conclusion: no change of behaviour.

--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayDump.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayDump.java
@@ -21,7 +21,7 @@
  * @param retriesLeft lowest number of remaining retries of any service
  * @param upstreams upstreams in the host list
  * @param work requests and queued prompt tokens of this gateway at each upstream
- * @param sharesKnown whether the leader's shares of workspaces are known; otherwise the gateway limits by its own account
+ * @param sharesKnown whether the leader's shares of workspaces are known; otherwise the gateway limits by its own demand
  * @param workspaces workspaces with recent demand, at most 100
  * @param quarantined prompt segments whose requests are refused
  * @param keys workspaces and the check of their keys
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/CallShare.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallShare.java
@@ -7,7 +7,7 @@
 
 /**
  * One call's part in the share of its workspace. A call is decided on and counted once, before anything is sent; later
- * attempts belong to the same request. A call without a workspace is always covered. Not thread safe.
+ * attempts belong to the same request. Not thread safe.
  */
 final class CallShare {
     private final GatewayContext context;
@@ -24,7 +24,7 @@
 
     /** Returns whether the share of the workspace covers the request. */
     boolean covers(double cost, ShareRequest.Estimate estimate) {
-        if (request.workspace().isEmpty() || counted != null) {
+        if (counted != null) {
             return true;
         }
         ShareRequest asked = shareRequest(cost, estimate);
@@ -39,7 +39,7 @@
     void recordRefused(double cost, ShareRequest.Estimate estimate) {
         if (counted != null) {
             recordRefusedByUpstreams();
-        } else if (!request.workspace().isEmpty() && estimate.waitMillis() > 0) {
+        } else if (estimate.waitMillis() > 0) {
             context.workspaceLimits().recordRefused(shareRequest(cost, estimate));
         }
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/share/WorkspaceLimits.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/share/WorkspaceLimits.java
@@ -32,11 +32,11 @@
      * @param gateways number of gateways, at least 1
      */
     public synchronized ShareLimiter.Decision decide(ShareRequest request, int gateways) {
-        if (request.workspace().isEmpty()) {
+        if (!request.hasWorkspace()) {
             return ShareLimiter.Decision.ADMIT;
         }
         long nowMillis = clock.nowMillis();
-        // A gateway that is cut off polls less often than its account needs observations.
+        // A gateway that is cut off polls less often than the local calculator needs observations.
         limiter.observe(() -> meter.demand(nowMillis), nowMillis);
         ShareLimiter.Decision decision = limiter.decide(request, gateways, nowMillis);
         if (decision == ShareLimiter.Decision.REFUSE) {
@@ -50,19 +50,19 @@
 
     /** Counts a request that is refused because it would wait beyond its deadline. */
     public synchronized void recordRefused(ShareRequest request) {
-        if (!request.workspace().isEmpty()) {
+        if (request.hasWorkspace()) {
             meter.recordRefused(request.service(), request.workspace(), request.cost(), clock.nowMillis());
         }
     }
 
     /** Counts a request that was admitted and then refused by all upstreams. */
     public synchronized void recordRefusedByUpstreams(ShareRequest request) {
-        if (!request.workspace().isEmpty()) {
+        if (request.hasWorkspace()) {
             meter.recordRefusedByUpstreams(request.service(), request.workspace(), request.cost(), clock.nowMillis());
         }
     }
 
-    /** Returns the demand of the last second, for the next report and for the gateway's own account. */
+    /** Returns the demand of the last second, for the next report and for the shares at this gateway alone. */
     public synchronized List<WorkspaceDemand> demand() {
         long nowMillis = clock.nowMillis();
         List<WorkspaceDemand> demand = meter.demand(nowMillis);
@@ -81,7 +81,7 @@
         return refusals;
     }
 
-    /** Returns whether the shares of the leader are valid; otherwise this gateway limits by its own account. */
+    /** Returns whether the shares of the leader are valid; otherwise this gateway limits by its own demand. */
     public synchronized boolean hasShares() {
         return limiter.hasShares(clock.nowMillis());
     }
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -141,7 +141,7 @@
                 ready,
                 List.of(new Address("127.0.0.1", 1)),
                 RETRY_RATIO,
-                RETRY_RESERVE,
+                retryReserve,
                 10_000,
                 shutdownGraceMillis,
                 shutdownLimitMillis,
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
@@ -11,7 +11,7 @@
 
 /**
  * Limits the requests of workspaces that ask for more than their share of a contended service. The leader of the
- * control group says which these are. While a gateway gets no shares from it, it limits them by its own account, with
+ * control group says which these are. While a gateway gets no shares from it, it computes them from its own demand, with
  * the capacity of the service divided by the number of gateways. Deterministic; not thread safe.
  */
 public final class ShareLimiter {
@@ -28,7 +28,8 @@
     static final int MAX_COUNTERS = 2_000;
 
     private final String gatewayId;
-    private final ShareCalculator ownAccount = new ShareCalculator();
+    /** Calculator of the shares at this gateway alone, from its own demand, for the time without the leader. */
+    private final ShareCalculator localCalculator = new ShareCalculator();
     private final Map<Key, Double> fractions = new HashMap<>();
     private final Map<String, Double> capacities = new HashMap<>();
     private long sharesExpireAtMillis = Long.MIN_VALUE;
@@ -75,8 +76,8 @@
 
     /** Observes the demand at this gateway if that is due, for the time without the leader. */
     public void observe(Supplier<List<WorkspaceDemand>> ownDemand, long nowMillis) {
-        if (ownAccount.observationDue(nowMillis)) {
-            ownAccount.observe(ownDemand.get(), nowMillis);
+        if (localCalculator.observationDue(nowMillis)) {
+            localCalculator.observe(ownDemand.get(), nowMillis);
         }
     }
 
@@ -109,19 +110,19 @@
         Key key = new Key(service, workspace);
         Double fraction = hasShares(nowMillis)
                 ? fractions.get(key)
-                : ownFractions(service, gateways, nowMillis).get(workspace);
+                : localFractions(service, gateways, nowMillis).get(workspace);
         return fraction == null ? OptionalDouble.empty() : OptionalDouble.of(fraction);
     }
 
-    private Map<String, Double> ownFractions(String service, int gateways, long nowMillis) {
-        return ownAccount.contended(nowMillis).stream()
+    private Map<String, Double> localFractions(String service, int gateways, long nowMillis) {
+        return localCalculator.contended(nowMillis).stream()
                 .filter(observed -> observed.service().equals(service))
-                .map(observed -> ownCapacity(observed, gateways, nowMillis))
-                .flatMap(capacity -> ownAccount.shares(capacity).stream())
+                .map(observed -> localCapacity(observed, gateways, nowMillis))
+                .flatMap(capacity -> localCalculator.shares(capacity).stream())
                 .collect(Collectors.toMap(WorkspaceShare::workspace, WorkspaceShare::admitFraction));
     }
 
-    private ServiceCapacity ownCapacity(ServiceCapacity observed, int gateways, long nowMillis) {
+    private ServiceCapacity localCapacity(ServiceCapacity observed, int gateways, long nowMillis) {
         Double ofAllGateways = nowMillis < capacitiesExpireAtMillis ? capacities.get(observed.service()) : null;
         return ofAllGateways == null
                 ? observed
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareRequest.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareRequest.java
@@ -4,7 +4,7 @@
  * A request that is about to be sent, as the limits on workspaces see it.
  *
  * @param service service that it is for
- * @param workspace workspace of its caller
+ * @param workspace workspace of its caller, empty for none
  * @param cost its cost, see {@link RequestCost}
  * @param endangered whether it would wait behind other requests for so long that it, or a request of another kind behind
  *     it, may miss its target
@@ -30,6 +30,11 @@
      */
     public record Estimate(double waitMillis, double totalMillis) {}
 
+    /** Returns whether its caller has a workspace; a request without one is neither measured nor limited. */
+    public boolean hasWorkspace() {
+        return !workspace.isEmpty();
+    }
+
     /**
      * Returns a request with the given estimate.
      *
