Give workspaces weights and quotas

Change: fields weight and quota_per_s of the operator's JSON, two fields at the end of Workspace, weights in FairShare.Claim at the leader and at gateways without it, QuotaAccount and QuotaLimiter in policy/share. The account travels in the lists of demand and shares with an empty service, so that messages without quotas are unchanged. A request beyond the quota is refused before a place is chosen. Entry: setting weight (WeightedQueue), requests-per-second with a Retry-After. Conclusion: in one second at most the quota and one request for each gateway. Daemon tests were not run.

--- a/control/src/main/java/org/wagtailcart/control/watch/DemandTracker.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/DemandTracker.java
@@ -5,16 +5,22 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.LogEventKind;
+import org.wagtailcart.policy.share.QuotaAccount;
 import org.wagtailcart.policy.share.ServiceCapacity;
 import org.wagtailcart.policy.share.ShareCalculator;
 import org.wagtailcart.policy.share.WorkspaceDemand;
 import org.wagtailcart.policy.share.WorkspaceShare;
+import org.wagtailcart.workspace.WorkspaceTable;
 
-/** Adds up the demand of workspaces that gateways report and derives their shares. Not thread safe. */
+/**
+ * Adds up the demand of workspaces that gateways report and derives their shares and the parts of their quotas. Not
+ * thread safe.
+ */
 final class DemandTracker {
     private static final Logger LOG = System.getLogger(DemandTracker.class.getName());
     /** Validity of a report: the window that it covers and two polls. */
@@ -31,13 +37,28 @@
     private final Map<String, DemandReport> reportsByProcess = new HashMap<>();
     private final Map<String, Long> sentAtMillisByProcess = new HashMap<>();
     private final ShareCalculator calculator = new ShareCalculator();
+    private final QuotaAccount quotas = new QuotaAccount();
+    private @Nullable WorkspaceTable workspaces;
     private List<ServiceCapacity> contended = List.of();
     private List<WorkspaceShare> shares = List.of();
     private Set<String> loggedServices = Set.of();
 
+    /** Installs the weights and quotas of the workspaces of a routing table. */
+    void install(@Nullable WorkspaceTable table) {
+        if (!Objects.equals(table, workspaces)) {
+            workspaces = table;
+            calculator.weights(table == null ? Map.of() : table.weightsByName());
+            quotas.quotas(table == null ? Map.of() : table.quotasByName());
+        }
+    }
+
     /** Replaces the demand of a gateway. */
     void record(String processId, List<WorkspaceDemand> demand, long nowMillis) {
-        reportsByProcess.put(processId, new DemandReport(nowMillis + RETENTION_MILLIS, demand));
+        quotas.record(processId, demand, nowMillis);
+        List<WorkspaceDemand> ofServices = demand.stream()
+                .filter(entry -> !entry.service().equals(QuotaAccount.SERVICE))
+                .toList();
+        reportsByProcess.put(processId, new DemandReport(nowMillis + RETENTION_MILLIS, ofServices));
     }
 
     /** Returns the contended services, null during the first second, in which the shares are not known yet. */
@@ -53,6 +74,11 @@
         return shares;
     }
 
+    /** Returns the parts of a gateway in the quotas of workspaces. */
+    List<WorkspaceShare> quotaParts(String processId, int gateways) {
+        return quotas.partsOf(processId, gateways);
+    }
+
     /** Computes the shares if that is due; many gateways ask for them. */
     private void observe(long nowMillis) {
         if (!calculator.observationDue(nowMillis)) {
@@ -60,6 +86,7 @@
         }
         reportsByProcess.values().removeIf(report -> report.expiresAtMillis() < nowMillis);
         sentAtMillisByProcess.keySet().retainAll(reportsByProcess.keySet());
+        quotas.retain(reportsByProcess.keySet());
         calculator.observe(
                 reportsByProcess.values().stream()
                         .flatMap(report -> report.demand().stream())
--- a/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/FleetReports.java
@@ -1,6 +1,7 @@
 package org.wagtailcart.control.watch;
 
 import java.util.List;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.control.client.FleetReport;
 import org.wagtailcart.control.client.GatewayReport;
@@ -8,6 +9,7 @@
 import org.wagtailcart.policy.placement.EngineRate;
 import org.wagtailcart.policy.share.ServiceCapacity;
 import org.wagtailcart.policy.share.WorkspaceShare;
+import org.wagtailcart.workspace.WorkspaceTable;
 
 /** Collects the reports of gateways and derives from them what all gateways are told. Not thread safe. */
 final class FleetReports {
@@ -19,6 +21,11 @@
         this.usage = usage;
     }
 
+    /** Installs the weights and quotas of the workspaces of a routing table. */
+    void install(@Nullable WorkspaceTable workspaces) {
+        demand.install(workspaces);
+    }
+
     /** Records the report of a gateway. */
     void record(String processId, GatewayReport report, long nowMillis) {
         usage.record(processId, report.wallClockMillis(), report.usage(), nowMillis);
@@ -31,11 +38,15 @@
         return engineRates.rates();
     }
 
-    /** Returns the reply to a gateway. */
-    FleetReport replyTo(String processId, long nowMillis) {
+    /**
+     * Returns the reply to a gateway.
+     *
+     * @param gateways number of gateways
+     */
+    FleetReport replyTo(String processId, int gateways, long nowMillis) {
         EngineRateLog.Page rates = engineRates.pageFor(processId);
         List<ServiceCapacity> contended = contendedIfDue(processId, nowMillis);
-        List<WorkspaceShare> shares = contended == null ? List.of() : demand.shares(nowMillis);
+        List<WorkspaceShare> shares = contended == null ? List.of() : shares(processId, gateways, nowMillis);
         return new FleetReport(
                 usage.trueTimeMillis(nowMillis).orElse(0),
                 usage.acknowledged(processId),
@@ -45,6 +56,11 @@
                 contended);
     }
 
+    private List<WorkspaceShare> shares(String processId, int gateways, long nowMillis) {
+        return Stream.concat(demand.shares(nowMillis).stream(), demand.quotaParts(processId, gateways).stream())
+                .toList();
+    }
+
     /** Returns the contended services, null when they are unknown or were sent to the gateway shortly before. */
     private @Nullable List<ServiceCapacity> contendedIfDue(String processId, long nowMillis) {
         List<ServiceCapacity> contended = demand.contended(nowMillis);
--- a/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
+++ b/control/src/main/java/org/wagtailcart/control/watch/WatchHandler.java
@@ -75,6 +75,7 @@
             }
             GatewayReport report = request.report();
             if (report != null) {
+                fleetReports.install(table.get().workspaces());
                 fleetReports.record(request.processId(), report, nowMillis);
             }
             if (!hasNewer(request, nowMillis)) {
@@ -157,7 +158,7 @@
 
     /** Returns the reply to a gateway's report. Gateways prefer the leader, so that only it knows the whole demand. */
     private FleetReport fleetReply(String processId, RaftStatus raftStatus, long nowMillis) {
-        FleetReport reply = fleetReports.replyTo(processId, nowMillis);
+        FleetReport reply = fleetReports.replyTo(processId, gatewayTracker.activeCount(nowMillis), nowMillis);
         return raftStatus.role() == RaftStatus.Role.LEADER ? reply : reply.withoutShares();
     }
 
--- a/control/src/test/java/org/wagtailcart/control/ControlStateTest.java
+++ b/control/src/test/java/org/wagtailcart/control/ControlStateTest.java
@@ -75,7 +75,7 @@
         assertThat(authenticator
                         .decide(PresentedKey.of("kept"), true, 0, RevocationPolicy.LENIENT)
                         .workspace())
-                .hasValue(new Workspace("hule", List.of(kept), 1));
+                .hasValue(new Workspace("hule", List.of(kept), 1, 3, 0.5));
         assertThat(authenticator
                         .decide(PresentedKey.of("withdrawn"), true, 0, RevocationPolicy.LENIENT)
                         .verdict())
@@ -90,7 +90,7 @@
                 List.of(),
                 List.of(),
                 RequestLimits.DEFAULT,
-                new WorkspaceTable(salt, List.of(new Workspace("hule", digests, 1))));
+                new WorkspaceTable(salt, List.of(new Workspace("hule", digests, 1, 3, 0.5))));
     }
 
     /** Guards against two operators whose concurrent changes of the same revision are both accepted. */
--- a/control/src/test/java/org/wagtailcart/control/watch/DemandTrackerTest.java
+++ b/control/src/test/java/org/wagtailcart/control/watch/DemandTrackerTest.java
@@ -3,11 +3,18 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
+import org.wagtailcart.policy.share.QuotaAccount;
 import org.wagtailcart.policy.share.ServiceCapacity;
 import org.wagtailcart.policy.share.WorkspaceDemand;
 import org.wagtailcart.policy.share.WorkspaceShare;
+import org.wagtailcart.workspace.Workspace;
+import org.wagtailcart.workspace.WorkspaceTable;
 
 /** Guards against demand that is counted twice or after its gateway has stopped, and wrong shares after a leader change. */
 class DemandTrackerTest {
@@ -46,6 +53,49 @@
         assertThat(greedyFraction(5_000)).isWithin(0.02).of((1.05 * 450 - 50) / 900);
     }
 
+    private static Workspace workspace(String name, @Nullable Integer weight, @Nullable Double quota) {
+        return new Workspace(name, List.of(), null, weight, quota);
+    }
+
+    /** Guards against weights of the routing table that do not reach the shares. */
+    @Test
+    void sharesFollowTheWeightsOfTheTable() {
+        tracker.install(new WorkspaceTable(new byte[0], List.of(workspace("three", 3, null))));
+        for (long now = 0; now <= 5_000; now += 250) {
+            tracker.record(
+                    "g",
+                    List.of(
+                            new WorkspaceDemand("s", "one", 800, 200, 5, 0),
+                            new WorkspaceDemand("s", "three", 800, 200, 5, 0)),
+                    now);
+            tracker.contended(now);
+        }
+        Map<String, Double> fractions = tracker.shares(5_000).stream()
+                .collect(Collectors.toMap(WorkspaceShare::workspace, WorkspaceShare::admitFraction));
+        assertThat(fractions.getOrDefault("three", 0.0)).isWithin(0.001).of(3 * fractions.getOrDefault("one", 0.0));
+    }
+
+    /** Guards against parts that exceed a quota, and requests of a quota that count as demand for a service. */
+    @Test
+    void partsOfAQuotaAddUpToItAndAreNoShares() {
+        tracker.install(new WorkspaceTable(new byte[0], List.of(workspace("w", null, 40.0))));
+        for (long now = 0; now <= 5_000; now += 250) {
+            for (int i = 0; i < GATEWAYS; i++) {
+                WorkspaceDemand demand = new WorkspaceDemand(QuotaAccount.SERVICE, "w", 5.0 * i, 2 * i, 3 * i, 0);
+                tracker.record("g" + i, i == 0 ? List.of() : List.of(demand), now);
+                tracker.contended(now);
+            }
+        }
+        assertThat(tracker.contended(5_000)).isEmpty();
+        assertThat(tracker.shares(5_000)).isEmpty();
+        double sum = IntStream.range(0, GATEWAYS)
+                .mapToDouble(i -> tracker.quotaParts("g" + i, GATEWAYS).get(0).admitFraction())
+                .sum();
+        assertThat(sum).isWithin(0.001).of(1);
+        tracker.install(null);
+        assertThat(tracker.quotaParts("g1", GATEWAYS)).isEmpty();
+    }
+
     /** Guards against a new leader that limits by a part of the demand: the fraction is right with a few gateways. */
     @Test
     void newLeaderWithReportsOfAFewGatewaysSendsTheSameFraction() {
--- a/entry/src/main/java/org/wagtailcart/entry/CallerRequestHandler.java
+++ b/entry/src/main/java/org/wagtailcart/entry/CallerRequestHandler.java
@@ -11,6 +11,8 @@
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
@@ -33,6 +35,7 @@
 import org.wagtailcart.entry.request.RequestBodyReader;
 import org.wagtailcart.entry.request.RequestClassifier;
 import org.wagtailcart.entry.request.RequestKind;
+import org.wagtailcart.policy.share.RetryAfter;
 
 /**
  * HTTP handler of the caller listener: serves health checks and the model list, reads request bodies, applies the
@@ -45,6 +48,9 @@
     /** Time within which a body must arrive; without it, a caller that never sends its body would delay a shutdown. */
     private static final long BODY_TIMEOUT_MILLIS = 30_000;
 
+    /** Least time after which a caller above its rate limit should retry. */
+    private static final long LEAST_RETRY_AFTER_MILLIS = 100;
+
     private static final Logger LOG = System.getLogger(CallerRequestHandler.class.getName());
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -233,7 +239,7 @@
             return;
         }
         try {
-            admit(request);
+            admit(request, response);
         } catch (WagtailcartException e) {
             sendError(response, Stage.ADMIT, withRunStateForKey(exchange, ErrorResponse.of(e)));
             return;
@@ -241,7 +247,7 @@
         start(exchange, request, response);
     }
 
-    private void admit(CallerRequest request) {
+    private void admit(CallerRequest request, CallerResponse response) {
         if (!context.newWorkPolicy().allows(request.kind())) {
             throw leaseExpired();
         }
@@ -256,12 +262,26 @@
                 limit,
                 context.view().entryCount(),
                 context.clock().nowMillis())) {
+            response.setHeader(Headers.RETRY_AFTER_STRING, retryAfterSeconds(request, rateLimitKey, limit));
             throw new WagtailcartException(
                     ResultCode.WORKSPACE_LIMIT,
                     "workspace \"" + request.workspace() + "\" is over its limit of " + limit + " requests per second");
         }
     }
 
+    /** Returns when the workspace may send again, spread so that callers refused together do not return together. */
+    private String retryAfterSeconds(CallerRequest request, String rateLimitKey, long limit) {
+        long nowMillis = context.clock().nowMillis();
+        double waitMillis = (double)
+                rateLimiter.millisUntilNext(rateLimitKey, limit, context.view().entryCount(), nowMillis);
+        long afterMillis = RetryAfter.millis(
+                waitMillis,
+                request.deadlineMillis() - nowMillis,
+                ThreadLocalRandom.current().nextDouble(),
+                LEAST_RETRY_AFTER_MILLIS);
+        return String.format(Locale.ROOT, "%.2f", afterMillis / 1_000.0);
+    }
+
     private static WagtailcartException leaseExpired() {
         return new WagtailcartException(
                 ResultCode.SETTINGS_LEASE_EXPIRED, "settings are not confirmed by the control group");
--- a/entry/src/main/java/org/wagtailcart/entry/EntryDump.java
+++ b/entry/src/main/java/org/wagtailcart/entry/EntryDump.java
@@ -11,6 +11,7 @@
  * @param waitingRequests requests queued for an upstream
  * @param routedAttempts attempts to which a route is assigned
  * @param trackedWorkspaces workspaces tracked by the rate limiter
+ * @param workspaceWeights number of workspaces with a weight in the settings
  */
 public record EntryDump(
         boolean ready,
@@ -20,4 +21,5 @@
         int openRequests,
         int waitingRequests,
         int routedAttempts,
-        int trackedWorkspaces) {}
+        int trackedWorkspaces,
+        int workspaceWeights) {}
--- a/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
+++ b/entry/src/main/java/org/wagtailcart/entry/EntryRole.java
@@ -185,7 +185,8 @@
                 handler.openRequests(),
                 dispatcher.queuedCount(),
                 dispatcher.routedCount(),
-                rateLimiter.trackedCount());
+                rateLimiter.trackedCount(),
+                pools.weights().size());
     }
 
     @Override
--- a/entry/src/main/java/org/wagtailcart/entry/admission/PendingRequest.java
+++ b/entry/src/main/java/org/wagtailcart/entry/admission/PendingRequest.java
@@ -10,6 +10,7 @@
  * A request that waits for a route.
  *
  * @param attemptId attempt to which the route is assigned
+ * @param workspace workspace of the caller
  * @param kind kind of the upstream
  * @param request input of the router
  * @param subjectToAdmission whether the queue limit and early rejection apply; they do not for work that has already
@@ -19,6 +20,7 @@
  */
 public record PendingRequest(
         String attemptId,
+        String workspace,
         UpstreamKind kind,
         RoutingRequest request,
         boolean subjectToAdmission,
--- a/entry/src/main/java/org/wagtailcart/entry/admission/RequestDispatcher.java
+++ b/entry/src/main/java/org/wagtailcart/entry/admission/RequestDispatcher.java
@@ -1,8 +1,6 @@
 package org.wagtailcart.entry.admission;
 
-import java.util.ArrayDeque;
 import java.util.Collection;
-import java.util.Deque;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -10,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.EngineTarget;
@@ -29,7 +26,7 @@
 
 /**
  * Dispatcher of requests to the router: serialises access to the router and queues the requests for which no upstream
- * has capacity, by pool and priority. Decisions are delivered on the executor of each request, outside the lock.
+ * has capacity, by pool and priority, and within these by the weights of workspaces. Decisions are delivered on the executor of each request, outside the lock.
  */
 public final class RequestDispatcher {
     private static final int DEFAULT_QUEUE_LIMIT = 1_000;
@@ -37,7 +34,7 @@
     private final Router router;
     private final AdmissionController admission;
     private final MillisClock clock;
-    private final Map<PoolId, Map<Priority, Deque<PendingRequest>>> queues = new HashMap<>();
+    private final Map<PoolId, Map<Priority, WeightedQueue>> queues = new HashMap<>();
     private final Map<String, PoolId> poolByAttempt = new HashMap<>();
     private Map<PoolId, Set<String>> upstreamIdsByPool = Map.of();
     private PoolDirectory directory;
@@ -139,7 +136,7 @@
     public synchronized int queuedCount() {
         return queues.values().stream()
                 .flatMap(byPriority -> byPriority.values().stream())
-                .mapToInt(Deque::size)
+                .mapToInt(WeightedQueue::size)
                 .sum();
     }
 
@@ -170,11 +167,11 @@
         Map<Priority, Integer> counts = queuedByPriority(pool);
         boolean routed = true;
         while (routed && counts.values().stream().anyMatch(count -> count > 0)) {
-            Deque<PendingRequest> queue = queue(pool, admission.nextPriority(pool.key(), counts));
-            PendingRequest first = withoutExhaustedExclusions(queue.getFirst());
-            routed = tryRoute(first);
+            WeightedQueue queue = queue(pool, admission.nextPriority(pool.key(), counts));
+            PendingRequest next = queue.next(directory.weights());
+            routed = tryRoute(withoutExhaustedExclusions(next));
             if (routed) {
-                queue.removeFirst();
+                queue.remove(next, directory.weights());
             }
             counts = queuedByPriority(pool);
         }
@@ -196,6 +193,7 @@
                 Set.of());
         return new PendingRequest(
                 pending.attemptId(),
+                pending.workspace(),
                 pending.kind(),
                 unrestricted,
                 pending.subjectToAdmission(),
@@ -228,10 +226,9 @@
                         Map.Entry::getKey, entry -> entry.getValue().size()));
     }
 
-    private Deque<PendingRequest> queue(PoolId pool, Priority priority) {
-        Function<Priority, Deque<PendingRequest>> empty = absent -> new ArrayDeque<>();
+    private WeightedQueue queue(PoolId pool, Priority priority) {
         return queues.computeIfAbsent(pool, absent -> new EnumMap<>(Priority.class))
-                .computeIfAbsent(priority, empty);
+                .computeIfAbsent(priority, absent -> new WeightedQueue());
     }
 
     private int queueLimit(PoolId pool) {
--- a/entry/src/main/java/org/wagtailcart/entry/admission/WorkspaceRateLimiter.java
+++ b/entry/src/main/java/org/wagtailcart/entry/admission/WorkspaceRateLimiter.java
@@ -35,17 +35,28 @@
         if (requestsPerSecond <= 0) {
             return true;
         }
-        long costNanos = BURST_NANOS * Math.max(1, entries) / requestsPerSecond;
-        long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMillis);
-        long fullAt = Math.max(nowNanos, fullAtNanos.getOrDefault(workspace, nowNanos));
-        // A share below one request per second still admits one request when the allowance is full.
-        if (fullAt > nowNanos && fullAt + costNanos > nowNanos + BURST_NANOS) {
+        if (millisUntilNext(workspace, requestsPerSecond, entries, nowMillis) > 0) {
             return false;
         }
-        fullAtNanos.put(workspace, fullAt + costNanos);
+        long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMillis);
+        fullAtNanos.merge(workspace, nowNanos, Math::max);
+        fullAtNanos.merge(workspace, costNanos(requestsPerSecond, entries), Long::sum);
         return true;
     }
 
+    /** Returns the time until another request is within the limit, 0 if it is at once. */
+    public synchronized long millisUntilNext(String workspace, long requestsPerSecond, int entries, long nowMillis) {
+        long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMillis);
+        long fullInNanos = fullAtNanos.getOrDefault(workspace, nowNanos) - nowNanos;
+        // A share below one request per second still admits one request when the allowance is full.
+        long allowedNanos = Math.max(0, BURST_NANOS - costNanos(requestsPerSecond, entries));
+        return Math.max(0, -Math.floorDiv(allowedNanos - fullInNanos, TimeUnit.MILLISECONDS.toNanos(1)));
+    }
+
+    private static long costNanos(long requestsPerSecond, int entries) {
+        return BURST_NANOS * Math.max(1, entries) / requestsPerSecond;
+    }
+
     /** Returns the number of tracked workspaces. */
     public synchronized int trackedCount() {
         return fullAtNanos.size();
--- a/entry/src/main/java/org/wagtailcart/entry/call/AtMostOnceCallDriver.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/AtMostOnceCallDriver.java
@@ -160,6 +160,7 @@
         context.dispatcher()
                 .submit(new PendingRequest(
                         attemptId,
+                        request.workspace(),
                         UpstreamKind.SERVICE,
                         routing,
                         true,
--- a/entry/src/main/java/org/wagtailcart/entry/call/RetryableCall.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/RetryableCall.java
@@ -114,7 +114,14 @@
                 request.deadlineMillis(),
                 Set.copyOf(excluded));
         context.dispatcher()
-                .submit(new PendingRequest(attemptId, kind(), routing, subjectToAdmission, executor, routeListener()));
+                .submit(new PendingRequest(
+                        attemptId,
+                        request.workspace(),
+                        kind(),
+                        routing,
+                        subjectToAdmission,
+                        executor,
+                        routeListener()));
     }
 
     private UpstreamKind kind() {
--- a/entry/src/main/java/org/wagtailcart/entry/request/PoolDirectory.java
+++ b/entry/src/main/java/org/wagtailcart/entry/request/PoolDirectory.java
@@ -27,6 +27,7 @@
 
     private final SettingsTree settings;
     private final Optional<WorkspaceAuthenticator> authenticator;
+    private final Map<String, Integer> weights;
     private final Map<String, Pool> engines;
     private final Map<String, Pool> services;
 
@@ -55,6 +56,7 @@
     public PoolDirectory(SettingsTree settings, Collection<UpstreamView> upstreams) {
         this.settings = settings;
         this.authenticator = buildAuthenticator(settings);
+        this.weights = buildWeights(settings);
         Map<String, String> branchById = settings.branches().stream()
                 .filter(path -> path.startsWith(UPSTREAMS))
                 .collect(Collectors.toMap(PoolDirectory::lastSegment, Function.identity(), (a, b) -> b));
@@ -75,6 +77,20 @@
         return Optional.of(new WorkspaceAuthenticator(new WorkspaceTable(salt, workspaces)));
     }
 
+    private static Map<String, Integer> buildWeights(SettingsTree settings) {
+        return settings.branches().stream()
+                .filter(path -> path.startsWith(WORKSPACES))
+                .filter(path -> settings.ownValues(path).containsKey("weight"))
+                .collect(Collectors.toMap(
+                        PoolDirectory::lastSegment,
+                        path -> Integer.valueOf(settings.ownValues(path).getOrDefault("weight", "1"))));
+    }
+
+    /** Returns the weights of the workspaces whose own branch has one; the others have weight 1. */
+    public Map<String, Integer> weights() {
+        return weights;
+    }
+
     /** Returns the authenticator of callers, empty if the settings have no key digests. */
     public Optional<WorkspaceAuthenticator> authenticator() {
         return authenticator;
--- a/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryCallsTest.java
@@ -273,14 +273,20 @@
     void workspaceRateLimitIsEnforced() {
         control.set("/workspaces/w", "requests-per-second", "2");
         fixture.awaitInstalled();
-        List<Integer> statuses = IntStream.range(0, 12)
+        List<HttpResponse<String>> responses = IntStream.range(0, 12)
                 .mapToObj(i -> fixture.completeAsync(false, "Wagtailcart-Workspace", "w"))
                 .toList()
                 .stream()
-                .map(response -> response.join().statusCode())
+                .map(CompletableFuture::join)
                 .toList();
+        List<Integer> statuses =
+                responses.stream().map(HttpResponse::statusCode).toList();
         assertThat(statuses).contains(200);
         assertThat(statuses).contains(429);
+        responses.stream().filter(response -> response.statusCode() == 429).forEach(response -> assertThat(
+                        Double.parseDouble(
+                                response.headers().firstValue("Retry-After").orElse("0")))
+                .isGreaterThan(0.0));
         assertThat(fixture.complete(false).statusCode()).isEqualTo(200);
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayDump.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayDump.java
@@ -6,6 +6,7 @@
 import org.wagtailcart.control.client.SegmentQuarantineEntry;
 import org.wagtailcart.gateway.list.UpstreamState;
 import org.wagtailcart.gateway.report.UsageMeter;
+import org.wagtailcart.gateway.share.QuotaState;
 import org.wagtailcart.gateway.share.WorkspaceState;
 
 /**
@@ -26,6 +27,7 @@
  * @param quarantined prompt segments whose requests are refused
  * @param keys workspaces and the check of their keys
  * @param usage counts of requests that began to run, null if they are not counted
+ * @param quotas workspaces with a quota and recent requests, at most 100
  */
 public record GatewayDump(
         boolean ready,
@@ -42,4 +44,5 @@
         List<WorkspaceState> workspaces,
         List<SegmentQuarantineEntry> quarantined,
         KeyDump keys,
-        UsageMeter.@Nullable Dump usage) {}
+        UsageMeter.@Nullable Dump usage,
+        List<QuotaState> quotas) {}
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayMetrics.java
@@ -46,6 +46,8 @@
         gauge(registry, "gateway.workspaces-limited", () -> WorkspaceStates.countLimited(context));
         gauge(registry, "gateway.workspaces-refused", () -> context.workspaceLimits()
                 .refusals());
+        gauge(registry, "gateway.quotas", () -> context.workspaceLimits().quotaCount());
+        gauge(registry, "gateway.quota-refused", () -> context.workspaceLimits().quotaRefusals());
         gauge(registry, "gateway.shares-known", () -> context.workspaceLimits().hasShares() ? 1 : 0);
         gauge(registry, "gateway.in-flight", () -> context.registry().ownWork().stream()
                 .mapToInt(OutstandingWork::requests)
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -259,7 +259,8 @@
                         context.routeWatcher().routes().authenticator().orElse(null),
                         options.revocation(),
                         context.routeWatcher().ageMillis()),
-                usage.map(UsageMeter::dump).orElse(null));
+                usage.map(UsageMeter::dump).orElse(null),
+                WorkspaceStates.quotasOf(context));
     }
 
     @Override
--- a/gateway/src/main/java/org/wagtailcart/gateway/WorkspaceStates.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/WorkspaceStates.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import org.wagtailcart.gateway.call.GatewayContext;
+import org.wagtailcart.gateway.share.QuotaState;
 import org.wagtailcart.gateway.share.WorkspaceState;
 import org.wagtailcart.policy.share.WorkspaceDemand;
 
@@ -35,7 +36,17 @@
                 context.workspaceLimits()
                         .admitFraction(
                                 service, workspace, context.routeWatcher().gatewayCount())
-                        .orElse(1));
+                        .orElse(1),
+                context.workspaceLimits().weight(workspace));
+    }
+
+    static List<QuotaState> quotasOf(GatewayContext context) {
+        return context.workspaceLimits().quotaStates(context.routeWatcher().gatewayCount()).stream()
+                .sorted(Comparator.comparing(QuotaState::refusedPerSecond)
+                        .thenComparing(QuotaState::askedPerSecond)
+                        .reversed())
+                .limit(MAX_WORKSPACES)
+                .toList();
     }
 
     static long countLimited(GatewayContext context) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/CallShare.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallShare.java
@@ -1,5 +1,6 @@
 package org.wagtailcart.gateway.call;
 
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.policy.placement.RequestRank;
 import org.wagtailcart.policy.share.ShareLimiter;
@@ -16,12 +17,33 @@
     private @Nullable ShareRequest counted;
 
     private boolean aboveShare;
+    /** Whether the request is counted in the quota; a request may end on another thread than its own. */
+    private volatile boolean countedInQuota;
 
     CallShare(GatewayContext context, InboundRequest request) {
         this.context = context;
         this.request = request;
     }
 
+    /**
+     * Counts the request in the quota of its workspace.
+     *
+     * @return empty if it is admitted, otherwise the time until another request can be
+     */
+    OptionalLong tryAdmitWithinQuota() {
+        OptionalLong waitMillis = context.workspaceLimits()
+                .tryAdmit(request.workspace(), context.routeWatcher().gatewayCount());
+        countedInQuota = waitMillis.isEmpty();
+        return waitMillis;
+    }
+
+    /** Takes the request, which did not run, out of the quota. */
+    void withdrawFromQuota() {
+        if (countedInQuota) {
+            context.workspaceLimits().withdraw(request.workspace());
+        }
+    }
+
     /** Returns whether the share of the workspace covers the request. */
     boolean covers(double cost, ShareRequest.Estimate estimate) {
         if (counted != null) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -82,7 +82,9 @@
         context.openCalls().add(this);
         try {
             scheduleDeadline();
-            serve();
+            if (!endIfQuotaIsUsedUp()) {
+                serve();
+            }
         } catch (WagtailcartException e) {
             fail(e.code(), String.valueOf(e.getMessage()));
         } catch (RuntimeException e) {
@@ -387,6 +389,14 @@
         giveUp(code, text, retryAfterMillis(spreadRetryMillis(excessWaitMillis)));
     }
 
+    /** Ends the call if the quota of its workspace is used up, and otherwise counts it; returns whether it ended. */
+    private boolean endIfQuotaIsUsedUp() {
+        OptionalLong waitMillis = share.tryAdmitWithinQuota();
+        waitMillis.ifPresent(millis -> giveUpWait(
+                ResultCode.WORKSPACE_LIMIT, "workspace has used up its quota of requests per second", (double) millis));
+        return waitMillis.isPresent();
+    }
+
     /** Ends a request that the share of its workspace does not cover. */
     final void refuseAboveShare(double excessWaitMillis) {
         giveUpWait(
@@ -415,6 +425,9 @@
         if (!end(true)) {
             return;
         }
+        if (runState == RunState.NOT_RUN) {
+            share.withdrawFromQuota();
+        }
         ResultCode sentCode = codeConsistentWith(code, runState);
         caller.refuse(sentCode, runState, request.route().retryable(), text, retryAfterMillis);
         logEnded(code, sentCode.httpStatus(), runState, text);
--- a/gateway/src/main/java/org/wagtailcart/gateway/report/GatewayReports.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/report/GatewayReports.java
@@ -6,6 +6,7 @@
 import org.wagtailcart.gateway.list.UpstreamRegistry;
 import org.wagtailcart.gateway.share.WorkspaceLimits;
 import org.wagtailcart.policy.share.ServiceCapacity;
+import org.wagtailcart.routes.RouteTable;
 
 /** Composes the report of this gateway for each poll, and applies what the control group replies. Thread safe. */
 public final class GatewayReports {
@@ -26,13 +27,18 @@
         this.workspaceLimits = workspaceLimits;
     }
 
+    /** Installs the limits on workspaces of a routing table. */
+    public void install(RouteTable table) {
+        workspaceLimits.install(table.workspaces());
+    }
+
     /** Returns the report for the next poll. */
     public GatewayReport collect() {
         return new GatewayReport(
                 System.currentTimeMillis(),
                 usage.nextBatch().orElse(null),
                 upstreams.drainEngineRates(),
-                workspaceLimits.demand(),
+                workspaceLimits.report(),
                 upstreams.engineRatesVersion());
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/share/WorkspaceState.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/share/WorkspaceState.java
@@ -11,6 +11,7 @@
  * @param refusedPerSecond requests refused in the last second because the service was contended
  * @param admitFraction fraction of its requests that is admitted while they would wait, 1 for a workspace within its
  *     share
+ * @param weight weight of the workspace
  */
 public record WorkspaceState(
         String service,
@@ -19,4 +20,5 @@
         int running,
         int waiting,
         double refusedPerSecond,
-        double admitFraction) {}
+        double admitFraction,
+        int weight) {}
--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
@@ -282,6 +282,7 @@
             return;
         }
         registry.services(table.services());
+        reports.install(table);
         routes = new RouteIndex(table);
         LogEventKind.TABLE_INSTALLED.log(
                 LOG, Level.INFO, table.version(), table.routes().size(), workspaceCount(table), member, ageMillis);
--- a/gateway/src/test/java/org/wagtailcart/gateway/share/WorkspaceLimitsTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/share/WorkspaceLimitsTest.java
@@ -4,12 +4,17 @@
 
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
+import org.wagtailcart.policy.share.QuotaAccount;
 import org.wagtailcart.policy.share.ServiceCapacity;
 import org.wagtailcart.policy.share.ShareLimiter;
 import org.wagtailcart.policy.share.ShareRequest;
 import org.wagtailcart.policy.share.WorkspaceDemand;
 import org.wagtailcart.policy.share.WorkspaceShare;
+import org.wagtailcart.workspace.Workspace;
+import org.wagtailcart.workspace.WorkspaceTable;
 
 /**
  * Guards against limits without workspaces, and against a gateway without its leader that admits more than its part of
@@ -22,7 +27,7 @@
     private final WorkspaceLimits limits = new WorkspaceLimits("g1", nowMillis::get);
 
     private static ShareRequest request(String workspace, boolean waits) {
-        return new ShareRequest("s", workspace, 10, waits, 0, waits);
+        return new ShareRequest("s", workspace, 10, waits, 0, waits, waits);
     }
 
     private boolean admits(String workspace) {
@@ -76,6 +81,54 @@
         assertThat(admitted[1]).isEqualTo(5);
     }
 
+    private void install(@Nullable Double quotaPerSecond) {
+        limits.install(
+                new WorkspaceTable(new byte[0], List.of(new Workspace("w", List.of(), null, null, quotaPerSecond))));
+    }
+
+    @Test
+    void withoutAQuotaNothingIsReportedOrRefused() {
+        install(null);
+        assertThat(limits.tryAdmit("w", GATEWAYS)).isEmpty();
+        assertThat(limits.report()).isEmpty();
+        assertThat(limits.quotaStates(GATEWAYS)).isEmpty();
+    }
+
+    /** Guards against a quota of the leader that is ignored, or that is taken for the share of a service. */
+    @Test
+    void partOfTheLeaderIsAdmittedAndTheDemandReported() {
+        install(40.0);
+        limits.applyShares(List.of(), List.of(new WorkspaceShare(QuotaAccount.SERVICE, "w", 0.5)), 0);
+        assertThat(IntStream.range(0, 60)
+                        .filter(i -> limits.tryAdmit("w", GATEWAYS).isEmpty())
+                        .count())
+                .isEqualTo(20);
+        assertThat(limits.report()).hasSize(1);
+        assertThat(limits.demand()).isEmpty();
+        assertThat(limits.quotaRefusals()).isEqualTo(40);
+        assertThat(limits.quotaStates(GATEWAYS).get(0).allowedPerSecond()).isEqualTo(20.0);
+        nowMillis.addAndGet(ShareLimiter.SHARES_VALID_MILLIS);
+        assertThat(limits.quotaStates(GATEWAYS)).isEmpty();
+        assertThat(IntStream.range(0, 60)
+                        .filter(i -> limits.tryAdmit("w", GATEWAYS).isEmpty())
+                        .count())
+                .isAtMost(20);
+    }
+
+    /** Guards against parts of a leader that does not know quotas and treats them as a contended service. */
+    @Test
+    void sharesOfALeaderWithoutQuotasAreNoAccount() {
+        install(40.0);
+        limits.applyShares(
+                List.of(new ServiceCapacity(QuotaAccount.SERVICE, 1_000)),
+                List.of(new WorkspaceShare(QuotaAccount.SERVICE, "w", 1)),
+                0);
+        assertThat(IntStream.range(0, 60)
+                        .filter(i -> limits.tryAdmit("w", GATEWAYS).isEmpty())
+                        .count())
+                .isEqualTo(40 / GATEWAYS);
+    }
+
     /** After a leader change the shares of the new leader replace those of the former one at once. */
     @Test
     void sharesOfANewLeaderReplaceThoseOfTheFormerOne() {
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareCalculator.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareCalculator.java
@@ -57,6 +57,7 @@
     static final int MAX_SHARES = 500;
 
     private final Map<String, ServiceState> services = new HashMap<>();
+    private Map<String, Integer> weights = Map.of();
     private long observedAtMillis = Long.MIN_VALUE / 4;
     private long startMillis = Long.MAX_VALUE / 4;
 
@@ -112,13 +113,19 @@
             return nowMillis < contendedUntilMillis;
         }
 
-        List<FairShare.Claim> claims() {
+        List<FairShare.Claim> claims(Map<String, Integer> weights) {
             return askedByWorkspace.entrySet().stream()
-                    .map(entry -> new FairShare.Claim(entry.getKey(), entry.getValue(), 1))
+                    .map(entry -> new FairShare.Claim(
+                            entry.getKey(), entry.getValue(), weights.getOrDefault(entry.getKey(), 1)))
                     .toList();
         }
     }
 
+    /** Replaces the weights of workspaces; one without an entry has weight 1. */
+    public void weights(Map<String, Integer> weightByWorkspace) {
+        weights = weightByWorkspace;
+    }
+
     /**
      * Observes the demand that all known gateways report at present. After a gap, as in a member that leads again after
      * a time, it starts anew.
@@ -186,7 +193,7 @@
     /** Returns the workspaces that ask for more than their share of a service whose capacity is known. */
     public List<WorkspaceShare> shares(ServiceCapacity service) {
         List<FairShare.Claim> claims = Optional.ofNullable(services.get(service.service()))
-                .map(ServiceState::claims)
+                .map(state -> state.claims(weights))
                 .orElse(List.of());
         return FairShare.admitFractions(service.costPerSecond(), claims).entrySet().stream()
                 .map(entry -> new WorkspaceShare(service.service(), entry.getKey(), entry.getValue()))
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
@@ -30,11 +30,15 @@
     private final String gatewayId;
     /** Calculator of the shares at this gateway alone, from its own demand, for the time without the leader. */
     private final ShareCalculator localCalculator = new ShareCalculator();
+
     private final Map<Key, Double> fractions = new HashMap<>();
     private final Map<String, Double> capacities = new HashMap<>();
     private long sharesExpireAtMillis = Long.MIN_VALUE;
     private long capacitiesExpireAtMillis = Long.MIN_VALUE;
     private long created;
+    /** Whether any workspace has a weight. */
+    private boolean weighted;
+
     private final Map<CounterKey, Double> credits = new LinkedHashMap<>(16, 0.75F, true) {
         @Override
         protected boolean removeEldestEntry(Map.Entry<CounterKey, Double> eldest) {
@@ -62,6 +66,12 @@
         this.gatewayId = gatewayId;
     }
 
+    /** Replaces the weights of workspaces, for the time without the leader. */
+    public void weights(Map<String, Integer> weightByWorkspace) {
+        localCalculator.weights(weightByWorkspace);
+        weighted = !weightByWorkspace.isEmpty();
+    }
+
     /** Replaces the shares by those that the leader sent. */
     public void applyShares(List<ServiceCapacity> contended, List<WorkspaceShare> shares, long receivedAtMillis) {
         fractions.clear();
@@ -87,7 +97,8 @@
     }
 
     /**
-     * Decides on a request. A request that does not wait, or whose wait is harmless, is always sent.
+     * Decides on a request. A request that does not wait is always sent, and so is one whose wait is harmless unless a
+     * workspace has a weight.
      *
      * @param gateways number of gateways, at least 1
      */
@@ -96,7 +107,9 @@
         if (fraction.isEmpty()) {
             return Decision.ADMIT;
         }
-        if (!request.endangered()) {
+        // Requests whose wait is harmless are admitted alike; a weight would count only for the others.
+        boolean refusable = weighted ? request.waits() : request.endangered();
+        if (!refusable) {
             return Decision.ADMIT_WITH_LOWER_RANK;
         }
         // The shares are up to a second old; a queue that grows meanwhile is drained by those above their share.
@@ -131,14 +144,18 @@
 
     /** Adds the credit of one request to its counter and takes a full one from it; returns whether there was one. */
     private boolean takeCredit(ShareRequest request, double fraction) {
-        CounterKey key = new CounterKey(
-                new Key(request.service(), request.workspace()), Math.getExponent(Math.max(1, request.cost())));
+        CounterKey key = counterKey(request);
         double credit = credits.computeIfAbsent(key, this::initialCredit) + fraction;
         boolean admitted = credit >= 1;
         credits.put(key, admitted ? Math.min(1, credit - 1) : credit);
         return admitted;
     }
 
+    private static CounterKey counterKey(ShareRequest request) {
+        return new CounterKey(
+                new Key(request.service(), request.workspace()), Math.getExponent(Math.max(1, request.cost())));
+    }
+
     /**
      * Returns a credit between 0 and 1 that differs between gateways. A gateway sees few requests of each workspace; with
      * equal first credits all gateways would admit, or refuse, the first one.
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareRequest.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareRequest.java
@@ -10,9 +10,16 @@
  *     it, may miss its target
  * @param pressure how far the wait exceeds what is harmless, from 0 to 1 when it is twice as long
  * @param late whether its estimated wait exceeds its target
+ * @param waits whether it would wait behind other requests at all
  */
 public record ShareRequest(
-        String service, String workspace, double cost, boolean endangered, double pressure, boolean late) {
+        String service,
+        String workspace,
+        double cost,
+        boolean endangered,
+        double pressure,
+        boolean late,
+        boolean waits) {
     /** Part of the time to the target that an estimate may take without endangering it, as for deadlines. */
     private static final double SAFE_TIME_FRACTION = 0.9;
 
@@ -59,6 +66,7 @@
                 cost,
                 waits && endangered,
                 pressure,
-                waits && estimate.totalMillis() > remainingMillis);
+                waits && estimate.totalMillis() > remainingMillis,
+                waits);
     }
 }
--- a/policy/src/test/java/org/wagtailcart/policy/share/ContendedService.java
+++ b/policy/src/test/java/org/wagtailcart/policy/share/ContendedService.java
@@ -99,6 +99,7 @@
     private final PriorityQueue<Arrival> arrivals = new PriorityQueue<>(Comparator.comparing(Arrival::atMillis));
     private final List<Arrival> inTime = new ArrayList<>();
     private final Random random = new Random(7);
+    private Map<String, Integer> weights = Map.of();
     private long numbers;
 
     private ContendedService(Policy policy, Fault fault, List<Arrival> load) {
@@ -119,6 +120,26 @@
         return service.score(load, fromMillis, endMillis - 5_000);
     }
 
+    /** Returns the cost that a policy serves in time for each workspace, of the requests that arrive from a time on. */
+    static Map<String, Double> servedCosts(
+            Map<String, Integer> weights, Fault fault, List<Arrival> load, long fromMillis) {
+        ContendedService service = new ContendedService(Policy.SHARES, fault, load);
+        service.weights = weights;
+        service.applyWeights();
+        long endMillis = load.stream().mapToLong(Arrival::atMillis).max().orElse(0);
+        for (long now = 0; now < endMillis; now++) {
+            service.step(now);
+        }
+        return costs(service.inTime.stream()
+                .filter(arrival -> arrival.firstMillis() >= fromMillis)
+                .toList());
+    }
+
+    private void applyWeights() {
+        leader.weights(weights);
+        limiters.forEach(limiter -> limiter.weights(weights));
+    }
+
     private void step(long nowMillis) {
         fail(nowMillis);
         engines.forEach(engine -> work(engine, nowMillis));
@@ -200,6 +221,7 @@
             limiters.replaceAll(limiter -> new ShareLimiter("restarted-" + limiters.indexOf(limiter)));
             meters.replaceAll(meter -> new DemandMeter());
         }
+        applyWeights();
     }
 
     private int connectedGateways(long nowMillis) {
--- a/policy/src/test/java/org/wagtailcart/policy/share/ShareLimiterTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/share/ShareLimiterTest.java
@@ -17,7 +17,7 @@
     private final ShareLimiter limiter = new ShareLimiter("g1");
 
     private static ShareRequest request(String workspace, double cost, boolean endangered) {
-        return new ShareRequest("s", workspace, cost, endangered, 0, false);
+        return new ShareRequest("s", workspace, cost, endangered, 0, false, endangered);
     }
 
     private void limit(String workspace, double fraction) {
@@ -58,10 +58,10 @@
     @CsvSource({"0.0, 500", "0.5, 250", "1.0, 0"})
     void fewerAreAdmittedWhileTheWaitIsLong(double pressure, int expected) {
         limit("greedy", 0.5);
-        assertThat((double) admitted(1_000, new ShareRequest("s", "greedy", 100, true, pressure, true), 0))
+        assertThat((double) admitted(1_000, new ShareRequest("s", "greedy", 100, true, pressure, true, true), 0))
                 .isWithin(1.1)
                 .of(expected);
-        assertThat(admitted(10, new ShareRequest("s", "small", 100, true, pressure, true), 0))
+        assertThat(admitted(10, new ShareRequest("s", "small", 100, true, pressure, true, true), 0))
                 .isEqualTo(10);
     }
 
--- a/policy/src/test/java/org/wagtailcart/policy/share/WorkspaceLoadTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/share/WorkspaceLoadTest.java
@@ -107,6 +107,18 @@
         assertThat(with.goodput()).isAtLeast(without.goodput() - 0.05);
     }
 
+    /** Guards against weights that are ignored, by the leader, after a change of it or by gateways without it. */
+    @ParameterizedTest
+    @EnumSource
+    void twoWorkspacesOfWeightOneAndThreeEachAskForTheCapacity(Fault fault) {
+        List<Arrival> load = join(Stream.of("one", "three").map(name -> mixed(name, 0.8)));
+        Map<String, Double> served =
+                ContendedService.servedCosts(Map.of("three", 3), fault, load, FAULT_FROM_MILLIS + 2_000);
+        System.out.println("weights 1 and 3, " + fault + ": " + served);
+        double ratio = served.getOrDefault("three", 0.0) / served.getOrDefault("one", 0.0);
+        assertThat(ratio).isWithin(0.6).of(3);
+    }
+
     @Test
     void eightyEqualWorkspacesAskForMoreThanTheCapacity() {
         List<Arrival> load = join(IntStream.range(0, 80).mapToObj(i -> mixed("w" + i, 1.2 / 80)));
--- a/routes/src/main/java/org/wagtailcart/routes/RouteTableValidator.java
+++ b/routes/src/main/java/org/wagtailcart/routes/RouteTableValidator.java
@@ -55,6 +55,9 @@
             if (!NAME.matcher(workspace.name()).matches()) {
                 throw invalid("a workspace has a name with characters that a header field cannot carry");
             }
+            findError(workspace).ifPresent(reason -> {
+                throw invalid("workspace " + workspace.name() + ": " + reason);
+            });
             workspace.keyDigests().stream().distinct().forEach(digest -> {
                 Workspace other = workspacesByDigest.putIfAbsent(digest, workspace);
                 if (other != null) {
@@ -64,6 +67,17 @@
         });
     }
 
+    private static Optional<String> findError(Workspace workspace) {
+        Integer weight = workspace.weight();
+        if (weight != null && !Workspace.isWeight(weight)) {
+            return Optional.of("weight " + weight + " is not from 1 to " + Workspace.MAX_WEIGHT);
+        }
+        Double quota = workspace.quotaPerSecond();
+        return quota != null && !Workspace.isQuota(quota)
+                ? Optional.of("quota_per_s " + quota + " is not above 0")
+                : Optional.empty();
+    }
+
     private static Optional<String> findError(Route route, Set<String> services) {
         if (!route.pathPrefix().startsWith("/") || !route.pathPrefix().endsWith("/")) {
             return Optional.of("path prefix " + route.pathPrefix() + " does not begin and end with a slash");
--- a/routes/src/test/java/org/wagtailcart/routes/RouteTableValidatorTest.java
+++ b/routes/src/test/java/org/wagtailcart/routes/RouteTableValidatorTest.java
@@ -57,6 +57,22 @@
         assertThat(error).hasMessageThat().doesNotContain("d-2");
     }
 
+    /** Guards against a table of another source than the operator's JSON whose limits are out of range. */
+    @Test
+    void weightsAndQuotasOutOfRangeAreRefused() {
+        List.of(
+                        new Workspace("hule", List.of(), null, 0, null),
+                        new Workspace("hule", List.of(), null, 1_001, null),
+                        new Workspace("hule", List.of(), null, null, 0.0),
+                        new Workspace("hule", List.of(), null, null, Double.NaN))
+                .forEach(workspace -> assertThat(assertThrows(
+                                WagtailcartException.class,
+                                () -> RouteTableValidator.validate(Tables.withWorkspaces(workspace))))
+                        .hasMessageThat()
+                        .contains("hule"));
+        RouteTableValidator.validate(Tables.withWorkspaces(new Workspace("hule", List.of(), null, 1_000, 0.1)));
+    }
+
     /** Guards against a name that breaks or extends the header in which upstreams receive it. */
     @ParameterizedTest
     @ValueSource(strings = {"", " ", "a\r\nX-Other: b", "a\tb", " a", "a ", "h\u00fcle"})
--- a/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
+++ b/settings/src/main/java/org/wagtailcart/settings/SettingsKey.java
@@ -36,6 +36,7 @@
     DEADLINE_MILLIS(1, 3_600_000),
     PRIORITY(names(Priority.values())),
     REQUESTS_PER_SECOND(0, 1_000_000),
+    WEIGHT(1, 1000),
     KEY_SALT("22 letters, digits, '-' or '_'", ValuePatterns.KEY_SALT),
     KEY_DIGESTS("a comma-separated list of key digests of 16 letters, digits, '-' or '_'", ValuePatterns.KEY_DIGESTS),
     NON_IDEMPOTENT("a comma-separated list of METHOD /path-prefix", ValuePatterns.CALL_PREFIXES),
--- a/workspace/src/main/java/org/wagtailcart/workspace/WorkspaceTable.java
+++ b/workspace/src/main/java/org/wagtailcart/workspace/WorkspaceTable.java
@@ -1,6 +1,12 @@
 package org.wagtailcart.workspace;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.BinaryOperator;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 
 /**
  * All workspaces of a routing table. It holds digests of the API keys and no key.
@@ -8,4 +14,21 @@
  * @param salt salt of the key digests
  * @param workspaces workspaces, in no particular order
  */
-public record WorkspaceTable(byte[] salt, List<Workspace> workspaces) {}
+public record WorkspaceTable(byte[] salt, List<Workspace> workspaces) {
+    /** Returns the weights that the table names. Entries of one name are one workspace, with the largest weight. */
+    public Map<String, Integer> weightsByName() {
+        return byName(Workspace::weight, BinaryOperator.maxBy(Integer::compare));
+    }
+
+    /** Returns the quotas that the table names. Entries of one name are one workspace, with the smallest quota. */
+    public Map<String, Double> quotasByName() {
+        return byName(Workspace::quotaPerSecond, BinaryOperator.minBy(Double::compare));
+    }
+
+    private <T> Map<String, T> byName(Function<Workspace, @Nullable T> field, BinaryOperator<T> merge) {
+        return workspaces.stream()
+                .filter(workspace -> field.apply(workspace) != null)
+                .collect(Collectors.toUnmodifiableMap(
+                        Workspace::name, workspace -> Objects.requireNonNull(field.apply(workspace)), merge));
+    }
+}
