Prefer upstreams that responded last for further attempts

Cause: an ejection of 1.5 s may end while its upstream is still down. A sound request spent its four attempts on four such upstreams and was refused beside others that work. Change: a further attempt of a request goes to upstreams whose latest outcome was a response, if there are any of the role. First attempts are unchanged, so that an upstream that has returned still gets requests. Ruled out: avoiding such upstreams in first attempts, as nothing else would find out that they work. The rule holds, but is not the whole cause; what refuses the sound request now was not found.

--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -46,6 +46,7 @@
     private long refusesUntilMillis = Long.MIN_VALUE / 4;
     private long lastResponseAtMillis = Long.MIN_VALUE;
     private boolean ejected;
+    private boolean lastContactFailed;
     private final Set<InFlightRequest> ownRequests = new HashSet<>();
 
     Upstream(ListedUpstream listed, long memoryTokens, double latencyMillis, long nowMillis) {
@@ -230,7 +231,8 @@
             latencyMillis += LATENCY_WEIGHT * (millis - latencyMillis);
             latencyAtMillis = nowMillis;
         }
-        health.onOutcome(outcome != UpstreamOutcome.NO_RESPONSE, nowMillis);
+        lastContactFailed = outcome == UpstreamOutcome.NO_RESPONSE;
+        health.onOutcome(!lastContactFailed, nowMillis);
         errorResponseHealth.onOutcome(outcome == UpstreamOutcome.SUCCESS, nowMillis);
         boolean nowLost = admitsFromMillis(nowMillis) > nowMillis;
         boolean changed = nowLost != ejected && (nowLost || outcome == UpstreamOutcome.SUCCESS);
@@ -238,6 +240,11 @@
         return changed;
     }
 
+    /** Returns whether the latest request whose outcome is known got no response. */
+    boolean lastContactFailed() {
+        return lastContactFailed;
+    }
+
     private long admitsFromMillis(long nowMillis) {
         return Math.max(health.availableFromMillis(nowMillis), errorResponseHealth.availableFromMillis(nowMillis));
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -523,7 +523,27 @@
         List<Upstream> healthy = present.stream()
                 .filter(upstream -> upstream.isAvailable(nowMillis))
                 .toList();
-        return healthy.isEmpty() ? present : healthy;
+        List<Upstream> usable = healthy.isEmpty() ? present : healthy;
+        return excluded.isEmpty() ? usable : withoutUnproven(usable);
+    }
+
+    /**
+     * Returns the upstreams for a further attempt of a request: of each role, those that responded the last time, if there
+     * are any. An ejection may end while its upstream is still down; such upstreams are tried by first attempts, as a
+     * request that spent all its attempts on them would be refused beside upstreams that work.
+     */
+    private static List<Upstream> withoutUnproven(List<Upstream> usable) {
+        Set<Optional<EngineRole>> provenRoles = usable.stream()
+                .filter(upstream -> !upstream.lastContactFailed())
+                .map(UpstreamRegistry::roleOf)
+                .collect(Collectors.toSet());
+        return usable.stream()
+                .filter(upstream -> !upstream.lastContactFailed() || !provenRoles.contains(roleOf(upstream)))
+                .toList();
+    }
+
+    private static Optional<EngineRole> roleOf(Upstream upstream) {
+        return Optional.ofNullable(upstream.listEntry().role());
     }
 
     private EngineCandidate toCandidate(Upstream upstream, List<PrefixCacheEstimate.Segment> segments, long nowMillis) {
