--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayDump.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayDump.java
@@ -6,6 +6,7 @@
 import org.wagtailcart.control.client.SegmentQuarantineEntry;
 import org.wagtailcart.gateway.list.UpstreamState;
 import org.wagtailcart.gateway.report.UsageMeter;
+import org.wagtailcart.gateway.share.QuotaState;
 import org.wagtailcart.gateway.share.WorkspaceState;
 
 /**
@@ -21,11 +22,12 @@
  * @param retriesLeft lowest number of remaining retries of any service
  * @param upstreams upstreams in the host list
  * @param work requests and queued prompt tokens of this gateway at each upstream
- * @param sharesKnown whether the leader's shares of workspaces are known; otherwise the gateway limits by its own account
+ * @param sharesKnown whether the leader's shares of workspaces are known; otherwise the gateway limits by its own demand
  * @param workspaces workspaces with recent demand, at most 100
  * @param quarantined prompt segments whose requests are refused
  * @param keys workspaces and the check of their keys
  * @param usage counts of requests that began to run, null if they are not counted
+ * @param quotas workspaces with a quota and recent requests, at most 100
  */
 public record GatewayDump(
         boolean ready,
@@ -42,4 +44,5 @@
         List<WorkspaceState> workspaces,
         List<SegmentQuarantineEntry> quarantined,
         KeyDump keys,
-        UsageMeter.@Nullable Dump usage) {}
+        UsageMeter.@Nullable Dump usage,
+        List<QuotaState> quotas) {}
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/CallShare.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallShare.java
@@ -1,5 +1,6 @@
 package org.wagtailcart.gateway.call;
 
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.policy.placement.RequestRank;
 import org.wagtailcart.policy.share.ShareLimiter;
@@ -7,7 +8,7 @@
 
 /**
  * One call's part in the share of its workspace. A call is decided on and counted once, before anything is sent; later
- * attempts belong to the same request. A call without a workspace is always covered. Not thread safe.
+ * attempts belong to the same request. Not thread safe.
  */
 final class CallShare {
     private final GatewayContext context;
@@ -16,15 +17,36 @@
     private @Nullable ShareRequest counted;
 
     private boolean aboveShare;
+    /** Whether the request is counted in the quota; a request may end on another thread than its own. */
+    private volatile boolean countedInQuota;
 
     CallShare(GatewayContext context, InboundRequest request) {
         this.context = context;
         this.request = request;
     }
 
+    /**
+     * Counts the request in the quota of its workspace.
+     *
+     * @return empty if it is admitted, otherwise the time until another request can be
+     */
+    OptionalLong tryAdmitWithinQuota() {
+        OptionalLong waitMillis = context.workspaceLimits()
+                .tryAdmit(request.workspace(), context.routeWatcher().gatewayCount());
+        countedInQuota = waitMillis.isEmpty();
+        return waitMillis;
+    }
+
+    /** Takes the request, which did not run, out of the quota. */
+    void withdrawFromQuota() {
+        if (countedInQuota) {
+            context.workspaceLimits().withdraw(request.workspace());
+        }
+    }
+
     /** Returns whether the share of the workspace covers the request. */
     boolean covers(double cost, ShareRequest.Estimate estimate) {
-        if (request.workspace().isEmpty() || counted != null) {
+        if (counted != null) {
             return true;
         }
         ShareRequest asked = shareRequest(cost, estimate);
@@ -39,7 +61,7 @@
     void recordRefused(double cost, ShareRequest.Estimate estimate) {
         if (counted != null) {
             recordRefusedByUpstreams();
-        } else if (!request.workspace().isEmpty() && estimate.waitMillis() > 0) {
+        } else if (estimate.waitMillis() > 0) {
             context.workspaceLimits().recordRefused(shareRequest(cost, estimate));
         }
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -81,7 +82,9 @@
         context.openCalls().add(this);
         try {
             scheduleDeadline();
-            serve();
+            if (!endIfQuotaIsUsedUp()) {
+                serve();
+            }
         } catch (WagtailcartException e) {
             fail(e.code(), String.valueOf(e.getMessage()));
         } catch (RuntimeException e) {
@@ -352,15 +355,18 @@
     }
 
     /**
-     * Refuses the request if an attempt failed because the HTTP client cannot express it, which is no fault of an
-     * upstream; returns whether it did.
+     * Ends the request if an attempt failed for a reason that is no fault of an upstream: the HTTP client cannot express
+     * the request, or this thread was interrupted. Returns whether it did.
      */
-    final boolean refuseIfInexpressible(InFlightRequest inFlight, WagtailcartException error) {
-        if (error.code() != ResultCode.INVALID_ARGUMENT) {
+    final boolean endUnlessUpstreamFailed(InFlightRequest inFlight, WagtailcartException error, boolean ranBefore) {
+        if (error.code() != ResultCode.INVALID_ARGUMENT && error.code() != ResultCode.SHUTTING_DOWN) {
             return false;
         }
         inFlight.end();
-        refuse(error.code(), String.valueOf(error.getMessage()), 0);
+        if (error.runState() == RunState.NOT_RUN) {
+            markNotRun(ranBefore);
+        }
+        fail(error.code(), String.valueOf(error.getMessage()));
         return true;
     }
 
@@ -390,6 +396,14 @@
         giveUp(code, text, retryAfterMillis(spreadRetryMillis(excessWaitMillis)));
     }
 
+    /** Ends the call if the quota of its workspace is used up, and otherwise counts it; returns whether it ended. */
+    private boolean endIfQuotaIsUsedUp() {
+        OptionalLong waitMillis = share.tryAdmitWithinQuota();
+        waitMillis.ifPresent(millis -> giveUpWait(
+                ResultCode.WORKSPACE_LIMIT, "workspace has used up its quota of requests per second", (double) millis));
+        return waitMillis.isPresent();
+    }
+
     /** Ends a request that the share of its workspace does not cover. */
     final void refuseAboveShare(double excessWaitMillis) {
         giveUpWait(
@@ -418,6 +432,9 @@
         if (!end(true)) {
             return;
         }
+        if (runState == RunState.NOT_RUN) {
+            share.withdrawFromQuota();
+        }
         ResultCode sentCode = codeConsistentWith(code, runState);
         caller.refuse(sentCode, runState, request.route().retryable(), text, retryAfterMillis);
         logEnded(code, sentCode.httpStatus(), runState, text);
@@ -463,8 +480,7 @@
         }
         ended = true;
         if (cancel && currentRequest != null) {
-            UpstreamRequest sent = currentRequest;
-            context.requestExecutor().execute(sent::cancel);
+            cancel(currentRequest);
         }
         if (deadline != null) {
             deadline.cancel(false);
@@ -472,6 +488,15 @@
         return true;
     }
 
+    private void cancel(UpstreamRequest sent) {
+        try {
+            context.requestExecutor().execute(sent::cancel);
+        } catch (RejectedExecutionException e) {
+            // The executor has been shut down. The caller must get its response all the same.
+            sent.cancel();
+        }
+    }
+
     private synchronized void recordFirstByte() {
         if (firstByteMillis < 0) {
             firstByteMillis = nowMillis() - request.arrivedMillis();
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareLimiter.java
@@ -11,7 +11,7 @@
 
 /**
  * Limits the requests of workspaces that ask for more than their share of a contended service. The leader of the
- * control group says which these are. While a gateway gets no shares from it, it limits them by its own account, with
+ * control group says which these are. While a gateway gets no shares from it, it computes them from its own demand, with
  * the capacity of the service divided by the number of gateways. Deterministic; not thread safe.
  */
 public final class ShareLimiter {
@@ -28,12 +28,17 @@
     static final int MAX_COUNTERS = 2_000;
 
     private final String gatewayId;
-    private final ShareCalculator ownAccount = new ShareCalculator();
+    /** Calculator of the shares at this gateway alone, from its own demand, for the time without the leader. */
+    private final ShareCalculator localCalculator = new ShareCalculator();
+
     private final Map<Key, Double> fractions = new HashMap<>();
     private final Map<String, Double> capacities = new HashMap<>();
     private long sharesExpireAtMillis = Long.MIN_VALUE;
     private long capacitiesExpireAtMillis = Long.MIN_VALUE;
     private long created;
+    /** Whether any workspace has a weight. */
+    private boolean weighted;
+
     private final Map<CounterKey, Double> credits = new LinkedHashMap<>(16, 0.75F, true) {
         @Override
         protected boolean removeEldestEntry(Map.Entry<CounterKey, Double> eldest) {
@@ -61,6 +66,12 @@
         this.gatewayId = gatewayId;
     }
 
+    /** Replaces the weights of workspaces, for the time without the leader. */
+    public void weights(Map<String, Integer> weightByWorkspace) {
+        localCalculator.weights(weightByWorkspace);
+        weighted = !weightByWorkspace.isEmpty();
+    }
+
     /** Replaces the shares by those that the leader sent. */
     public void applyShares(List<ServiceCapacity> contended, List<WorkspaceShare> shares, long receivedAtMillis) {
         fractions.clear();
@@ -75,8 +86,8 @@
 
     /** Observes the demand at this gateway if that is due, for the time without the leader. */
     public void observe(Supplier<List<WorkspaceDemand>> ownDemand, long nowMillis) {
-        if (ownAccount.observationDue(nowMillis)) {
-            ownAccount.observe(ownDemand.get(), nowMillis);
+        if (localCalculator.observationDue(nowMillis)) {
+            localCalculator.observe(ownDemand.get(), nowMillis);
         }
     }
 
@@ -86,7 +97,8 @@
     }
 
     /**
-     * Decides on a request. A request that does not wait, or whose wait is harmless, is always sent.
+     * Decides on a request. A request that does not wait is always sent, and so is one whose wait is harmless unless a
+     * workspace has a weight.
      *
      * @param gateways number of gateways, at least 1
      */
@@ -95,7 +107,9 @@
         if (fraction.isEmpty()) {
             return Decision.ADMIT;
         }
-        if (!request.endangered()) {
+        // Requests whose wait is harmless are admitted alike; a weight would count only for the others.
+        boolean refusable = weighted ? request.waits() : request.endangered();
+        if (!refusable) {
             return Decision.ADMIT_WITH_LOWER_RANK;
         }
         // The shares are up to a second old; a queue that grows meanwhile is drained by those above their share.
@@ -109,19 +123,19 @@
         Key key = new Key(service, workspace);
         Double fraction = hasShares(nowMillis)
                 ? fractions.get(key)
-                : ownFractions(service, gateways, nowMillis).get(workspace);
+                : localFractions(service, gateways, nowMillis).get(workspace);
         return fraction == null ? OptionalDouble.empty() : OptionalDouble.of(fraction);
     }
 
-    private Map<String, Double> ownFractions(String service, int gateways, long nowMillis) {
-        return ownAccount.contended(nowMillis).stream()
+    private Map<String, Double> localFractions(String service, int gateways, long nowMillis) {
+        return localCalculator.contended(nowMillis).stream()
                 .filter(observed -> observed.service().equals(service))
-                .map(observed -> ownCapacity(observed, gateways, nowMillis))
-                .flatMap(capacity -> ownAccount.shares(capacity).stream())
+                .map(observed -> localCapacity(observed, gateways, nowMillis))
+                .flatMap(capacity -> localCalculator.shares(capacity).stream())
                 .collect(Collectors.toMap(WorkspaceShare::workspace, WorkspaceShare::admitFraction));
     }
 
-    private ServiceCapacity ownCapacity(ServiceCapacity observed, int gateways, long nowMillis) {
+    private ServiceCapacity localCapacity(ServiceCapacity observed, int gateways, long nowMillis) {
         Double ofAllGateways = nowMillis < capacitiesExpireAtMillis ? capacities.get(observed.service()) : null;
         return ofAllGateways == null
                 ? observed
@@ -130,14 +144,18 @@
 
     /** Adds the credit of one request to its counter and takes a full one from it; returns whether there was one. */
     private boolean takeCredit(ShareRequest request, double fraction) {
-        CounterKey key = new CounterKey(
-                new Key(request.service(), request.workspace()), Math.getExponent(Math.max(1, request.cost())));
+        CounterKey key = counterKey(request);
         double credit = credits.computeIfAbsent(key, this::initialCredit) + fraction;
         boolean admitted = credit >= 1;
         credits.put(key, admitted ? Math.min(1, credit - 1) : credit);
         return admitted;
     }
 
+    private static CounterKey counterKey(ShareRequest request) {
+        return new CounterKey(
+                new Key(request.service(), request.workspace()), Math.getExponent(Math.max(1, request.cost())));
+    }
+
     /**
      * Returns a credit between 0 and 1 that differs between gateways. A gateway sees few requests of each workspace; with
      * equal first credits all gateways would admit, or refuse, the first one.
--- a/policy/src/main/java/org/wagtailcart/policy/share/ShareRequest.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/ShareRequest.java
@@ -4,15 +4,22 @@
  * A request that is about to be sent, as the limits on workspaces see it.
  *
  * @param service service that it is for
- * @param workspace workspace of its caller
+ * @param workspace workspace of its caller, empty for none
  * @param cost its cost, see {@link RequestCost}
  * @param endangered whether it would wait behind other requests for so long that it, or a request of another kind behind
  *     it, may miss its target
  * @param pressure how far the wait exceeds what is harmless, from 0 to 1 when it is twice as long
  * @param late whether its estimated wait exceeds its target
+ * @param waits whether it would wait behind other requests at all
  */
 public record ShareRequest(
-        String service, String workspace, double cost, boolean endangered, double pressure, boolean late) {
+        String service,
+        String workspace,
+        double cost,
+        boolean endangered,
+        double pressure,
+        boolean late,
+        boolean waits) {
     /** Part of the time to the target that an estimate may take without endangering it, as for deadlines. */
     private static final double SAFE_TIME_FRACTION = 0.9;
 
@@ -30,6 +37,11 @@
      */
     public record Estimate(double waitMillis, double totalMillis) {}
 
+    /** Returns whether its caller has a workspace; a request without one is neither measured nor limited. */
+    public boolean hasWorkspace() {
+        return !workspace.isEmpty();
+    }
+
     /**
      * Returns a request with the given estimate.
      *
@@ -54,6 +66,7 @@
                 cost,
                 waits && endangered,
                 pressure,
-                waits && estimate.totalMillis() > remainingMillis);
+                waits && estimate.totalMillis() > remainingMillis,
+                waits);
     }
 }
