Keep real windows open after a wrong true time

Cause: UsageState.prune moved droppedThrough to the window that it removed. After 13 reported windows in the future, all real windows before them counted as closed. It also removed by number, so that 60 unreported windows in the future pushed each real one out before its report. Ruled out: forgetting removed windows, since a window of the future would be reported twice with two contents. Conclusion: windows closed by mistake keep their one content, real ones are reported.

--- a/usage/src/test/java/org/wagtailcart/usage/UsagePlannerTest.java
+++ b/usage/src/test/java/org/wagtailcart/usage/UsagePlannerTest.java
@@ -66,6 +66,50 @@
         assertThat(plan.report().isEmpty()).isTrue();
     }
 
+    /**
+     * Guards against windows that a wrong true time has closed in the future and that, once removed, make the real ones
+     * count as closed, push them out, or are closed again with other counts.
+     */
+    @ParameterizedTest
+    @CsvSource({"13, true", "480, true", "13, false", "480, false"})
+    void windowsRemovedInTheFutureLeaveRealOnesOpen(int wrongWindows, boolean reported) {
+        UsageState state = closedThrough(WINDOW - 1);
+        for (long window = WINDOW + 480; window < WINDOW + 480 + wrongWindows; window++) {
+            state = state.apply(new CloseUsageWindow(window, Map.of("hule930", 1L)));
+            state = reported ? state.apply(new MarkUsageReported(window)) : state;
+        }
+        for (long window = WINDOW; window < WINDOW + 100; window++) {
+            long endMillis = (window + 1) * WINDOW_MILLIS;
+            assertThat(planner.plan(observation(endMillis + 2_000, endMillis), state)
+                            .close())
+                    .isEqualTo(OptionalLong.of(window));
+            state = state.apply(new CloseUsageWindow(window, Map.of("hule930", window)));
+            UsagePlan plan = planner.plan(observation(endMillis + 2_100, endMillis), state);
+            assertThat(plan.report().orElseThrow().countByWorkspace()).containsExactly("hule930", window);
+            state = state.apply(new MarkUsageReported(window));
+        }
+        for (long window = WINDOW + 480; window < WINDOW + 480 + wrongWindows; window++) {
+            assertThat(state.apply(new CloseUsageWindow(window, Map.of("hule930", 2L))))
+                    .isEqualTo(state);
+        }
+        assertThat(state.apply(new CloseUsageWindow(WINDOW, Map.of("hule930", 2L))))
+                .isEqualTo(state);
+    }
+
+    /** Guards against state that grows with each error of true time, and against removed windows that are closed again. */
+    @Test
+    void removedWindowsFarApartTakeBoundedSpace() {
+        UsageState state = UsageState.EMPTY;
+        for (long window = 0; window < 100_000; window += 100) {
+            state = state.apply(new CloseUsageWindow(window, Map.of())).apply(new MarkUsageReported(window));
+        }
+        assertThat(state.removed()).hasSize(UsageState.MAX_RANGES);
+        for (long window = 0; window < 100_000; window += 100) {
+            assertThat(state.apply(new CloseUsageWindow(window, Map.of("hule930", 2L))))
+                    .isEqualTo(state);
+        }
+    }
+
     /** Guards against a backlog that makes the reports late that could still be in time. */
     @Test
     void reportsWindowsThatAreInTimeFirst() {
