Derive the first usage window from the latest true time

Cause: UsagePlanner kept the window of its first estimate of true time. One that was too late left all windows open; one that was too early closed windows before the start without counts. Change: the planner keeps the monotonic time of the first estimate and maps it with the latest one. Ruled out: waiting for a second estimate, since TrueTime corrects a wrong one only after 10 s. Run: UsagePlannerTest on the old code: 2 of 3 cases of firstWindowFollowsABetterTrueTime fail. Conclusion: the first window follows the estimate.

--- a/usage/src/main/java/org/wagtailcart/usage/UsagePlanner.java
+++ b/usage/src/main/java/org/wagtailcart/usage/UsagePlanner.java
@@ -29,7 +29,12 @@
 
     private final long windowMillis;
     private final long lateMillis;
-    private OptionalLong firstWindow = OptionalLong.empty();
+    /**
+     * Monotonic time at which there was a true time for the first time. The true time of this moment is derived from the
+     * latest estimate, since the first one may be wrong.
+     */
+    private OptionalLong firstPlanMillis = OptionalLong.empty();
+
     private long nextCallMillis = Long.MIN_VALUE;
     private int failures;
 
@@ -48,8 +53,12 @@
         if (observation.trueTimeMillis().isEmpty()) {
             return UsagePlan.NONE;
         }
+        if (firstPlanMillis.isEmpty()) {
+            firstPlanMillis = OptionalLong.of(observation.nowMillis());
+        }
         long trueMillis = observation.trueTimeMillis().getAsLong();
-        long next = nextWindow(observation, state, Math.floorDiv(trueMillis, windowMillis));
+        long firstTrueMillis = trueMillis - (observation.nowMillis() - firstPlanMillis.getAsLong());
+        long next = nextWindow(observation, state, windowAt(firstTrueMillis), windowAt(trueMillis));
         return new UsagePlan(
                 mayClose(next, observation, trueMillis) ? OptionalLong.of(next) : OptionalLong.empty(),
                 observation.nowMillis() < nextCallMillis ? Optional.empty() : mostUrgent(state, trueMillis));
@@ -59,12 +68,8 @@
      * Returns the oldest window that is not closed. Windows after the current one, which a wrong estimate of true time
      * may have closed, do not keep the others open.
      */
-    private long nextWindow(UsageObservation observation, UsageState state, long currentWindow) {
-        if (firstWindow.isEmpty()) {
-            firstWindow = OptionalLong.of(currentWindow);
-        }
-        long begin =
-                Math.min(firstWindow.getAsLong(), observation.earliestWindow().orElse(Long.MAX_VALUE));
+    private long nextWindow(UsageObservation observation, UsageState state, long firstWindow, long currentWindow) {
+        long begin = Math.min(firstWindow, observation.earliestWindow().orElse(Long.MAX_VALUE));
         long known = state.firstWindow().orElse(Long.MAX_VALUE);
         long oldest = Math.max(currentWindow - MAX_OPEN_WINDOWS, known <= currentWindow ? known : begin);
         return LongStream.rangeClosed(oldest, currentWindow)
@@ -73,6 +78,10 @@
                 .orElse(currentWindow + 1);
     }
 
+    private long windowAt(long trueMillis) {
+        return Math.floorDiv(trueMillis, windowMillis);
+    }
+
     private boolean mayClose(long window, UsageObservation observation, long trueMillis) {
         long end = endMillis(window);
         boolean complete = observation.completeUntilMillis() >= end;
--- a/usage/src/test/java/org/wagtailcart/usage/UsagePlannerTest.java
+++ b/usage/src/test/java/org/wagtailcart/usage/UsagePlannerTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against windows that are closed too early, never, or reported in the wrong order. */
 class UsagePlannerTest {
@@ -143,6 +144,27 @@
         assertThat(state.find(999).orElseThrow().countByWorkspace()).containsExactly("hule930", 999L);
     }
 
+    /**
+     * Guards against a first estimate of true time that is too late and keeps all windows open, or too early and closes
+     * windows before the start.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {480, -480, 0})
+    void firstWindowFollowsABetterTrueTime(long windowsTooLate) {
+        UsagePlanner started = new UsagePlanner(WINDOW_MILLIS, LATE_MILLIS);
+        long startMillis = END_MILLIS - 1_000;
+        for (long nowMillis = 0; nowMillis < 12_000; nowMillis += 100) {
+            long errorMillis = nowMillis < 2_000 ? windowsTooLate * WINDOW_MILLIS : 0;
+            long trueMillis = startMillis + nowMillis + errorMillis;
+            OptionalLong close = started.plan(
+                            new UsageObservation(
+                                    nowMillis, OptionalLong.of(trueMillis), 0, trueMillis, OptionalLong.empty()),
+                            UsageState.EMPTY)
+                    .close();
+            assertThat(close).isEqualTo(nowMillis < 3_000 ? OptionalLong.empty() : OptionalLong.of(WINDOW));
+        }
+    }
+
     /** Guards against windows without traffic before the first one, and against a gap after an outage of all leaders. */
     @Test
     void closesNoWindowBeforeTheFirstAndCatchesUpAfterAGap() {
