Wait for the counts of gateways that have no contact

Cause: UsageLedger.completeUntilMillis was Long.MAX_VALUE when no gateway polled, so that a leader that no gateway reached closed windows as complete and without counts 2 s after their end. Change: no gateway is no completeness. Without any poll for 4 s a window stays open until 30 s after its end, for which gateways keep its counts. When polls arrive again, counts are collected for 4.5 s as by a new leader. After a start without gateways there is no true time and no window is closed. Ruled out: waiting without a bound, since all later reports would wait too. Conclusion: a loss of contact of up to 29 s loses no counts; a longer one costs the windows older than 30 s.

--- a/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
+++ b/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
@@ -137,7 +137,7 @@
         long nowMillis = clock.nowMillis();
         long trueMillis = observer.trueTimeMillis(nowMillis).orElse(0);
         long completeMillis = observer.ledger().completeUntilMillis(nowMillis);
-        boolean known = trueMillis != 0 && completeMillis != Long.MIN_VALUE && completeMillis != Long.MAX_VALUE;
+        boolean known = trueMillis != 0 && completeMillis != Long.MIN_VALUE;
         return new Dump(
                 leadingSinceMillis != Long.MAX_VALUE,
                 lease.fencingToken(),
@@ -178,6 +178,7 @@
                 nowMillis,
                 observer.trueTimeMillis(nowMillis),
                 leadingSinceMillis,
+                observer.ledger().contactSinceMillis(nowMillis),
                 observer.ledger().completeUntilMillis(nowMillis),
                 observer.ledger().earliestWindow());
     }
--- a/usage/src/main/java/org/wagtailcart/usage/UsageCounter.java
+++ b/usage/src/main/java/org/wagtailcart/usage/UsageCounter.java
@@ -15,7 +15,7 @@
  * true time they are held by monotonic time. Thread safe.
  */
 public final class UsageCounter {
-    /** Windows are closed 5 s after their end at the latest; a new leader still gets the counts of this time. */
+    /** A leader that no gateway reaches waits this long for counts; a new leader still gets those of this time. */
     static final long RETENTION_MILLIS = 30_000;
     /** Precision of the counts that are held by monotonic time. */
     private static final long SLOT_MILLIS = 10;
--- a/usage/src/main/java/org/wagtailcart/usage/UsageLedger.java
+++ b/usage/src/main/java/org/wagtailcart/usage/UsageLedger.java
@@ -29,9 +29,12 @@
     private final Map<Incarnation, Long> lastBatchAtMillis = new HashMap<>();
     private final Map<String, PollState> pollStateByProcess = new HashMap<>();
     private long droppedThrough = Long.MIN_VALUE;
+    private OptionalLong lastPollAtMillis = OptionalLong.empty();
+    private long contactSinceMillis;
 
     /** Records a poll without a batch, of a gateway that has no estimate of true time yet. */
     public synchronized void recordPoll(String processId, long nowMillis) {
+        recordContact(nowMillis);
         pollStateByProcess.compute(
                 processId,
                 (id, before) -> before == null
@@ -40,8 +43,16 @@
                                 before.incarnation(), before.sequence(), before.completeUntilMillis(), nowMillis));
     }
 
+    private void recordContact(long nowMillis) {
+        if (contactSinceMillis(nowMillis).isEmpty()) {
+            contactSinceMillis = nowMillis;
+        }
+        lastPollAtMillis = OptionalLong.of(nowMillis);
+    }
+
     /** Records a batch. */
     public synchronized void record(String processId, UsageBatch batch, long nowMillis) {
+        recordContact(nowMillis);
         recordPollState(processId, batch, nowMillis);
         Incarnation incarnation = new Incarnation(processId, batch.incarnation());
         lastBatchAtMillis.put(incarnation, nowMillis);
@@ -85,15 +96,23 @@
     }
 
     /**
-     * Returns the true time until which the counts of all gateways that poll are complete, {@link Long#MAX_VALUE} if
-     * none polls.
+     * Returns the true time until which the counts of all gateways that poll are complete, {@link Long#MIN_VALUE} if none
+     * polls or the counts of one are unknown.
      */
     public synchronized long completeUntilMillis(long nowMillis) {
         return pollStateByProcess.values().stream()
                 .filter(pollState -> nowMillis - pollState.polledAtMillis() < ACTIVE_MILLIS)
                 .mapToLong(PollState::completeUntilMillis)
                 .min()
-                .orElse(Long.MAX_VALUE);
+                .orElse(Long.MIN_VALUE);
+    }
+
+    /** Returns the time since which at least one gateway polls this member without a gap, empty while none does. */
+    public synchronized OptionalLong contactSinceMillis(long nowMillis) {
+        return lastPollAtMillis.stream()
+                .filter(atMillis -> nowMillis - atMillis < ACTIVE_MILLIS)
+                .map(atMillis -> contactSinceMillis)
+                .findFirst();
     }
 
     /** Returns the number of gateways that poll this member. */
--- a/usage/src/main/java/org/wagtailcart/usage/UsagePlanner.java
+++ b/usage/src/main/java/org/wagtailcart/usage/UsagePlanner.java
@@ -17,12 +17,17 @@
     /** Time after the end of a window at which it is closed though counts are missing; half of what a report has. */
     static final long MAX_GRACE_MILLIS = 5_000;
     /**
-     * Time for which a new leader collects counts before it closes a window, since it does not know which gateways exist.
-     * A gateway gives up a poll of the former leader after 700 ms, and sends all its counts with its second poll; four
-     * more polls may be lost. A new holder of the order lease may not report for as long, so that reports are not later
-     * for it.
+     * Time for which a new leader, or one that no gateway reached for some time, collects counts before it closes a
+     * window, since it does not know which gateways exist. A gateway gives up a poll of the former leader after 700 ms,
+     * and sends all its counts with its second poll; four more polls may be lost. A new holder of the order lease may
+     * not report for as long, so that reports are not later for it.
      */
     static final long OBSERVE_MILLIS = 4_500;
+    /**
+     * Time after the end of a window at which it is closed though no gateway polls. For this long gateways keep its
+     * counts, so that they are not lost if the contact returns; afterwards waiting is of no use.
+     */
+    static final long NO_CONTACT_GRACE_MILLIS = UsageCounter.RETENTION_MILLIS;
     /** Number of windows that are closed late; gateways keep the counts of 30 s. */
     public static final long MAX_OPEN_WINDOWS = 12;
 
@@ -83,8 +88,15 @@
 
     private boolean mayClose(long window, UsageObservation observation, long trueMillis) {
         long end = endMillis(window);
+        long leadingMillis = observation.nowMillis() - observation.observedSinceMillis();
+        if (observation.contactSinceMillis().isEmpty()) {
+            return leadingMillis >= OBSERVE_MILLIS && trueMillis >= end + NO_CONTACT_GRACE_MILLIS;
+        }
         boolean complete = observation.completeUntilMillis() >= end;
-        long observedMillis = observation.nowMillis() - observation.observedSinceMillis();
+        // After a time without contact, a member knows as little of the gateways as a new leader.
+        long observedMillis = Math.min(
+                leadingMillis,
+                observation.nowMillis() - observation.contactSinceMillis().getAsLong());
         return observedMillis >= OBSERVE_MILLIS && trueMillis >= end + (complete ? MIN_GRACE_MILLIS : MAX_GRACE_MILLIS);
     }
 
--- a/usage/src/test/java/org/wagtailcart/usage/UsageAccountTest.java
+++ b/usage/src/test/java/org/wagtailcart/usage/UsageAccountTest.java
@@ -5,6 +5,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -92,6 +94,28 @@
         assertLossWithinBound(model);
     }
 
+    /** Guards against a leader that no gateway reaches for a time and that closes windows without counts. */
+    @ParameterizedTest
+    @CsvSource({"61, 20000, 30000", "62, 22000, 47000", "63, 43100, 71900"})
+    void leaderWithoutContactToGatewaysWaitsForTheirCounts(long seed, long fromMillis, long untilMillis) {
+        UsageModel model = new UsageModel(seed, UsageModel.Load.DENSE, 0, TRAFFIC_MILLIS);
+        model.cutGatewaysOff(fromMillis, untilMillis);
+        model.runUntil(END_MILLIS);
+        assertThat(UsageModel.total(model.acceptedCounts())).isEqualTo(UsageModel.total(model.truth));
+        assertThat(maxErrorBeyondTolerance(model)).isAtMost(0);
+        assertNoTwoReports(model);
+    }
+
+    /** Guards against reports that end for as long as no gateway polls. */
+    @Test
+    void leaderWithoutContactClosesWindowsInTheEnd() {
+        UsageModel model = new UsageModel(64, UsageModel.Load.DENSE, 0, TRAFFIC_MILLIS);
+        model.cutGatewaysOff(20_000, 2 * END_MILLIS);
+        model.runUntil(60_000);
+        long dueWindow = (UsageModel.TRUE_START_MILLIS + 60_000 - 31_000) / UsageModel.WINDOW_MILLIS - 1;
+        assertThat(model.acceptedCounts().keySet().stream().max(Long::compare)).isEqualTo(Optional.of(dueWindow));
+    }
+
     /** Guards against clocks of a third of the hosts that jump by 2,400 s and move requests to other windows. */
     @ParameterizedTest
     @ValueSource(longs = {41, 42, 43, 44})
--- a/usage/src/test/java/org/wagtailcart/usage/UsageModel.java
+++ b/usage/src/test/java/org/wagtailcart/usage/UsageModel.java
@@ -76,7 +76,7 @@
                     .sum();
             Member member = leader;
             Runnable deliver = () -> member.receive("g" + host, wallMillis, batch);
-            if (random.nextDouble() < lossShare) {
+            if (random.nextDouble() < lossShare || (nowMillis >= cutFromMillis && nowMillis < cutUntilMillis)) {
                 after(POLL_TIMEOUT_MILLIS, this::poll);
                 return;
             }
@@ -122,6 +122,7 @@
                             nowMillis,
                             trueTime.at(nowMillis),
                             sinceMillis,
+                            ledger.contactSinceMillis(nowMillis),
                             ledger.completeUntilMillis(nowMillis),
                             ledger.earliestWindow()),
                     state);
@@ -166,6 +167,8 @@
     private UsageState state = UsageState.EMPTY;
     private long steppedFromMillis = Long.MAX_VALUE;
     private long steppedUntilMillis = Long.MAX_VALUE;
+    private long cutFromMillis = Long.MAX_VALUE;
+    private long cutUntilMillis = Long.MAX_VALUE;
 
     final Map<Long, Map<String, Long>> truth = new HashMap<>();
     final List<ClosedUsageWindow> accepted = new ArrayList<>();
@@ -244,6 +247,12 @@
         steppedUntilMillis = untilMillis;
     }
 
+    /** Loses all polls for a time. */
+    void cutGatewaysOff(long fromMillis, long untilMillis) {
+        cutFromMillis = fromMillis;
+        cutUntilMillis = untilMillis;
+    }
+
     private static long begunSince(Gateway gateway, long sinceMillis) {
         return gateway.begins.stream().filter(begin -> begin >= sinceMillis).count();
     }
--- a/usage/src/test/java/org/wagtailcart/usage/UsagePlannerTest.java
+++ b/usage/src/test/java/org/wagtailcart/usage/UsagePlannerTest.java
@@ -17,6 +17,8 @@
     private static final long WINDOW = 353_445_120;
     private static final long END_MILLIS = (WINDOW + 1) * WINDOW_MILLIS;
 
+    private static final OptionalLong CONTACT = OptionalLong.of(0);
+
     private final UsagePlanner planner = new UsagePlanner(WINDOW_MILLIS, LATE_MILLIS);
 
     /** State in which all windows up to one are closed and reported. */
@@ -32,7 +34,7 @@
 
     private static UsageObservation observation(long trueMillis, long completeUntilMillis) {
         return new UsageObservation(
-                1_000_000, OptionalLong.of(trueMillis), 0, completeUntilMillis, OptionalLong.empty());
+                1_000_000, OptionalLong.of(trueMillis), 0, CONTACT, completeUntilMillis, OptionalLong.empty());
     }
 
     @ParameterizedTest
@@ -52,6 +54,7 @@
                 1_000_000,
                 OptionalLong.of(END_MILLIS + 8_000),
                 1_000_000 - observedMillis,
+                CONTACT,
                 END_MILLIS + completeAfterEndMillis,
                 OptionalLong.empty());
         assertThat(planner.plan(observation, closedThrough(WINDOW - 1)).close().isPresent())
@@ -158,7 +161,12 @@
             long trueMillis = startMillis + nowMillis + errorMillis;
             OptionalLong close = started.plan(
                             new UsageObservation(
-                                    nowMillis, OptionalLong.of(trueMillis), 0, trueMillis, OptionalLong.empty()),
+                                    nowMillis,
+                                    OptionalLong.of(trueMillis),
+                                    0,
+                                    CONTACT,
+                                    trueMillis,
+                                    OptionalLong.empty()),
                             UsageState.EMPTY)
                     .close();
             assertThat(close).isEqualTo(nowMillis < 4_500 ? OptionalLong.empty() : OptionalLong.of(WINDOW));
