Keep the usage reports running after any failure

Cause: runSafely caught RuntimeException only, and an Error ends a periodic task. An unexpected exception of a call, or a mark that failed after an accepted report, skipped the back-off: a call every 100 ms. A close that threw kept closed windows from being reported. Change: each pass schedules the next one, every Throwable is logged, a failed close does not end the pass, and each call records an outcome: NOT_SENT before the call, UNKNOWN after a failure in it or without a mark. Ruled out: not repeating after an unexpected exception, since the report may not have arrived. Run: unexpectedFailureOfAPassBacksOff on the old code: exception and mark 192 calls in 20 s (bound 15), error thrown out of the pass; close fails without the guard. Now UsageReporterTest 15 and OrderLeaseHolderTest 4, no failure. Conclusion: no failure of a pass ends the reports, and each failed call backs off.

--- a/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
+++ b/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -115,8 +116,21 @@
 
     /** Starts the periodic checks. */
     public void start() {
-        ScheduledFuture<?> unused = scheduler.scheduleWithFixedDelay(
-                this::runSafely, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        try {
+            ScheduledFuture<?> unused =
+                    scheduler.schedule(this::runAndRepeat, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            LOG.log(Level.DEBUG, "usage reporter stopped: the scheduler rejects new checks");
+        }
+    }
+
+    /** A periodic task would end with the first error, also with one of the handling of another. */
+    private void runAndRepeat() {
+        try {
+            runSafely();
+        } finally {
+            start();
+        }
     }
 
     @Override
@@ -124,10 +138,15 @@
         scheduler.shutdownNow();
     }
 
-    private void runSafely() {
+    /** Closes and reports at most one window; a failure is logged, and the next check tries again. */
+    void runSafely() {
+        logFailure(this::runOnce);
+    }
+
+    private static void logFailure(Runnable step) {
         try {
-            runOnce();
-        } catch (RuntimeException e) {
+            step.run();
+        } catch (Throwable e) {
             LOG.log(Level.WARNING, LogEvent.of("usage-report-failed", "reason", e), e);
         }
     }
@@ -164,7 +183,8 @@
         leadingSinceMillis = Math.min(leadingSinceMillis, nowMillis);
         lease.ensure();
         UsagePlan plan = planner.plan(observation(nowMillis), backend.state());
-        plan.close().ifPresent(window -> closeWindow(window, nowMillis));
+        // A window that cannot be closed does not keep others from being reported.
+        plan.close().ifPresent(window -> logFailure(() -> closeWindow(window, nowMillis)));
         plan.report().filter(window -> lease.mayCall()).ifPresent(this::report);
     }
 
@@ -200,17 +220,30 @@
     }
 
     private void report(ClosedUsageWindow window) {
-        Optional<OrderLeaseHolder.Permit> permit = lease.confirm();
-        if (permit.isEmpty()) {
-            planner.recordOutcome(UsageReportOutcome.NOT_SENT, clock.nowMillis());
-            return;
+        // What fails before the call has not been sent.
+        UsageReportOutcome outcome = UsageReportOutcome.NOT_SENT;
+        try {
+            Optional<OrderLeaseHolder.Permit> permit = lease.confirm();
+            if (permit.isPresent()) {
+                // Stands for a call that fails in an unexpected way or that the platform accepts without a mark, so
+                // that
+                // it is repeated, but not at once.
+                outcome = UsageReportOutcome.UNKNOWN;
+                UsageReportOutcome result = call(window, permit.get());
+                if (!result.accepted() || isMarked(window)) {
+                    outcome = result;
+                }
+            }
+        } finally {
+            planner.recordOutcome(outcome, clock.nowMillis());
         }
-        long fencingToken = permit.get().fencingToken();
+    }
+
+    private UsageReportOutcome call(ClosedUsageWindow window, OrderLeaseHolder.Permit permit) {
+        long fencingToken = permit.fencingToken();
         long startMillis = clock.nowMillis();
-        UsageReportOutcome outcome =
-                platform.report(holder, fencingToken, window, permit.get().sendByMillis());
+        UsageReportOutcome outcome = platform.report(holder, fencingToken, window, permit.sendByMillis());
         long doneMillis = clock.nowMillis();
-        planner.recordOutcome(outcome, doneMillis);
         recordOutcome(window, outcome);
         LogEventKind.USAGE_REPORTED.log(
                 LOG,
@@ -226,9 +259,11 @@
         if (outcome == UsageReportOutcome.FENCED) {
             lease.lose(fencingToken);
         }
-        if (outcome.accepted()) {
-            await(backend.mark(new MarkUsageReported(window.window())));
-        }
+        return outcome;
+    }
+
+    private boolean isMarked(ClosedUsageWindow window) {
+        return await(backend.mark(new MarkUsageReported(window.window()))).isPresent();
     }
 
     private void recordOutcome(ClosedUsageWindow window, UsageReportOutcome outcome) {
--- a/control/src/test/java/org/wagtailcart/control/usage/UsageReporterTest.java
+++ b/control/src/test/java/org/wagtailcart/control/usage/UsageReporterTest.java
@@ -7,10 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.control.orders.Leadership;
 import org.wagtailcart.control.orders.OrderLease;
@@ -41,6 +43,7 @@
         private OrderLease lease = OrderLease.NONE;
         private String leader = "";
         private boolean marksAreLost;
+        private boolean closeFails;
         private final List<Call> calls = new ArrayList<>();
 
         @Override
@@ -50,6 +53,9 @@
 
         @Override
         public CompletableFuture<ClosedUsageWindow> close(CloseUsageWindow command) {
+            if (closeFails) {
+                throw new IllegalStateException("not expected");
+            }
             state = state.apply(command);
             return CompletableFuture.completedFuture(
                     state.find(command.window()).orElseThrow());
@@ -78,6 +84,9 @@
         private long frozenBeforeSendMillis;
 
         private UsageReportOutcome outcome = UsageReportOutcome.ACCEPTED;
+        /** Thrown by each call. */
+        private @Nullable Throwable failure;
+
         private final UsageObserver observer = new UsageObserver("m", () -> TRUE_START_MILLIS + group.nowMillis);
         private final UsageReporter reporter;
 
@@ -102,6 +111,13 @@
                 return UsageReportOutcome.NOT_SENT;
             }
             group.calls.add(new Call(holder, token, window, group.nowMillis));
+            Throwable thrown = failure;
+            if (thrown instanceof Error error) {
+                throw error;
+            }
+            if (thrown instanceof RuntimeException exception) {
+                throw exception;
+            }
             return outcome;
         }
 
@@ -116,7 +132,7 @@
                     UsageBatch batch = new UsageBatch(1, ++sequence, trueMillis, windows, 0);
                     observer.record("g" + gateway, trueMillis, batch, group.nowMillis);
                 }
-                reporter.runOnce();
+                reporter.runSafely();
             }
         }
 
@@ -264,4 +280,33 @@
             assertCallsAreConsistent();
         }
     }
+
+    /** Guards against an exception, an error or a lost mark that ends the reports, or repeats a call every 100 ms. */
+    @ParameterizedTest
+    @ValueSource(strings = {"exception", "error", "mark", "close"})
+    void unexpectedFailureOfAPassBacksOff(String kind) {
+        try (Member member = leader("a")) {
+            member.outcome = UsageReportOutcome.UNKNOWN;
+            member.run(13_000, 3);
+            group.closeFails = kind.equals("close");
+            member.run(6_000, 3);
+            member.outcome = UsageReportOutcome.ACCEPTED;
+            group.calls.clear();
+            member.failure = kind.equals("exception") ? new IllegalStateException("not expected") : null;
+            member.failure = kind.equals("error") ? new StackOverflowError() : member.failure;
+            group.marksAreLost = kind.equals("mark");
+            member.run(20_000, 3);
+            assertThat(group.calls.size()).isAtLeast(1);
+            assertThat(group.calls.size()).isAtMost(15);
+            member.failure = null;
+            group.marksAreLost = false;
+            group.closeFails = false;
+            member.run(15_000, 3);
+            assertThat(group.state.windows().stream()
+                            .filter(window -> !window.reported())
+                            .count())
+                    .isAtMost(1);
+            assertCallsAreConsistent();
+        }
+    }
 }
