Share the bounded wait of usage reports and order lease

Cause: UsageReporter and OrderLeaseHolder had the same private method that waits for a future. Change: BoundedWait.await, with the name of the log event as an argument; events and time limits are as before. Ruled out: module common, where no other code waits this way. Run: UsageReporterTest 15, OrderLeaseHolderTest 4, no failure. Conclusion: one piece of code, same behaviour.

--- a/control/src/main/java/org/wagtailcart/control/orders/OrderLeaseHolder.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/OrderLeaseHolder.java
@@ -4,10 +4,6 @@
 import java.lang.System.Logger.Level;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.MillisClock;
 
@@ -135,15 +131,6 @@
     }
 
     private static <T> Optional<T> await(CompletableFuture<T> future, long timeoutMillis) {
-        try {
-            @Nullable T value = future.get(timeoutMillis, TimeUnit.MILLISECONDS);
-            return Optional.ofNullable(value);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return Optional.empty();
-        } catch (ExecutionException | TimeoutException e) {
-            LOG.log(Level.INFO, LogEvent.of("authority-not-confirmed", "reason", e));
-            return Optional.empty();
-        }
+        return BoundedWait.await(future, timeoutMillis, LOG, "authority-not-confirmed");
     }
 }
--- a/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
+++ b/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
@@ -7,18 +7,17 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import org.wagtailcart.common.DaemonThreads;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.LogEventKind;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.SettingNames;
+import org.wagtailcart.control.orders.BoundedWait;
 import org.wagtailcart.control.orders.OrderLeaseHolder;
 import org.wagtailcart.usage.CloseUsageWindow;
 import org.wagtailcart.usage.ClosedUsageWindow;
@@ -290,14 +289,6 @@
     }
 
     private static <T> Optional<T> await(CompletableFuture<T> future) {
-        try {
-            return Optional.of(future.get(COMMAND_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return Optional.empty();
-        } catch (ExecutionException | TimeoutException e) {
-            LOG.log(Level.INFO, LogEvent.of("usage-command-failed", "reason", e));
-            return Optional.empty();
-        }
+        return BoundedWait.await(future, COMMAND_TIMEOUT_MILLIS, LOG, "usage-command-failed");
     }
 }
