Move the name of the usage duty to module platform

Cause: ProcessSettingsReader compared duties with usage_report, a word of the platform's protocol. Change: PlatformSettings has the duties as given and the settings of the reports. PlatformDuty (module platform) knows the word, and RolesModule asks it whether reports are due. Defaults and accepted values are as before. Ruled out: a translation in deploy/, whose templates fill in values but cannot test a list. Conclusion: no module but platform has the word in its sources.

--- a/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -44,6 +44,7 @@
 import org.wagtailcart.platform.ConfigApi;
 import org.wagtailcart.platform.PlatformClient;
 import org.wagtailcart.platform.PlatformControlService;
+import org.wagtailcart.platform.PlatformDuty;
 import org.wagtailcart.platform.PlatformEngineControlClient;
 import org.wagtailcart.platform.PlatformHostList;
 import org.wagtailcart.platform.PlatformRequestProtocol;
@@ -218,7 +219,7 @@
                 new PlatformEngineControlClient(client),
                 platform.orderLeaseMillis());
         Address listen = required(platform.controlListener(), "platform", "control-listener");
-        Optional<UsageReporter> usageReporter = platform.usageReports()
+        Optional<UsageReporter> usageReporter = usageReports(platform)
                 .map(usage -> control.usageReporter(
                         settings.id(),
                         lease,
@@ -252,7 +253,7 @@
                 new RevocationPolicy(
                         settings.workspaces().strictRevoke(),
                         settings.workspaces().revokeLimitMillis()),
-                platform(settings).usageReports().stream()
+                usageReports(platform(settings)).stream()
                         .mapToLong(UsageReportSettings::windowMillis)
                         .findFirst());
         return new GatewayRole(
@@ -265,6 +266,13 @@
                 registry);
     }
 
+    /** Returns the settings of the usage reports, empty if the platform asks for none. */
+    private static Optional<UsageReportSettings> usageReports(PlatformSettings platform) {
+        return PlatformDuty.USAGE_REPORTS.isContainedIn(platform.duties())
+                ? Optional.of(platform.usageReports())
+                : Optional.empty();
+    }
+
     private static PlatformSettings platform(ProcessSettings settings) {
         return required(settings.platform(), "platform", "host-list");
     }
--- a/settings/src/main/java/org/wagtailcart/settings/process/PlatformSettings.java
+++ b/settings/src/main/java/org/wagtailcart/settings/process/PlatformSettings.java
@@ -1,5 +1,6 @@
 package org.wagtailcart.settings.process;
 
+import java.util.List;
 import java.util.Optional;
 import org.wagtailcart.common.Address;
 
@@ -10,10 +11,12 @@
  * @param controlListener listener for calls of the platform's operator, empty for processes without the control
  *     role
  * @param orderLeaseMillis shortest time between orders of two successive lease holders
- * @param usageReports reports of usage, empty if the platform asks for none
+ * @param duties what the platform asks of this system, in its own words
+ * @param usageReports reports of usage, which have no effect unless the platform asks for them
  */
 public record PlatformSettings(
         Address hostListAddress,
         Optional<Address> controlListener,
         long orderLeaseMillis,
-        Optional<UsageReportSettings> usageReports) {}
+        List<String> duties,
+        UsageReportSettings usageReports) {}
--- a/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
+++ b/settings/src/main/java/org/wagtailcart/settings/process/ProcessSettingsReader.java
@@ -32,9 +32,6 @@
     private static final String DEFAULT_SHUTDOWN_GRACE_MILLIS = "3000";
     private static final String DEFAULT_RETRY_RATIO = "0.1";
     private static final long MILLIS_PER_SECOND = 1_000;
-    /** Duty of a system whose platform expects usage reports. */
-    private static final String USAGE_DUTY = "usage_report";
-
     private static final String DEFAULT_USAGE_WINDOW_SECONDS = "5";
     private static final String DEFAULT_USAGE_LATE_SECONDS = "10";
     private static final int MAX_SHUTDOWN_GRACE_MILLIS = 600_000;
@@ -217,17 +214,20 @@
                                 .map(listener ->
                                         address("platform", "control-listener", listener, listener, "IP:PORT")),
                         number("platform", "order-lease-millis", "3000", 0, 600_000),
+                        duties(),
                         usageReports()));
     }
 
-    private Optional<UsageReportSettings> usageReports() {
-        boolean due = valueOrVariable("platform", "duties", DUTIES_VARIABLE).stream()
+    private List<String> duties() {
+        return valueOrVariable("platform", "duties", DUTIES_VARIABLE).stream()
                 .flatMap(ProcessSettingsReader::splitList)
-                .anyMatch(USAGE_DUTY::equals);
-        UsageReportSettings reports = new UsageReportSettings(
+                .toList();
+    }
+
+    private UsageReportSettings usageReports() {
+        return new UsageReportSettings(
                 secondsAsMillis("usage-window-seconds", USAGE_WINDOW_VARIABLE, DEFAULT_USAGE_WINDOW_SECONDS),
                 secondsAsMillis("usage-late-seconds", USAGE_LATE_VARIABLE, DEFAULT_USAGE_LATE_SECONDS));
-        return due ? Optional.of(reports) : Optional.empty();
     }
 
     private long secondsAsMillis(String key, String variable, String defaultText) {
--- a/settings/src/test/java/org/wagtailcart/settings/process/ProcessSettingsTest.java
+++ b/settings/src/test/java/org/wagtailcart/settings/process/ProcessSettingsTest.java
@@ -210,22 +210,21 @@
         assertThat(error).hasMessageThat().contains("section [");
     }
 
-    /** Guards against reports without the duty, and against a template with empty values that cannot be read. */
+    /** Guards against duties that are lost, and against a template with empty values that cannot be read. */
     @ParameterizedTest
     @CsvSource({
-        "'', '', '', 0, 0",
-        "drain, 5, 10, 0, 0",
-        "usage_report, 5, 10, 5000, 10000",
-        "'drain, usage_report', 2.5, 4, 2500, 4000",
-        "usage_report, '', '', 5000, 10000"
+        "'', '', '', '', 5000, 10000",
+        "drain, 5, 10, drain, 5000, 10000",
+        "'drain, report ', 2.5, 4, drain;report, 2500, 4000",
+        "report, '', '', report, 5000, 10000"
     })
-    void usageReportsAreDueOnlyWithTheDuty(
-            String duties, String window, String late, long windowMillis, long lateMillis) {
+    void dutiesAndUsageReportsAreRead(
+            String duties, String window, String late, String read, long windowMillis, long lateMillis) {
         ProcessSettings settings = ProcessSettings.parse(COMPLETE
                 + "\n[platform]\nhost-list = 10.0.0.9:80\nduties = " + duties + "\nusage-window-seconds = " + window
                 + "\nusage-late-seconds = " + late + "\n");
-        UsageReportSettings reports =
-                settings.platform().orElseThrow().usageReports().orElse(new UsageReportSettings(0, 0));
-        assertThat(reports).isEqualTo(new UsageReportSettings(windowMillis, lateMillis));
+        PlatformSettings platform = settings.platform().orElseThrow();
+        assertThat(String.join(";", platform.duties())).isEqualTo(read);
+        assertThat(platform.usageReports()).isEqualTo(new UsageReportSettings(windowMillis, lateMillis));
     }
 }
