Keep polling after a quarantine update that fails

Cause: RouteTableWatcher.poll called drainUpdate outside the guard of send, so that an exception ended the watch loop for good. Change: an exception of drainUpdate counts as a failed poll, with nothing to put back; the next poll follows. Tests: the two tests of a report that cannot be composed are one with a case for each part of a poll: quarantine, usage and demand. Each has three failures, checks the table version and that the part was asked again. Ruled out: a guard around the scheduled task, which would not count the failure or move to the next member. Conclusion: no exception of a part of a poll ends the loop.

--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
@@ -151,7 +151,13 @@
         Address member = current();
         long sentAtMillis = clock.nowMillis();
         long knownQuarantineVersion = quarantineVersion();
-        QuarantineUpdate quarantineUpdate = quarantine.drainUpdate(knownQuarantineVersion == 0);
+        QuarantineUpdate quarantineUpdate;
+        try {
+            quarantineUpdate = quarantine.drainUpdate(knownQuarantineVersion == 0);
+        } catch (RuntimeException e) {
+            onReply(member, sentAtMillis, QuarantineUpdate.NONE, null, e);
+            return;
+        }
         CompletableFuture<?> unused = send(member, knownQuarantineVersion, quarantineUpdate)
                 .whenComplete((reply, error) -> onReply(member, sentAtMillis, quarantineUpdate, reply, error));
     }
--- a/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/watch/RouteTableWatcherTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,10 +13,12 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.Regions;
@@ -37,25 +40,30 @@
     private static final int GATEWAYS = 26;
     private static final Address B = new Address("10.0.0.2", 7000);
 
+    /** Parts of a poll whose composition may fail. */
+    private enum PollPart {
+        QUARANTINE,
+        USAGE,
+        DEMAND
+    }
+
     /** Reply of a member; members without one fail. */
     private record MemberReply(long version, long confirmationAgeMillis, String leader) {}
 
     private final Map<Address, MemberReply> replies = new ConcurrentHashMap<>();
     private final List<Long> timeoutsMillis = new CopyOnWriteArrayList<>();
     private final AtomicInteger callsThatThrow = new AtomicInteger();
-    private final AtomicInteger reportsThatThrow = new AtomicInteger();
+    /** Number of the next accesses to each part of a poll that fail. */
+    private final Map<PollPart, AtomicInteger> failures = Arrays.stream(PollPart.values())
+            .collect(Collectors.toUnmodifiableMap(part -> part, part -> new AtomicInteger()));
+
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
     private final UpstreamRegistry registry =
             new UpstreamRegistry(new Location("fes", Regions.SINGLE), MillisClock.monotonic());
-    /** Number of the next polls whose report fails. */
-    private final AtomicInteger failingReports = new AtomicInteger();
-
     private final UsageReports usageReports = new UsageReports() {
         @Override
         public Optional<UsageBatch> nextBatch() {
-            if (failingReports.getAndDecrement() > 0) {
-                throw new IllegalStateException("no report");
-            }
+            failIfDue(PollPart.USAGE);
             return Optional.empty();
         }
 
@@ -68,8 +76,8 @@
             List.of(A, B),
             this::call,
             registry,
-            new PromptQuarantine(MillisClock.monotonic()),
-            new GatewayReports(registry, usageReports, new WorkspaceLimits("g", this::reportMillis)),
+            new PromptQuarantine(() -> millisOf(PollPart.QUARANTINE)),
+            new GatewayReports(registry, usageReports, new WorkspaceLimits("g", () -> millisOf(PollPart.DEMAND))),
             timer,
             MillisClock.monotonic());
 
@@ -108,23 +116,28 @@
         return CompletableFuture.supplyAsync(() -> reply, CompletableFuture.delayedExecutor(10, TimeUnit.MILLISECONDS));
     }
 
-    /** Returns the clock of the report of demand. */
-    private long reportMillis() {
-        if (reportsThatThrow.getAndDecrement() > 0) {
-            throw new IllegalStateException("report cannot be composed");
+    private void failIfDue(PollPart part) {
+        if (failures.get(part).getAndDecrement() > 0) {
+            throw new IllegalStateException("poll cannot be composed");
         }
+    }
+
+    /** Returns the time of the clock of a part of a poll. */
+    private long millisOf(PollPart part) {
+        failIfDue(part);
         return 0;
     }
 
-    /** Guards against a gateway that never polls again after a report that could not be composed. */
-    @Test
-    void pollsAgainAfterAFailureBeforeThePoll() throws Exception {
-        replies.put(A, new MemberReply(1, 0, ""));
-        replies.put(B, new MemberReply(1, 0, ""));
-        failingReports.set(2);
+    /** Guards against a gateway that never polls again after a poll that could not be composed. */
+    @ParameterizedTest
+    @EnumSource(PollPart.class)
+    void pollingContinuesAfterAPollThatCannotBeComposed(PollPart part) throws InterruptedException {
+        replies.put(A, new MemberReply(3, 0, ""));
+        replies.put(B, new MemberReply(3, 0, ""));
+        failures.get(part).set(3);
         watcher.start();
-        awaitVersion(1);
-        assertThat(failingReports.get()).isLessThan(0);
+        awaitVersion(3);
+        assertThat(failures.get(part).get()).isLessThan(0);
     }
 
     private void awaitVersion(long version) throws InterruptedException {
@@ -155,16 +168,6 @@
         awaitVersion(3);
     }
 
-    /** Guards against a gateway that never polls again after its report could not be composed. */
-    @Test
-    void pollingContinuesAfterAReportThatFails() throws InterruptedException {
-        replies.put(A, new MemberReply(3, 0, ""));
-        replies.put(B, new MemberReply(3, 0, ""));
-        reportsThatThrow.set(3);
-        watcher.start();
-        awaitVersion(3);
-    }
-
     @Test
     void unreachableMemberIsSkipped() throws InterruptedException {
         replies.put(B, new MemberReply(3, 0, ""));
