Test the counts of each usage window against the truth

Cause: the seeded model checked the sum of all windows, or 5% of each count, so that an excess in one window and a loss in another could cancel out, and the loss was compared with a generous bound. Change: the model can have exact clocks, records what each gateway handed over to each leader, and compares each window. Handed over means to the leader that closes: what a killed gateway gave a former leader only is lost, as the design says. With counts that add up, or acknowledgements across a gap, it fails.

--- a/usage/src/test/java/org/wagtailcart/usage/UsageAccountTest.java
+++ b/usage/src/test/java/org/wagtailcart/usage/UsageAccountTest.java
@@ -116,6 +116,34 @@
         assertThat(model.acceptedCounts().keySet().stream().max(Long::compare)).isEqualTo(Optional.of(dueWindow));
     }
 
+    /**
+     * Guards against a window whose sum exceeds the truth, or lacks more than what killed gateways had not handed over,
+     * which the sums of all windows may hide.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {71, 72, 73, 74, 75, 76, 77, 78})
+    void eachWindowLacksOnlyWhatKilledGatewaysHeld(long seed) {
+        UsageModel model = new UsageModel(seed, UsageModel.Load.EXACT, LOSS, TRAFFIC_MILLIS);
+        for (long atMillis = 6_000; atMillis < TRAFFIC_MILLIS; atMillis += 4_700) {
+            model.killGatewayAt(atMillis);
+        }
+        for (long atMillis = 11_000; atMillis < TRAFFIC_MILLIS; atMillis += 11_900) {
+            model.changeLeaderAt(atMillis);
+        }
+        model.runUntil(END_MILLIS);
+        Map<Long, Map<String, Long>> accepted = model.acceptedCounts();
+        model.truth.forEach((window, truth) -> {
+            Map<String, Long> counts = accepted.getOrDefault(window, Map.of());
+            counts.forEach((workspace, count) -> assertWithMessage("%s in %s", workspace, window)
+                    .that(count)
+                    .isAtMost(truth.getOrDefault(workspace, 0L)));
+            assertWithMessage("missing in %s", window)
+                    .that(UsageModel.total(Map.of(window, truth)) - UsageModel.total(Map.of(window, counts)))
+                    .isAtMost(model.heldByKilledAtClose.getOrDefault(window, 0L));
+        });
+        assertNoTwoReports(model);
+    }
+
     /** Guards against clocks of a third of the hosts that jump by 2,400 s and move requests to other windows. */
     @ParameterizedTest
     @ValueSource(longs = {41, 42, 43, 44})
--- a/usage/src/test/java/org/wagtailcart/usage/UsageModel.java
+++ b/usage/src/test/java/org/wagtailcart/usage/UsageModel.java
@@ -3,11 +3,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 
 /** Model in virtual time of gateways that count, leaders that close and report windows, and the platform. */
 final class UsageModel {
@@ -26,12 +28,15 @@
      * @param hosts number of gateways
      * @param workspaces number of workspaces, which share the load equally
      * @param meanIntervalMillis mean time between two requests of a gateway
+     * @param exactClocks whether all estimates of true time are exact, so that each request has one right window
      */
-    record Load(int hosts, int workspaces, int meanIntervalMillis) {
+    record Load(int hosts, int workspaces, int meanIntervalMillis, boolean exactClocks) {
         /** Many requests for each count, so that the tolerance of 5% applies. */
-        static final Load DENSE = new Load(9, 4, 15);
+        static final Load DENSE = new Load(9, 4, 15, false);
+        /** The same without errors of the clocks, so that each count can be compared with the truth. */
+        static final Load EXACT = new Load(9, 4, 15, true);
         /** 82 requests a second of 80 workspaces at 26 gateways, one a second for each workspace. */
-        static final Load DEPLOYMENT_A = new Load(26, 80, 317);
+        static final Load DEPLOYMENT_A = new Load(26, 80, 317, false);
     }
 
     private record Event(long atMillis, long order, Runnable action) {}
@@ -39,7 +44,10 @@
     /** One run of a gateway process. Its monotonic clock has an origin of its own. */
     private final class Gateway {
         private final int host;
-        private final long originMillis = random.nextInt(1_000_000);
+        /** Begins that are held by monotonic time are rounded to 10 ms, which exact clocks must not show. */
+        private final long originMillis =
+                load.exactClocks() ? random.nextInt(100_000) * 10L : random.nextInt(1_000_000);
+
         private final UsageCounter counter = new UsageCounter(WINDOW_MILLIS, 1 + random.nextLong(1L << 61));
         private final List<Long> begins = new ArrayList<>();
         private boolean killed;
@@ -75,7 +83,11 @@
                     .mapToLong(window -> window.countByWorkspace().size())
                     .sum();
             Member member = leader;
-            Runnable deliver = () -> member.receive("g" + host, wallMillis, batch);
+            long composedAtMillis = nowMillis;
+            Runnable deliver = () -> {
+                member.receive("g" + host, load.exactClocks() ? trueMillis() : wallMillis, batch);
+                batch.ifPresent(counts -> member.recordHandover(this, counts, composedAtMillis));
+            };
             if (random.nextDouble() < lossShare || (nowMillis >= cutFromMillis && nowMillis < cutUntilMillis)) {
                 after(POLL_TIMEOUT_MILLIS, this::poll);
                 return;
@@ -105,6 +117,10 @@
         private final UsageLedger ledger = new UsageLedger();
         private final UsagePlanner planner = new UsagePlanner(WINDOW_MILLIS, LATE_MILLIS);
         private final long sinceMillis = nowMillis;
+        /** Batches that, with those before, contain all counts of a gateway. */
+        private final Map<Gateway, Set<Long>> handedOver = new HashMap<>();
+
+        private final Map<Gateway, Long> handedOverUntilMillis = new HashMap<>();
 
         void receive(String processId, long wallMillis, Optional<UsageBatch> batch) {
             trueTime.record(processId, wallMillis, nowMillis);
@@ -113,6 +129,23 @@
                     () -> ledger.recordPoll(processId, nowMillis));
         }
 
+        void recordHandover(Gateway gateway, UsageBatch batch, long composedAtMillis) {
+            Set<Long> known = handedOver.computeIfAbsent(gateway, key -> new HashSet<>());
+            if (batch.afterSequence() == 0 || known.contains(batch.afterSequence())) {
+                known.add(batch.sequence());
+                handedOverUntilMillis.merge(gateway, composedAtMillis, Math::max);
+            }
+        }
+
+        /** Returns the number of requests in a window that killed gateways have not handed over to this member. */
+        private long heldByKilled(long window) {
+            return ended.stream()
+                    .flatMap(gateway -> gateway.begins.stream()
+                            .filter(begin -> begin >= handedOverUntilMillis.getOrDefault(gateway, 0L)))
+                    .filter(begin -> Math.floorDiv(TRUE_START_MILLIS + begin, WINDOW_MILLIS) == window)
+                    .count();
+        }
+
         void plan() {
             if (leader != this) {
                 return;
@@ -128,6 +161,7 @@
                     state);
             plan.close().ifPresent(window -> {
                 state = state.apply(new CloseUsageWindow(window, ledger.totals(window)));
+                heldByKilledAtClose.put(window, heldByKilled(window));
                 ledger.drop(window - UsagePlanner.MAX_OPEN_WINDOWS, nowMillis);
             });
             plan.report().ifPresent(this::report);
@@ -171,6 +205,9 @@
     private long cutUntilMillis = Long.MAX_VALUE;
 
     final Map<Long, Map<String, Long>> truth = new HashMap<>();
+    /** Number of requests in each window that killed gateways had not handed over when it was closed. */
+    final Map<Long, Long> heldByKilledAtClose = new HashMap<>();
+
     final List<ClosedUsageWindow> accepted = new ArrayList<>();
     /** Upper bound of the requests whose counts may be lost. */
     long maxLost;
