--- a/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
+++ b/control/src/main/java/org/wagtailcart/control/usage/UsageReporter.java
@@ -7,17 +7,17 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import org.wagtailcart.common.DaemonThreads;
 import org.wagtailcart.common.LogEvent;
 import org.wagtailcart.common.LogEventKind;
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.SettingNames;
+import org.wagtailcart.control.orders.BoundedWait;
 import org.wagtailcart.control.orders.OrderLeaseHolder;
 import org.wagtailcart.control.orders.PlatformCallLimiter;
 import org.wagtailcart.usage.CloseUsageWindow;
@@ -120,8 +120,21 @@
 
     /** Starts the periodic checks. */
     public void start() {
-        ScheduledFuture<?> unused = scheduler.scheduleWithFixedDelay(
-                this::runSafely, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        try {
+            ScheduledFuture<?> unused =
+                    scheduler.schedule(this::runAndRepeat, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            LOG.log(Level.DEBUG, "usage reporter stopped: the scheduler rejects new checks");
+        }
+    }
+
+    /** A periodic task would end with the first error, also with one of the handling of another. */
+    private void runAndRepeat() {
+        try {
+            runSafely();
+        } finally {
+            start();
+        }
     }
 
     @Override
@@ -129,10 +142,15 @@
         scheduler.shutdownNow();
     }
 
-    private void runSafely() {
+    /** Closes and reports at most one window; a failure is logged, and the next check tries again. */
+    void runSafely() {
+        logFailure(this::runOnce);
+    }
+
+    private static void logFailure(Runnable step) {
         try {
-            runOnce();
-        } catch (RuntimeException e) {
+            step.run();
+        } catch (Throwable e) {
             LOG.log(Level.WARNING, LogEvent.of("usage-report-failed", "reason", e), e);
         }
     }
@@ -142,7 +160,7 @@
         long nowMillis = clock.nowMillis();
         long trueMillis = observer.trueTimeMillis(nowMillis).orElse(0);
         long completeMillis = observer.ledger().completeUntilMillis(nowMillis);
-        boolean known = trueMillis != 0 && completeMillis != Long.MIN_VALUE && completeMillis != Long.MAX_VALUE;
+        boolean known = trueMillis != 0 && completeMillis != Long.MIN_VALUE;
         return new Dump(
                 leadingSinceMillis != Long.MAX_VALUE,
                 lease.fencingToken(),
@@ -169,7 +187,8 @@
         leadingSinceMillis = Math.min(leadingSinceMillis, nowMillis);
         lease.ensure();
         UsagePlan plan = planner.plan(observation(nowMillis), backend.state());
-        plan.close().ifPresent(window -> closeWindow(window, nowMillis));
+        // A window that cannot be closed does not keep others from being reported.
+        plan.close().ifPresent(window -> logFailure(() -> closeWindow(window, nowMillis)));
         plan.report()
                 .filter(window -> lease.mayCall() && limiter.tryAcquire(0, nowMillis))
                 .ifPresent(this::report);
@@ -185,6 +204,7 @@
                 nowMillis,
                 observer.trueTimeMillis(nowMillis),
                 leadingSinceMillis,
+                observer.ledger().contactSinceMillis(nowMillis),
                 observer.ledger().completeUntilMillis(nowMillis),
                 observer.ledger().earliestWindow());
     }
@@ -206,17 +226,28 @@
     }
 
     private void report(ClosedUsageWindow window) {
-        Optional<OrderLeaseHolder.Permit> permit = lease.confirm();
-        if (permit.isEmpty()) {
-            planner.recordOutcome(UsageReportOutcome.NOT_SENT, clock.nowMillis());
-            return;
+        // What fails before the call has not been sent.
+        UsageReportOutcome outcome = UsageReportOutcome.NOT_SENT;
+        try {
+            Optional<OrderLeaseHolder.Permit> permit = lease.confirm();
+            if (permit.isPresent()) {
+                // A call that fails unexpectedly, or is accepted but not marked, is repeated after a pause.
+                outcome = UsageReportOutcome.UNKNOWN;
+                UsageReportOutcome result = call(window, permit.get());
+                if (!result.accepted() || isMarked(window)) {
+                    outcome = result;
+                }
+            }
+        } finally {
+            planner.recordOutcome(outcome, clock.nowMillis());
         }
-        long fencingToken = permit.get().fencingToken();
+    }
+
+    private UsageReportOutcome call(ClosedUsageWindow window, OrderLeaseHolder.Permit permit) {
+        long fencingToken = permit.fencingToken();
         long startMillis = clock.nowMillis();
-        UsageReportOutcome outcome =
-                platform.report(holder, fencingToken, window, permit.get().sendByMillis());
+        UsageReportOutcome outcome = platform.report(holder, fencingToken, window, permit.sendByMillis());
         long doneMillis = clock.nowMillis();
-        planner.recordOutcome(outcome, doneMillis);
         recordOutcome(window, outcome);
         LogEventKind.USAGE_REPORTED.log(
                 LOG,
@@ -235,9 +266,11 @@
         if (outcome == UsageReportOutcome.THROTTLED) {
             limiter.backOff(doneMillis);
         }
-        if (outcome.accepted()) {
-            await(backend.mark(new MarkUsageReported(window.window())));
-        }
+        return outcome;
+    }
+
+    private boolean isMarked(ClosedUsageWindow window) {
+        return await(backend.mark(new MarkUsageReported(window.window()))).isPresent();
     }
 
     private void recordOutcome(ClosedUsageWindow window, UsageReportOutcome outcome) {
@@ -264,14 +297,6 @@
     }
 
     private static <T> Optional<T> await(CompletableFuture<T> future) {
-        try {
-            return Optional.of(future.get(COMMAND_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return Optional.empty();
-        } catch (ExecutionException | TimeoutException e) {
-            LOG.log(Level.INFO, LogEvent.of("usage-command-failed", "reason", e));
-            return Optional.empty();
-        }
+        return BoundedWait.await(future, COMMAND_TIMEOUT_MILLIS, LOG, "usage-command-failed");
     }
 }
--- a/usage/src/main/java/org/wagtailcart/usage/UsagePlanner.java
+++ b/usage/src/main/java/org/wagtailcart/usage/UsagePlanner.java
@@ -17,19 +17,28 @@
     /** Time after the end of a window at which it is closed though counts are missing; half of what a report has. */
     static final long MAX_GRACE_MILLIS = 5_000;
     /**
-     * Time for which a new leader collects counts before it closes a window, since it does not know which gateways exist.
-     * A gateway gives up a poll of the former leader after 700 ms, and sends all its counts with its second poll; two
-     * more polls may be lost. After an election of 3 s a report that has 10 s is still in time.
+     * Time for which a new leader, or one that no gateway reached for some time, collects counts before it closes a
+     * window, since it does not know which gateways exist. A gateway gives up a poll of the former leader after 700 ms,
+     * and sends all its counts with its second poll; four more polls may be lost. A new holder of the order lease may
+     * not report for as long, so that reports are not later for it.
      */
-    static final long MIN_OBSERVE_MILLIS = 3_000;
-    /** Time after which a new leader closes a window though counts are missing. */
-    static final long MAX_OBSERVE_MILLIS = 4_000;
+    static final long OBSERVE_MILLIS = 4_500;
+    /**
+     * Time after the end of a window at which it is closed though no gateway polls. For this long gateways keep its
+     * counts, so that they are not lost if the contact returns; afterwards waiting is of no use.
+     */
+    static final long NO_CONTACT_GRACE_MILLIS = UsageCounter.RETENTION_MILLIS;
     /** Number of windows that are closed late; gateways keep the counts of 30 s. */
     public static final long MAX_OPEN_WINDOWS = 12;
 
     private final long windowMillis;
     private final long lateMillis;
-    private OptionalLong firstWindow = OptionalLong.empty();
+    /**
+     * Monotonic time at which there was a true time for the first time. The true time of this moment is derived from the
+     * latest estimate, since the first one may be wrong.
+     */
+    private OptionalLong firstPlanMillis = OptionalLong.empty();
+
     private long nextCallMillis = Long.MIN_VALUE;
     private int failures;
 
@@ -48,8 +57,12 @@
         if (observation.trueTimeMillis().isEmpty()) {
             return UsagePlan.NONE;
         }
+        if (firstPlanMillis.isEmpty()) {
+            firstPlanMillis = OptionalLong.of(observation.nowMillis());
+        }
         long trueMillis = observation.trueTimeMillis().getAsLong();
-        long next = nextWindow(observation, state, Math.floorDiv(trueMillis, windowMillis));
+        long firstTrueMillis = trueMillis - (observation.nowMillis() - firstPlanMillis.getAsLong());
+        long next = nextWindow(observation, state, windowAt(firstTrueMillis), windowAt(trueMillis));
         return new UsagePlan(
                 mayClose(next, observation, trueMillis) ? OptionalLong.of(next) : OptionalLong.empty(),
                 observation.nowMillis() < nextCallMillis ? Optional.empty() : mostUrgent(state, trueMillis));
@@ -59,12 +72,8 @@
      * Returns the oldest window that is not closed. Windows after the current one, which a wrong estimate of true time
      * may have closed, do not keep the others open.
      */
-    private long nextWindow(UsageObservation observation, UsageState state, long currentWindow) {
-        if (firstWindow.isEmpty()) {
-            firstWindow = OptionalLong.of(currentWindow);
-        }
-        long begin =
-                Math.min(firstWindow.getAsLong(), observation.earliestWindow().orElse(Long.MAX_VALUE));
+    private long nextWindow(UsageObservation observation, UsageState state, long firstWindow, long currentWindow) {
+        long begin = Math.min(firstWindow, observation.earliestWindow().orElse(Long.MAX_VALUE));
         long known = state.firstWindow().orElse(Long.MAX_VALUE);
         long oldest = Math.max(currentWindow - MAX_OPEN_WINDOWS, known <= currentWindow ? known : begin);
         return LongStream.rangeClosed(oldest, currentWindow)
@@ -73,12 +82,22 @@
                 .orElse(currentWindow + 1);
     }
 
+    private long windowAt(long trueMillis) {
+        return Math.floorDiv(trueMillis, windowMillis);
+    }
+
     private boolean mayClose(long window, UsageObservation observation, long trueMillis) {
         long end = endMillis(window);
+        long leadingMillis = observation.nowMillis() - observation.observedSinceMillis();
+        if (observation.contactSinceMillis().isEmpty()) {
+            return leadingMillis >= OBSERVE_MILLIS && trueMillis >= end + NO_CONTACT_GRACE_MILLIS;
+        }
         boolean complete = observation.completeUntilMillis() >= end;
-        long observedMillis = observation.nowMillis() - observation.observedSinceMillis();
-        return observedMillis >= (complete ? MIN_OBSERVE_MILLIS : MAX_OBSERVE_MILLIS)
-                && trueMillis >= end + (complete ? MIN_GRACE_MILLIS : MAX_GRACE_MILLIS);
+        // After a time without contact, a member knows as little of the gateways as a new leader.
+        long observedMillis = Math.min(
+                leadingMillis,
+                observation.nowMillis() - observation.contactSinceMillis().getAsLong());
+        return observedMillis >= OBSERVE_MILLIS && trueMillis >= end + (complete ? MIN_GRACE_MILLIS : MAX_GRACE_MILLIS);
     }
 
     /** Returns the oldest window whose report can be in time, or else the oldest one. */
