Count each request once in the quota of its workspace

Cause: found in review. A request that ended as not run took back the latest admission of its workspace instead of its own, and one whose caller disconnected took back none. With more than 500 workspaces, or an incomplete account, a gateway took a missing entry for an unused quota. A weight of 1 changed the order and the refusals of all workspaces. Change: a request takes back its own admission, also after a disconnect; an incomplete account grants the equal part; a weight of 1 counts as none.

--- a/entry/src/main/java/org/wagtailcart/entry/admission/RequestDispatcher.java
+++ b/entry/src/main/java/org/wagtailcart/entry/admission/RequestDispatcher.java
@@ -26,7 +26,8 @@
 
 /**
  * Dispatcher of requests to the router: serialises access to the router and queues the requests for which no upstream
- * has capacity, by pool and priority, and within these by the weights of workspaces. Decisions are delivered on the executor of each request, outside the lock.
+ * has capacity, by pool and priority, and within these by the weights of workspaces. Decisions are delivered on the
+ * executor of each request, outside the lock.
  */
 public final class RequestDispatcher {
     private static final int DEFAULT_QUEUE_LIMIT = 1_000;
--- a/entry/src/main/java/org/wagtailcart/entry/request/PoolDirectory.java
+++ b/entry/src/main/java/org/wagtailcart/entry/request/PoolDirectory.java
@@ -80,13 +80,14 @@
     private static Map<String, Integer> buildWeights(SettingsTree settings) {
         return settings.branches().stream()
                 .filter(path -> path.startsWith(WORKSPACES))
-                .filter(path -> settings.ownValues(path).containsKey("weight"))
+                .filter(path ->
+                        !settings.ownValues(path).getOrDefault("weight", "1").equals("1"))
                 .collect(Collectors.toMap(
                         PoolDirectory::lastSegment,
                         path -> Integer.valueOf(settings.ownValues(path).getOrDefault("weight", "1"))));
     }
 
-    /** Returns the weights of the workspaces whose own branch has one; the others have weight 1. */
+    /** Returns the weights other than 1, by workspace. */
     public Map<String, Integer> weights() {
         return weights;
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/CallShare.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/CallShare.java
@@ -11,14 +11,16 @@
  * attempts belong to the same request. Not thread safe.
  */
 final class CallShare {
+    private static final long NOT_ADMITTED = Long.MIN_VALUE;
+
     private final GatewayContext context;
     private final InboundRequest request;
     /** The request as it was counted, null before that. */
     private @Nullable ShareRequest counted;
 
     private boolean aboveShare;
-    /** Whether the request is counted in the quota; a request may end on another thread than its own. */
-    private volatile boolean countedInQuota;
+    /** Time at which the quota admitted the request, {@link #NOT_ADMITTED} before. It may end on another thread. */
+    private volatile long admittedAtMillis = NOT_ADMITTED;
 
     CallShare(GatewayContext context, InboundRequest request) {
         this.context = context;
@@ -31,16 +33,19 @@
      * @return empty if it is admitted, otherwise the time until another request can be
      */
     OptionalLong tryAdmitWithinQuota() {
+        long nowMillis = context.clock().nowMillis();
         OptionalLong waitMillis = context.workspaceLimits()
-                .tryAdmit(request.workspace(), context.routeWatcher().gatewayCount());
-        countedInQuota = waitMillis.isEmpty();
+                .tryAdmit(request.workspace(), context.routeWatcher().gatewayCount(), nowMillis);
+        if (waitMillis.isEmpty()) {
+            admittedAtMillis = nowMillis;
+        }
         return waitMillis;
     }
 
     /** Takes the request, which did not run, out of the quota. */
     void withdrawFromQuota() {
-        if (countedInQuota) {
-            context.workspaceLimits().withdraw(request.workspace());
+        if (admittedAtMillis != NOT_ADMITTED) {
+            context.workspaceLimits().withdraw(request.workspace(), admittedAtMillis);
         }
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -432,9 +432,7 @@
         if (!end(true)) {
             return;
         }
-        if (runState == RunState.NOT_RUN) {
-            share.withdrawFromQuota();
-        }
+        withdrawUnlessRun(runState);
         ResultCode sentCode = codeConsistentWith(code, runState);
         caller.refuse(sentCode, runState, request.route().retryable(), text, retryAfterMillis);
         logEnded(code, sentCode.httpStatus(), runState, text);
@@ -449,8 +447,15 @@
         return statesNotRun ? ResultCode.OUTCOME_UNKNOWN : code;
     }
 
+    private void withdrawUnlessRun(RunState runState) {
+        if (runState == RunState.NOT_RUN) {
+            share.withdrawFromQuota();
+        }
+    }
+
     private void onCallerDisconnect() {
         if (end(true)) {
+            withdrawUnlessRun(runState());
             logEnded(ResultCode.CALLER_GONE, ResultCode.CALLER_GONE.httpStatus(), runState(), "caller disconnected");
         }
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/share/WorkspaceLimits.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/share/WorkspaceLimits.java
@@ -53,22 +53,22 @@
      * @param gateways number of gateways, at least 1
      * @return empty if it is admitted, otherwise the time until another request can be
      */
-    public OptionalLong tryAdmit(String workspace, int gateways) {
+    public OptionalLong tryAdmit(String workspace, int gateways, long nowMillis) {
         // Without quotas a request takes no further lock.
-        return hasQuotas ? tryAdmitWithinQuota(workspace, gateways) : OptionalLong.empty();
+        return hasQuotas ? tryAdmitWithinQuota(workspace, gateways, nowMillis) : OptionalLong.empty();
     }
 
-    private synchronized OptionalLong tryAdmitWithinQuota(String workspace, int gateways) {
-        OptionalLong waitMillis = quotaLimiter.tryAdmit(workspace, gateways, clock.nowMillis());
+    private synchronized OptionalLong tryAdmitWithinQuota(String workspace, int gateways, long nowMillis) {
+        OptionalLong waitMillis = quotaLimiter.tryAdmit(workspace, gateways, nowMillis);
         quotaRefusals += waitMillis.isPresent() ? 1 : 0;
         return waitMillis;
     }
 
     /** Takes back an admission whose request was then refused as not run. */
-    public void withdraw(String workspace) {
+    public void withdraw(String workspace, long admittedAtMillis) {
         if (hasQuotas) {
             synchronized (this) {
-                quotaLimiter.withdraw(workspace, clock.nowMillis());
+                quotaLimiter.withdraw(workspace, admittedAtMillis, clock.nowMillis());
             }
         }
     }
--- a/policy/src/main/java/org/wagtailcart/policy/share/QuotaAccount.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/QuotaAccount.java
@@ -29,7 +29,7 @@
     private static final double LEAST_PER_SECOND = 1;
 
     /** Limit on the entries in a reply; those that ask for the largest part of their quota come first. */
-    private static final int MAX_PARTS = 500;
+    static final int MAX_PARTS = 500;
 
     private Map<String, Double> quotas = Map.of();
     private final Map<String, Map<String, Demand>> demandByWorkspace = new HashMap<>();
--- a/policy/src/main/java/org/wagtailcart/policy/share/QuotaLimiter.java
+++ b/policy/src/main/java/org/wagtailcart/policy/share/QuotaLimiter.java
@@ -109,8 +109,11 @@
         if (nowMillis >= accountExpiresAtMillis) {
             return quota * ownPart;
         }
-        // The leader lists all workspaces with requests, so that a missing one has its whole quota left.
-        return quota * fractions.getOrDefault(workspace, QuotaAccount.fraction(quota, 0, 0, 0, gateways));
+        // The leader lists all workspaces with requests if there is room, so that a missing one has its whole quota
+        // left.
+        boolean complete = fractions.size() < QuotaAccount.MAX_PARTS;
+        double unlisted = complete ? QuotaAccount.fraction(quota, 0, 0, 0, gateways) : ownPart;
+        return quota * fractions.getOrDefault(workspace, unlisted);
     }
 
     /**
@@ -169,11 +172,10 @@
         return counter;
     }
 
-    /** Takes back the latest admission of a workspace, whose request was then refused as not run for another reason. */
-    public void withdraw(String workspace, long nowMillis) {
+    /** Takes back the admission of a request that ended without having run. One that no longer counts has no effect. */
+    public void withdraw(String workspace, long admittedAtMillis, long nowMillis) {
         Counter counter = countersByWorkspace.get(workspace);
-        if (counter != null && !counter.admissions.isEmpty()) {
-            counter.admissions.removeLast();
+        if (counter != null && counter.admissions.removeLastOccurrence(admittedAtMillis)) {
             meter.recordRefusedByUpstreams(QuotaAccount.SERVICE, workspace, 1, nowMillis);
         }
     }
--- a/workspace/src/main/java/org/wagtailcart/workspace/WorkspaceTable.java
+++ b/workspace/src/main/java/org/wagtailcart/workspace/WorkspaceTable.java
@@ -15,9 +15,11 @@
  * @param workspaces workspaces, in no particular order
  */
 public record WorkspaceTable(byte[] salt, List<Workspace> workspaces) {
-    /** Returns the weights that the table names. Entries of one name are one workspace, with the largest weight. */
+    /** Returns the weights other than 1. Entries of one name are one workspace, with the largest weight. */
     public Map<String, Integer> weightsByName() {
-        return byName(Workspace::weight, BinaryOperator.maxBy(Integer::compare));
+        return byName(
+                workspace -> Objects.equals(workspace.weight(), 1) ? null : workspace.weight(),
+                BinaryOperator.maxBy(Integer::compare));
     }
 
     /** Returns the quotas that the table names. Entries of one name are one workspace, with the smallest quota. */
