Count the idle time of a connection from the end of a response

Cause: found in review. The idle time began with the head of a response, so that a stream of over 4 s left a connection that counted as expired. Change: the time is taken at the head and again at the end; the pool keeps connections for 15 s instead of 30 s.

--- a/gateway/src/main/java/org/wagtailcart/gateway/send/ConnectionUse.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/ConnectionUse.java
@@ -10,6 +10,7 @@
     private final String requestId;
     private volatile long connectionNumber = NOT_CONNECTED;
     private volatile int earlierRequests;
+    private volatile Runnable idleListener = () -> {};
 
     ConnectionUse(String requestId) {
         this.requestId = requestId;
@@ -30,6 +31,16 @@
         connectionNumber = connection;
     }
 
+    /** Sets what is called when the response has ended and the connection may become idle. */
+    void onIdle(Runnable listener) {
+        idleListener = listener;
+    }
+
+    /** Records that the response has ended. */
+    void responseEnded() {
+        idleListener.run();
+    }
+
     /** Returns the number of the connection, counted from the start of the process; -1 if there is none yet. */
     public long connectionNumber() {
         return connectionNumber;
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/StaleConnectionInterceptor.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/StaleConnectionInterceptor.java
@@ -15,8 +15,8 @@
 
 /**
  * Interceptor that rejects a pooled connection before a request is written to it if a response on it may not belong to
- * the request: the upstream has closed it, may be about to close it, or has sent bytes that belong to no request, or the connection has carried a
- * request with the same id, whose response may come once more.
+ * the request: the upstream has closed it, may be about to close it, or has sent bytes that belong to no request, or the
+ * connection has carried a request with the same id, whose response may come once more.
  */
 final class StaleConnectionInterceptor implements Interceptor {
     private static final int CHECK_MILLIS = 1;
@@ -91,8 +91,12 @@
             check(connection.socket(), chain.readTimeoutMillis());
         }
         history.add(use.requestId());
+        // A connection without a response body may be back in the pool before the response is returned.
+        history.idleFrom(clock.nowMillis(), "");
         Response response = chain.proceed(chain.request());
-        history.responded(clock.nowMillis(), response.header("Keep-Alive", ""));
+        String keepAlive = response.header("Keep-Alive", "");
+        history.idleFrom(clock.nowMillis(), keepAlive);
+        use.onIdle(() -> history.idleFrom(clock.nowMillis(), keepAlive));
         return response;
     }
 
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamHttpClient.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamHttpClient.java
@@ -32,7 +32,7 @@
 
     private static final int MAX_IDLE_CONNECTIONS = 128;
     /** Limit on the idle time of a pooled connection; most end earlier, see {@link ConnectionHistory}. */
-    private static final long KEEP_IDLE_MILLIS = 30_000;
+    private static final long KEEP_IDLE_MILLIS = 15_000;
 
     private static final long MAX_RESPONSE_BYTES = 4L << 20;
     /** Limit on all response bodies that are being read; a gateway has a heap of 160 MB. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamResponse.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamResponse.java
@@ -78,13 +78,20 @@
         Buffer buffer = new Buffer();
         try {
             long count = response.body().source().read(buffer, READ_BYTES);
-            complete = count < 0;
+            if (count < 0) {
+                end();
+            }
             return buffer.readByteArray();
         } catch (IOException e) {
             throw incomplete(e);
         }
     }
 
+    private void end() {
+        complete = true;
+        connectionUse.responseEnded();
+    }
+
     private WagtailcartException incomplete(IOException e) {
         if (e instanceof ForeignBodyException) {
             foreignBodyListener.accept(String.valueOf(e.getMessage()));
@@ -102,7 +109,7 @@
     public byte[] readAll() {
         try {
             byte[] body = buffer.readAll(response.body().source());
-            complete = true;
+            end();
             return body;
         } catch (ResponseBuffer.FullException e) {
             throw new WagtailcartException(
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamTimeouts.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamTimeouts.java
@@ -8,7 +8,7 @@
  * @param idleMillis limit on how long a pooled connection that carries the request may have been idle
  */
 public record UpstreamTimeouts(long headersMillis, long readMillis, long idleMillis) {
-    /** An upstream may drop an idle connection without notice; a request sent on it may have run as far as one can tell. */
+    /** An upstream may drop an idle connection without notice; a request sent on it counts as possibly run. */
     private static final long SINGLE_RUN_IDLE_MILLIS = 4_000;
 
     /** Returns the timeouts of a request that may be sent again if its connection turns out to be broken. */
