Check an incomplete role swap again while an order is pending

The check of a swap of roles ignored orders that were still pending and the rebalancing could order an engine of the swap. Change: the check waits for pending orders, and engines of a swap are no candidates. IncompleteUpstreamFaultTest draws the behavior from the request, and counts a wait without end as a failure.

--- a/daemon/src/test/java/org/wagtailcart/daemon/IncompleteUpstreamFaultTest.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/IncompleteUpstreamFaultTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,9 +30,9 @@
 import org.wagtailcart.testing.TestAddresses;
 
 /**
- * Guards against a part of a response, or a response with an invalid status, that reaches a caller as an answer: replicas
- * answer uploads at once, cut the answer by a reset, or answer with status 000. Control member and gateway are real
- * processes.
+ * Guards against a part of a response, or a response with an invalid status, that reaches a caller as an answer:
+ * replicas answer uploads at once, cut the answer by a reset, or answer with status 000. Control member and gateway are
+ * real processes.
  */
 class IncompleteUpstreamFaultTest {
     private static final String GATEWAY = "gateway-1";
@@ -95,8 +96,8 @@
         ExecutorService threads = Executors.newFixedThreadPool(CALLERS);
         try (ProcessFleet fleet = new ProcessFleet(folder, 1, Optional.of(hostList))) {
             for (int i = 0; i < REPLICAS; i++) {
-                Random random = new Random(seed * REPLICAS + i);
-                replicas.add(new RawServer(socket -> serve(socket, random)));
+                long replica = seed * REPLICAS + i;
+                replicas.add(new RawServer(socket -> serve(socket, replica)));
             }
             serveHostList(platform, replicas);
             fleet.startDaemon(GATEWAY, "gateway");
@@ -125,10 +126,12 @@
         }
     }
 
-    private void serve(Socket socket, Random random) throws IOException {
+    private void serve(Socket socket, long replica) throws IOException {
         for (String head = RawServer.readHead(socket.getInputStream());
                 !head.isEmpty();
                 head = RawServer.readHead(socket.getInputStream())) {
+            Random random = new Random(
+                    31 * replica + RawServer.field(head, "X-Request-Id").hashCode());
             if (head.startsWith("POST")) {
                 Behavior behavior = Behavior.values()[Math.max(0, random.nextInt(5) - 2)];
                 played.computeIfAbsent(behavior, first -> new AtomicInteger()).incrementAndGet();
@@ -194,6 +197,8 @@
                 return "error " + status;
             }
             return (answer.body().equals(COMPLETE_BODY) ? "complete " : "part ") + status;
+        } catch (SocketTimeoutException e) {
+            return "no answer";
         } catch (IOException e) {
             return "closed";
         }
--- a/policy/src/main/java/org/wagtailcart/policy/role/PrefillRatioPlanner.java
+++ b/policy/src/main/java/org/wagtailcart/policy/role/PrefillRatioPlanner.java
@@ -195,12 +195,15 @@
     }
 
     /**
-     * Ends a swap by the roles that both engines have now. If only one of them changed, it is ordered back, and that order
-     * is checked too. If neither did, there is no pause before the next swap.
+     * Ends a swap by the roles that both engines have now, once no order for them is pending. If only one of them changed,
+     * it is ordered back, and that order is checked too. If neither did, there is no pause before the next swap.
      */
     private List<RatioChange> checkSwap(PendingSwap pending, List<Engine> engines, long nowMillis) {
         Optional<Engine> slow = find(engines, pending.slowId());
         Optional<Engine> fast = find(engines, pending.fastId());
+        if (Stream.of(slow, fast).flatMap(Optional::stream).anyMatch(Engine::changing)) {
+            return List.of();
+        }
         boolean slowChanged = slow.isPresent() && !slow.get().prefill();
         boolean fastChanged = fast.isPresent() && fast.get().prefill();
         boolean oneIsLost = slow.isEmpty() || fast.isEmpty();
@@ -261,20 +264,24 @@
     private Optional<RatioChange> newEngineChange(List<Engine> engines, boolean toPrefill, long nowMillis) {
         return engines.stream()
                 .filter(engine -> engine.prefill() != toPrefill && !engine.changing())
-                .filter(engine -> pendingSwap == null || !pendingSwap.contains(engine))
+                .filter(engine -> !isSwapping(engine))
                 .filter(engine -> isNew(engine, nowMillis))
                 .min(Comparator.comparing((Engine engine) -> -engine.preference(toPrefill))
                         .thenComparing(Engine::id))
                 .map(engine -> new RatioChange(engine.id(), toPrefill ? EngineRole.PREFILL : EngineRole.DECODE));
     }
 
+    private boolean isSwapping(Engine engine) {
+        return pendingSwap != null && pendingSwap.contains(engine);
+    }
+
     private boolean isNew(Engine engine, long nowMillis) {
         FirstSeen seen = firstSeenById.get(engine.id());
         return seen != null && nowMillis - seen.atMillis() <= NEW_ENGINE_MILLIS;
     }
 
     /** Returns the possible role changes, first in the failure domains with the most engines in the role to leave. */
-    private static Stream<RatioChange> candidates(List<Engine> engines, boolean toPrefill) {
+    private Stream<RatioChange> candidates(List<Engine> engines, boolean toPrefill) {
         Map<String, List<Engine>> byDomain = engines.stream()
                 .filter(engine -> engine.prefill() != toPrefill)
                 .sorted(Comparator.comparing((Engine engine) -> -engine.preference(toPrefill))
@@ -283,7 +290,7 @@
         return byDomain.values().stream()
                 .flatMap(domain -> Stream.iterate(0, i -> i < domain.size(), i -> i + 1)
                         .map(i -> new RankedEngine(domain.size() - i, domain.get(i))))
-                .filter(ranked -> !ranked.engine().changing())
+                .filter(ranked -> !ranked.engine().changing() && !isSwapping(ranked.engine()))
                 .sorted(Comparator.comparing((RankedEngine ranked) -> -ranked.sameRoleInDomain())
                         .thenComparing(ranked -> -ranked.engine().preference(toPrefill))
                         .thenComparing(ranked -> ranked.engine().id()))
