Record the result of an order also after an Error

Since an Error within a call left its failure domain in the state of calling, so that this member ordered nothing more there. Change: any failure of a call is logged and gives a result, as before. Run: CapacityControllerTest 18 green; no test plays an Error.

--- a/control/src/main/java/org/wagtailcart/control/capacity/CapacityController.java
+++ b/control/src/main/java/org/wagtailcart/control/capacity/CapacityController.java
@@ -266,7 +266,8 @@
                         order.replicas(),
                         permit.get().sendByMillis());
             }
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
+            // Without a result, the failure domain would get no further order.
             LOG.log(Level.WARNING, LogEvent.of("capacity-order-failed", "reason", e), e);
         }
         long doneMillis = clock.nowMillis();
