--- a/common/src/main/java/org/wagtailcart/common/LogEventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEventKind.java
@@ -60,6 +60,18 @@
             "connection",
             "earlier-requests",
             "reason"),
+    /** The response of an upstream to a streamed request ended, completely or not. */
+    STREAM_RUN(
+            true,
+            "request",
+            "upstream",
+            "after-event",
+            "first-event",
+            "last-event",
+            "repeated-events",
+            "unnumbered-events",
+            "framing",
+            "complete"),
     /** An upstream sent bytes that are no response to the request that waits for one. */
     UNEXPECTED_RESPONSE(false, "request", "address", "kind", "connection", "earlier-requests", "reason"),
     /** A gateway took an upstream out of service for a period. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/RequestMetrics.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/RequestMetrics.java
@@ -36,4 +36,9 @@
     void recordAttemptFailure(ResultCode code) {
         registry.counter("gateway.attempt." + SettingNames.of(code)).inc();
     }
+
+    /** Counts a response of an upstream whose events are not the next ones of the stream. */
+    void recordDisorderedRun() {
+        registry.counter("gateway.stream.disordered-runs").inc();
+    }
 }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/SseReassembler.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/SseReassembler.java
@@ -19,6 +19,31 @@
 
     private byte[] partial = new byte[0];
     private long lastId = -1;
+    private RunEvents run = RunEvents.NONE;
+
+    /**
+     * Events that one upstream has sent.
+     *
+     * @param firstId id of the first event, -1 without one
+     * @param lastId id of the latest event, -1 without one
+     * @param repeated number of events that were dropped as repetitions
+     * @param unnumbered number of events without a readable id
+     */
+    record RunEvents(long firstId, long lastId, int repeated, int unnumbered) {
+        static final RunEvents NONE = new RunEvents(-1, -1, 0, 0);
+
+        RunEvents with(long id, boolean isRepetition) {
+            return id < 0
+                    ? new RunEvents(firstId, lastId, repeated, unnumbered + 1)
+                    : new RunEvents(firstId < 0 ? id : firstId, id, repeated + (isRepetition ? 1 : 0), unnumbered);
+        }
+
+        /** Returns whether the events are the ones after the given event, each once; -1 stands for the whole stream. */
+        boolean isInOrderAfter(long afterId) {
+            boolean firstFits = firstId < 0 || (afterId < 0 ? firstId <= 1 : firstId == afterId + 1);
+            return firstFits && repeated == 0 && unnumbered == 0;
+        }
+    }
 
     /** Returns the id of the last complete event, empty before the first. */
     public String lastEventId() {
@@ -28,6 +53,12 @@
     /** Discards a partial event, because the next bytes come from another upstream that resumes the stream. */
     public void startContinuation() {
         partial = new byte[0];
+        run = RunEvents.NONE;
+    }
+
+    /** Returns the events that the current upstream has sent. */
+    RunEvents runEvents() {
+        return run;
     }
 
     /** Returns whether the bytes received so far end within an event. */
@@ -86,6 +117,7 @@
                 .mapToLong(Long::parseLong)
                 .findFirst()
                 .orElse(-1);
+        run = run.with(id, id >= 0 && id <= lastId);
         if (id < 0) {
             return true;
         }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -9,6 +9,7 @@
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.Address;
 import org.wagtailcart.common.HeaderLines;
+import org.wagtailcart.common.LogEventKind;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
 import org.wagtailcart.common.WagtailcartException;
@@ -393,6 +394,7 @@
         }
         String responseType =
                 HeaderLines.first(response.headers(), "Content-Type").orElse("");
+        boolean isContinuation = isResponseStarted() && !events.lastEventId().isEmpty();
         boolean continuesOtherContent = isResponseStarted() && !responseType.equals(contentType);
         if (!metadata.success() || !metadata.hasServerStamp() || continuesOtherContent) {
             return relayFailure(inFlight, metadata, response, sentAtMillis);
@@ -405,6 +407,25 @@
         }
         events.startContinuation();
         lastReadAtMillis = nowMillis();
+        String afterEvent =
+                isContinuation ? events.lastEventId() : request().metadata().lastEventId();
+        boolean complete = false;
+        try {
+            complete = relayEvents(inFlight, response);
+        } finally {
+            logRun(inFlight, afterEvent, response, complete);
+        }
+        if (!complete) {
+            return StreamEnd.DONE;
+        }
+        inFlight.end(UpstreamOutcome.SUCCESS, nowMillis());
+        recordCompletion();
+        complete(response.status());
+        return StreamEnd.DONE;
+    }
+
+    /** Relays the events of a response to their end; returns false if the call ended before. */
+    private boolean relayEvents(InFlightRequest inFlight, UpstreamResponse response) {
         for (byte[] chunk = response.read(); chunk.length > 0; chunk = response.read()) {
             lastReadAtMillis = nowMillis();
             byte[] completeEvents = events.accept(chunk);
@@ -416,16 +437,35 @@
                 lastReadAtMillis = nowMillis();
             }
             if (isEnded()) {
-                return StreamEnd.DONE;
+                return false;
             }
         }
         if (events.hasPartialEvent()) {
             throw new WagtailcartException(ResultCode.STREAM_INCOMPLETE, "stream ended within an event");
         }
-        inFlight.end(UpstreamOutcome.SUCCESS, nowMillis());
-        recordCompletion();
-        complete(response.status());
-        return StreamEnd.DONE;
+        return true;
+    }
+
+    /** Logs the events that an upstream sent, and counts those that are not the next ones of the stream. */
+    private void logRun(InFlightRequest inFlight, String afterEvent, UpstreamResponse response, boolean complete) {
+        SseReassembler.RunEvents run = events.runEvents();
+        long afterId = afterEvent.matches("[0-9]{1,18}") ? Long.parseLong(afterEvent) : -1;
+        boolean inOrder = run.isInOrderAfter(afterId);
+        if (!inOrder) {
+            context().metrics().recordDisorderedRun();
+        }
+        LogEventKind.STREAM_RUN.log(
+                LOG,
+                inOrder ? Level.INFO : Level.WARNING,
+                request().metadata().requestId(),
+                inFlight.upstream().id(),
+                afterEvent,
+                run.firstId(),
+                run.lastId(),
+                run.repeated(),
+                run.unnumbered(),
+                response.framing(),
+                complete);
     }
 
     /** Records the first event of the response; a stream that continues at another engine has begun before. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamResponse.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/send/UpstreamResponse.java
@@ -58,6 +58,14 @@
         return response.code();
     }
 
+    /** Returns how the end of the body is known: {@code chunked}, {@code length} or {@code until-close}. */
+    public String framing() {
+        if (response.header("Transfer-Encoding") != null) {
+            return "chunked";
+        }
+        return response.header("Content-Length") == null ? "until-close" : "length";
+    }
+
     /** Returns the use of the connection on which the response arrives. */
     public ConnectionUse connectionUse() {
         return connectionUse;
