--- a/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
@@ -51,7 +51,11 @@
                 .map(Long::parseLong)
                 .map(OptionalLong::of)
                 .orElse(OptionalLong.empty());
-        return new RequestMetadata(header(headers, "Id").orElse(""), callerTimeout, prompt, "");
+        return new RequestMetadata(
+                header(headers, "Id").orElse(""),
+                callerTimeout,
+                prompt,
+                header(headers, "After").orElse(""));
     }
 
     private static List<PrefixCacheEstimate.Segment> segments(List<String> headers) {
