--- a/gateway/src/main/java/org/wagtailcart/gateway/call/SseReassembler.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/SseReassembler.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
@@ -15,6 +16,10 @@
  */
 public final class SseReassembler {
     private static final String ID = "id:";
+    private static final String ID_PATTERN = "[0-9]{1,18}";
+    private static final String COMMENT = ":";
+    /** Characters of a faulty event that an error message shows. */
+    private static final int MAX_EXCERPT_CHARS = 40;
 
     /** Most bytes of one event; an upstream in trouble may send an event without end. */
     static final int MAX_EVENT_BYTES = 1 << 20;
@@ -36,9 +41,11 @@
         static final RunEvents NONE = new RunEvents(-1, -1, 0, 0);
 
         RunEvents with(long id, boolean isRepetition) {
-            return id < 0
-                    ? new RunEvents(firstId, lastId, repeated, unnumbered + 1)
-                    : new RunEvents(firstId < 0 ? id : firstId, id, repeated + (isRepetition ? 1 : 0), unnumbered);
+            return new RunEvents(firstId < 0 ? id : firstId, id, repeated + (isRepetition ? 1 : 0), unnumbered);
+        }
+
+        RunEvents withUnnumbered() {
+            return new RunEvents(firstId, lastId, repeated, unnumbered + 1);
         }
 
         /** Returns whether the events are the ones after the given event, each once; -1 stands for the whole stream. */
@@ -88,7 +95,7 @@
         ByteArrayOutputStream events = new ByteArrayOutputStream(all.length);
         int start = 0;
         for (int end = endOfEvent(all, start); end > 0 && fault == null; end = endOfEvent(all, start)) {
-            if (acceptId(new String(all, start, end - start, StandardCharsets.UTF_8))) {
+            if (accept(new String(all, start, end - start, StandardCharsets.UTF_8))) {
                 events.write(all, start, end - start);
             }
             start = end;
@@ -107,7 +114,7 @@
      * Throws the fault that ended the run of the upstream, if there is one. The events before it must have been sent,
      * since the stream continues behind them.
      *
-     * @throws WagtailcartException with {@link ResultCode#STREAM_INCOMPLETE} if an event is missing, with
+     * @throws WagtailcartException with {@link ResultCode#STREAM_INCOMPLETE} if an event is missing or has no readable id, with
      *     {@link ResultCode#RESPONSE_TOO_LARGE} if an event does not end within {@value #MAX_EVENT_BYTES} bytes
      */
     public void throwFault() {
@@ -131,28 +138,39 @@
         return 0;
     }
 
-    /** Checks the id of an event; returns false if the event is a repetition. */
-    private boolean acceptId(String event) {
-        long id = event.lines()
+    /** Checks an event; returns whether it is delivered. */
+    private boolean accept(String event) {
+        List<String> ids = event.lines()
                 .filter(line -> line.startsWith(ID))
                 .map(line -> line.substring(ID.length()).strip())
-                .filter(text -> text.matches("[0-9]{1,18}"))
-                .mapToLong(Long::parseLong)
-                .findFirst()
-                .orElse(-1);
-        if (id < 0) {
-            run = run.with(id, false);
+                .distinct()
+                .toList();
+        if (ids.isEmpty() && event.lines().allMatch(line -> line.isEmpty() || line.startsWith(COMMENT))) {
             return true;
         }
+        if (ids.size() != 1 || !ids.get(0).matches(ID_PATTERN)) {
+            run = run.withUnnumbered();
+            fault = incomplete("an event has no readable id or several: \"" + excerpt(event) + "\"");
+            return false;
+        }
+        return acceptId(Long.parseLong(ids.get(0)));
+    }
+
+    private boolean acceptId(long id) {
         String lastEventId = lastEventId();
         EventSequence.Verdict verdict = sequence.accept(id);
         run = run.with(id, verdict == EventSequence.Verdict.DUPLICATE);
         if (verdict == EventSequence.Verdict.GAP) {
-            fault = new WagtailcartException(
-                    ResultCode.STREAM_INCOMPLETE,
-                    RunState.MAY_HAVE_RUN,
-                    "events are missing: event " + id + " arrived after event \"" + lastEventId + "\"");
+            fault = incomplete("events are missing: event " + id + " arrived after event \"" + lastEventId + "\"");
         }
         return verdict == EventSequence.Verdict.DELIVER;
     }
+
+    private static String excerpt(String event) {
+        return event.substring(0, Math.min(event.length(), MAX_EXCERPT_CHARS)).strip();
+    }
+
+    private static WagtailcartException incomplete(String reason) {
+        return new WagtailcartException(ResultCode.STREAM_INCOMPLETE, RunState.MAY_HAVE_RUN, reason);
+    }
 }
--- a/gateway/src/test/java/org/wagtailcart/gateway/call/SseReassemblerTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/call/SseReassemblerTest.java
@@ -79,6 +79,17 @@
                 .isEqualTo(events(3, 5));
     }
 
+    /** Guards against a comment, which keeps a connection alive, that ends a stream. */
+    @ParameterizedTest
+    @ValueSource(strings = {":\n\n", ": ping\r\n\r\n", "\n", "\r\n"})
+    void commentIsReturned(String comment) {
+        SseReassembler reassembler = new SseReassembler(EventSequence.after(OptionalLong.empty()));
+        String stream = events(0, 1) + comment + events(1, 2);
+        assertThat(new String(reassembler.accept(bytes(stream)), StandardCharsets.UTF_8))
+                .isEqualTo(stream);
+        reassembler.throwFault();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"id: 0\r\ndata: x\r\n\r\n", "id: 0\ndata: x\n\n"})
     void bothLineEndingsTerminateAnEvent(String event) {
