--- a/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/InboundHandler.java
@@ -189,6 +189,7 @@
         String path = exchange.getRequestURI();
         String hostName = hostName(exchange);
         Route route = routes.find(hostName, path).orElseThrow(() -> unknownRoute(hostName, path));
+        ResumptionCheck.check(route, metadata);
         Optional<Workspace> workspace = keyCheck.workspaceOf(routes, route, headers);
         String query = exchange.getQueryString();
         String target = query.isEmpty() ? path : path + "?" + query;
--- a/gateway/src/test/java/org/wagtailcart/gateway/StreamOrderTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/StreamOrderTest.java
@@ -15,6 +15,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.wagtailcart.common.EngineRole;
 
@@ -99,6 +100,29 @@
         assertWholeStream(after, body);
     }
 
+    /** Guards against a malformed position that is taken for the beginning of the stream, or for any other event. */
+    @ParameterizedTest
+    @CsvSource({
+        "resumable, -1",
+        "resumable, x",
+        "resumable, '5,6'",
+        "resumable, 1.5",
+        "resumable, 99999999999999999999",
+        "stream, 5",
+        "stream, x"
+    })
+    void malformedPositionIsRefused(String route, String after) throws Exception {
+        try (TestUpstream sound = new TestUpstream(sound());
+                GatewayTestHarness harness = new GatewayTestHarness()) {
+            harness.add("b", "brain", sound, EngineRole.DECODE);
+            harness.start();
+            HttpResponse<String> response = harness.send(request(harness, route, after));
+            assertThat(response.statusCode()).isEqualTo(400);
+            assertThat(response.body()).contains("Last-Event-Id");
+            assertThat(sound.received()).isEmpty();
+        }
+    }
+
     /** Asserts that a caller gets each event once, with a faulty engine that is tried first and a sound one. */
     private static void assertWholeStream(String after, String faultyBody) throws Exception {
         int from = after.isEmpty() ? 0 : Integer.parseInt(after) + 1;
