--- a/common/src/main/java/org/wagtailcart/common/LogEventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEventKind.java
@@ -65,6 +65,8 @@
             true,
             "request",
             "upstream",
+            "software-version",
+            "resumes",
             "after-event",
             "first-event",
             "last-event",
--- a/daemon/src/test/java/org/wagtailcart/daemon/WorkspaceKeyFaultTest.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/WorkspaceKeyFaultTest.java
@@ -83,7 +83,7 @@
 
     private String page() {
         return """
-                {"instances":[{"id":"i-1","service":"stock","address":"%s","zone":"default","state":"ready",\
+                {"instances":[{"id":"i-1","service":"stock","address":"%s","zone":"default","version":"v1","state":"ready",\
                 "slots":16}]}"""
                 .formatted(replicaAddress);
     }
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -456,6 +456,8 @@
                 inOrder ? Level.INFO : Level.WARNING,
                 request().metadata().requestId(),
                 inFlight.upstream().id(),
+                inFlight.upstream().softwareVersion(),
+                request().metadata().resumes(),
                 afterEvent,
                 run.firstId(),
                 run.lastId(),
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -61,6 +61,11 @@
         return listEntry.instanceId();
     }
 
+    /** Returns the version of its software, empty if it is not known. */
+    public String softwareVersion() {
+        return listEntry.softwareVersion();
+    }
+
     /** Returns its listen address. */
     public Address address() {
         return listEntry.address();
@@ -77,6 +82,7 @@
                 listEntry.service(),
                 address(),
                 listEntry.role(),
+                softwareVersion(),
                 leaving(),
                 Math.max(0, refusesUntilMillis - nowMillis),
                 isAvailable(nowMillis),
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamState.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamState.java
@@ -11,6 +11,7 @@
  * @param service service that it runs
  * @param address its listen address
  * @param role role of an engine, null for a plain service or while the engine changes its role
+ * @param softwareVersion version of its software, empty if it is not known
  * @param leaving whether it is leaving, according to the host list or to itself
  * @param refusesForMillis time for which it has asked for no requests
  * @param available whether it receives new requests
@@ -24,6 +25,7 @@
         String service,
         Address address,
         @Nullable EngineRole role,
+        String softwareVersion,
         boolean leaving,
         long refusesForMillis,
         boolean available,
--- a/gateway/src/main/java/org/wagtailcart/gateway/protocol/RequestMetadata.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/protocol/RequestMetadata.java
@@ -13,9 +13,10 @@
  * @param timeoutMillis time for which the caller waits for the response, empty if not stated
  * @param prompt size of the prompt, null if the request is not an inference request
  * @param lastEventId id of the last event received from an aborted stream, empty if there is none
+ * @param resumes id of the attempt that delivered the first event of that stream, empty if it is not named
  */
 public record RequestMetadata(
-        String requestId, OptionalLong timeoutMillis, @Nullable Prompt prompt, String lastEventId) {
+        String requestId, OptionalLong timeoutMillis, @Nullable Prompt prompt, String lastEventId, String resumes) {
     private static final String EVENT_NUMBER_PATTERN = "[0-9]{1,18}";
 
     /** Returns the number of the last event that the caller has, empty without a readable one. */
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -185,7 +185,12 @@
     }
 
     void add(String id, String service, Address address, @Nullable EngineRole engineRole) {
-        upstreams.add(new ListedUpstream(id, service, address, "fes", 4, false, engineRole));
+        add(id, service, address, engineRole, "v1");
+    }
+
+    /** Adds an upstream of the given software version. */
+    void add(String id, String service, Address address, @Nullable EngineRole engineRole, String version) {
+        upstreams.add(new ListedUpstream(id, service, address, "fes", 4, false, engineRole, version));
     }
 
     /** Lists an upstream as leaving. */
@@ -198,7 +203,8 @@
                         listed.failureDomain(),
                         listed.maxInFlight(),
                         true,
-                        listed.role())
+                        listed.role(),
+                        listed.softwareVersion())
                 : listed);
     }
 
--- a/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/TestProtocol.java
@@ -55,7 +55,8 @@
                 header(headers, "Id").orElse(""),
                 callerTimeout,
                 prompt,
-                header(headers, "After").orElse(""));
+                header(headers, "After").orElse(""),
+                header(headers, "Resumes").orElse(""));
     }
 
     private static List<PrefixCacheEstimate.Segment> segments(List<String> headers) {
