--- a/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/PlainCall.java
@@ -10,6 +10,7 @@
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.gateway.list.InFlightRequest;
 import org.wagtailcart.gateway.list.Upstream;
+import org.wagtailcart.gateway.list.UpstreamFilter;
 import org.wagtailcart.gateway.list.UpstreamOutcome;
 import org.wagtailcart.gateway.protocol.ResponseMetadata;
 import org.wagtailcart.gateway.protocol.UpstreamRequestOptions;
@@ -56,7 +57,7 @@
                 return;
             }
             Optional<InFlightRequest> inFlight =
-                    context().registry().startReplicaRequest(request().service(), excluded);
+                    context().registry().startReplicaRequest(request().service(), UpstreamFilter.excluding(excluded));
             if (inFlight.isEmpty()) {
                 giveUp(ResultCode.NO_UPSTREAM, "no replica of the service is available");
                 return;
@@ -128,7 +129,7 @@
         long remainingMillis = Math.max(1, remainingMillis());
         boolean retryPossible = request().route().retryable()
                 && runs + 1 < request().route().maxAttempts()
-                && context().registry().hasReplica(request().service(), excluded);
+                && context().registry().hasReplica(request().service(), UpstreamFilter.excluding(excluded));
         return timeouts(
                 retryPossible ? (long) (remainingMillis * FIRST_ATTEMPT_TIME_FRACTION) : remainingMillis,
                 remainingMillis);
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -15,6 +15,7 @@
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.gateway.list.InFlightRequest;
 import org.wagtailcart.gateway.list.Upstream;
+import org.wagtailcart.gateway.list.UpstreamFilter;
 import org.wagtailcart.gateway.list.UpstreamOutcome;
 import org.wagtailcart.gateway.list.UpstreamRegistry;
 import org.wagtailcart.gateway.protocol.KvCacheHandle;
@@ -61,6 +62,8 @@
     private long lastReadAtMillis = -1;
     /** Content type of the response that was started. */
     private String contentType = "";
+    /** Software version that delivered the first event of the stream, null before it. */
+    private @Nullable String softwareVersion;
 
     /** Outcome of an attempt at a decode engine. */
     private enum StreamEnd {
@@ -98,11 +101,11 @@
     private Optional<UpstreamRegistry.Placement> place() {
         Prompt prompt = request().metadata().prompt();
         if (prompt != null && context().registry().hasEngines(request().service())) {
-            return context().registry().place(request().service(), prompt, excluded);
+            return context().registry().place(request().service(), prompt, filter(excluded));
         }
         return context()
                 .registry()
-                .startReplicaRequest(request().service(), excluded)
+                .startReplicaRequest(request().service(), filter(excluded))
                 .map(inFlight -> {
                     inFlight.end();
                     return new UpstreamRegistry.Placement(
@@ -115,6 +118,11 @@
                 });
     }
 
+    /** Returns the filter for the upstreams that may begin or continue the stream. */
+    private UpstreamFilter filter(Set<String> excludedIds) {
+        return new UpstreamFilter(excludedIds, softwareVersion);
+    }
+
     /** Runs an attempt with one placement; returns whether the call is finished. */
     private boolean attempt(UpstreamRegistry.Placement placement) {
         double firstTokenMillis = placement.times().firstTokenMillis();
@@ -146,7 +154,7 @@
             }
         }
         Optional<UpstreamRegistry.Placement> decodable =
-                context().registry().placeDecode(placement, request().service(), excluded);
+                context().registry().placeDecode(placement, request().service(), filter(excluded));
         if (decodable.isEmpty()) {
             giveUp(ResultCode.NO_UPSTREAM, "no engine can decode after the prefill");
             Optional.ofNullable(kvCacheHandle).ifPresent(this::releaseKvCache);
@@ -298,7 +306,7 @@
         tried.add(engine.id());
         boolean canContinue = request().route().retryable()
                 && runs + 1 < request().route().maxAttempts()
-                && context().registry().hasReplica(request().service(), tried);
+                && context().registry().hasReplica(request().service(), filter(tried));
         return timeouts(remainingMillis, canContinue ? MAX_EVENT_GAP_MILLIS : remainingMillis);
     }
 
@@ -396,22 +404,16 @@
         if (!metadata.success() || !metadata.hasServerStamp() || continuesOtherContent) {
             return relayFailure(inFlight, metadata, response, sentAtMillis);
         }
-        if (!isResponseStarted()) {
-            contentType = responseType;
-            if (!startResponse(response.status(), response.headers())) {
-                return StreamEnd.DONE;
-            }
-        }
         events.startContinuation();
         lastReadAtMillis = nowMillis();
         String afterEvent = events.lastEventId();
         boolean complete = false;
         try {
-            complete = relayEvents(inFlight, response);
+            complete = relayEvents(inFlight, response, responseType);
         } finally {
             logRun(inFlight, afterEvent, response, complete);
         }
-        if (!complete) {
+        if (!complete || !begin(inFlight, response, responseType)) {
             return StreamEnd.DONE;
         }
         inFlight.end(UpstreamOutcome.SUCCESS, nowMillis());
@@ -421,12 +423,15 @@
     }
 
     /** Relays the events of a response to their end; returns false if the call ended before. */
-    private boolean relayEvents(InFlightRequest inFlight, UpstreamResponse response) {
+    private boolean relayEvents(InFlightRequest inFlight, UpstreamResponse response, String responseType) {
         for (byte[] chunk = response.read(); chunk.length > 0; chunk = response.read()) {
             lastReadAtMillis = nowMillis();
             byte[] completeEvents = events.accept(chunk);
             if (completeEvents.length > 0) {
                 inFlight.recordFirstOutput();
+                if (!begin(inFlight, response, responseType)) {
+                    return false;
+                }
                 recordBegin();
                 write(completeEvents);
                 // A caller that reads slowly delays the write; that is no silence of the engine.
@@ -467,6 +472,19 @@
                 complete);
     }
 
+    /**
+     * Starts the response to the caller with its first event, so that its head and its events are of one upstream as far
+     * as possible; returns false if the request has ended.
+     */
+    private boolean begin(InFlightRequest inFlight, UpstreamResponse response, String responseType) {
+        if (isResponseStarted()) {
+            return !isEnded();
+        }
+        contentType = responseType;
+        softwareVersion = inFlight.upstream().softwareVersion();
+        return startResponse(response.status(), response.headers());
+    }
+
     /** Records the first event of the response; a stream that continues at another engine has begun before. */
     private void recordBegin() {
         if (!begun) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -234,9 +234,9 @@
     }
 
     /** Starts a request at the best replica of a plain service; empty if no replica is available. */
-    public synchronized Optional<InFlightRequest> startReplicaRequest(String service, Set<String> excluded) {
+    public synchronized Optional<InFlightRequest> startReplicaRequest(String service, UpstreamFilter filter) {
         long nowMillis = clock.nowMillis();
-        List<Upstream> usable = candidates(service, excluded, nowMillis);
+        List<Upstream> usable = candidates(service, filter, nowMillis);
         // The times of streams differ too much to recognize a slow phase by them.
         boolean engines = hasEngines(service);
         double meanMillis =
@@ -256,15 +256,15 @@
                         startRequest(requireUpstream(candidate.id()), InFlightRequest.Work.NO_PROMPT, List.of()));
     }
 
-    /** Returns whether a service has a replica outside the excluded ones. */
-    public synchronized boolean hasReplica(String service, Set<String> excluded) {
-        return !candidates(service, excluded, clock.nowMillis()).isEmpty();
+    /** Returns whether a service has a replica that a filter admits. */
+    public synchronized boolean hasReplica(String service, UpstreamFilter filter) {
+        return !candidates(service, filter, clock.nowMillis()).isEmpty();
     }
 
     /** Selects the engines of an inference request; empty if no engine can decode. */
-    public synchronized Optional<Placement> place(String service, Prompt prompt, Set<String> excluded) {
+    public synchronized Optional<Placement> place(String service, Prompt prompt, UpstreamFilter filter) {
         long nowMillis = clock.nowMillis();
-        List<EngineCandidate> candidates = candidates(service, excluded, nowMillis).stream()
+        List<EngineCandidate> candidates = candidates(service, filter, nowMillis).stream()
                 .map(upstream -> toCandidate(upstream, prompt.segments(), nowMillis))
                 .toList();
         List<PrefixCacheEstimate.Segment> shared = prompt.sharedSegments();
@@ -291,12 +291,12 @@
      * which the engine chosen before it may have started to leave, ended or changed its role; the KV cache can be
      * fetched by any other engine.
      */
-    public synchronized Optional<Placement> placeDecode(Placement placement, String service, Set<String> excluded) {
+    public synchronized Optional<Placement> placeDecode(Placement placement, String service, UpstreamFilter filter) {
         if (placement.prefill().isEmpty()) {
             return Optional.of(placement);
         }
         long nowMillis = clock.nowMillis();
-        List<Upstream> decoders = candidates(service, excluded, nowMillis).stream()
+        List<Upstream> decoders = candidates(service, filter, nowMillis).stream()
                 .filter(upstream -> upstream.listEntry().role() != EngineRole.PREFILL)
                 .toList();
         if (decoders.contains(placement.decode())) {
@@ -509,19 +509,19 @@
     }
 
     /** Returns the upstreams that may receive a request of a service; unhealthy ones only if none is healthy. */
-    private List<Upstream> candidates(String service, Set<String> excluded, long nowMillis) {
+    private List<Upstream> candidates(String service, UpstreamFilter filter, long nowMillis) {
         boolean engines = hasEngines(service);
         List<Upstream> present = upstreamsById.values().stream()
                 .filter(upstream -> upstream.listEntry().service().equals(service))
                 .filter(upstream -> upstream.acceptsRequests(nowMillis))
                 .filter(upstream -> !engines || upstream.listEntry().role() != null)
-                .filter(upstream -> !excluded.contains(upstream.id()))
+                .filter(filter::admits)
                 .toList();
         List<Upstream> healthy = present.stream()
                 .filter(upstream -> upstream.isAvailable(nowMillis))
                 .toList();
         List<Upstream> usable = healthy.isEmpty() ? present : healthy;
-        return excluded.isEmpty() ? usable : withoutUnproven(usable);
+        return filter.excludedIds().isEmpty() ? usable : withoutUnproven(usable);
     }
 
     /**
--- a/gateway/src/test/java/org/wagtailcart/gateway/StreamOrderTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/StreamOrderTest.java
@@ -163,6 +163,9 @@
             throws IOException, InterruptedException {
         HttpResponse<InputStream> response =
                 HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofInputStream());
+        if (response.statusCode() != 200) {
+            throw new IOException("status " + response.statusCode());
+        }
         try (InputStream body = response.body()) {
             body.transferTo(to);
         }
