--- a/common/src/main/java/org/wagtailcart/common/LogEventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEventKind.java
@@ -74,6 +74,8 @@
             "unnumbered-events",
             "framing",
             "complete"),
+    /** A caller resumes a stream, which goes on at the software version that began it or is refused. */
+    STREAM_RESUMED(false, "request", "resumes", "after-event", "service", "software-version", "source", "outcome"),
     /** An upstream sent bytes that are no response to the request that waits for one. */
     UNEXPECTED_RESPONSE(false, "request", "address", "kind", "connection", "earlier-requests", "reason"),
     /** A gateway took an upstream out of service for a period. */
--- a/control/src/main/java/org/wagtailcart/control/ControlRole.java
+++ b/control/src/main/java/org/wagtailcart/control/ControlRole.java
@@ -25,10 +25,12 @@
 import org.wagtailcart.control.capacity.CapacityController;
 import org.wagtailcart.control.client.CommandRequest;
 import org.wagtailcart.control.client.ControlClientImpl;
+import org.wagtailcart.control.client.FindOrigin;
 import org.wagtailcart.control.client.PowerGrant;
 import org.wagtailcart.control.client.PrefixCacheUpdate;
 import org.wagtailcart.control.client.ProcessesReply;
 import org.wagtailcart.control.client.ProcessesRequest;
+import org.wagtailcart.control.client.RecordOrigins;
 import org.wagtailcart.control.client.SyncBatch;
 import org.wagtailcart.control.client.SyncBatchReply;
 import org.wagtailcart.control.client.SyncRequest;
@@ -41,6 +43,7 @@
 import org.wagtailcart.control.orders.OrderLease;
 import org.wagtailcart.control.orders.OrderLeaseHolder;
 import org.wagtailcart.control.orders.PlatformCallLimiter;
+import org.wagtailcart.control.stream.OriginHandler;
 import org.wagtailcart.control.usage.UsageBackend;
 import org.wagtailcart.control.usage.UsageObserver;
 import org.wagtailcart.control.usage.UsageReportClient;
@@ -92,6 +95,7 @@
     private final UsageObserver usageObserver;
     private final PlatformCallLimiter platformCalls = new PlatformCallLimiter();
     private final WatchHandler watchHandler;
+    private final OriginHandler originHandler = new OriginHandler(clock);
     private final Meter syncMeter;
     private final Meter commandMeter;
     private final Map<String, Long> grantDeadlinesMillis = new HashMap<>();
@@ -139,6 +143,7 @@
                 state::routes, log::status, this::confirmationAgeMillis, hostListCache, usageObserver, clock);
         this.syncMeter = registry.meter("control.syncs");
         this.commandMeter = registry.meter("control.commands");
+        registry.registerGauge("control.stream-origins", originHandler::size);
     }
 
     @Override
@@ -150,6 +155,8 @@
         scheduleRepeating(this::forwardSyncs, options.syncForwardIntervalMillis());
         scheduleRepeating(leaderTasks::run, options.planIntervalMillis());
         dispatcher.register(WatchRequest.class, watchHandler::handle);
+        dispatcher.register(RecordOrigins.class, this::handleRecordOrigins);
+        dispatcher.register(FindOrigin.class, this::handleFindOrigin);
         state.onRoutesChanged(() -> executor.execute(watchHandler::replyDue));
         scheduleRepeating(watchHandler::replyDue, WATCH_CHECK_INTERVAL_MILLIS);
         Address operators = options.operatorAddress();
@@ -405,6 +412,16 @@
                 leading ? processTracker.activeEntryCount(clock.nowMillis(), options.leaseMillis()) : 0));
     }
 
+    private void handleRecordOrigins(Exchange exchange, Object message) {
+        CommandHandler.checkNoMissingFields("origins", message);
+        exchange.finish(originHandler.record((RecordOrigins) message));
+    }
+
+    private void handleFindOrigin(Exchange exchange, Object message) {
+        CommandHandler.checkNoMissingFields("origin", message);
+        exchange.finish(originHandler.find((FindOrigin) message));
+    }
+
     private void processes(Exchange exchange, Object message) {
         exchange.finish(localProcesses());
     }
--- a/control/src/main/java/org/wagtailcart/control/client/ControlMessages.java
+++ b/control/src/main/java/org/wagtailcart/control/client/ControlMessages.java
@@ -19,7 +19,11 @@
             new MessageType(510, ProcessesReply.class),
             new MessageType(511, SyncBody.class),
             new MessageType(512, WatchRequest.class),
-            new MessageType(513, WatchReply.class));
+            new MessageType(513, WatchReply.class),
+            new MessageType(514, RecordOrigins.class),
+            new MessageType(515, OriginsRecorded.class),
+            new MessageType(516, FindOrigin.class),
+            new MessageType(517, FoundOrigin.class));
 
     private ControlMessages() {}
 }
--- a/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
+++ b/daemon/src/main/java/org/wagtailcart/daemon/RolesModule.java
@@ -269,6 +269,7 @@
         return new GatewayRole(
                 options,
                 (member, request, timeoutMillis) -> peers.call(member, request, WatchReply.class, timeoutMillis),
+                new PeerOriginTransport(peers),
                 list,
                 new PlatformRequestProtocol(),
                 traffic,
--- a/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/GatewayRole.java
@@ -41,6 +41,8 @@
 import org.wagtailcart.gateway.send.UnexpectedResponseLog;
 import org.wagtailcart.gateway.send.UpstreamHttpClient;
 import org.wagtailcart.gateway.share.WorkspaceLimits;
+import org.wagtailcart.gateway.stream.StreamOriginClient;
+import org.wagtailcart.gateway.stream.StreamResumption;
 import org.wagtailcart.gateway.watch.RouteTableWatcher;
 import org.wagtailcart.usage.UsageCounter;
 
@@ -71,12 +73,15 @@
     /**
      * Creates a gateway; {@link #start()} opens its listeners.
      *
+     * @param control polls control members
+     * @param originTransport carries origins of streams to and from control members
      * @param traffic executor of the blocking calls to upstreams
      * @param timer runs short delayed tasks
      */
     public GatewayRole(
             GatewayOptions options,
             RouteTableWatcher.Transport control,
+            StreamOriginClient.Transport originTransport,
             HostList list,
             RequestProtocol protocol,
             ExecutorService traffic,
@@ -110,6 +115,8 @@
         SuspectUpstreams suspects = new SuspectUpstreams(clock);
         UnexpectedResponseLog unexpectedResponses = new UnexpectedResponseLog(registry, suspects);
         UpstreamHttpClient client = new UpstreamHttpClient(clock, unexpectedResponses, suspects);
+        StreamOriginClient streamOrigins = new StreamOriginClient(
+                options.processId(), originTransport, routeWatcher::members, traffic, timer, clock);
         this.listReader = new HostListReader(list, upstreams, clock);
         this.context = new GatewayContext(
                 protocol,
@@ -121,6 +128,8 @@
                 quarantine,
                 new EngineCrashDetector(quarantine, client::refusesConnections, traffic, timer, clock),
                 workspaceLimits,
+                streamOrigins,
+                new StreamResumption(streamOrigins, upstreams),
                 new OpenCalls(),
                 usage.<RunListener>map(meter -> meter).orElse(RunListener.NONE),
                 new RequestMetrics(registry),
--- a/gateway/src/main/java/org/wagtailcart/gateway/ResumptionCheck.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/ResumptionCheck.java
@@ -8,6 +8,9 @@
 
 /** Check of the headers by which a caller resumes a stream. */
 final class ResumptionCheck {
+    /** A comma separates the values of several header lines. */
+    private static final String ID_PATTERN = "[!-~&&[^,]]{0,256}";
+
     private ResumptionCheck() {}
 
     /**
@@ -27,6 +30,10 @@
         if (metadata.lastEventNumber().isEmpty()) {
             throw invalid("Last-Event-Id is \"" + lastEventId + "\"; one number of up to 18 digits is accepted");
         }
+        if (!metadata.resumes().matches(ID_PATTERN)) {
+            throw invalid("Resumes is \"" + metadata.resumes()
+                    + "\"; one id of up to 256 visible characters without a comma is accepted");
+        }
     }
 
     private static WagtailcartException invalid(String message) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayCall.java
@@ -67,6 +67,11 @@
         return request;
     }
 
+    /** Returns the service that serves the request. */
+    String service() {
+        return request.service();
+    }
+
     final CallShare share() {
         return share;
     }
@@ -194,7 +199,7 @@
      * accepts requests again, if that is known.
      */
     private long retryAfterMillis(long defaultMillis) {
-        return context.registry().refusedForMillis(request.service()).orElse(defaultMillis);
+        return context.registry().refusedForMillis(service()).orElse(defaultMillis);
     }
 
     /**
@@ -265,7 +270,7 @@
     /** Takes a retry from the budget shared by all gateways; returns false if it is exhausted. */
     final boolean tryAcquireRetry() {
         return context.retryBudgets()
-                .tryAcquire(request.service(), context.routeWatcher().gatewayCount(), nowMillis());
+                .tryAcquire(service(), context.routeWatcher().gatewayCount(), nowMillis());
     }
 
     /** Logs an attempt at the selected upstream. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayContext.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/GatewayContext.java
@@ -11,6 +11,8 @@
 import org.wagtailcart.gateway.send.UnexpectedResponseLog;
 import org.wagtailcart.gateway.send.UpstreamHttpClient;
 import org.wagtailcart.gateway.share.WorkspaceLimits;
+import org.wagtailcart.gateway.stream.StreamOriginClient;
+import org.wagtailcart.gateway.stream.StreamResumption;
 import org.wagtailcart.gateway.watch.RouteTableWatcher;
 
 /**
@@ -25,6 +27,8 @@
  * @param quarantine prompt segments whose requests are refused
  * @param crashDetector detector of engines that end under a request
  * @param workspaceLimits limits on the workspaces of contended services
+ * @param streamOrigins origins of streams that callers may resume
+ * @param streamResumption decision on streams that callers resume
  * @param openCalls calls that have not ended
  * @param runs learns when upstreams begin to run requests
  * @param metrics metrics of ended requests and failed attempts
@@ -42,6 +46,8 @@
         PromptQuarantine quarantine,
         EngineCrashDetector crashDetector,
         WorkspaceLimits workspaceLimits,
+        StreamOriginClient streamOrigins,
+        StreamResumption streamResumption,
         OpenCalls openCalls,
         RunListener runs,
         RequestMetrics metrics,
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/RequestMetrics.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/RequestMetrics.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.SettingNames;
+import org.wagtailcart.gateway.stream.StreamResumption;
 import org.wagtailcart.workspace.KeyVerdict;
 
 /** Metrics of ended requests: a counter per result code and timers of the total time and the time to first byte. */
@@ -37,6 +38,11 @@
         registry.counter("gateway.attempt." + SettingNames.of(code)).inc();
     }
 
+    /** Counts a stream that its caller resumes, by what becomes of it. */
+    void recordResumption(StreamResumption.Outcome outcome) {
+        registry.counter("gateway.stream.resumed." + SettingNames.of(outcome)).inc();
+    }
+
     /** Counts a response of an upstream whose events are not the next ones of the stream. */
     void recordDisorderedRun() {
         registry.counter("gateway.stream.disordered-runs").inc();
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -12,6 +12,7 @@
 import org.wagtailcart.common.LogEventKind;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
+import org.wagtailcart.common.SettingNames;
 import org.wagtailcart.common.WagtailcartException;
 import org.wagtailcart.gateway.list.InFlightRequest;
 import org.wagtailcart.gateway.list.Upstream;
@@ -20,16 +21,19 @@
 import org.wagtailcart.gateway.list.UpstreamRegistry;
 import org.wagtailcart.gateway.protocol.KvCacheHandle;
 import org.wagtailcart.gateway.protocol.Prompt;
+import org.wagtailcart.gateway.protocol.RequestMetadata;
 import org.wagtailcart.gateway.protocol.ResponseMetadata;
 import org.wagtailcart.gateway.protocol.UpstreamRequestOptions;
 import org.wagtailcart.gateway.send.ResponseCheck;
 import org.wagtailcart.gateway.send.UpstreamRequest;
 import org.wagtailcart.gateway.send.UpstreamResponse;
 import org.wagtailcart.gateway.send.UpstreamTimeouts;
+import org.wagtailcart.gateway.stream.StreamResumption;
 import org.wagtailcart.policy.placement.PromptPlacement;
 import org.wagtailcart.policy.placement.RequestRank;
 import org.wagtailcart.policy.share.ShareRequest;
 import org.wagtailcart.policy.stream.EventSequence;
+import org.wagtailcart.policy.stream.StreamOrigin;
 
 /**
  * Call whose response is an event stream. One engine runs the prefill, another decodes from the KV cache of the first.
@@ -62,8 +66,8 @@
     private long lastReadAtMillis = -1;
     /** Content type of the response that was started. */
     private String contentType = "";
-    /** Software version that delivered the first event of the stream, null before it. */
-    private @Nullable String softwareVersion;
+    /** Where the stream began, null before its first event. */
+    private @Nullable StreamOrigin origin;
 
     /** Outcome of an attempt at a decode engine. */
     private enum StreamEnd {
@@ -79,6 +83,9 @@
 
     @Override
     void serve() {
+        if (endIfNotResumable()) {
+            return;
+        }
         while (!isEnded()) {
             if (endIfQuarantined()) {
                 return;
@@ -100,12 +107,12 @@
 
     private Optional<UpstreamRegistry.Placement> place() {
         Prompt prompt = request().metadata().prompt();
-        if (prompt != null && context().registry().hasEngines(request().service())) {
-            return context().registry().place(request().service(), prompt, filter(excluded));
+        if (prompt != null && context().registry().hasEngines(service())) {
+            return context().registry().place(service(), prompt, filter(excluded));
         }
         return context()
                 .registry()
-                .startReplicaRequest(request().service(), filter(excluded))
+                .startReplicaRequest(service(), filter(excluded))
                 .map(inFlight -> {
                     inFlight.end();
                     return new UpstreamRegistry.Placement(
@@ -120,7 +127,47 @@
 
     /** Returns the filter for the upstreams that may begin or continue the stream. */
     private UpstreamFilter filter(Set<String> excludedIds) {
-        return new UpstreamFilter(excludedIds, softwareVersion);
+        StreamOrigin known = origin;
+        return new UpstreamFilter(excludedIds, known == null ? null : known.softwareVersion());
+    }
+
+    @Override
+    String service() {
+        StreamOrigin known = origin;
+        return known == null ? super.service() : known.service();
+    }
+
+    /** Finds out where a resumed stream began; returns whether the request has ended because it cannot go on there. */
+    private boolean endIfNotResumable() {
+        RequestMetadata metadata = request().metadata();
+        if (metadata.lastEventNumber().isEmpty()) {
+            return false;
+        }
+        StreamResumption.Decision decision =
+                context().streamResumption().decide(metadata, request().route());
+        Optional<StreamOrigin> found = decision.origin();
+        context().metrics().recordResumption(decision.outcome());
+        LogEventKind.STREAM_RESUMED.log(
+                LOG,
+                decision.outcome() == StreamResumption.Outcome.GOES_ON ? Level.INFO : Level.WARNING,
+                metadata.requestId(),
+                metadata.resumes(),
+                metadata.lastEventId(),
+                found.map(StreamOrigin::service).orElse(""),
+                found.map(StreamOrigin::softwareVersion).orElse(""),
+                SettingNames.of(decision.source()),
+                SettingNames.of(decision.outcome()));
+        origin = found.orElse(null);
+        switch (decision.outcome()) {
+            case VERSION_UNKNOWN ->
+                giveUp(ResultCode.STREAM_VERSION_UNKNOWN, "it is not known which software version began the stream");
+            case VERSION_GONE ->
+                giveUp(
+                        ResultCode.STREAM_VERSION_GONE,
+                        "no upstream of the software version that began the stream serves");
+            case GOES_ON -> {}
+        }
+        return decision.outcome() != StreamResumption.Outcome.GOES_ON;
     }
 
     /** Runs an attempt with one placement; returns whether the call is finished. */
@@ -154,7 +201,7 @@
             }
         }
         Optional<UpstreamRegistry.Placement> decodable =
-                context().registry().placeDecode(placement, request().service(), filter(excluded));
+                context().registry().placeDecode(placement, service(), filter(excluded));
         if (decodable.isEmpty()) {
             giveUp(ResultCode.NO_UPSTREAM, "no engine can decode after the prefill");
             Optional.ofNullable(kvCacheHandle).ifPresent(this::releaseKvCache);
@@ -171,7 +218,7 @@
     private double cost(UpstreamRegistry.Placement placement) {
         return context()
                 .registry()
-                .costOf(placement, request().service(), request().metadata().prompt());
+                .costOf(placement, service(), request().metadata().prompt());
     }
 
     private static ShareRequest.Estimate estimate(UpstreamRegistry.Placement placement) {
@@ -306,7 +353,7 @@
         tried.add(engine.id());
         boolean canContinue = request().route().retryable()
                 && runs + 1 < request().route().maxAttempts()
-                && context().registry().hasReplica(request().service(), filter(tried));
+                && context().registry().hasReplica(service(), filter(tried));
         return timeouts(remainingMillis, canContinue ? MAX_EVENT_GAP_MILLIS : remainingMillis);
     }
 
@@ -481,10 +528,20 @@
             return !isEnded();
         }
         contentType = responseType;
-        softwareVersion = inFlight.upstream().softwareVersion();
+        recordOrigin(new StreamOrigin(service(), inFlight.upstream().softwareVersion()));
         return startResponse(response.status(), response.headers());
     }
 
+    /** Records where the stream began, before its first event is sent to the caller. */
+    private void recordOrigin(StreamOrigin began) {
+        origin = began;
+        if (request().route().resumable()) {
+            context()
+                    .streamOrigins()
+                    .record(request().metadata().requestId(), began, request().callerDeadlineMillis());
+        }
+    }
+
     /** Records the first event of the response; a stream that continues at another engine has begun before. */
     private void recordBegin() {
         if (!begun) {
--- a/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/watch/RouteTableWatcher.java
@@ -63,6 +63,7 @@
     private final ScheduledExecutorService scheduler;
     private final MillisClock clock;
     private final Set<Address> members = new LinkedHashSet<>();
+    private List<Address> groupMembers = List.of();
     private final Map<Address, Long> backoffUntilMillis = new HashMap<>();
     private final long startMillis;
 
@@ -126,6 +127,11 @@
         return clock.nowMillis() - confirmedUntilMillis + CONFIRMED_MILLIS;
     }
 
+    /** Returns the addresses of the control members, those in the settings before a member has named the others. */
+    public synchronized List<Address> members() {
+        return groupMembers.isEmpty() ? List.copyOf(members) : groupMembers;
+    }
+
     /** Returns the number of gateways, at least 1. */
     public int gatewayCount() {
         return gatewayCount;
@@ -253,7 +259,10 @@
         if (backoffUntilMillis.remove(member) != null) {
             LogEventKind.CONTROL_REGAINED.log(LOG, Level.INFO, member);
         }
-        reply.memberAddresses().stream().map(Address::parse).forEach(members::add);
+        List<Address> latestMembers =
+                reply.memberAddresses().stream().map(Address::parse).toList();
+        members.addAll(latestMembers);
+        groupMembers = latestMembers;
         boolean confirmed = reply.confirmationAgeMillis() < CONFIRMED_MILLIS;
         RouteTable table = reply.table();
         if (table != null && (confirmed || mayInstallUnconfirmed())) {
--- a/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/GatewayTestHarness.java
@@ -61,6 +61,7 @@
     private final GatewayRole role;
     private final MetricRegistry registry = new MetricRegistry();
     private volatile RouteTable table = table(1, null);
+    private final TestOriginMember originMember;
     private volatile boolean controlReplies = true;
     private volatile long controlAgeMillis;
     private final long controlMillis;
@@ -132,6 +133,7 @@
             OptionalLong usageWindowMillis)
             throws IOException {
         this.controlMillis = controlMillis;
+        this.originMember = new TestOriginMember(() -> controlReplies);
         this.countsUsage = usageWindowMillis.isPresent();
         Address ready = TestAddresses.free();
         GatewayOptions options = new GatewayOptions(
@@ -150,6 +152,7 @@
         role = new GatewayRole(
                 options,
                 (member, request, timeoutMillis) -> reply(request),
+                originMember,
                 () -> List.copyOf(upstreams),
                 protocol,
                 traffic,
@@ -176,6 +179,11 @@
         assertThat(role.dump().tableVersion()).isEqualTo(version);
     }
 
+    /** Returns the control member that keeps the origins of streams. */
+    TestOriginMember originMember() {
+        return originMember;
+    }
+
     MetricRegistry registry() {
         return registry;
     }
--- a/gateway/src/test/java/org/wagtailcart/gateway/SoftwareVersionTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/SoftwareVersionTest.java
@@ -13,12 +13,12 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.control.client.RecordedOrigin;
 
 /** Guards against a stream that is joined from the output of two software versions. */
 class SoftwareVersionTest {
@@ -113,8 +113,7 @@
     /** Guards against a caller that resumes a stream and gets the rest from another version. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
-    @Tag("known-red")
-    void resumedStreamGoesOnAtItsVersionKnownRed(boolean versionServes) throws Exception {
+    void resumedStreamGoesOnAtItsVersion(boolean versionServes) throws Exception {
         try (TestUpstream first = new TestUpstream(stream("v1", 5));
                 TestUpstream other = new TestUpstream(stream("v2", EVENTS));
                 GatewayTestHarness harness = new GatewayTestHarness()) {
@@ -142,8 +141,7 @@
     /** Guards against a stream that is joined because nobody knows its version, or is named wrongly. */
     @ParameterizedTest
     @CsvSource({"''", "unknown", "r-2"})
-    @Tag("known-red")
-    void streamOfUnknownVersionIsNotResumedAmongTwoVersionsKnownRed(String resumes) throws Exception {
+    void streamOfUnknownVersionIsNotResumedAmongTwoVersions(String resumes) throws Exception {
         try (TestUpstream v1 = new TestUpstream(stream("v1", EVENTS));
                 TestUpstream v2 = new TestUpstream(stream("v2", EVENTS));
                 GatewayTestHarness harness = new GatewayTestHarness()) {
@@ -188,4 +186,53 @@
             }
         }
     }
+
+    /** Guards against a stream that another gateway began, and whose version this gateway does not know. */
+    @ParameterizedTest
+    @CsvSource({"v1, true, 200", "v2, true, 200", "v1, false, 503"})
+    void streamOfAnotherGatewayGoesOnAtItsVersion(String version, boolean controlReplies, int status) throws Exception {
+        try (TestUpstream v1 = new TestUpstream(stream("v1", EVENTS));
+                TestUpstream v2 = new TestUpstream(stream("v2", EVENTS));
+                GatewayTestHarness harness = new GatewayTestHarness()) {
+            harness.add("a", "brain", v1.address(), EngineRole.DECODE, "v1");
+            harness.add("b", "brain", v2.address(), EngineRole.DECODE, "v2");
+            harness.start();
+            harness.originMember().recordFromOtherGateway(new RecordedOrigin("r-1", "brain", version, 5_000));
+            harness.control(controlReplies, 0);
+            HttpResponse<String> response = harness.send(resumption(harness, "r-2", 4, "r-1"));
+            assertThat(response.statusCode()).isEqualTo(status);
+            if (status == 200) {
+                assertThat(response.body()).isEqualTo(events(5, EVENTS, version));
+            }
+        }
+    }
+
+    /** Guards against a resumed stream that another service of its route continues. */
+    @Test
+    void streamOfAServiceOutsideTheRouteIsNotResumed() throws Exception {
+        try (TestUpstream v1 = new TestUpstream(stream("v1", EVENTS));
+                GatewayTestHarness harness = new GatewayTestHarness()) {
+            harness.add("a", "brain", v1.address(), EngineRole.DECODE, "v1");
+            harness.start();
+            harness.originMember().recordFromOtherGateway(new RecordedOrigin("r-1", "stock", "v1", 5_000));
+            HttpResponse<String> response = harness.send(resumption(harness, "r-2", 4, "r-1"));
+            assertThat(response.statusCode()).isEqualTo(503);
+            assertThat(response.body()).contains("stream-version-gone");
+            assertThat(v1.received()).isEmpty();
+        }
+    }
+
+    /** Guards against a malformed name of a stream that is taken for a stream. */
+    @ParameterizedTest
+    @ValueSource(strings = {"a b", "r-1,r-2"})
+    void malformedNameOfAStreamIsRefused(String resumes) throws Exception {
+        try (GatewayTestHarness harness = new GatewayTestHarness();
+                TestUpstream v1 = new TestUpstream(stream("v1", EVENTS))) {
+            harness.add("a", "brain", v1.address(), EngineRole.DECODE, "v1");
+            harness.start();
+            HttpResponse<String> response = harness.send(resumption(harness, "r-2", 4, resumes));
+            assertThat(response.statusCode()).isEqualTo(400);
+            assertThat(response.body()).contains("Resumes");
+        }
+    }
 }
--- a/gateway/src/test/java/org/wagtailcart/gateway/StreamOrderTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/StreamOrderTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.wagtailcart.common.EngineRole;
+import org.wagtailcart.control.client.RecordedOrigin;
 
 /** Guards against events that reach a caller out of order, more than once or not at all while its response goes on. */
 class StreamOrderTest {
@@ -132,6 +133,7 @@
             harness.add("a", "brain", faulty, EngineRole.DECODE);
             harness.add("b", "brain", sound, EngineRole.DECODE);
             harness.start();
+            harness.originMember().recordFromOtherGateway(new RecordedOrigin("r-0", "brain", "v1", 5_000));
             HttpResponse<String> response = harness.send(request(harness, "resumable", after));
             assertThat(faulty.received()).hasSize(1);
             assertThat(response.body()).isEqualTo(events(from, EVENTS));
@@ -177,6 +179,7 @@
                 ? request
                 : HttpRequest.newBuilder(request, (name, value) -> true)
                         .header("After", after)
+                        .header("Resumes", "r-0")
                         .build();
     }
 }
