--- a/control/src/main/java/org/wagtailcart/control/orders/EngineRoleController.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/EngineRoleController.java
@@ -58,6 +58,13 @@
     /** A role change that was ordered and is not yet shown by the host list. */
     private record PendingRoleChange(EngineRole role, long expiresAtMillis) {}
 
+    /** Engines that serve a request together: KV cache is handed over only within a software version. */
+    private record EnginePool(String service, String softwareVersion) {
+        static EnginePool of(ListedUpstream upstream) {
+            return new EnginePool(upstream.service(), upstream.softwareVersion());
+        }
+    }
+
     /** Publishes updates from the leader to the gateways. */
     public interface GatewayPublisher {
         /** Publishes a host list with the monotonic time at which its read started. */
@@ -83,7 +90,7 @@
     private final ExecutorService scanExecutor =
             Executors.newFixedThreadPool(SCAN_THREADS, DaemonThreads.numbered("cache-survey-"));
     private final PrefixCacheScanner cacheScanner;
-    private final Map<String, PrefillRatioPlanner> ratioPlannersByService = new HashMap<>();
+    private final Map<EnginePool, PrefillRatioPlanner> ratioPlannersByPool = new HashMap<>();
     private final Map<String, Long> orderCooldownUntilMillis = new HashMap<>();
     private final Map<String, PendingRoleChange> pendingRoleChanges = new HashMap<>();
     private List<ListedUpstream> latestUpstreams = List.of();
@@ -167,9 +174,10 @@
                 .filter(service -> service.engine() != null)
                 .map(ServiceSpec::name)
                 .collect(Collectors.toSet());
-        Map<String, List<ListedUpstream>> listed = upstreams.stream()
+        Map<EnginePool, List<ListedUpstream>> listed = upstreams.stream()
                 .filter(upstream -> services.contains(upstream.service()))
-                .collect(Collectors.groupingBy(ListedUpstream::service));
+                .collect(Collectors.groupingBy(EnginePool::of));
+        ratioPlannersByPool.keySet().retainAll(listed.keySet());
         listed.forEach(this::plan);
     }
 
@@ -187,11 +195,10 @@
                 .toList();
     }
 
-    private void plan(String service, List<ListedUpstream> upstreams) {
+    private void plan(EnginePool pool, List<ListedUpstream> upstreams) {
         long nowMillis = clock.nowMillis();
         orderCooldownUntilMillis.values().removeIf(until -> until <= nowMillis);
-        PrefillRatioPlanner planner =
-                ratioPlannersByService.computeIfAbsent(service, name -> new PrefillRatioPlanner());
+        PrefillRatioPlanner planner = ratioPlannersByPool.computeIfAbsent(pool, key -> new PrefillRatioPlanner());
         FleetRates rates = fleetRates(upstreams);
         List<PrefillRatioPlanner.Engine> engines = upstreams.stream()
                 .filter(upstream -> !upstream.leaving() && upstream.role() != null)
@@ -203,7 +210,7 @@
                         rates.speed(upstream.instanceId())))
                 .toList();
         List<PrefillRatioPlanner.RatioChange> changes =
-                planner.plan(engines, slots(service), trafficSeen.get(), nowMillis);
+                planner.plan(engines, slots(pool.service()), trafficSeen.get(), nowMillis);
         changes.stream()
                 .filter(change -> !orderCooldownUntilMillis.containsKey(change.engineId()))
                 .takeWhile(change -> lease.mayCall())
--- a/policy/src/main/java/org/wagtailcart/policy/role/PrefillRatioPlanner.java
+++ b/policy/src/main/java/org/wagtailcart/policy/role/PrefillRatioPlanner.java
@@ -147,6 +147,9 @@
         if (newEngineChange.isPresent()) {
             return List.of(newEngineChange.get());
         }
+        if (servingTraffic && !engines.isEmpty() && engines.stream().allMatch(Engine::prefill)) {
+            return firstDecodeEngine(engines);
+        }
         // At system start, engines appear one after another.
         boolean settling = !servingTraffic && nowMillis - listChangedAtMillis < SETTLE_MILLIS;
         if (servingTraffic && shortfall == 0) {
@@ -163,6 +166,13 @@
         return candidates(engines, shortfall > 0).limit(count).toList();
     }
 
+    /** Returns the order for an engine to decode, since engines in the prefill role alone serve no request. */
+    private List<RatioChange> firstDecodeEngine(List<Engine> engines) {
+        return engines.stream().anyMatch(Engine::changing)
+                ? List.of()
+                : candidates(engines, false).limit(1).toList();
+    }
+
     /**
      * Returns the orders for a fast decode engine and a slow prefill engine in the same domain to swap their roles, if
      * that pays; otherwise none.
--- a/policy/src/test/java/org/wagtailcart/policy/role/PrefillRatioPlannerTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/role/PrefillRatioPlannerTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailcart.common.EngineRole;
 
 /** Guards against wrong prefill ratios, and against role changes that cost cached prefixes under traffic needlessly. */
@@ -67,6 +68,19 @@
                 .containsExactly(new PrefillRatioPlanner.RatioChange("new", EngineRole.PREFILL));
     }
 
+    /** Guards against engines of a version that serve nothing because those that decoded were replaced by another one. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 6})
+    void enginesWithoutADecodeEngineGetOneAtOnce(int engines) {
+        planner.plan(engines(engines + 1, engines), SLOTS, true, 0);
+        planner.plan(engines(engines + 1, engines), SLOTS, true, 20_000);
+        List<PrefillRatioPlanner.RatioChange> ordered = planner.plan(engines(engines, engines), SLOTS, true, 21_000);
+        assertThat(ordered.stream().map(PrefillRatioPlanner.RatioChange::role)).containsExactly(EngineRole.DECODE);
+        List<PrefillRatioPlanner.Engine> changing = new ArrayList<>(engines(engines, engines));
+        changing.set(0, new PrefillRatioPlanner.Engine("e0", "z0", true, true));
+        assertThat(planner.plan(changing, SLOTS, true, 22_000)).isEmpty();
+    }
+
     /** Guards against orders beyond the target while others are pending, which would have to be undone. */
     @Test
     void pendingRoleChangesCountTowardsTheTarget() {
