--- a/entry/src/main/java/org/wagtailcart/entry/attempt/ResumableEventStream.java
+++ b/entry/src/main/java/org/wagtailcart/entry/attempt/ResumableEventStream.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
 
@@ -32,6 +33,7 @@
     private boolean finishReasonSeen;
     private boolean doneMarkerSeen;
     private byte[] undecodedBytes = new byte[0];
+    private @Nullable WagtailcartException fault;
 
     /** Starts the events of an attempt, which continues after the tokens delivered so far. */
     public void startAttempt(String id) {
@@ -43,6 +45,7 @@
         firstEventSeen = false;
         finishReasonSeen = false;
         doneMarkerSeen = false;
+        fault = null;
     }
 
     /** Returns the number of tokens delivered. */
@@ -51,30 +54,49 @@
     }
 
     /**
-     * Accepts bytes of the body and returns the events to deliver.
-     *
-     * @throws WagtailcartException with {@link ResultCode#STREAM_INCOMPLETE} when a token is missing or repeated, with
-     *     {@link ResultCode#ANSWER_MISMATCH} when an event belongs to another request
+     * Accepts bytes of the body and returns the events to deliver. A faulty event ends the attempt: {@link #throwFault()}
+     * then throws, and no further event of the attempt is returned.
      */
     public byte[] accept(byte[] bytes) {
+        if (fault != null) {
+            return new byte[0];
+        }
         partialEvent.append(decode(bytes));
         StringBuilder deliver = new StringBuilder();
-        int end = partialEvent.indexOf("\n\n");
-        while (end >= 0) {
-            String event = partialEvent.substring(0, end + 2);
-            partialEvent.delete(0, end + 2);
-            deliver.append(process(event));
-            end = partialEvent.indexOf("\n\n");
+        try {
+            for (int end = partialEvent.indexOf("\n\n"); end >= 0; end = partialEvent.indexOf("\n\n")) {
+                String event = partialEvent.substring(0, end + 2);
+                partialEvent.delete(0, end + 2);
+                deliver.append(process(event));
+            }
+        } catch (WagtailcartException e) {
+            fault = e;
         }
         return deliver.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    /**
+     * Throws the fault that ended the attempt, if there is one. The events before it must have been delivered, since the
+     * stream is resumed behind them.
+     *
+     * @throws WagtailcartException with {@link ResultCode#STREAM_INCOMPLETE} when a token is missing or repeated, with
+     *     {@link ResultCode#ANSWER_MISMATCH} when an event belongs to another request, with
+     *     {@link ResultCode#UPSTREAM_FAILED} when the engine reported an error
+     */
+    public void throwFault() {
+        if (fault != null) {
+            throw fault;
+        }
+    }
+
     /**
      * Accepts the end of the attempt and returns the finish event, the events after it and {@code [DONE]}.
      *
-     * @throws WagtailcartException with {@link ResultCode#STREAM_INCOMPLETE} when the stream is incomplete
+     * @throws WagtailcartException with {@link ResultCode#STREAM_INCOMPLETE} when the stream is incomplete, with the
+     *     fault that ended the attempt when there is one
      */
     public byte[] finish() {
+        throwFault();
         if (!finishReasonSeen || !doneMarkerSeen || partialEvent.length() > 0 || undecodedBytes.length > 0) {
             throw incomplete("stream ended after " + deliveredTokens + " tokens without its finish event and [DONE]");
         }
--- a/entry/src/main/java/org/wagtailcart/entry/call/ResponseForwarder.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/ResponseForwarder.java
@@ -72,10 +72,15 @@
         headers = HttpRequestHead.endToEndHeaders(upstreamHeaders);
     }
 
-    /** Accepts a chunk of the body. */
+    /**
+     * Accepts a chunk of the body.
+     *
+     * @throws WagtailcartException when an event is faulty, after the events before it were delivered
+     */
     void onBytes(byte[] bytes) {
         if (streaming()) {
             deliverEvents(events.accept(bytes));
+            events.throwFault();
         } else if (response.started()) {
             response.write(bytes);
         } else {
--- a/entry/src/main/java/org/wagtailcart/entry/call/RetryableCall.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/RetryableCall.java
@@ -237,8 +237,11 @@
             @Override
             public void onBytes(byte[] bytes) {
                 long previousTokens = forwarder.deliveredTokens();
-                forwarder.onBytes(bytes);
-                reportTokens(previousTokens);
+                try {
+                    forwarder.onBytes(bytes);
+                } finally {
+                    reportTokens(previousTokens);
+                }
             }
 
             @Override
--- a/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
@@ -3,9 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.Function;
 import java.util.regex.MatchResult;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -122,6 +125,14 @@
                     FakeSidecar.sendTokens(request, exchange, 3);
                     exchange.send(FakeSidecar.token(request, 3, 2));
                 }),
+                faultInOneChunk("engine skips a token within a chunk", request -> FakeSidecar.tokenText(request, 4)),
+                faultInOneChunk("engine repeats a token within a chunk", request -> FakeSidecar.tokenText(request, 2)),
+                faultInOneChunk(
+                        "engine sends a token without an index within a chunk",
+                        request -> FakeSidecar.tokenText(request, 3).replace("id: 3\n", "")),
+                faultInOneChunk(
+                        "engine reports an error within a chunk",
+                        request -> "event: error\ndata: " + request.attemptId() + "\n\n"),
                 brokenAttempt("end marker of another attempt", (request, exchange) -> {
                     FakeSidecar.sendTokens(request, exchange, 3);
                     exchange.finish(new AttemptEnd("other", 3, 3, 0, 0));
@@ -132,6 +143,18 @@
         return Arguments.of(name, script);
     }
 
+    /** Returns an attempt that sends three tokens, a faulty event and one more token in one chunk. */
+    private static Arguments faultInOneChunk(String name, Function<AttemptRequest, String> faulty) {
+        return brokenAttempt(name, (request, exchange) -> {
+            FakeSidecar.sendTokens(request, exchange, 0);
+            String sound = IntStream.range(0, 3)
+                    .mapToObj(i -> FakeSidecar.tokenText(request, i))
+                    .collect(Collectors.joining());
+            String text = sound + faulty.apply(request) + FakeSidecar.tokenText(request, 3);
+            exchange.send(new AttemptChunk(request.attemptId(), 0, text.getBytes(StandardCharsets.UTF_8)));
+        });
+    }
+
     /**
      * Guards against a stream with repeated, missing or foreign tokens after its attempt fails in any of these ways.
      */
