--- a/entry/src/main/java/org/wagtailcart/entry/attempt/ResumableEventStream.java
+++ b/entry/src/main/java/org/wagtailcart/entry/attempt/ResumableEventStream.java
@@ -28,6 +28,9 @@
     private String firstAttemptId = "";
     private String attemptId = "";
     private long deliveredTokens;
+    /** Number of events with an index among {@link #pendingFinalEvents}. */
+    private long pendingTokens;
+
     private boolean preambleDelivered;
     private boolean firstEventSeen;
     private boolean finishReasonSeen;
@@ -42,6 +45,7 @@
         partialEvent.setLength(0);
         undecodedBytes = new byte[0];
         pendingFinalEvents.clear();
+        pendingTokens = 0;
         firstEventSeen = false;
         finishReasonSeen = false;
         doneMarkerSeen = false;
@@ -120,7 +124,12 @@
         }
         finishReasonSeen |= finishEvent;
         if (!finishReasonSeen) {
-            checkIndex(event);
+            checkIndex(event, deliveredTokens);
+            firstEventSeen = true;
+            deliveredTokens++;
+        } else if (field(event, "id").isPresent()) {
+            checkIndex(event, deliveredTokens + pendingTokens);
+            pendingTokens++;
         }
         String rewritten = attemptId.equals(firstAttemptId) ? event : event.replace(attemptId, firstAttemptId);
         if (finishReasonSeen) {
@@ -149,13 +158,11 @@
         return first ? event.replace(attemptId, firstAttemptId) : "";
     }
 
-    private void checkIndex(String event) {
+    private void checkIndex(String event, long expected) {
         String index = field(event, "id").orElse("without index");
-        if (!index.equals(Long.toString(deliveredTokens))) {
-            throw incomplete("token " + index + " arrived where token " + deliveredTokens + " was expected");
+        if (!index.equals(Long.toString(expected))) {
+            throw incomplete("token " + index + " arrived where token " + expected + " was expected");
         }
-        firstEventSeen = true;
-        deliveredTokens++;
     }
 
     private boolean isFinishEvent(String event) {
--- a/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
@@ -133,6 +133,10 @@
                 faultInOneChunk(
                         "engine reports an error within a chunk",
                         request -> "event: error\ndata: " + request.attemptId() + "\n\n"),
+                wholeResponse("engine begins behind the first token", request -> FakeSidecar.tokenText(request, 2)),
+                wholeResponse(
+                        "engine skips tokens before its finish event",
+                        request -> FakeSidecar.tokenText(request, 0) + "id: 9\n"),
                 brokenAttempt("end marker of another attempt", (request, exchange) -> {
                     FakeSidecar.sendTokens(request, exchange, 3);
                     exchange.finish(new AttemptEnd("other", 3, 3, 0, 0));
@@ -155,6 +159,17 @@
         });
     }
 
+    /** Returns an attempt whose response consists of the given text, the finish event and [DONE], with valid counts. */
+    private static Arguments wholeResponse(String name, Function<AttemptRequest, String> events) {
+        return brokenAttempt(name, (request, exchange) -> {
+            FakeSidecar.sendTokens(request, exchange, 0);
+            String text = events.apply(request) + new String(FakeSidecar.lastBytes(request), StandardCharsets.UTF_8);
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            exchange.send(new AttemptChunk(request.attemptId(), 0, bytes));
+            exchange.finish(new AttemptEnd(request.attemptId(), 1, bytes.length, 0, 0));
+        });
+    }
+
     /**
      * Guards against a stream with repeated, missing or foreign tokens after its attempt fails in any of these ways.
      */
--- a/entry/src/test/java/org/wagtailcart/entry/attempt/ResumableEventStreamTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/attempt/ResumableEventStreamTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
 
@@ -118,6 +119,60 @@
                 .isEqualTo(sound + remainingStream("a", 3).replaceFirst("data: .*\n\n", ""));
     }
 
+    /** Returns attempts that a sidecar forwards when it does not check the first index of a response. */
+    private static Stream<String> attemptsWithAnotherFirstIndex() {
+        return Stream.of(
+                remainingStream("b", 0),
+                remainingStream("b", 2),
+                remainingStream("b", 4),
+                remainingStream("b", 9),
+                remainingStream("b", 3).replace("id: 3\n", ""),
+                remainingStream("b", 3).replace("id: 3\n", "id:\n"),
+                remainingStream("b", 3).replace("id: 3\n", "id: x\n"),
+                remainingStream("b", 3).replace("id: 3\n", "id: +3\n"),
+                remainingStream("b", 3).replace("id: 3\n", "id: 03\n"),
+                remainingStream("b", 3).replace("id: 3\n", "id: -1\n"),
+                remainingStream("b", 3).replace("id: 3\n", "id: 99999999999999999999\n"));
+    }
+
+    private static Stream<String> attemptsWithAnotherIndexAtTheirEnd() {
+        return Stream.of(
+                "id: 9\n" + finishEvent("b"),
+                "id: 2\n" + finishEvent("b"),
+                "id: x\n" + finishEvent("b"),
+                finishEvent("b") + event("b", 9),
+                finishEvent("b") + event("b", 0),
+                finishEvent("b") + event("b", 3) + event("b", 3),
+                "id: 3\n" + finishEvent("b") + event("b", 5));
+    }
+
+    /** Guards against a resumed stream whose events do not directly follow the delivered ones. */
+    @ParameterizedTest
+    @MethodSource({"attemptsWithAnotherFirstIndex", "attemptsWithAnotherIndexAtTheirEnd"})
+    void eventsThatDoNotFollowAreNeitherDeliveredNorComplete(String events) {
+        ResumableEventStream stream = new ResumableEventStream();
+        stream.startAttempt("a");
+        stream.accept(bytes(event("a", 0) + event("a", 1) + event("a", 2)));
+        stream.startAttempt("b");
+        assertThat(text(stream.accept(bytes(events)))).doesNotContain("data:");
+        assertThat(assertThrows(WagtailcartException.class, stream::throwFault).code())
+                .isEqualTo(ResultCode.STREAM_INCOMPLETE);
+        assertThat(stream.deliveredTokens()).isEqualTo(3);
+    }
+
+    /** Guards against a sound end of a stream that is rejected: its events may have the next indexes or none. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "id: 1\n"})
+    void finishEventMayHaveTheNextIndex(String index) {
+        ResumableEventStream stream = new ResumableEventStream();
+        stream.startAttempt("a");
+        String usage = "data: {\"id\":\"a\",\"choices\":[],\"usage\":{}}\n\n";
+        String events = event("a", 0) + index + finishEvent("a") + usage + ResumableEventStream.DONE;
+        String delivered = text(stream.accept(bytes(events)));
+        stream.throwFault();
+        assertThat(delivered + text(stream.finish())).isEqualTo(events);
+    }
+
     /** Guards against tokens without an index, which could be lost or repeated when the stream is resumed. */
     @Example
     void tokensWithoutIndexAreNotAccepted() {
