--- a/entry/src/main/java/org/wagtailcart/entry/attempt/ResumableEventStream.java
+++ b/entry/src/main/java/org/wagtailcart/entry/attempt/ResumableEventStream.java
@@ -119,6 +119,9 @@
             throw new WagtailcartException(ResultCode.UPSTREAM_FAILED, "engine reported an error in the stream");
         }
         boolean finishEvent = isFinishEvent(event);
+        if (field(event, "id").isEmpty()) {
+            checkWithoutOutput(event);
+        }
         if (!finishEvent && !finishReasonSeen && isPreamble(event)) {
             return preamble(event);
         }
@@ -165,6 +168,28 @@
         }
     }
 
+    /** Rejects output without an index, which may be repeated, missing or out of order. */
+    private void checkWithoutOutput(String event) {
+        String data = field(event, "data").orElse("");
+        if (!data.isEmpty() && parse(data).path("choices").valueStream().anyMatch(ResumableEventStream::hasOutput)) {
+            throw incomplete("output without index arrived after " + deliveredTokens + " tokens");
+        }
+    }
+
+    private static boolean hasOutput(JsonNode choice) {
+        return !isEmpty(choice.path("text"))
+                || choice.path("delta")
+                        .propertyStream()
+                        .anyMatch(field -> !field.getKey().equals("role") && !isEmpty(field.getValue()));
+    }
+
+    private static boolean isEmpty(JsonNode value) {
+        return value.isMissingNode()
+                || value.isNull()
+                || (value.isTextual() && value.textValue().isEmpty())
+                || (value.isContainerNode() && value.isEmpty());
+    }
+
     private boolean isFinishEvent(String event) {
         String data = field(event, "data").orElse("");
         if (!data.contains("finish_reason")) {
@@ -184,7 +209,7 @@
         try {
             return MAPPER.readTree(data);
         } catch (JsonProcessingException e) {
-            throw incomplete("data of the finish event is not JSON");
+            throw incomplete("data of an event is not JSON");
         }
     }
 
--- a/entry/src/test/java/org/wagtailcart/entry/attempt/ResumableEventStreamTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/attempt/ResumableEventStreamTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Random;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -160,6 +161,46 @@
         assertThat(stream.deliveredTokens()).isEqualTo(3);
     }
 
+    /** Returns choices of an event, and whether they carry output. */
+    private static Stream<Arguments> choices() {
+        return Stream.of(
+                Arguments.of("[{\"delta\":{\"content\":\"t\"}}]", true),
+                Arguments.of("[{\"delta\":{\"role\":\"assistant\",\"content\":\"t\"}}]", true),
+                Arguments.of("[{\"delta\":{}},{\"delta\":{\"tool_calls\":[{}]}}]", true),
+                Arguments.of("[{\"text\":\"t\",\"finish_reason\":null}]", true),
+                Arguments.of("[{\"text\":\"t\",\"finish_reason\":\"stop\"}]", true),
+                Arguments.of("not JSON", true),
+                Arguments.of("[]", false),
+                Arguments.of("[{\"delta\":{\"role\":\"assistant\",\"content\":\"\",\"tool_calls\":[]}}]", false),
+                Arguments.of("[{\"text\":\"\",\"finish_reason\":null}]", false),
+                Arguments.of("[{\"delta\":{\"content\":null},\"finish_reason\":\"stop\"}]", false));
+    }
+
+    /**
+     * Guards against output without an index at either end of an attempt, which may be repeated, missing or out of order
+     * in the joined stream.
+     */
+    @ParameterizedTest
+    @MethodSource("choices")
+    void outputWithoutIndexIsNotAccepted(String choices, boolean output) {
+        String withoutIndex = "data: {\"id\":\"a\",\"choices\":" + choices + "}\n\n";
+        for (String events : List.of(
+                withoutIndex + event("a", 0),
+                event("a", 0) + finishEvent("a") + withoutIndex + ResumableEventStream.DONE)) {
+            ResumableEventStream stream = new ResumableEventStream();
+            stream.startAttempt("a");
+            String delivered = text(stream.accept(bytes(events)));
+            if (output) {
+                assertThat(assertThrows(WagtailcartException.class, stream::throwFault)
+                                .code())
+                        .isEqualTo(ResultCode.STREAM_INCOMPLETE);
+                assertThat(delivered).doesNotContain(withoutIndex);
+            } else {
+                stream.throwFault();
+            }
+        }
+    }
+
     /** Guards against a sound end of a stream that is rejected: its events may have the next indexes or none. */
     @ParameterizedTest
     @ValueSource(strings = {"", "id: 1\n"})
