--- a/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/CompletionFields.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/CompletionFields.java
@@ -5,30 +5,40 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 
-/** Parser for the fields of a completion request that the sidecar evaluates. */
-final class CompletionFields {
-    private static final JsonFactory FACTORY = new JsonFactory();
+/**
+ * Fields of a completion request that the sidecar evaluates.
+ *
+ * @param streamed whether the request is for an event stream
+ * @param resumeFrom index of the first token of the response
+ */
+record CompletionFields(boolean streamed, long resumeFrom) {
+    /** Fields of a request that does not name them. */
+    static final CompletionFields DEFAULTS = new CompletionFields(false, 0);
 
-    private CompletionFields() {}
+    private static final JsonFactory FACTORY = new JsonFactory();
 
-    /** Returns whether the request is for an event stream; false for a malformed body, which the engine rejects. */
-    static boolean isStreamed(byte[] body) {
+    /** Parses the body of a request; returns the default values for a malformed body, which the engine rejects. */
+    static CompletionFields parse(byte[] body) {
         try (JsonParser parser = FACTORY.createParser(body)) {
-            return parser.nextToken() == JsonToken.START_OBJECT && findStream(parser);
+            return parser.nextToken() == JsonToken.START_OBJECT ? read(parser) : DEFAULTS;
         } catch (IOException e) {
-            return false;
+            return DEFAULTS;
         }
     }
 
-    private static boolean findStream(JsonParser parser) throws IOException {
+    private static CompletionFields read(JsonParser parser) throws IOException {
+        boolean streamed = false;
+        long resumeFrom = 0;
         while (parser.nextToken() == JsonToken.FIELD_NAME) {
-            boolean found = "stream".equals(parser.currentName());
+            String name = parser.currentName();
             JsonToken value = parser.nextToken();
-            if (found) {
-                return value == JsonToken.VALUE_TRUE;
+            if (name.equals("stream")) {
+                streamed = value == JsonToken.VALUE_TRUE;
+            } else if (name.equals("resume_from") && value == JsonToken.VALUE_NUMBER_INT) {
+                resumeFrom = parser.getLongValue();
             }
             parser.skipChildren();
         }
-        return false;
+        return new CompletionFields(streamed, resumeFrom);
     }
 }
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/EventStreamValidator.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/EventStreamValidator.java
@@ -1,24 +1,34 @@
 package org.wagtailcart.sidecar.upstream;
 
+import java.util.regex.Pattern;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
 
 /**
- * Validator for an engine's stream of server-sent events: all events must belong to the request, their ids must have no
- * gaps, and the last one must be the end marker.
+ * Validator for an engine's stream of server-sent events: all events must belong to the request, their ids must begin at
+ * the requested index and have no gaps, and the last one must be the end marker.
  */
 final class EventStreamValidator {
     private static final String ID = "id:";
     private static final String DATA = "data:";
     private static final String END_MARKER = "[DONE]";
+    /** The only form that an entry accepts, without sign and leading zeros. */
+    private static final Pattern INDEX = Pattern.compile("0|[1-9][0-9]{0,17}");
 
     private final String requestId;
-    private long nextIndex = -1;
+    private long nextIndex;
+    private boolean firstIndexSeen;
     private boolean endMarkerSeen;
     private boolean repeated;
 
-    EventStreamValidator(String requestId) {
+    /**
+     * Creates a validator.
+     *
+     * @param firstIndex id with which the stream must begin
+     */
+    EventStreamValidator(String requestId, long firstIndex) {
         this.requestId = requestId;
+        this.nextIndex = firstIndex;
     }
 
     /** Returns whether the end marker was received. */
@@ -31,7 +41,8 @@
      *
      * @param event lines of the event with their line ends, without the empty line at its end
      * @return whether to forward the event; false for a repeated event
-     * @throws WagtailcartException if the event belongs to another request, skips an id, or follows the end marker
+     * @throws WagtailcartException if the event belongs to another request, is the first and has another id than the
+     *     requested one, skips an id, or follows the end marker
      */
     boolean accept(String event) {
         if (endMarkerSeen) {
@@ -51,18 +62,17 @@
     }
 
     private void acceptIndex(String text) {
-        long index;
-        try {
-            index = Long.parseLong(text);
-        } catch (NumberFormatException e) {
-            throw new WagtailcartException(ResultCode.ANSWER_MISMATCH, "event id \"" + text + "\" is not a number", e);
+        if (!INDEX.matcher(text).matches()) {
+            throw new WagtailcartException(ResultCode.ANSWER_MISMATCH, "event id \"" + text + "\" is not an index");
         }
-        if (nextIndex >= 0 && index > nextIndex) {
+        long index = Long.parseLong(text);
+        if (index > nextIndex || (!firstIndexSeen && index < nextIndex)) {
             throw new WagtailcartException(
                     ResultCode.STREAM_INCOMPLETE,
                     "event " + index + " was received instead of " + nextIndex + " of the stream");
         }
-        repeated = nextIndex >= 0 && index < nextIndex;
+        firstIndexSeen = true;
+        repeated = index < nextIndex;
         nextIndex = Math.max(nextIndex, index + 1);
     }
 
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamCall.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamCall.java
@@ -34,14 +34,28 @@
     private final SendGuard guard;
     private final String requestId;
     private final boolean completion;
+    private final long resumeFrom;
     private final UpstreamOptions options;
     private volatile boolean headReceived;
 
-    UpstreamCall(Call call, SendGuard guard, String requestId, boolean completion, UpstreamOptions options) {
+    /**
+     * Creates a call.
+     *
+     * @param completion whether the response must contain the request id
+     * @param resumeFrom index of the first event of a streamed response
+     */
+    UpstreamCall(
+            Call call,
+            SendGuard guard,
+            String requestId,
+            boolean completion,
+            long resumeFrom,
+            UpstreamOptions options) {
         this.call = call;
         this.guard = guard;
         this.requestId = requestId;
         this.completion = completion;
+        this.resumeFrom = resumeFrom;
         this.options = options;
     }
 
@@ -96,7 +110,7 @@
     }
 
     private void forwardEvents(BufferedSource source, ResponseListener listener) throws IOException {
-        EventStreamValidator validator = new EventStreamValidator(requestId);
+        EventStreamValidator validator = new EventStreamValidator(requestId, resumeFrom);
         Buffer batch = new Buffer();
         int events = 0;
         while (!source.exhausted()) {
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamClient.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/UpstreamClient.java
@@ -67,14 +67,16 @@
         SendGuard guard = new SendGuard(Long.MAX_VALUE);
         long timeoutMillis = remainingMillis + (attempt.nonIdempotent() ? options.nonIdempotentGraceMillis() : 0);
         boolean completion = isCompletion(upstream, attempt);
-        boolean streamed = completion && CompletionFields.isStreamed(attempt.body());
-        long headTimeout = streamed ? Math.min(timeoutMillis, headTimeoutMillis(attempt.priority())) : timeoutMillis;
+        CompletionFields fields = completion ? CompletionFields.parse(attempt.body()) : CompletionFields.DEFAULTS;
+        long headTimeout =
+                fields.streamed() ? Math.min(timeoutMillis, headTimeoutMillis(attempt.priority())) : timeoutMillis;
         OkHttpClient callClient = client.newBuilder()
                 .readTimeout(Math.max(1, headTimeout), TimeUnit.MILLISECONDS)
                 .callTimeout(Math.max(1, timeoutMillis), TimeUnit.MILLISECONDS)
                 .build();
         Request request = request(upstream, attempt, guard);
-        return new UpstreamCall(callClient.newCall(request), guard, attempt.attemptId(), completion, options);
+        return new UpstreamCall(
+                callClient.newCall(request), guard, attempt.attemptId(), completion, fields.resumeFrom(), options);
     }
 
     /** Returns whether the request is a completion; its response must contain the request id. */
