--- a/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/EventStreamValidator.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/EventStreamValidator.java
@@ -20,6 +20,10 @@
     private boolean firstIndexSeen;
     private boolean endMarkerSeen;
     private boolean repeated;
+    private boolean indexSeen;
+    private boolean dataSeen;
+    /** Number of events with data and without an id since the last one with an id. */
+    private int eventsWithoutIndex;
 
     /**
      * Creates a validator.
@@ -41,15 +45,20 @@
      *
      * @param event lines of the event with their line ends, without the empty line at its end
      * @return whether to forward the event; false for a repeated event
-     * @throws WagtailcartException if the event belongs to another request, is the first and has another id than the
-     *     requested one, skips an id, or follows the end marker
+     * @throws WagtailcartException if the event belongs to another request, begins the stream with another id than
+     *     the requested one, skips an id, follows an event without an id, or follows the end marker
      */
     boolean accept(String event) {
         if (endMarkerSeen) {
             throw new WagtailcartException(ResultCode.ANSWER_MISMATCH, "engine sent an event after the end marker");
         }
         repeated = false;
+        indexSeen = false;
+        dataSeen = false;
         event.lines().forEach(this::acceptLine);
+        if (dataSeen && !indexSeen) {
+            eventsWithoutIndex++;
+        }
         return !repeated;
     }
 
@@ -66,6 +75,8 @@
             throw new WagtailcartException(ResultCode.ANSWER_MISMATCH, "event id \"" + text + "\" is not an index");
         }
         long index = Long.parseLong(text);
+        checkEventsWithoutIndex(index);
+        indexSeen = true;
         if (index > nextIndex || (!firstIndexSeen && index < nextIndex)) {
             throw new WagtailcartException(
                     ResultCode.STREAM_INCOMPLETE,
@@ -76,7 +87,17 @@
         nextIndex = Math.max(nextIndex, index + 1);
     }
 
+    /** Checks the events without an id before this one: only one at the beginning of the stream is no token. */
+    private void checkEventsWithoutIndex(long index) {
+        if (eventsWithoutIndex > (firstIndexSeen ? 0 : 1)) {
+            throw new WagtailcartException(
+                    ResultCode.STREAM_INCOMPLETE, "event without id was received before event " + index);
+        }
+        eventsWithoutIndex = 0;
+    }
+
     private void acceptData(String data) {
+        dataSeen = true;
         if (data.equals(END_MARKER)) {
             endMarkerSeen = true;
         } else if (!data.contains(requestId)) {
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/EngineStreamOrderTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/EngineStreamOrderTest.java
@@ -60,8 +60,16 @@
                 Arguments.of(0, events(0, 1) + "id: 01\n" + WITHOUT_INDEX + events(2, 9), ResultCode.ANSWER_MISMATCH));
     }
 
+    private static Stream<Arguments> eventsWithoutIndex() {
+        return Stream.of(
+                Arguments.of(0, events(0, 2) + WITHOUT_INDEX + events(2, 9), ResultCode.STREAM_INCOMPLETE),
+                Arguments.of(0, events(0, 2) + WITHOUT_INDEX + events(3, 9), ResultCode.STREAM_INCOMPLETE),
+                Arguments.of(5, WITHOUT_INDEX + WITHOUT_INDEX + events(5, 9), ResultCode.STREAM_INCOMPLETE),
+                Arguments.of(0, events(0, 2) + WITHOUT_INDEX + events(1, 9), ResultCode.STREAM_INCOMPLETE));
+    }
+
     @ParameterizedTest
-    @MethodSource({"anotherFirstIndex", "unreadableIndex"})
+    @MethodSource({"anotherFirstIndex", "unreadableIndex", "eventsWithoutIndex"})
     void aStreamOutOfOrderFails(int resumeFrom, String events, ResultCode expected) throws Exception {
         WagtailcartException error =
                 assertThrows(WagtailcartException.class, () -> forwarded(resumeFrom, events + DONE));
