--- a/entry/src/main/java/org/wagtailcart/entry/attempt/ResumableEventStream.java
+++ b/entry/src/main/java/org/wagtailcart/entry/attempt/ResumableEventStream.java
@@ -8,6 +8,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.WagtailcartException;
@@ -162,9 +164,10 @@
     }
 
     private void checkIndex(String event, long expected) {
-        String index = field(event, "id").orElse("without index");
+        String index = fields(event, "id").collect(Collectors.joining(" and "));
         if (!index.equals(Long.toString(expected))) {
-            throw incomplete("token " + index + " arrived where token " + expected + " was expected");
+            throw incomplete("token " + (index.isEmpty() ? "without index" : index) + " arrived where token " + expected
+                    + " was expected");
         }
     }
 
@@ -214,10 +217,12 @@
     }
 
     private static Optional<String> field(String event, String name) {
-        return event.lines()
-                .filter(line -> line.startsWith(name + ":"))
-                .map(line -> line.substring(name.length() + 1).strip())
-                .findFirst();
+        return fields(event, name).findFirst();
+    }
+
+    private static Stream<String> fields(String event, String name) {
+        return event.lines().filter(line -> line.startsWith(name + ":")).map(line -> line.substring(name.length() + 1)
+                .strip());
     }
 
     /** Decodes UTF-8 up to the last complete line, so that a character split across two chunks is not corrupted. */
--- a/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/EventStreamValidator.java
+++ b/sidecar/src/main/java/org/wagtailcart/sidecar/upstream/EventStreamValidator.java
@@ -45,8 +45,9 @@
      *
      * @param event lines of the event with their line ends, without the empty line at its end
      * @return whether to forward the event; false for a repeated event
-     * @throws WagtailcartException if the event belongs to another request, begins the stream with another id than
-     *     the requested one, skips an id, follows an event without an id, or follows the end marker
+     * @throws WagtailcartException if the event belongs to another request, has more than one id, begins the stream
+     *     with another id than the requested one, skips an id, follows an event without an id, or follows the end
+     *     marker
      */
     boolean accept(String event) {
         if (endMarkerSeen) {
@@ -74,6 +75,9 @@
         if (!INDEX.matcher(text).matches()) {
             throw new WagtailcartException(ResultCode.ANSWER_MISMATCH, "event id \"" + text + "\" is not an index");
         }
+        if (indexSeen) {
+            throw new WagtailcartException(ResultCode.ANSWER_MISMATCH, "event has more than one id");
+        }
         long index = Long.parseLong(text);
         checkEventsWithoutIndex(index);
         indexSeen = true;
--- a/sidecar/src/test/java/org/wagtailcart/sidecar/EngineStreamOrderTest.java
+++ b/sidecar/src/test/java/org/wagtailcart/sidecar/EngineStreamOrderTest.java
@@ -53,6 +53,8 @@
         return Stream.of(
                 Arguments.of(0, "id: -1\n" + WITHOUT_INDEX + events(0, 9), ResultCode.ANSWER_MISMATCH),
                 Arguments.of(0, "id: x\n" + WITHOUT_INDEX, ResultCode.ANSWER_MISMATCH),
+                Arguments.of(0, "id: 0\nid: 1\n" + WITHOUT_INDEX + events(2, 9), ResultCode.ANSWER_MISMATCH),
+                Arguments.of(0, events(0, 2) + "id: 2\nid: 1\n" + WITHOUT_INDEX, ResultCode.ANSWER_MISMATCH),
                 Arguments.of(5, "id:\n" + WITHOUT_INDEX, ResultCode.ANSWER_MISMATCH),
                 Arguments.of(
                         0, events(0, 1) + "id: 99999999999999999999\n" + WITHOUT_INDEX, ResultCode.ANSWER_MISMATCH),
