--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -16,6 +16,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.EngineRole;
 import org.wagtailcart.common.LogEventKind;
@@ -303,10 +304,10 @@
                         Collectors.mapping(
                                 upstream -> toCandidate(upstream, prompt.segments(), nowMillis), Collectors.toList())));
         PromptPlacement.EngineRates rates = engineRates(service);
-        return byVersion.values().stream()
-                .flatMap(engines -> PromptPlacement.choose(engines, sizeOf(prompt), rates, place).stream())
-                .min(Comparator.comparing(choice -> choice.times().firstTokenMillis()))
-                .map(this::toPlacement);
+        PromptPlacement.PromptSize size = sizeOf(prompt);
+        Stream<PromptPlacement.Choice> choices = byVersion.values().stream()
+                .flatMap(engines -> PromptPlacement.choose(engines, size, rates, place).stream());
+        return PromptPlacement.chooseAmongPools(choices, size, rates).map(this::toPlacement);
     }
 
     private static PromptPlacement.PromptSize sizeOf(Prompt prompt) {
--- a/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
+++ b/policy/src/main/java/org/wagtailcart/policy/placement/PromptPlacement.java
@@ -6,6 +6,7 @@
 import java.util.function.BinaryOperator;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.StableHash;
 
@@ -161,6 +162,18 @@
         return localIsBetter ? local : split;
     }
 
+    /**
+     * Returns the best of the choices among pools of engines that exchange no KV cache. As within a pool, a copy of the
+     * shared segments in a second pool costs more than its prefill.
+     */
+    public static Optional<Choice> chooseAmongPools(Stream<Choice> choices, PromptSize size, EngineRates rates) {
+        return choices.min(Comparator.comparing(choice -> {
+            boolean sharedAreCached = choice.prefillTokens() <= size.promptTokens() - size.sharedTokens();
+            double copyMillis = AFFINITY_PREFERENCE * size.sharedTokens() / rates.prefillTokensPerMilli();
+            return choice.times().firstTokenMillis() + (sharedAreCached ? 0 : copyMillis);
+        }));
+    }
+
     /** Returns the preferred engine of a segment; all gateways of a region find the same one without communication. */
     private static Optional<EngineCandidate> affinityOwner(
             List<EngineCandidate> engines, PromptSize size, EngineRates rates, Location gateway) {
