--- a/entry/src/main/java/org/wagtailcart/entry/answer/CallerResponse.java
+++ b/entry/src/main/java/org/wagtailcart/entry/answer/CallerResponse.java
@@ -20,6 +20,7 @@
 import org.wagtailcart.common.MillisClock;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.SettingNames;
+import org.xnio.Options;
 
 /** HTTP response to a caller, written without blocking. Confined to the I/O thread of the caller's connection. */
 public final class CallerResponse {
@@ -67,6 +68,9 @@
     private boolean started;
     private boolean sending;
     private boolean ended;
+    /** Whether the body of a caller without chunked framing ends with its connection. */
+    private boolean endsWithConnection;
+
     private volatile boolean disconnected;
 
     /** Creates the response of a dispatched exchange. */
@@ -129,11 +133,31 @@
         }
     }
 
-    /** Sends status and headers; {@link #write} sends the body. */
+    /** Sends status and headers; {@link #write} sends the body, whose end is known by its framing. */
     public void start(int status, List<String> headers) {
         if (closed() || started) {
             return;
         }
+        startHead(status, headers);
+        frameBody();
+    }
+
+    /**
+     * Frames a body of unknown length. Without this, the body of a connection that ends with its response has no framing,
+     * so that a caller takes an aborted response for a complete one.
+     */
+    private void frameBody() {
+        if (exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH)) {
+            return;
+        }
+        if (exchange.isHttp11()) {
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+        } else {
+            endsWithConnection = true;
+        }
+    }
+
+    private void startHead(int status, List<String> headers) {
         started = true;
         exchange.setStatusCode(status);
         addHeaders(headers);
@@ -178,7 +202,9 @@
 
     /** Sends a complete response. */
     public void send(int status, List<String> headers, byte[] body) {
-        start(status, headers);
+        if (!closed() && !started) {
+            startHead(status, headers);
+        }
         exchange.setResponseContentLength(body.length);
         write(body);
         end();
@@ -290,6 +316,10 @@
 
     private void closeConnection() {
         try {
+            if (endsWithConnection) {
+                // Only a reset shows a caller that the body is incomplete.
+                exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
+            }
             exchange.getConnection().close();
         } catch (IOException e) {
             exchange.setPersistent(false);
--- a/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
+++ b/policy/src/test/java/org/wagtailcart/policy/placement/PromptPlacementTest.java
@@ -47,6 +47,19 @@
         assertThat(prefillEngine(choose(engines, MANUAL))).isEqualTo(first);
     }
 
+    /** Guards against shared segments that are prefilled in two pools of engines because one of them is a little faster. */
+    @ParameterizedTest
+    @CsvSource({"0, 1", "5_000, 1", "40_000, 2"})
+    void sharedSegmentsStayInTheirPoolUnlessItsQueueIsLong(String queuedTokens, int expectedPool) {
+        long queued = Long.parseLong(queuedTokens.replace("_", ""));
+        Stream<PromptPlacement.Choice> choices = Stream.of(
+                choose(List.of(engine("p1", true, queued, 13_300), engine("d1", false, 0, 0)), MANUAL),
+                choose(List.of(engine("p2", true, 0, 0), engine("d2", false, 0, 0)), MANUAL));
+        assertThat(prefillEngine(
+                        PromptPlacement.chooseAmongPools(choices, MANUAL, RATES).orElseThrow()))
+                .isEqualTo("p" + expectedPool);
+    }
+
     /** Guards against a hash that assigns most segments to few engines. */
     @Test
     void newSegmentsAreSpreadOverTheEngines() {
