--- a/gateway/src/main/java/org/wagtailcart/gateway/call/SseReassembler.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/SseReassembler.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 import org.wagtailcart.common.ResultCode;
 import org.wagtailcart.common.RunState;
@@ -18,6 +19,9 @@
     private static final String ID = "id:";
     private static final String ID_PATTERN = "[0-9]{1,18}";
     private static final String COMMENT = ":";
+    private static final String RETRY = "retry:";
+    /** Line end that callers accept and that {@link #endOfEvent} does not look for. */
+    private static final Pattern BARE_CARRIAGE_RETURN = Pattern.compile("\\r(?!\\n)");
     /** Characters of a faulty event that an error message shows. */
     private static final int MAX_EXCERPT_CHARS = 40;
 
@@ -145,10 +149,11 @@
                 .map(line -> line.substring(ID.length()).strip())
                 .distinct()
                 .toList();
-        if (ids.isEmpty() && event.lines().allMatch(line -> line.isEmpty() || line.startsWith(COMMENT))) {
+        boolean readable = !BARE_CARRIAGE_RETURN.matcher(event).find();
+        if (readable && ids.isEmpty() && event.lines().allMatch(SseReassembler::carriesNoEvent)) {
             return true;
         }
-        if (ids.size() != 1 || !ids.get(0).matches(ID_PATTERN)) {
+        if (!readable || ids.size() != 1 || !ids.get(0).matches(ID_PATTERN)) {
             run = run.withUnnumbered();
             fault = incomplete("an event has no readable id or several: \"" + excerpt(event) + "\"");
             return false;
@@ -156,6 +161,10 @@
         return acceptId(Long.parseLong(ids.get(0)));
     }
 
+    private static boolean carriesNoEvent(String line) {
+        return line.isEmpty() || line.startsWith(COMMENT) || line.startsWith(RETRY);
+    }
+
     private boolean acceptId(long id) {
         String lastEventId = lastEventId();
         EventSequence.Verdict verdict = sequence.accept(id);
