--- a/control/src/main/java/org/wagtailcart/control/orders/EngineRoleController.java
+++ b/control/src/main/java/org/wagtailcart/control/orders/EngineRoleController.java
@@ -177,7 +177,6 @@
         Map<EnginePool, List<ListedUpstream>> listed = upstreams.stream()
                 .filter(upstream -> services.contains(upstream.service()))
                 .collect(Collectors.groupingBy(EnginePool::of));
-        ratioPlannersByPool.keySet().retainAll(listed.keySet());
         listed.forEach(this::plan);
     }
 
@@ -201,11 +200,11 @@
         PrefillRatioPlanner planner = ratioPlannersByPool.computeIfAbsent(pool, key -> new PrefillRatioPlanner());
         FleetRates rates = fleetRates(upstreams);
         List<PrefillRatioPlanner.Engine> engines = upstreams.stream()
-                .filter(upstream -> !upstream.leaving() && upstream.role() != null)
+                .filter(upstream -> !upstream.leaving() && roleBeforeChange(upstream) != null)
                 .map(upstream -> new PrefillRatioPlanner.Engine(
                         upstream.instanceId(),
                         spreadDomainOf(upstream),
-                        upstream.role() == EngineRole.PREFILL,
+                        roleBeforeChange(upstream) == EngineRole.PREFILL,
                         pendingRoleChanges.containsKey(upstream.instanceId()),
                         rates.speed(upstream.instanceId())))
                 .toList();
@@ -220,6 +219,15 @@
                         .ifPresent(upstream -> sendOrder(upstream, change.role())));
     }
 
+    /** Returns the role of an engine, the former one while it changes its role and the list shows none. */
+    private @Nullable EngineRole roleBeforeChange(ListedUpstream upstream) {
+        PendingRoleChange change = pendingRoleChanges.get(upstream.instanceId());
+        if (upstream.role() != null || change == null) {
+            return upstream.role();
+        }
+        return change.role() == EngineRole.PREFILL ? EngineRole.DECODE : EngineRole.PREFILL;
+    }
+
     private FleetRates fleetRates(List<ListedUpstream> upstreams) {
         Set<String> ids = upstreams.stream().map(ListedUpstream::instanceId).collect(Collectors.toSet());
         return FleetRates.of(engineRates.get().stream()
