--- a/gateway/src/main/java/org/wagtailcart/gateway/stream/StreamOriginClient.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/stream/StreamOriginClient.java
@@ -42,6 +42,14 @@
     private static final long FIND_TIMEOUT_MILLIS = 200;
     /** Pause before origins are sent again that no member has received. */
     private static final long RETRY_MILLIS = 100;
+    /** Origins in one message, which keeps it far below the limit of a frame. */
+    private static final int MAX_PER_MESSAGE = 1_000;
+    /** Origins that wait to be sent again; older ones are dropped, as while no control member answers for long. */
+    private static final int MAX_PENDING = 20_000;
+    /** Longer ids are not kept, since a caller cannot name them. */
+    private static final int MAX_ID_CHARS = 256;
+    /** Limit on the time for which an origin is kept, whatever deadline a caller states. */
+    private static final long MAX_VALID_MILLIS = 600_000;
     /** Time for which an origin is kept beyond the deadline of its caller, whose last attempt may arrive late. */
     private static final long GRACE_MILLIS = 2_000;
 
@@ -88,8 +96,12 @@
      * @param deadlineMillis time until which its caller may resume the stream
      */
     public synchronized void record(String requestId, StreamOrigin origin, long deadlineMillis) {
-        long expiresAtMillis = deadlineMillis + GRACE_MILLIS;
-        origins.record(requestId, origin, expiresAtMillis, clock.nowMillis());
+        if (requestId.length() > MAX_ID_CHARS) {
+            return;
+        }
+        long nowMillis = clock.nowMillis();
+        long expiresAtMillis = Math.min(deadlineMillis, nowMillis + MAX_VALID_MILLIS) + GRACE_MILLIS;
+        origins.record(requestId, origin, expiresAtMillis, nowMillis);
         pending.add(new Pending(requestId, origin, expiresAtMillis));
         scheduleSend(0);
     }
@@ -98,13 +110,13 @@
         if (sendScheduled) {
             return;
         }
+        sendScheduled = true;
         try {
             if (delayMillis == 0) {
                 executor.execute(this::send);
             } else {
                 var unused = timer.schedule(this::send, delayMillis, TimeUnit.MILLISECONDS);
             }
-            sendScheduled = true;
         } catch (RejectedExecutionException e) {
             // The process is stopping; the streams that it has begun end with it.
             pending.clear();
@@ -112,10 +124,13 @@
     }
 
     private void send() {
-        List<Pending> sent = drain();
-        if (sent.isEmpty()) {
-            return;
+        List<Pending> drained = drain();
+        for (int from = 0; from < drained.size(); from += MAX_PER_MESSAGE) {
+            sendToMembers(drained.subList(from, Math.min(drained.size(), from + MAX_PER_MESSAGE)));
         }
+    }
+
+    private void sendToMembers(List<Pending> sent) {
         long nowMillis = clock.nowMillis();
         RecordOrigins request = new RecordOrigins(
                 processId,
@@ -129,8 +144,7 @@
         List<Address> receivers = members.get();
         AtomicInteger failures = new AtomicInteger();
         receivers.forEach(member -> {
-            var unused = transport
-                    .record(member, request, RECORD_TIMEOUT_MILLIS)
+            var unused = call(() -> transport.record(member, request, RECORD_TIMEOUT_MILLIS))
                     .whenComplete((reply, error) -> {
                         if (error != null && failures.incrementAndGet() == receivers.size()) {
                             sendAgain(sent);
@@ -143,6 +157,7 @@
         sendScheduled = false;
         long nowMillis = clock.nowMillis();
         List<Pending> drained = pending.stream()
+                .skip(Math.max(0, pending.size() - MAX_PENDING))
                 .filter(item -> item.expiresAtMillis() > nowMillis)
                 .toList();
         pending = new ArrayList<>();
@@ -173,8 +188,7 @@
         List<Address> asked = members.get();
         Answers answers = new Answers(asked.size());
         asked.forEach(member -> {
-            var unused = transport
-                    .find(member, new FindOrigin(processId, requestId), FIND_TIMEOUT_MILLIS)
+            var unused = call(() -> transport.find(member, new FindOrigin(processId, requestId), FIND_TIMEOUT_MILLIS))
                     .whenComplete((reply, error) -> answers.add(reply));
         });
         try {
@@ -187,10 +201,21 @@
         }
     }
 
-    /** Answers of the members to one question. The first origin decides, or a majority that knows none. */
+    /** Calls a member; an exception fails the future, so that the other members are called too. */
+    private static <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> transportCall) {
+        try {
+            return transportCall.get();
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    /**
+     * Answers of the members to one question. The first origin decides. A member that knows none proves nothing, since it
+     * may have restarted or missed the message.
+     */
     private static final class Answers {
         private final CompletableFuture<Optional<StreamOrigin>> result = new CompletableFuture<>();
-        private final AtomicInteger unknown = new AtomicInteger();
         private final AtomicInteger total = new AtomicInteger();
         private final int members;
 
@@ -201,8 +226,6 @@
         void add(@Nullable FoundOrigin reply) {
             if (reply != null && reply.known()) {
                 result.complete(Optional.of(new StreamOrigin(reply.service(), reply.softwareVersion())));
-            } else if (reply != null && 2 * unknown.incrementAndGet() > members) {
-                result.complete(Optional.empty());
             }
             if (total.incrementAndGet() == members) {
                 result.complete(Optional.empty());
