--- a/common/src/main/java/org/wagtailcart/common/LogEventKind.java
+++ b/common/src/main/java/org/wagtailcart/common/LogEventKind.java
@@ -75,7 +75,7 @@
             "framing",
             "complete"),
     /** A caller resumes a stream, which goes on at the software version that began it or is refused. */
-    STREAM_RESUMED(false, "request", "resumes", "after-event", "service", "software-version", "source", "outcome"),
+    STREAM_RESUMED(false, "request", "resumes", "after-event", "service", "software-version", "outcome"),
     /** An upstream sent bytes that are no response to the request that waits for one. */
     UNEXPECTED_RESPONSE(false, "request", "address", "kind", "connection", "earlier-requests", "reason"),
     /** A gateway took an upstream out of service for a period. */
--- a/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/call/StreamCall.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -68,6 +69,8 @@
     private String contentType = "";
     /** Where the stream began, null before its first event. */
     private @Nullable StreamOrigin origin;
+    /** Service and version of the current attempt, as listed when it was sent. */
+    private StreamOrigin attemptOrigin;
 
     /** Outcome of an attempt at a decode engine. */
     private enum StreamEnd {
@@ -78,6 +81,7 @@
 
     StreamCall(GatewayContext context, InboundRequest request, CallerResponseWriter caller) {
         super(context, request, caller);
+        this.attemptOrigin = new StreamOrigin(request.service(), "");
         this.events = new SseReassembler(EventSequence.after(request.metadata().lastEventNumber()));
     }
 
@@ -155,7 +159,6 @@
                 metadata.lastEventId(),
                 found.map(StreamOrigin::service).orElse(""),
                 found.map(StreamOrigin::softwareVersion).orElse(""),
-                SettingNames.of(decision.source()),
                 SettingNames.of(decision.outcome()));
         origin = found.orElse(null);
         switch (decision.outcome()) {
@@ -313,6 +316,7 @@
             sends++;
         }
         deliveredAttempts++;
+        attemptOrigin = new StreamOrigin(service(), engine.softwareVersion());
         boolean ranBefore = mayHaveRun();
         long sentAtMillis = nowMillis();
         logSent(
@@ -460,7 +464,7 @@
         } finally {
             logRun(inFlight, afterEvent, response, complete);
         }
-        if (!complete || !begin(inFlight, response, responseType)) {
+        if (!complete || !begin(response, responseType)) {
             return StreamEnd.DONE;
         }
         inFlight.end(UpstreamOutcome.SUCCESS, nowMillis());
@@ -476,7 +480,7 @@
             byte[] completeEvents = events.accept(chunk);
             if (completeEvents.length > 0) {
                 inFlight.recordFirstOutput();
-                if (!begin(inFlight, response, responseType)) {
+                if (!begin(response, responseType)) {
                     return false;
                 }
                 recordBegin();
@@ -523,17 +527,18 @@
      * Starts the response to the caller with its first event, so that its head and its events are of one upstream as far
      * as possible; returns false if the request has ended.
      */
-    private boolean begin(InFlightRequest inFlight, UpstreamResponse response, String responseType) {
+    private boolean begin(UpstreamResponse response, String responseType) {
         if (isResponseStarted()) {
             return !isEnded();
         }
         contentType = responseType;
-        recordOrigin(new StreamOrigin(service(), inFlight.upstream().softwareVersion()));
+        recordOrigin();
         return startResponse(response.status(), response.headers());
     }
 
     /** Records where the stream began, before its first event is sent to the caller. */
-    private void recordOrigin(StreamOrigin began) {
+    private void recordOrigin() {
+        StreamOrigin began = Objects.requireNonNullElse(origin, attemptOrigin);
         origin = began;
         if (request().route().resumable()) {
             context()
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/Upstream.java
@@ -66,6 +66,11 @@
         return listEntry.softwareVersion();
     }
 
+    /** Returns whether its software is of the given version; an unknown version, which is empty, fits none. */
+    boolean hasSoftwareVersion(String version) {
+        return !version.isEmpty() && version.equals(softwareVersion());
+    }
+
     /** Returns its listen address. */
     public Address address() {
         return listEntry.address();
--- a/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/list/UpstreamRegistry.java
@@ -36,7 +36,6 @@
 import org.wagtailcart.policy.placement.ReplicaPlacement;
 import org.wagtailcart.policy.share.RequestCost;
 import org.wagtailcart.policy.share.ShareRequest;
-import org.wagtailcart.policy.stream.VersionHistory;
 import org.wagtailcart.routes.EngineSpec;
 import org.wagtailcart.routes.ServiceSpec;
 
@@ -68,7 +67,6 @@
     private final Map<String, Upstream> upstreamsById = new HashMap<>();
     private final LearnedEngineRates learnedRates = new LearnedEngineRates();
     private final ServiceRates serviceRates = new ServiceRates(learnedRates);
-    private final VersionHistory versions = new VersionHistory();
     private List<PrefixCacheUpdate> pendingPrefixUpdates = new ArrayList<>();
     private Map<String, ServiceSpec> services = Map.of();
     private long listedAtMillis = Long.MIN_VALUE / 4;
@@ -113,7 +111,6 @@
             return;
         }
         listedAtMillis = readAtMillis;
-        versions.observe(versionsByService(latest), readAtMillis);
         Set<String> ids = latest.stream().map(ListedUpstream::instanceId).collect(Collectors.toSet());
         List<String> removed = upstreamsById.keySet().stream()
                 .filter(id -> !ids.contains(id))
@@ -129,13 +126,6 @@
         }
     }
 
-    private static Map<String, Set<String>> versionsByService(List<ListedUpstream> latest) {
-        return latest.stream()
-                .collect(Collectors.groupingBy(
-                        ListedUpstream::service,
-                        Collectors.mapping(ListedUpstream::softwareVersion, Collectors.toSet())));
-    }
-
     private void updateListing(ListedUpstream listed, List<String> added, List<String> leaving) {
         Upstream existing = upstreamsById.get(listed.instanceId());
         if (existing == null) {
@@ -162,24 +152,13 @@
     /** Records that the host list in force was unchanged at the given time, which resets its age. */
     public synchronized void confirmHostList(long readAtMillis) {
         listedAtMillis = Math.max(listedAtMillis, readAtMillis);
-        versions.confirm(readAtMillis);
-    }
-
-    /**
-     * Returns the software version of all streams of a service that may still be resumed, empty if several versions have
-     * served.
-     *
-     * @param windowMillis longest time for which a stream may be resumed after it began
-     */
-    public synchronized Optional<String> onlyVersion(String service, long windowMillis) {
-        return versions.onlyVersion(service, windowMillis, clock.nowMillis());
     }
 
     /** Returns whether an upstream of a software version serves, or will do so again. */
     public synchronized boolean servesVersion(String service, String softwareVersion) {
         return upstreamsById.values().stream()
                 .filter(upstream -> upstream.listEntry().service().equals(service) && !upstream.leaving())
-                .anyMatch(upstream -> upstream.softwareVersion().equals(softwareVersion));
+                .anyMatch(upstream -> upstream.hasSoftwareVersion(softwareVersion));
     }
 
     /** Returns the age of the host list in force. */
@@ -339,10 +318,10 @@
             return Optional.of(placement);
         }
         long nowMillis = clock.nowMillis();
-        UpstreamFilter sameVersion = new UpstreamFilter(
-                filter.excludedIds(), placement.prefill().get().softwareVersion());
-        List<Upstream> decoders = candidates(service, sameVersion, nowMillis).stream()
+        String prefillVersion = placement.prefill().get().softwareVersion();
+        List<Upstream> decoders = candidates(service, filter, nowMillis).stream()
                 .filter(upstream -> upstream.listEntry().role() != EngineRole.PREFILL)
+                .filter(upstream -> upstream.softwareVersion().equals(prefillVersion))
                 .toList();
         if (decoders.contains(placement.decode())) {
             return Optional.of(placement);
--- a/gateway/src/main/java/org/wagtailcart/gateway/stream/StreamResumption.java
+++ b/gateway/src/main/java/org/wagtailcart/gateway/stream/StreamResumption.java
@@ -9,19 +9,6 @@
 
 /** Decides where a stream that its caller resumes may go on. */
 public final class StreamResumption {
-    /** Time beyond the timeout of a route after which no stream that began before can be resumed. */
-    private static final long HISTORY_MARGIN_MILLIS = 5_000;
-
-    /** How the origin of a stream became known. */
-    public enum Source {
-        /** A gateway has recorded it. */
-        RECORDED,
-        /** Its service has had a single software version. */
-        SINGLE_VERSION,
-        /** It is not known. */
-        NONE
-    }
-
     /** What becomes of a request that resumes a stream. */
     public enum Outcome {
         GOES_ON,
@@ -36,7 +23,7 @@
      *
      * @param origin origin of the stream, empty if it is not known
      */
-    public record Decision(Outcome outcome, Source source, Optional<StreamOrigin> origin) {}
+    public record Decision(Outcome outcome, Optional<StreamOrigin> origin) {}
 
     private final StreamOriginClient origins;
     private final UpstreamRegistry registry;
@@ -47,25 +34,18 @@
         this.registry = registry;
     }
 
-    /** Decides on a request that resumes a stream. Waits for the control members if another gateway began the stream. */
+    /**
+     * Decides on a request that resumes a stream. Waits for the control members if another gateway began the stream. What
+     * the host list shows does not tell the version of a stream: the list lags, and another gateway may have read a later
+     * one.
+     */
     public Decision decide(RequestMetadata metadata, Route route) {
-        Optional<StreamOrigin> recorded =
+        Optional<StreamOrigin> origin =
                 metadata.resumes().isEmpty() ? Optional.empty() : origins.find(metadata.resumes());
-        Optional<StreamOrigin> origin = recorded.or(() -> singleOrigin(route));
-        Source source =
-                recorded.isPresent() ? Source.RECORDED : origin.isPresent() ? Source.SINGLE_VERSION : Source.NONE;
-        Outcome outcome = origin.map(known -> isServed(known, route) ? Outcome.GOES_ON : Outcome.VERSION_GONE)
+        Outcome outcome = origin.filter(known -> !known.softwareVersion().isEmpty())
+                .map(known -> isServed(known, route) ? Outcome.GOES_ON : Outcome.VERSION_GONE)
                 .orElse(Outcome.VERSION_UNKNOWN);
-        return new Decision(outcome, source, origin);
-    }
-
-    private Optional<StreamOrigin> singleOrigin(Route route) {
-        if (route.splits().size() != 1) {
-            return Optional.empty();
-        }
-        String service = route.splits().get(0).service();
-        return registry.onlyVersion(service, route.timeoutMillis() + HISTORY_MARGIN_MILLIS)
-                .map(version -> new StreamOrigin(service, version));
+        return new Decision(outcome, origin);
     }
 
     private boolean isServed(StreamOrigin origin, Route route) {
--- a/gateway/src/test/java/org/wagtailcart/gateway/SoftwareVersionTest.java
+++ b/gateway/src/test/java/org/wagtailcart/gateway/SoftwareVersionTest.java
@@ -207,6 +207,23 @@
         }
     }
 
+    /** Guards against upstreams of unknown version, as an older control member lists them, that are taken for the same. */
+    @Test
+    void streamOfAnUnknownVersionIsNotContinued() throws Exception {
+        try (TestUpstream failing = new TestUpstream(stream("?", 5));
+                TestUpstream other = new TestUpstream(stream("??", EVENTS));
+                GatewayTestHarness harness = new GatewayTestHarness()) {
+            harness.add("a", "brain", failing.address(), EngineRole.DECODE, "");
+            harness.add("b", "brain", other.address(), EngineRole.DECODE, "");
+            harness.start();
+            assertThat(sendAndReceivePart(harness, "r-1")).doesNotContain("??");
+            HttpResponse<String> response = harness.send(resumption(harness, "r-2", 4, "r-1"));
+            assertThat(response.statusCode()).isEqualTo(503);
+            assertThat(response.body()).contains("stream-version-unknown");
+            assertThat(other.received()).isEmpty();
+        }
+    }
+
     /** Guards against a resumed stream that another service of its route continues. */
     @Test
     void streamOfAServiceOutsideTheRouteIsNotResumed() throws Exception {
