--- a/entry/src/main/java/org/wagtailcart/entry/call/ResponseForwarder.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/ResponseForwarder.java
@@ -27,6 +27,7 @@
     private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private List<String> headers = List.of();
     private int status;
+    private boolean eventStreamStarted;
 
     ResponseForwarder(CallerResponse response, boolean streamRequested, boolean fromEngine) {
         this.response = response;
@@ -45,9 +46,12 @@
         return events.deliveredTokens();
     }
 
-    /** Returns whether the response can be continued by another attempt. */
+    /**
+     * Returns whether another attempt can provide the response or the rest of it. Only an event stream can be continued,
+     * since its events are indexed; the body of any other response that has started cannot.
+     */
     boolean resumable() {
-        return !response.started() || streamRequested;
+        return !response.started() || eventStreamStarted;
     }
 
     /**
@@ -111,6 +115,7 @@
     private void deliverEvents(byte[] bytes) {
         if (bytes.length > 0) {
             response.start(200, STREAM_HEADERS);
+            eventStreamStarted = true;
             response.write(bytes);
         }
     }
--- a/entry/src/main/java/org/wagtailcart/entry/call/RetryableCall.java
+++ b/entry/src/main/java/org/wagtailcart/entry/call/RetryableCall.java
@@ -338,11 +338,11 @@
                         forwarder.deliveredTokens()));
         mayHaveRun |= error.runState() != RunState.NOT_RUN;
         release(CallContext.outcomeOf(error));
-        if (error.code() == ResultCode.SETTINGS_REVISION_STALE && settingsSyncs++ < MAX_SETTINGS_SYNCS) {
+        if (!forwarder.resumable()) {
+            fail(error);
+        } else if (error.code() == ResultCode.SETTINGS_REVISION_STALE && settingsSyncs++ < MAX_SETTINGS_SYNCS) {
             excluded.remove(upstreamId);
             context.runAfterSettingsSync(sentRevision, executor, () -> route(false));
-        } else if (!forwarder.resumable()) {
-            fail(error);
         } else if (response.started()) {
             resume(error);
         } else {
--- a/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
+++ b/entry/src/test/java/org/wagtailcart/entry/EntryStreamTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.function.Function;
@@ -16,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtailcart.common.EngineRole;
@@ -277,4 +279,33 @@
                 .join();
         assertThat(outcome).isNotEqualTo(200);
     }
+
+    /**
+     * Guards against the response of another attempt that is appended to a broken error body: the caller then receives
+     * one error response that appears complete, in a stream even with [DONE].
+     */
+    @ParameterizedTest(name = "stream {0}, {1}")
+    @CsvSource({
+        "true, UPSTREAM_FAILED",
+        "true, UPSTREAM_LEAVING",
+        "true, SETTINGS_REVISION_STALE",
+        "false, UPSTREAM_FAILED",
+        "false, SETTINGS_REVISION_STALE"
+    })
+    void aBrokenErrorBodyIsNotContinued(boolean stream, ResultCode code) {
+        byte[] tooLargeToBuffer = new byte[(1 << 20) + 1];
+        first.scripts.add((request, exchange) -> {
+            exchange.send(new AttemptStarted(request.attemptId(), 404, List.of("Content-Type", "text/plain")));
+            exchange.send(new AttemptChunk(request.attemptId(), 0, tooLargeToBuffer));
+            exchange.fail(new WagtailcartException(code, "broke off"));
+        });
+        String outcome = fixture.completeAsync(stream)
+                .thenApply(response ->
+                        response.statusCode() + " with " + response.body().substring(tooLargeToBuffer.length))
+                .exceptionally(error -> error.getCause() instanceof HttpTimeoutException ? "timeout" : "cut")
+                .join();
+        assertThat(outcome).isEqualTo("cut");
+        assertThat(first.received).hasSize(1);
+        assertThat(second.received).isEmpty();
+    }
 }
