--- a/daemon/src/test/java/org/wagtailcart/daemon/StutteringReplicas.java
+++ b/daemon/src/test/java/org/wagtailcart/daemon/StutteringReplicas.java
@@ -135,7 +135,7 @@
                 .map(replica ->
                         """
                         {"id":"%s","service":"%s","address":"%s","zone":"fes","version":"v1","slots":16,\
-                        "version":"v1","state":"ready","cold_left_ms":0}"""
+                        "state":"ready","cold_left_ms":0}"""
                                 .formatted(replica.id, SERVICE, replica.address))
                 .collect(Collectors.joining(",", "{\"instances\":[", "],\"next\":null}"));
     }
